Add the workspace, the resource types and the edge traits

Cause: the parts can only be written side by side once their interfaces compile. Change: identifiers, clock, errors, objects, messages between daemons, worker protocol, edge traits, and a first-fit planner that stands for the decision core.

--- /dev/null
+++ b/crates/pistachiostair/src/lib.rs
@@ -0,0 +1,45 @@
+//! Scheduler library for multi-accelerator jobs under client account guarantees.
+//!
+//! Decisions are state machines without I/O, fed with events and a passed-in time:
+//!
+//! ```
+//! use pistachiostair::{Change, Decision, JobId, JobSpec, MemberState, Millis, Planner, WorkerInfo};
+//!
+//! let mut planner = Planner::new();
+//! let info: WorkerInfo = serde_json::from_str(
+//!     r#"{"name":"w1","region":"fi","domain":"helsinki","rack":"r1","slots":8,"accelerators":8,
+//!         "millicores":30000,"memory":65536}"#,
+//! )?;
+//! planner.apply(Millis(0), Change::Worker { info, state: MemberState::Live });
+//! let spec: JobSpec = serde_json::from_str(r#"{"account":"court","shape":"1x4"}"#)?;
+//! planner.apply(Millis(1), Change::Queued { job: JobId(1), spec, served: Millis(0) });
+//! let decisions = planner.plan(Millis(2), 10);
+//! assert!(matches!(&decisions[..], [Decision::Place { job: JobId(1), .. }]));
+//! # Ok::<(), serde_json::Error>(())
+//! ```
+
+mod macros;
+
+mod clock;
+mod edge;
+mod error;
+mod ids;
+mod message;
+mod planner;
+mod resource;
+mod worker;
+
+pub use clock::{Clock, Millis};
+pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
+pub use error::{Error, ErrorKind, Ran, Result};
+pub use ids::{
+    AccountName, Attempt, DaemonName, DomainName, GuaranteeName, Incarnation, JobId, JobName, RackName, RegionName,
+    Revision, Seq, TaskId, Term, WorkerName,
+};
+pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use planner::{Change, Decision, End, Figures, Planner};
+pub use resource::{
+    Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
+    MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
+};
+pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- /dev/null
+++ b/crates/pistachiostair/src/message.rs
@@ -0,0 +1,265 @@
+//! Messages between daemons: MessagePack with named fields over QUIC streams.
+//!
+//! Unknown fields are ignored, so that daemons of two releases work side by side.
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::edge::Vm;
+use crate::error::{Error, ErrorKind, Ran};
+use crate::ids::{DaemonName, RegionName, Revision, Term, WorkerName};
+use crate::record;
+use crate::resource::{Guarantee, Job, JobSpec, Member, Worker};
+use crate::worker::{BatchReply, Changes, CommandBatch};
+
+/// Version of the messages, sent in each envelope.
+pub const MESSAGE_VERSION: u16 = 1;
+
+/// Largest message in bytes; a longer one is refused before it is read.
+pub const MAX_MESSAGE: usize = 4 * 1024 * 1024;
+
+record! {
+    /// A request with what every message carries.
+    pub struct Envelope {
+        /// Version of the sender's messages.
+        pub version: u16,
+        /// Sender.
+        pub from: DaemonName,
+        /// Span in milliseconds within which the sender waits for the response.
+        pub timeout: Millis,
+        /// The request.
+        pub request: Request,
+    }
+}
+
+record! {
+    /// What one daemon asks of another.
+    pub enum Request {
+        /// Liveness and gossip, once a second to each live daemon.
+        Heartbeat(Box<Heartbeat>),
+        /// From the scheduler to the supervisor of a worker: commands to pass on.
+        Command {
+            /// The worker.
+            worker: WorkerName,
+            /// The commands.
+            batch: CommandBatch,
+        },
+        /// From the supervisor to the scheduler: news of a worker.
+        Report {
+            /// The region.
+            region: RegionName,
+            /// Name of the worker.
+            worker: WorkerName,
+            /// The changes, or nothing if the worker does not answer.
+            changes: Option<Box<Changes>>,
+        },
+        /// From an entry daemon to the scheduler: a caller's request about jobs.
+        Call {
+            /// The region.
+            region: RegionName,
+            /// The request.
+            call: Call,
+        },
+        /// A committed configuration.
+        Policy {
+            /// Its revision.
+            revision: Revision,
+            /// Its document, as YAML.
+            document: String,
+        },
+        /// Asks for the configuration in force.
+        GetPolicy,
+    }
+}
+
+record! {
+    /// A heartbeat.
+    pub struct Heartbeat {
+        /// The sender.
+        pub member: Member,
+        /// Schedulers of regions that it knows.
+        pub leaders: Vec<Leader>,
+        /// Other daemons that it knows.
+        pub known: Vec<Member>,
+    }
+}
+
+record! {
+    /// Scheduler of a region.
+    pub struct Leader {
+        /// The region.
+        pub region: RegionName,
+        /// Its daemon.
+        pub daemon: DaemonName,
+        /// Its term.
+        pub term: Term,
+    }
+}
+
+record! {
+    /// A caller's request about jobs, answered by the region's scheduler.
+    pub enum Call {
+        /// Submits a job.
+        Submit {
+            /// Name of the job; generated if empty.
+            name: String,
+            /// Idempotency key, unique per client account; the name if absent.
+            key: Option<String>,
+            /// Specification.
+            spec: Box<JobSpec>,
+        },
+        /// Reads a job.
+        Get {
+            /// Client account.
+            account: String,
+            /// Name.
+            name: String,
+        },
+        /// Waits until the job is final or `wait` milliseconds passed, then reads it.
+        Wait {
+            /// Client account.
+            account: String,
+            /// Name.
+            name: String,
+            /// Longest wait.
+            wait: Millis,
+        },
+        /// Lists jobs whose revision is above `after`, in order of revision.
+        List {
+            /// Client account; all if absent.
+            account: Option<String>,
+            /// Only revisions above this one.
+            after: Revision,
+            /// The most jobs to return.
+            limit: u32,
+            /// Waits this long for a first change if there is none.
+            wait: Millis,
+        },
+        /// Cancels a job.
+        Cancel {
+            /// Client account.
+            account: String,
+            /// Name.
+            name: String,
+            /// Revision that the job must have, if given.
+            revision: Option<Revision>,
+        },
+        /// Explains why a job waits.
+        Explain {
+            /// Client account.
+            account: String,
+            /// Name.
+            name: String,
+        },
+        /// Lists workers as the scheduler sees them.
+        Workers,
+        /// Stops placing work on a worker, or places work there again.
+        Drain {
+            /// The worker.
+            worker: WorkerName,
+            /// Whether to drain it.
+            drain: bool,
+        },
+        /// Creates or replaces a guarantee, if it can be honoured together with all others.
+        PutGuarantee(Box<Guarantee>),
+        /// Deletes a guarantee.
+        DeleteGuarantee {
+            /// Name.
+            name: String,
+            /// Revision that it must have, if given.
+            revision: Option<Revision>,
+        },
+        /// Lists guarantees with their conditions.
+        Guarantees,
+    }
+}
+
+record! {
+    /// Response to a [`Request`].
+    pub enum Response {
+        /// Taken note of.
+        Ack,
+        /// Answer to a heartbeat, which carries the responder's own.
+        Heartbeat(Box<Heartbeat>),
+        /// Answer to commands.
+        Command(BatchReply),
+        /// Jobs; one for submit, get, wait and cancel.
+        Jobs {
+            /// The jobs.
+            jobs: Vec<Job>,
+            /// Revision to continue from.
+            revision: Revision,
+            /// Whether the submission created the job, rather than finding the first one's.
+            created: bool,
+        },
+        /// Explanation of one job.
+        Explained {
+            /// Lines of text.
+            lines: Vec<String>,
+        },
+        /// Workers.
+        Workers {
+            /// The workers.
+            workers: Vec<Worker>,
+        },
+        /// Guarantees; one for a write.
+        Guarantees {
+            /// The guarantees.
+            guarantees: Vec<Guarantee>,
+        },
+        /// The configuration in force.
+        Policy {
+            /// Its revision; 0 if none is known.
+            revision: Revision,
+            /// Its document, as YAML.
+            document: String,
+        },
+        /// The request was not met.
+        Failed(Failure),
+    }
+}
+
+record! {
+    /// An error as it crosses the wire, to daemons and to callers.
+    pub struct Failure {
+        /// Kind of error.
+        pub kind: ErrorKind,
+        /// What failed, for people.
+        pub message: String,
+        /// Whether the work of the request ran.
+        pub ran: Ran,
+        /// Milliseconds after which a new try makes sense.
+        #[serde(default)]
+        pub retry: Option<u64>,
+    }
+}
+
+impl From<&Error> for Failure {
+    fn from(error: &Error) -> Self {
+        Self {
+            kind: error.kind,
+            message: error.to_string(),
+            ran: error.ran,
+            retry: error.retry,
+        }
+    }
+}
+
+impl Failure {
+    /// Turns a failure told by `peer` during `step` back into an error.
+    pub fn into_error(self, step: &'static str, peer: &str) -> Error {
+        Error {
+            retry: self.retry,
+            ..Error::msg(self.kind, step, self.message).at(peer).ran(self.ran)
+        }
+    }
+}
+
+/// Members and workers that a daemon knows: the platform's list joined with heartbeats.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    /// Daemons, in order of names.
+    pub daemons: Vec<Member>,
+    /// Workers of the platform's list.
+    pub workers: Vec<Vm>,
+}
--- /dev/null
+++ b/crates/pistachiostaird/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
