--- /dev/null
+++ b/crates/pistachiostair/src/http_client.rs
@@ -0,0 +1,241 @@
+//! HTTP client with a pool for each peer, deadlines, and no trust in silent connections.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use async_executor::Executor;
+use async_io::Timer;
+use async_net::TcpStream;
+use bytes::Bytes;
+use futures_lite::future;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Method, Request, StatusCode};
+use smol_hyper::rt::FuturesIo;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind, Ran, Result};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Millis = Millis(1_000);
+
+/// A request without its peer.
+#[derive(Clone, Debug)]
+pub struct HttpCall<'a> {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Headers besides host and length.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// Body.
+    pub body: Bytes,
+    /// Longest time until the whole response is there.
+    pub timeout: Millis,
+}
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
+}
+
+#[derive(Default)]
+struct Pool {
+    /// Raised when a request on this peer timed out; connections of older epochs are not used again.
+    epoch: u64,
+    idle: Vec<(u64, SendRequest<Full<Bytes>>)>,
+    open: usize,
+}
+
+/// HTTP/1.1 client: one request at a time on each connection.
+pub struct HttpClient {
+    executor: Arc<Executor<'static>>,
+    pools: Arc<Mutex<BTreeMap<String, Pool>>>,
+    limit: usize,
+    max_body: usize,
+}
+
+impl HttpClient {
+    /// A client that holds at most `limit` connections to a peer and reads at most `max_body` bytes of a response.
+    pub fn new(executor: Arc<Executor<'static>>, limit: usize, max_body: usize) -> Self {
+        Self {
+            executor,
+            pools: Arc::default(),
+            limit,
+            max_body,
+        }
+    }
+
+    /// Sends a request to `peer`, an `ip:port`, and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// `Limited` or `Unavailable` with `ran: no` if nothing was sent; `Timeout` or `Unavailable`
+    /// with `ran: unknown` if the request was sent and the response did not arrive whole.
+    pub async fn send(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpAnswer> {
+        let timeout = call.timeout;
+        let attempt = async {
+            let (epoch, mut sender) = match self.take_idle(peer) {
+                Some(found) => found,
+                None => self.connect(peer).await?,
+            };
+            let result = self.exchange(peer, &mut sender, &call).await;
+            self.put_back(peer, epoch, sender, result.is_ok());
+            result
+        };
+        let lapsed = async {
+            Timer::after(timeout.duration()).await;
+            Err(Error::msg(
+                ErrorKind::Timeout,
+                "http request",
+                format!("no response within {timeout}"),
+            )
+            .at(peer))
+        };
+        let result = future::or(attempt, lapsed).await;
+        match result {
+            Err(error) if error.kind == ErrorKind::Timeout && error.step == "http request" => {
+                self.distrust(peer);
+                Err(error.ran(Ran::Unknown))
+            }
+            other => other,
+        }
+    }
+
+    /// Closes all idle connections to `peer`.
+    pub fn forget(&self, peer: &str) {
+        if let Some(pool) = self.pools.lock().expect("pool lock").get_mut(peer) {
+            pool.idle.clear();
+        }
+    }
+
+    /// Number of idle and busy connections to `peer`.
+    pub fn open(&self, peer: &str) -> usize {
+        self.pools
+            .lock()
+            .expect("pool lock")
+            .get(peer)
+            .map_or(0, |pool| pool.open)
+    }
+
+    fn take_idle(&self, peer: &str) -> Option<(u64, SendRequest<Full<Bytes>>)> {
+        let mut pools = self.pools.lock().expect("pool lock");
+        let pool = pools.get_mut(peer)?;
+        while let Some((epoch, sender)) = pool.idle.pop() {
+            if epoch == pool.epoch && sender.is_ready() {
+                return Some((epoch, sender));
+            }
+        }
+        None
+    }
+
+    fn put_back(&self, peer: &str, epoch: u64, sender: SendRequest<Full<Bytes>>, usable: bool) {
+        let mut pools = self.pools.lock().expect("pool lock");
+        let pool = pools.entry(peer.to_owned()).or_default();
+        if usable && epoch == pool.epoch && !sender.is_closed() && pool.idle.len() < self.limit {
+            pool.idle.push((epoch, sender));
+        }
+    }
+
+    fn distrust(&self, peer: &str) {
+        let mut pools = self.pools.lock().expect("pool lock");
+        let pool = pools.entry(peer.to_owned()).or_default();
+        pool.epoch += 1;
+        pool.idle.clear();
+    }
+
+    async fn connect(&self, peer: &str) -> Result<(u64, SendRequest<Full<Bytes>>)> {
+        let guard = self.reserve(peer)?;
+        let unavailable = |error: anyhow::Error| Error::new(ErrorKind::Unavailable, "connect", error).at(peer);
+        let lapsed = async {
+            Timer::after(CONNECT_TIMEOUT.duration()).await;
+            Err(std::io::Error::from(std::io::ErrorKind::TimedOut))
+        };
+        let stream = future::or(TcpStream::connect(peer), lapsed)
+            .await
+            .map_err(|e| unavailable(e.into()))?;
+        stream.set_nodelay(true).map_err(|e| unavailable(e.into()))?;
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|e| unavailable(e.into()))?;
+        let epoch = guard.epoch;
+        self.executor
+            .spawn(async move {
+                let _guard = guard;
+                // The error reaches the request that uses the connection.
+                let _ = connection.await;
+            })
+            .detach();
+        Ok((epoch, sender))
+    }
+
+    fn reserve(&self, peer: &str) -> Result<OpenGuard> {
+        let mut pools = self.pools.lock().expect("pool lock");
+        let pool = pools.entry(peer.to_owned()).or_default();
+        if pool.open >= self.limit {
+            let message = format!("{} connections are open, the most allowed", pool.open);
+            return Err(Error::msg(ErrorKind::Limited, "connect", message)
+                .at(peer)
+                .retry_after(100));
+        }
+        pool.open += 1;
+        Ok(OpenGuard {
+            pools: self.pools.clone(),
+            peer: peer.to_owned(),
+            epoch: pool.epoch,
+        })
+    }
+
+    async fn exchange(
+        &self,
+        peer: &str,
+        sender: &mut SendRequest<Full<Bytes>>,
+        call: &HttpCall<'_>,
+    ) -> Result<HttpAnswer> {
+        let invalid = |e: hyper::http::Error| Error::new(ErrorKind::Invalid, "build request", e).at(peer);
+        let mut builder = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path)
+            .header("host", peer);
+        for (name, value) in call.headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(call.body.clone())).map_err(invalid)?;
+        let response = sender.send_request(request).await.map_err(|e| {
+            let ran = if e.is_canceled() { Ran::No } else { Ran::Unknown };
+            Error::new(ErrorKind::Unavailable, "send request", e).at(peer).ran(ran)
+        })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), self.max_body)
+            .collect()
+            .await
+            .map_err(|e| {
+                Error::msg(ErrorKind::Unavailable, "read response", e)
+                    .at(peer)
+                    .ran(Ran::Unknown)
+            })?;
+        Ok(HttpAnswer {
+            status,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+/// A place among the open connections of a peer, given back when the connection ends.
+struct OpenGuard {
+    pools: Arc<Mutex<BTreeMap<String, Pool>>>,
+    peer: String,
+    epoch: u64,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pools.lock().expect("pool lock").get_mut(&self.peer) {
+            pool.open = pool.open.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/http_server.rs
@@ -0,0 +1,348 @@
+//! HTTP server with limits on connections, headers, bodies and progress.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
+
+use async_executor::Executor;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt, Stream, future};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::clock::Millis;
+use crate::edge::BoxFuture;
+use crate::kernel::Stop;
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpLimits {
+    /// Connections open at once; more are closed at accept.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+    /// Longest time to read a request's head, or its body.
+    pub read: Millis,
+    /// Longest time without progress when writing a response.
+    pub stall: Millis,
+    /// Longest life of a connection; it ends after the request in progress.
+    pub age: Millis,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            connections: 2_000,
+            head: 16 * 1024,
+            body: 64 * 1024,
+            read: Millis(10_000),
+            stall: Millis(10_000),
+            age: Millis::from_secs(3600),
+        }
+    }
+}
+
+/// A request that was read whole.
+#[derive(Clone, Debug)]
+pub struct HttpRequest {
+    /// Method.
+    pub method: Method,
+    /// Path without the query, percent-encoded.
+    pub path: String,
+    /// Query parameters, decoded.
+    pub query: BTreeMap<String, String>,
+    /// Headers with lower-case names; values that are not text are left out.
+    pub headers: BTreeMap<String, String>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A response.
+#[derive(Debug)]
+pub struct HttpReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers besides length and date.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: HttpBody,
+}
+
+/// Body of a response.
+#[derive(Debug)]
+pub enum HttpBody {
+    /// All of it.
+    Full(Bytes),
+    /// Chunks until the sender is closed.
+    Chunks(async_channel::Receiver<Bytes>),
+}
+
+impl HttpReply {
+    /// A response of JSON text.
+    pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers: vec![("content-type", "application/json".to_owned())],
+            body: HttpBody::Full(body.into()),
+        }
+    }
+
+    /// A response of plain text.
+    pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers: vec![("content-type", "text/plain; charset=utf-8".to_owned())],
+            body: HttpBody::Full(body.into()),
+        }
+    }
+}
+
+/// Answers requests.
+pub type HttpHandler = Arc<dyn Fn(HttpRequest) -> BoxFuture<'static, HttpReply> + Send + Sync>;
+
+/// Turns an over-long or unreadable request into a response: status and reason.
+pub type HttpRefusal = Arc<dyn Fn(StatusCode, &str) -> HttpReply + Send + Sync>;
+
+type Body = BoxBody<Bytes, Infallible>;
+
+/// An HTTP/1.1 server.
+pub struct HttpServer {
+    /// Executor of its connections.
+    pub executor: Arc<Executor<'static>>,
+    /// Limits.
+    pub limits: HttpLimits,
+    /// Answers requests.
+    pub handler: HttpHandler,
+    /// Answers requests that break a limit.
+    pub refusal: HttpRefusal,
+    /// Raised to end: connections close after the request in progress.
+    pub stop: Stop,
+    /// Connections open now.
+    pub open: Arc<AtomicUsize>,
+}
+
+impl HttpServer {
+    /// Serves until the stop signal is raised; connections end by themselves after it.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let accepted = future::or(async { Some(listener.accept().await) }, async {
+                self.stop.wait().await;
+                None
+            });
+            match accepted.await {
+                None => return,
+                // Out of file descriptors, or the connection ended before it was accepted.
+                Some(Err(_)) => {
+                    Timer::after(Millis(10).duration()).await;
+                }
+                Some(Ok((stream, _))) => self.clone().accept(stream),
+            }
+        }
+    }
+
+    fn accept(self: Arc<Self>, stream: TcpStream) {
+        if self.open.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
+            self.open.fetch_sub(1, Ordering::Relaxed);
+            return;
+        }
+        let executor = self.executor.clone();
+        executor
+            .spawn(async move {
+                let _ = stream.set_nodelay(true);
+                self.connection(stream).await;
+                self.open.fetch_sub(1, Ordering::Relaxed);
+            })
+            .detach();
+    }
+
+    async fn connection(&self, stream: TcpStream) {
+        let io = FuturesIo::new(Progress {
+            stream,
+            stall: self.limits.stall,
+            timer: None,
+        });
+        let service = service_fn(|request| async { Ok::<_, Infallible>(self.answer(request).await) });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(SmolTimer::new())
+            .header_read_timeout(self.limits.read.duration())
+            .max_buf_size(self.limits.head.max(8192))
+            .max_headers(64);
+        let mut connection = pin!(builder.serve_connection(io, service));
+        let ended = future::or(async { Some(connection.as_mut().await) }, async {
+            let age = async {
+                Timer::after(self.limits.age.duration()).await;
+            };
+            future::or(self.stop.wait(), age).await;
+            None
+        })
+        .await;
+        if ended.is_none() {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let read = async { Limited::new(body, self.limits.body).collect().await.map_err(Some) };
+        let lapsed = async {
+            Timer::after(self.limits.read.duration()).await;
+            Err(None)
+        };
+        let reply = match future::or(read, lapsed).await {
+            Ok(body) => {
+                let request = HttpRequest {
+                    method: parts.method,
+                    path: parts.uri.path().to_owned(),
+                    query: parse_query(parts.uri.query().unwrap_or_default()),
+                    headers: text_headers(&parts.headers),
+                    body: body.to_bytes(),
+                };
+                (self.handler)(request).await
+            }
+            Err(None) => (self.refusal)(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
+            Err(Some(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                let reason = format!("the body is longer than {} bytes", self.limits.body);
+                (self.refusal)(StatusCode::PAYLOAD_TOO_LARGE, &reason)
+            }
+            Err(Some(error)) => (self.refusal)(StatusCode::BAD_REQUEST, &format!("the body can't be read: {error}")),
+        };
+        into_response(reply)
+    }
+}
+
+fn into_response(reply: HttpReply) -> Response<Body> {
+    let body = match reply.body {
+        HttpBody::Full(bytes) => Full::new(bytes).boxed(),
+        HttpBody::Chunks(receiver) => BodyExt::boxed(StreamBody::new(ChunkStream(Box::pin(receiver)))),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = reply.status;
+    for (name, value) in reply.headers {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
+    }
+    response
+}
+
+fn text_headers(headers: &hyper::HeaderMap) -> BTreeMap<String, String> {
+    headers
+        .iter()
+        .filter_map(|(name, value)| Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned())))
+        .collect()
+}
+
+/// Parses `a=1&b=2`; a later parameter of the same name wins.
+pub fn parse_query(query: &str) -> BTreeMap<String, String> {
+    query
+        .split('&')
+        .filter(|pair| !pair.is_empty())
+        .map(|pair| {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            (decode_percent(name), decode_percent(value))
+        })
+        .collect()
+}
+
+/// Decodes `%41` and leaves malformed escapes as they are.
+pub fn decode_percent(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let escape = (bytes[at] == b'%')
+            .then(|| bytes.get(at + 1..at + 3).and_then(hex_byte))
+            .flatten();
+        decoded.push(escape.unwrap_or(bytes[at]));
+        at += if escape.is_some() { 3 } else { 1 };
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+/// Encodes everything but letters, digits and `-._~`.
+pub fn encode_percent(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => encoded.push(char::from(byte)),
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
+
+fn hex_byte(digits: &[u8]) -> Option<u8> {
+    u8::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
+}
+
+struct ChunkStream(Pin<Box<async_channel::Receiver<Bytes>>>);
+
+impl Stream for ChunkStream {
+    type Item = Result<Frame<Bytes>, Infallible>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.0
+            .as_mut()
+            .poll_next(cx)
+            .map(|chunk| chunk.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
+
+/// A stream whose writes fail after a time without progress, so that a caller that stops reading
+/// does not hold memory for ever.
+struct Progress {
+    stream: TcpStream,
+    stall: Millis,
+    timer: Option<Timer>,
+}
+
+impl Progress {
+    fn check<T>(&mut self, cx: &mut Context<'_>, poll: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if poll.is_ready() {
+            self.timer = None;
+            return poll;
+        }
+        let timer = self.timer.get_or_insert_with(|| Timer::after(self.stall.duration()));
+        match timer.poll(cx) {
+            Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for Progress {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Progress {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check(cx, poll)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let poll = Pin::new(&mut self.stream).poll_flush(cx);
+        self.check(cx, poll)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -20,26 +20,43 @@
 
 mod macros;
 
+mod appender;
 mod clock;
 mod edge;
 mod error;
+mod http_client;
+mod http_server;
 mod ids;
+mod kernel;
 mod message;
 mod planner;
 mod resource;
+mod scheduler;
+mod store;
+mod tenure;
 mod worker;
 
+pub use appender::{AppendAction, AppendEvent};
 pub use clock::{Clock, Millis};
 pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
 pub use error::{Error, ErrorKind, Ran, Result};
+pub use http_client::{HttpAnswer, HttpCall, HttpClient};
+pub use http_server::{
+    HttpBody, HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer, decode_percent, encode_percent,
+    parse_query,
+};
 pub use ids::{
     AccountName, Attempt, DaemonName, DomainName, GuaranteeName, Incarnation, JobId, JobName, RackName, RegionName,
     Revision, Seq, TaskId, Term, WorkerName,
 };
+pub use kernel::{Kernel, Service, Stop};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
 pub use planner::{Change, Decision, End, Figures, Planner};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
+pub use scheduler::{Action, Event, LogLine, Token};
+pub use store::Store;
+pub use tenure::{TenureAction, TenureEvent};
 pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- /dev/null
+++ b/crates/pistachiostair/src/store.rs
@@ -0,0 +1,139 @@
+//! Access to the platform over HTTP: table service, object store and list of VMs.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::clock::Millis;
+use crate::edge::{BoxFuture, Commit, Objects, Row, Table, Transaction, Vm, VmList};
+use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::http_client::{HttpAnswer, HttpCall, HttpClient};
+use crate::http_server::encode_percent;
+use crate::kernel::Service;
+
+/// Client of the platform's services.
+pub struct Store {
+    client: Arc<HttpClient>,
+    address: String,
+    timeout: Millis,
+}
+
+impl Service for Store {
+    const NAME: &'static str = "store";
+}
+
+impl Store {
+    /// A client of the platform at `address`, an `ip:port`, that waits `timeout` for each answer.
+    pub fn new(client: Arc<HttpClient>, address: impl Into<String>, timeout: Millis) -> Self {
+        Self {
+            client,
+            address: address.into(),
+            timeout,
+        }
+    }
+
+    async fn send(&self, step: &'static str, method: Method, path: &str, body: Bytes) -> Result<HttpAnswer> {
+        let call = HttpCall {
+            method,
+            path,
+            headers: &[],
+            body,
+            timeout: self.timeout,
+        };
+        let answer = self.client.send(&self.address, call).await?;
+        if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND {
+            return Ok(answer);
+        }
+        // An error status does not tell whether a write took effect.
+        Err(Error::msg(
+            ErrorKind::Unavailable,
+            step,
+            format!("the platform answered {}", answer.status),
+        )
+        .at(self.address.as_str())
+        .ran(Ran::Unknown))
+    }
+
+    async fn get_json<T: DeserializeOwned>(&self, step: &'static str, path: &str) -> Result<Option<T>> {
+        let answer = self.send(step, Method::GET, path, Bytes::new()).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        self.parse(step, &answer.body).map(Some)
+    }
+
+    fn parse<T: DeserializeOwned>(&self, step: &'static str, body: &[u8]) -> Result<T> {
+        serde_json::from_slice(body).map_err(|e| {
+            Error::new(ErrorKind::Unavailable, step, e)
+                .at(self.address.as_str())
+                .ran(Ran::Unknown)
+        })
+    }
+}
+
+impl Table for Store {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Row>>> {
+        Box::pin(async move {
+            self.get_json("read row", &format!("/v1/rows/{}", encode_percent(key)))
+                .await
+        })
+    }
+
+    fn scan<'a>(&'a self, prefix: &'a str, after: &'a str, limit: usize) -> BoxFuture<'a, Result<Vec<Row>>> {
+        Box::pin(async move {
+            let path = format!(
+                "/v1/scan?prefix={}&after={}&limit={limit}",
+                encode_percent(prefix),
+                encode_percent(after)
+            );
+            Ok(self.get_json("scan rows", &path).await?.unwrap_or_default())
+        })
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> BoxFuture<'a, Result<Commit>> {
+        Box::pin(async move {
+            let body = serde_json::to_vec(transaction)
+                .map_err(|e| Error::new(ErrorKind::Internal, "encode transaction", e))?;
+            let answer = self
+                .send("commit", Method::POST, "/v1/transactions", body.into())
+                .await?;
+            self.parse("commit", &answer.body)
+        })
+    }
+}
+
+impl Objects for Store {
+    fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Vec<u8>>>> {
+        Box::pin(async move {
+            let path = format!("/v1/objects/{}", encode_percent(key));
+            let answer = self.send("read object", Method::GET, &path, Bytes::new()).await?;
+            Ok((answer.status != StatusCode::NOT_FOUND).then(|| answer.body.to_vec()))
+        })
+    }
+
+    fn write<'a>(&'a self, key: &'a str, body: &'a [u8]) -> BoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let path = format!("/v1/objects/{}", encode_percent(key));
+            self.send("write object", Method::PUT, &path, Bytes::copy_from_slice(body))
+                .await
+                .map(drop)
+        })
+    }
+
+    fn delete<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let path = format!("/v1/objects/{}", encode_percent(key));
+            self.send("delete object", Method::DELETE, &path, Bytes::new())
+                .await
+                .map(drop)
+        })
+    }
+}
+
+impl VmList for Store {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<Vm>>> {
+        Box::pin(async move { Ok(self.get_json("list VMs", "/v1/vms").await?.unwrap_or_default()) })
+    }
+}
