--- /dev/null
+++ b/crates/pistachiostair/src/commits.rs
@@ -0,0 +1,147 @@
+//! What follows from a committed row of the journal.
+
+use crate::active::Active;
+use crate::appender::{AppendAction, AppendEvent};
+use crate::clock::Millis;
+use crate::finish::answer_key;
+use crate::gang::Run;
+use crate::ids::{JobId, Seq};
+use crate::journal::{Batch, Record, revision};
+use crate::planner::{Change, End};
+use crate::resource::JobPhase;
+
+impl Active {
+    /// Takes in the outcome of work for the journal.
+    pub(crate) fn stored(&mut self, now: Millis, event: AppendEvent) {
+        let answer = |key: &str| -> Option<JobId> {
+            let prefix = format!("answer/{}/", self.region);
+            key.strip_prefix(&prefix)?.parse().ok().map(JobId)
+        };
+        match &event {
+            AppendEvent::SnapshotPut { key, done } => {
+                if let Some(job) = answer(key) {
+                    return self.answer_stored(now, job, *done);
+                }
+            }
+            AppendEvent::SnapshotRead { key, body } => {
+                if let Some(job) = answer(key) {
+                    return self.answer_read(job, body.as_deref());
+                }
+            }
+            _ => {}
+        }
+        let actions = self.appender.on(now, event);
+        self.append(actions);
+    }
+
+    /// Folds a committed batch and acts on each of its records.
+    pub(crate) fn committed(&mut self, now: Millis, seq: Seq, batch: &Batch) {
+        self.state.seq = seq;
+        self.state.wall = self.state.wall.max(batch.wall);
+        for (index, record) in batch.records.iter().enumerate() {
+            if let Record::Forgotten { jobs } = record {
+                self.delete_answers(jobs);
+            }
+            self.state.fold(revision(seq, index), record);
+            self.effect(now, record);
+        }
+        self.answer_lists();
+    }
+
+    fn effect(&mut self, now: Millis, record: &Record) {
+        match record {
+            Record::Accepted { job, .. } => {
+                if let Some(entry) = self.state.job(*job).cloned() {
+                    self.watch_deadline(&entry);
+                }
+                self.answer_submit(*job);
+            }
+            Record::Placed { job, attempt, parts } => {
+                let reason = self.placing.remove(job).unwrap_or_default();
+                let progress = self.state.job(*job).map(|entry| entry.progress.clone());
+                let run = Run::placed(*attempt, parts, &progress.unwrap_or_default());
+                let workers = parts.iter().map(|part| part.worker.clone()).collect();
+                self.log("placed", *job, workers, reason);
+                self.begin(now, *job, run);
+            }
+            Record::Released { job, .. } => {
+                if let Some(run) = self.runs.get_mut(job) {
+                    run.released = true;
+                    self.touched.extend(run.parts.iter().map(|part| part.worker.clone()));
+                }
+                self.review.insert(*job);
+            }
+            Record::Requeued { job, .. } => self.end(now, *job),
+            Record::Finished { job, phase, reason, .. } => self.finished(now, *job, *phase, reason),
+            Record::Cancelling { job } => {
+                let waits = !self.runs.contains_key(job) && !self.placing.contains_key(job);
+                if waits && !self.closing.contains(job) {
+                    self.finish_waiting(now, *job, JobPhase::Cancelled, "cancelled by a caller");
+                }
+                self.review.insert(*job);
+                self.answer_cancels(*job);
+            }
+            Record::Forgotten { .. } => self.forgetting.clear(),
+            Record::Drained { worker, .. } => {
+                self.sync_worker(now, worker);
+                self.answer_drains(worker);
+            }
+        }
+    }
+
+    fn finished(&mut self, now: Millis, job: JobId, phase: JobPhase, reason: &str) {
+        let workers = self.state.job(job).map_or_else(Vec::new, |entry| entry.workers.clone());
+        let what = match phase {
+            JobPhase::Succeeded => "succeeded",
+            JobPhase::Cancelled => "cancelled",
+            JobPhase::Expired => "expired",
+            JobPhase::Unrunnable => "unrunnable",
+            JobPhase::Unknown => "outcome unknown",
+            _ => "failed",
+        };
+        self.log(what, job, workers, reason);
+        self.closing.remove(&job);
+        self.end(now, job);
+        self.answer_cancels(job);
+        self.answer_waits(job);
+    }
+
+    /// Ends a job that is not placed.
+    pub(crate) fn finish_waiting(&mut self, now: Millis, job: JobId, phase: JobPhase, reason: &str) {
+        let Some(ran) = self.state.job(job).map(|entry| entry.ran) else {
+            return;
+        };
+        self.planner.apply(now, Change::Ended { job, end: End::Stopped });
+        self.finish_job(job, phase, ran, None, reason.to_owned());
+    }
+
+    /// The deadline of a job passed.
+    pub(crate) fn expire_job(&mut self, now: Millis, job: JobId) {
+        let open = self.state.job(job).is_some_and(|entry| entry.ended.is_none());
+        if !open || self.closing.contains(&job) || self.placing.contains_key(&job) {
+            return;
+        }
+        if self.runs.contains_key(&job) {
+            self.review.insert(job);
+        } else {
+            self.finish_waiting(now, job, JobPhase::Expired, "the deadline passed before it started");
+        }
+    }
+
+    fn delete_answers(&mut self, jobs: &[JobId]) {
+        let stored = |job: &&JobId| {
+            let entry = self.state.job(**job);
+            entry
+                .and_then(|entry| entry.ended.as_ref())
+                .is_some_and(|ended| ended.stored)
+        };
+        let actions = jobs
+            .iter()
+            .filter(stored)
+            .map(|job| AppendAction::DeleteObject {
+                key: answer_key(&self.region, *job),
+            })
+            .collect();
+        self.append(actions);
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/dispatch.rs
@@ -0,0 +1,198 @@
+//! Commands to workers, from the difference between what is wanted and what is reported.
+
+use crate::active::Active;
+use crate::clock::Millis;
+use crate::gang::{Run, Why};
+use crate::ids::{TaskId, WorkerName};
+use crate::reconcile::{Upstream, starts_lease};
+use crate::scheduler::Action;
+use crate::worker::{Command, CommandBatch, Start, TaskState, TaskView};
+
+/// Lease of a task.
+pub(crate) const LEASE: Millis = Millis(15_000);
+/// Span between renewals: two may be lost before a lease ends.
+const RENEW: Millis = Millis(5_000);
+/// Span after which a command is sent again if the inventory does not agree yet.
+const RESEND: Millis = Millis(1_000);
+
+/// Kind of a command for one task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Start,
+    Release,
+    Checkpoint,
+    Stop,
+    Forget,
+}
+
+impl Active {
+    /// Sends a worker what it lacks, unless the same was sent just before.
+    pub(crate) fn dispatch(&mut self, now: Millis, worker: &WorkerName) {
+        let Some(mut upstream) = self.workers.remove(worker) else {
+            return;
+        };
+        if upstream.gone {
+            if !upstream.parts.is_empty() {
+                self.workers.insert(worker.clone(), upstream);
+            }
+            return;
+        }
+        if upstream.full {
+            let wanted = self.wanted(now, &upstream);
+            self.send(now, worker, &mut upstream, wanted);
+        }
+        self.workers.insert(worker.clone(), upstream);
+    }
+
+    /// The command that each task needs.
+    fn wanted(&self, now: Millis, upstream: &Upstream) -> Vec<(TaskId, Kind)> {
+        let placed = upstream.parts.iter().filter_map(|task| {
+            let run = self.runs.get(&task.job)?;
+            let kind = self.desired(now, run, *task, upstream.tasks.get(task))?;
+            Some((*task, kind))
+        });
+        let stray = upstream.tasks.values().filter_map(|view| {
+            let kind = match view.state.is_final() {
+                true => Kind::Forget,
+                false => Kind::Stop,
+            };
+            (!upstream.parts.contains(&view.task)).then_some((view.task, kind))
+        });
+        // A silent worker is only told to stop tasks, in case that it still listens.
+        placed
+            .chain(stray)
+            .filter(|(_, kind)| !upstream.silent || *kind == Kind::Stop)
+            .collect()
+    }
+
+    fn desired(&self, now: Millis, run: &Run, task: TaskId, view: Option<&TaskView>) -> Option<Kind> {
+        let part = run.parts.get(task.part as usize)?;
+        if run.closed || part.end.is_some() {
+            return None;
+        }
+        if let Some(halt) = &run.halt {
+            let idempotent = self.state.job(task.job).is_some_and(|entry| entry.spec.idempotent);
+            let stop = halt.why != Why::Reclaimed || run.may_stop(now, idempotent);
+            return Some(if stop { Kind::Stop } else { Kind::Checkpoint });
+        }
+        match view.map(|view| view.state) {
+            None if self.held => Some(Kind::Start),
+            Some(TaskState::Held) if run.released && self.held => Some(Kind::Release),
+            _ => None,
+        }
+    }
+
+    fn send(&mut self, now: Millis, worker: &WorkerName, upstream: &mut Upstream, wanted: Vec<(TaskId, Kind)>) {
+        upstream
+            .sent
+            .retain(|task, _| wanted.iter().any(|(other, _)| other == task));
+        let waits = !wanted.is_empty();
+        let due: Vec<(TaskId, Kind)> = wanted
+            .into_iter()
+            .filter(|(task, kind)| {
+                let sent = upstream.sent.get(task);
+                sent.is_none_or(|(last, at)| last != kind || now.since(*at) >= RESEND)
+            })
+            .collect();
+        for (task, kind) in &due {
+            upstream.sent.insert(*task, (*kind, now));
+        }
+        let mut commands = self.commands(&due);
+        commands.extend(self.renewal(now, upstream));
+        if commands.iter().any(starts_lease) {
+            upstream.contact = now;
+        }
+        if !commands.is_empty() {
+            let batch = CommandBatch {
+                term: self.term,
+                incarnation: upstream.incarnation,
+                commands,
+            };
+            let worker = worker.clone();
+            self.actions.push(Action::Send { worker, batch });
+        }
+        self.set_alarm(worker, upstream, waits.then_some(now + RESEND));
+    }
+
+    fn set_alarm(&mut self, worker: &WorkerName, upstream: &mut Upstream, resend: Option<Millis>) {
+        let renew = upstream.renewed.map(|at| at + RENEW);
+        let next = resend.into_iter().chain(renew).min();
+        if let Some(old) = upstream.alarm.take() {
+            self.alarms.remove(&(old, worker.clone()));
+        }
+        if let Some(next) = next {
+            self.alarms.insert((next, worker.clone()));
+        }
+        upstream.alarm = next;
+    }
+
+    fn commands(&mut self, due: &[(TaskId, Kind)]) -> Vec<Command> {
+        let of = |kind: Kind| due.iter().filter(move |(_, k)| *k == kind).map(|(task, _)| *task);
+        let mut commands: Vec<Command> = of(Kind::Stop).map(|task| Command::Stop { task }).collect();
+        commands.extend(of(Kind::Checkpoint).map(|task| Command::Checkpoint { task }));
+        let forget: Vec<TaskId> = of(Kind::Forget).collect();
+        if !forget.is_empty() {
+            commands.push(Command::Forget { tasks: forget });
+        }
+        for task in of(Kind::Start) {
+            commands.extend(self.start(task).map(Command::Start));
+        }
+        let release: Vec<TaskId> = of(Kind::Release).collect();
+        if !release.is_empty() {
+            commands.push(Command::Release {
+                tasks: release,
+                lease: LEASE,
+            });
+        }
+        commands
+    }
+
+    fn start(&mut self, task: TaskId) -> Option<Start> {
+        let entry = self.state.job(task.job)?;
+        let run = self.runs.get_mut(&task.job)?;
+        let held = run.parts.len() > 1;
+        let part = run.parts.get_mut(task.part as usize)?;
+        part.sends += 1;
+        Some(Start {
+            task,
+            held,
+            lease: LEASE,
+            accelerators: entry.spec.shape.accelerators,
+            size: entry.spec.size,
+            payload: entry.spec.payload.clone(),
+            runtime: entry.spec.runtime,
+            progress: entry.progress.get(task.part as usize).copied().unwrap_or(0),
+        })
+    }
+
+    /// The renewal of a worker's leases, if it is due. Parts that must end are left out, so that
+    /// they stop by themselves even if no stop reaches them.
+    fn renewal(&self, now: Millis, upstream: &mut Upstream) -> Option<Command> {
+        let mut open = upstream.tasks.values().filter(|view| !view.state.is_final()).peekable();
+        open.peek()?;
+        let due = upstream.renewed.is_none_or(|at| now.since(at) >= RENEW);
+        if upstream.silent || !due {
+            return None;
+        }
+        let except = open
+            .filter(|view| !self.keeps(upstream, view.task))
+            .map(|view| view.task)
+            .collect();
+        upstream.renewed = Some(now);
+        Some(Command::Renew {
+            seen: upstream.change,
+            except,
+            lease: LEASE,
+        })
+    }
+
+    fn keeps(&self, upstream: &Upstream, task: TaskId) -> bool {
+        let Some(run) = self.runs.get(&task.job).filter(|_| upstream.parts.contains(&task)) else {
+            return false;
+        };
+        match &run.halt {
+            None => true,
+            Some(halt) => halt.why == Why::Reclaimed && halt.until.is_some(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/gang.rs
@@ -0,0 +1,425 @@
+//! Attempts of jobs: what each part of a gang does, and what follows from it.
+
+use crate::active::Active;
+use crate::clock::Millis;
+use crate::error::Ran;
+use crate::ids::{Attempt, Incarnation, JobId, TaskId, WorkerName};
+use crate::journal::{Part, Record};
+use crate::planner::{Change, Decision, End};
+use crate::reconcile::LAPSE;
+use crate::resource::JobPhase;
+use crate::state::{Entry, Placement};
+use crate::worker::TaskState;
+
+/// How a part ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PartEnd {
+    /// The worker reported it.
+    Reported(TaskState),
+    /// It was not sent, or refused without a doubt.
+    Unsent,
+    /// Its worker is gone, was restarted, or has been silent beyond the lease.
+    Vanished,
+}
+
+/// Why an attempt is being stopped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Why {
+    Cancelled,
+    Expired,
+    Reclaimed,
+    /// A worker that is leaving takes no new part.
+    Withdrawn,
+    Lost(String),
+}
+
+/// An attempt that is being stopped.
+#[derive(Clone, Debug)]
+pub(crate) struct Halt {
+    pub(crate) why: Why,
+    /// Until when parts may write a checkpoint first.
+    pub(crate) until: Option<Millis>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct PartRun {
+    pub(crate) worker: WorkerName,
+    pub(crate) incarnation: Incarnation,
+    /// Start commands sent, and those that certainly did nothing.
+    pub(crate) sends: u32,
+    pub(crate) denied: u32,
+    pub(crate) refused: Option<String>,
+    pub(crate) seen: Option<TaskState>,
+    pub(crate) progress: u32,
+    /// Progress that a reclaim wants to see exceeded.
+    pub(crate) base: u32,
+    pub(crate) answer: Option<String>,
+    pub(crate) end: Option<PartEnd>,
+}
+
+impl PartRun {
+    /// Whether no start command can have reached the worker.
+    pub(crate) fn unsent(&self) -> bool {
+        self.sends == self.denied
+    }
+}
+
+/// The attempt of a job that is placed.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) attempt: Attempt,
+    pub(crate) parts: Vec<PartRun>,
+    /// `Released` is committed; always true for a gang of one, which starts running.
+    pub(crate) released: bool,
+    /// `Released` is being committed.
+    pub(crate) releasing: bool,
+    pub(crate) halt: Option<Halt>,
+    /// The record of its end is being committed.
+    pub(crate) closed: bool,
+    /// Whether the planner counts it.
+    pub(crate) counted: bool,
+    pub(crate) running: Option<Millis>,
+}
+
+impl Run {
+    /// An attempt that this scheduler placed.
+    pub(crate) fn placed(attempt: Attempt, parts: &[Part], progress: &[u32]) -> Self {
+        let parts: Vec<PartRun> = parts
+            .iter()
+            .zip(progress.iter().copied().chain(std::iter::repeat(0)))
+            .map(|(part, progress)| PartRun {
+                worker: part.worker.clone(),
+                incarnation: part.incarnation,
+                sends: 0,
+                denied: 0,
+                refused: None,
+                seen: None,
+                progress,
+                base: progress,
+                answer: None,
+                end: None,
+            })
+            .collect();
+        Self {
+            attempt,
+            released: parts.len() == 1,
+            parts,
+            releasing: false,
+            halt: None,
+            closed: false,
+            counted: true,
+            running: None,
+        }
+    }
+
+    /// An attempt found in the journal: the scheduler before may have sent every start.
+    pub(crate) fn adopted(entry: &Entry, placement: &Placement, now: Millis) -> Self {
+        let mut run = Self::placed(entry.attempt, &placement.parts, &entry.progress);
+        run.released |= placement.released;
+        run.counted = false;
+        run.running = run.released.then_some(now);
+        for part in &mut run.parts {
+            part.sends = 1;
+        }
+        run
+    }
+
+    pub(crate) fn task(&self, job: JobId, part: usize) -> TaskId {
+        TaskId {
+            job,
+            attempt: self.attempt,
+            part: part as u32,
+        }
+    }
+
+    /// Whether any part may have done work.
+    pub(crate) fn ran(&self) -> Ran {
+        if !self.released {
+            return Ran::No;
+        }
+        let state = |part: &PartRun| match part.end {
+            Some(PartEnd::Unsent) => Ran::No,
+            Some(PartEnd::Reported(state)) if state.may_have_run() => Ran::Yes,
+            Some(PartEnd::Reported(_)) => Ran::No,
+            Some(PartEnd::Vanished) if part.seen == Some(TaskState::Running) => Ran::Yes,
+            Some(PartEnd::Vanished) => Ran::Unknown,
+            None if part.seen.is_some_and(TaskState::may_have_run) => Ran::Yes,
+            None if part.unsent() => Ran::No,
+            None => Ran::Unknown,
+        };
+        self.parts.iter().map(state).fold(Ran::No, worst)
+    }
+
+    /// Whether a stop may follow now, rather than a checkpoint first.
+    pub(crate) fn may_stop(&self, now: Millis, idempotent: bool) -> bool {
+        let Some(until) = self.halt.as_ref().and_then(|halt| halt.until) else {
+            return true;
+        };
+        let saved = self
+            .parts
+            .iter()
+            .all(|part| part.end.is_some() || part.progress > part.base);
+        // Without a checkpoint, work that is not idempotent could not be resumed.
+        saved || (idempotent && now >= until)
+    }
+}
+
+/// The stronger of two statements on whether work ran.
+pub(crate) fn worst(a: Ran, b: Ran) -> Ran {
+    match (a, b) {
+        (Ran::Yes, _) | (_, Ran::Yes) => Ran::Yes,
+        (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
+        (Ran::No, Ran::No) => Ran::No,
+    }
+}
+
+impl Active {
+    /// Makes `run` the attempt in progress of a job.
+    pub(crate) fn begin(&mut self, now: Millis, job: JobId, run: Run) {
+        for (index, part) in run.parts.iter().enumerate() {
+            let elected = self.elected;
+            let upstream = self.upstream(&part.worker, elected);
+            upstream.parts.insert(run.task(job, index));
+            self.touched.insert(part.worker.clone());
+        }
+        self.runs.insert(job, run);
+        self.review.insert(job);
+        self.count_adopted(now, job);
+    }
+
+    /// Ends the attempt in progress of a job once its record is committed.
+    pub(crate) fn end(&mut self, now: Millis, job: JobId) {
+        let Some(run) = self.runs.remove(&job) else {
+            return;
+        };
+        for (index, part) in run.parts.iter().enumerate() {
+            let task = run.task(job, index);
+            if let Some(upstream) = self.workers.get_mut(&part.worker) {
+                upstream.parts.remove(&task);
+                upstream.sent.remove(&task);
+            }
+            self.touched.insert(part.worker.clone());
+            self.sync_worker(now, &part.worker);
+        }
+    }
+
+    /// Compares the attempt of a job with what its workers report, and acts on the difference.
+    pub(crate) fn review_job(&mut self, now: Millis, job: JobId) {
+        self.store_answer(job);
+        let Some(mut run) = self.runs.remove(&job) else {
+            return;
+        };
+        if let Some(entry) = self.state.job(job).filter(|_| !run.closed).cloned() {
+            self.advance(now, &entry, &mut run);
+        }
+        self.runs.insert(job, run);
+    }
+
+    fn advance(&mut self, now: Millis, entry: &Entry, run: &mut Run) {
+        self.observe(now, entry, run);
+        if run.halt.is_none()
+            && let Some(why) = self.must_halt(entry, run)
+        {
+            self.halt(run, Halt { why, until: None });
+        }
+        if run.halt.is_some() {
+            self.settle_unsent(run);
+        }
+        if run.parts.iter().all(|part| part.end.is_some()) {
+            run.closed = true;
+            self.close(now, entry, run);
+            return;
+        }
+        if run.halt.is_none() {
+            self.go_on(now, entry, run);
+        } else if let Some(until) = run.halt.as_ref().and_then(|halt| halt.until) {
+            self.touch(run);
+            if until > now {
+                self.timers.insert((until, entry.id));
+            }
+        }
+    }
+
+    /// Brings the parts up to date with the inventories.
+    fn observe(&mut self, now: Millis, entry: &Entry, run: &mut Run) {
+        let single = run.parts.len() == 1;
+        let never_released = !run.released && !run.releasing;
+        for index in 0..run.parts.len() {
+            let task = run.task(entry.id, index);
+            let part = &mut run.parts[index];
+            if part.end.is_some() {
+                continue;
+            }
+            let Some(upstream) = self.workers.get(&part.worker) else {
+                continue;
+            };
+            let restarted = upstream.full && upstream.incarnation != part.incarnation;
+            if upstream.gone || restarted {
+                part.end = Some(if part.unsent() {
+                    PartEnd::Unsent
+                } else {
+                    PartEnd::Vanished
+                });
+            } else if let Some(view) = upstream.tasks.get(&task).filter(|_| upstream.full) {
+                part.seen = Some(view.state);
+                part.progress = part.progress.max(view.progress);
+                if view.state.is_final() {
+                    part.end = Some(PartEnd::Reported(view.state));
+                    part.answer.clone_from(&view.answer);
+                }
+            }
+            if part.end.is_none() && upstream.silent {
+                let lapsed = upstream.contact + LAPSE;
+                // Nothing proves that a part which is not idempotent did not run on.
+                let provable = entry.spec.idempotent || (!single && never_released);
+                if provable && now >= lapsed {
+                    part.end = Some(PartEnd::Vanished);
+                } else if provable {
+                    self.timers.insert((lapsed, entry.id));
+                }
+            }
+            if part.end.is_some() && run.counted {
+                self.planner.apply(now, Change::PartEnded(entry.id, index as u32));
+                self.replan = true;
+            }
+        }
+    }
+
+    fn must_halt(&self, entry: &Entry, run: &Run) -> Option<Why> {
+        if entry.cancelling {
+            return Some(Why::Cancelled);
+        }
+        for part in &run.parts {
+            let succeeded = Some(PartEnd::Reported(TaskState::Succeeded));
+            if part.end.is_some() && part.end != succeeded {
+                return Some(Why::Lost(format!("a part ended early on {}", part.worker)));
+            }
+            if let Some(reason) = &part.refused {
+                return Some(Why::Lost(format!("{} refused: {reason}", part.worker)));
+            }
+            let Some(upstream) = self.workers.get(&part.worker) else {
+                continue;
+            };
+            if part.end.is_none() && upstream.silent && run.parts.len() > 1 {
+                return Some(Why::Lost(format!("{} does not respond", part.worker)));
+            }
+            let startable = part.unsent() || entry.spec.idempotent || !run.released;
+            if upstream.leaving && upstream.full && part.seen.is_none() && startable {
+                return Some(Why::Withdrawn);
+            }
+        }
+        let begun = if run.parts.len() == 1 {
+            run.parts.iter().any(|part| !part.unsent())
+        } else {
+            run.released || run.releasing
+        };
+        (!begun && self.overdue(entry)).then_some(Why::Expired)
+    }
+
+    pub(crate) fn overdue(&self, entry: &Entry) -> bool {
+        entry.spec.deadline.is_some_and(|span| self.wall >= entry.wall + span)
+    }
+
+    fn halt(&mut self, run: &mut Run, halt: Halt) {
+        run.halt = Some(halt);
+        self.touch(run);
+    }
+
+    fn touch(&mut self, run: &Run) {
+        self.touched.extend(run.parts.iter().map(|part| part.worker.clone()));
+    }
+
+    fn settle_unsent(&mut self, run: &mut Run) {
+        for part in &mut run.parts {
+            if part.end.is_none() && part.unsent() && part.refused.is_none() {
+                part.end = Some(PartEnd::Unsent);
+            }
+        }
+    }
+
+    /// Releases a gang whose parts are all held, and notes when the whole gang runs.
+    fn go_on(&mut self, now: Millis, entry: &Entry, run: &mut Run) {
+        let started = run.parts.iter().all(|part| part.seen.is_some());
+        if started && !run.released && !run.releasing && self.held {
+            run.releasing = true;
+            self.push(Record::Released {
+                job: entry.id,
+                attempt: run.attempt,
+            });
+        }
+        let running = run
+            .parts
+            .iter()
+            .all(|part| part.end.is_some() || part.seen == Some(TaskState::Running));
+        if running && run.running.is_none() {
+            run.running = Some(now);
+            self.planner.apply(now, Change::Running(entry.id));
+        }
+    }
+
+    /// Acts on one decision of the planner.
+    pub(crate) fn decide(&mut self, now: Millis, decision: Decision) {
+        match decision {
+            Decision::Place { job, workers, reason } => self.place(now, job, &workers, reason),
+            Decision::Reclaim {
+                job,
+                winner,
+                grace,
+                reason,
+            } => self.reclaim(now, job, winner, grace, &reason),
+            Decision::Unrunnable { job, reason } => {
+                let ran = self.state.job(job).map_or(Ran::No, |entry| entry.ran);
+                self.planner.apply(now, Change::Ended { job, end: End::Stopped });
+                self.finish_job(job, JobPhase::Unrunnable, ran, None, reason);
+            }
+        }
+    }
+
+    fn place(&mut self, now: Millis, job: JobId, workers: &[WorkerName], reason: String) {
+        let parts: Option<Vec<Part>> = workers
+            .iter()
+            .map(|name| {
+                let upstream = self.workers.get(name)?;
+                Some(Part {
+                    worker: name.clone(),
+                    incarnation: upstream.incarnation,
+                })
+            })
+            .collect();
+        let attempt = self.state.job(job).map_or(Attempt(0), |entry| entry.attempt).next();
+        match parts.filter(|_| !self.closing.contains(&job)) {
+            Some(parts) => {
+                self.placing.insert(job, reason);
+                self.push(Record::Placed { job, attempt, parts });
+            }
+            // The planner is told only of workers that reported, and of jobs that have not ended.
+            None => self.planner.apply(now, Change::Ended { job, end: End::Stopped }),
+        }
+    }
+
+    fn reclaim(&mut self, now: Millis, job: JobId, winner: JobId, grace: Millis, reason: &str) {
+        let Some(entry) = self.state.job(job).cloned() else {
+            return;
+        };
+        let Some(mut run) = self.runs.remove(&job) else {
+            return;
+        };
+        let spec = &entry.spec;
+        let stoppable = spec.idempotent || spec.checkpointable || !run.released;
+        if !run.closed && run.halt.is_none() && stoppable {
+            let saves = spec.checkpointable && run.released;
+            let halt = Halt {
+                why: Why::Reclaimed,
+                until: saves.then_some(now + grace),
+            };
+            for part in &mut run.parts {
+                part.base = part.progress;
+            }
+            let workers = run.parts.iter().map(|part| part.worker.clone()).collect();
+            self.log("reclaiming", job, workers, format!("for job {winner}: {reason}"));
+            self.halt(&mut run, halt);
+            self.review.insert(job);
+        }
+        self.runs.insert(job, run);
+    }
+}
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -20,23 +20,36 @@
 
 mod macros;
 
+mod active;
+mod answers;
 mod appender;
+mod calls;
 mod clock;
+mod commits;
+mod dispatch;
 mod edge;
 mod error;
+mod finish;
+mod gang;
 mod http_client;
 mod http_server;
 mod ids;
+mod journal;
 mod kernel;
 mod message;
 mod planner;
+mod reconcile;
 mod resource;
 mod scheduler;
+mod snapshot;
+mod state;
 mod store;
 mod tenure;
+mod views;
 mod worker;
 
-pub use appender::{AppendAction, AppendEvent};
+pub use active::Retention;
+pub use appender::{AppendAction, AppendEvent, Appender};
 pub use clock::{Clock, Millis};
 pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
 pub use error::{Error, ErrorKind, Ran, Result};
@@ -49,6 +62,7 @@
     AccountName, Attempt, DaemonName, DomainName, GuaranteeName, Incarnation, JobId, JobName, RackName, RegionName,
     Revision, Seq, TaskId, Term, WorkerName,
 };
+pub use journal::{Batch, Part, Record, journal_key, revision, term_key};
 pub use kernel::{Kernel, Service, Stop};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
 pub use planner::{Change, Decision, End, Figures, Planner};
@@ -56,7 +70,9 @@
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
-pub use scheduler::{Action, Event, LogLine, Token};
+pub use scheduler::{Action, Event, LogLine, Scheduler, Token};
+pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
+pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
-pub use tenure::{TenureAction, TenureEvent};
+pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
 pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- /dev/null
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -0,0 +1,363 @@
+//! Workers as their supervisors report them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::active::Active;
+use crate::clock::Millis;
+use crate::dispatch::{Kind, LEASE};
+use crate::ids::{Incarnation, JobId, TaskId, WorkerName};
+use crate::planner::Change;
+use crate::resource::{MemberState, WorkerInfo};
+use crate::worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, TaskView};
+
+/// A worker that does not respond for this long gets no new work.
+const SILENT: Millis = Millis(4_000);
+/// A worker of which no supervisor reports anything is taken for silent after this span, which
+/// leaves time for another daemon to become its supervisor.
+const UNHEARD: Millis = Millis(10_000);
+/// Span after the last possible renewal after which a task has stopped by itself: its lease and
+/// 1 s for a worker's clock that runs up to 5% slower.
+pub(crate) const LAPSE: Millis = Millis(LEASE.0 + 1_000);
+/// Earlier incarnations remembered for each worker, whose late reports are ignored.
+const MAX_PAST: usize = 16;
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub(crate) info: Option<WorkerInfo>,
+    pub(crate) incarnation: Incarnation,
+    past: Vec<Incarnation>,
+    /// Newest change seen.
+    pub(crate) change: u64,
+    /// Whether its whole inventory was reported in this term.
+    pub(crate) full: bool,
+    pub(crate) leaving: bool,
+    pub(crate) gone: bool,
+    pub(crate) silent: bool,
+    heard: Millis,
+    unanswered: bool,
+    /// Its inventory.
+    pub(crate) tasks: BTreeMap<TaskId, TaskView>,
+    /// Parts of attempts in progress that are placed on it.
+    pub(crate) parts: BTreeSet<TaskId>,
+    /// The last command sent for each task, until the inventory agrees.
+    pub(crate) sent: BTreeMap<TaskId, (Kind, Millis)>,
+    pub(crate) renewed: Option<Millis>,
+    /// When a command that starts a lease or renews it can have reached it last.
+    pub(crate) contact: Millis,
+    pub(crate) alarm: Option<Millis>,
+    told: Option<(WorkerInfo, MemberState)>,
+}
+
+impl Upstream {
+    fn new(heard: Millis) -> Self {
+        Self {
+            info: None,
+            incarnation: Incarnation(0),
+            past: Vec::new(),
+            change: 0,
+            full: false,
+            leaving: false,
+            gone: false,
+            silent: false,
+            heard,
+            unanswered: false,
+            tasks: BTreeMap::new(),
+            parts: BTreeSet::new(),
+            sent: BTreeMap::new(),
+            renewed: None,
+            contact: heard,
+            alarm: None,
+            told: None,
+        }
+    }
+
+    /// Merges a report; false if it is older than what is known.
+    fn merge(&mut self, changes: &Changes) -> bool {
+        if self.past.contains(&changes.incarnation) {
+            return false;
+        }
+        if self.incarnation != changes.incarnation {
+            if self.full {
+                self.past.push(self.incarnation);
+                let excess = self.past.len().saturating_sub(MAX_PAST);
+                self.past.drain(..excess);
+            }
+            self.incarnation = changes.incarnation;
+            self.change = 0;
+            self.full = false;
+            self.tasks.clear();
+            self.sent.clear();
+            self.renewed = None;
+        }
+        if changes.full && (changes.change >= self.change || !self.full) {
+            self.tasks = changes.tasks.iter().map(|view| (view.task, view.clone())).collect();
+            self.full = true;
+        } else if self.full {
+            for view in &changes.tasks {
+                let known = self.tasks.get(&view.task);
+                if known.is_none_or(|known| known.change <= view.change) {
+                    self.tasks.insert(view.task, view.clone());
+                }
+            }
+        }
+        self.change = self.change.max(changes.change);
+        self.info = Some(changes.info.clone());
+        self.leaving = changes.leaving || (self.leaving && self.full);
+        true
+    }
+
+    fn state(&self, drained: bool, settled: bool) -> MemberState {
+        if self.silent {
+            MemberState::Dead
+        } else if self.leaving || drained || !settled {
+            MemberState::Leaving
+        } else {
+            MemberState::Live
+        }
+    }
+}
+
+impl Active {
+    pub(crate) fn upstream(&mut self, worker: &WorkerName, heard: Millis) -> &mut Upstream {
+        self.workers
+            .entry(worker.clone())
+            .or_insert_with(|| Upstream::new(heard))
+    }
+
+    /// Takes in a supervisor's report.
+    pub(crate) fn report(&mut self, now: Millis, worker: WorkerName, changes: Option<Changes>) {
+        let Some(changes) = changes else {
+            if let Some(upstream) = self.workers.get_mut(&worker) {
+                upstream.unanswered = true;
+            }
+            return;
+        };
+        if changes.term > self.term {
+            self.outdated = true;
+            return;
+        }
+        let upstream = self.upstream(&worker, now);
+        if !upstream.merge(&changes) {
+            return;
+        }
+        upstream.heard = now;
+        upstream.unanswered = false;
+        upstream.gone = false;
+        let parts: Vec<TaskId> = upstream.parts.iter().copied().collect();
+        self.silence(now, &worker, false);
+        for view in &changes.tasks {
+            if !view.state.is_final() && self.runs.contains_key(&view.task.job) {
+                self.planner.apply(now, Change::Usage(view.task.job, view.usage));
+            }
+        }
+        self.sync_worker(now, &worker);
+        for job in parts.iter().map(|task| task.job) {
+            self.count_adopted(now, job);
+            self.review.insert(job);
+        }
+        self.touched.insert(worker);
+    }
+
+    fn silence(&mut self, now: Millis, worker: &WorkerName, silent: bool) {
+        let Some(upstream) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if upstream.silent == silent {
+            return;
+        }
+        upstream.silent = silent;
+        let jobs: Vec<JobId> = upstream.parts.iter().map(|task| task.job).collect();
+        self.review.extend(jobs);
+        self.touched.insert(worker.clone());
+        self.sync_worker(now, worker);
+    }
+
+    /// Finds workers that stopped responding, and wakes those with commands due.
+    pub(crate) fn watch_workers(&mut self, now: Millis) {
+        let silent: Vec<WorkerName> = self
+            .workers
+            .iter()
+            .filter(|(_, upstream)| {
+                let span = now.since(upstream.heard);
+                !upstream.silent && (span >= UNHEARD || (upstream.unanswered && span >= SILENT))
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for worker in silent {
+            self.silence(now, &worker, true);
+        }
+        while let Some((at, worker)) = self.alarms.first().cloned()
+            && at <= now
+        {
+            self.alarms.pop_first();
+            if let Some(upstream) = self.workers.get_mut(&worker) {
+                upstream.alarm = None;
+            }
+            self.touched.insert(worker);
+        }
+    }
+
+    /// Tells the planner about a worker, if that changed. A worker with parts of attempts that the
+    /// planner does not count yet takes nothing new.
+    pub(crate) fn sync_worker(&mut self, now: Millis, worker: &WorkerName) {
+        let drained = self.state.drained.contains(worker);
+        let Some(upstream) = self.workers.get(worker) else {
+            return;
+        };
+        let Some(info) = upstream.info.clone().filter(|_| upstream.full && !upstream.gone) else {
+            return;
+        };
+        let settled = upstream
+            .parts
+            .iter()
+            .all(|task| self.runs.get(&task.job).is_none_or(|run| run.counted));
+        let told = Some((info.clone(), upstream.state(drained, settled)));
+        if upstream.told == told {
+            return;
+        }
+        let state = upstream.state(drained, settled);
+        if let Some(upstream) = self.workers.get_mut(worker) {
+            upstream.told = told;
+        }
+        self.planner.apply(now, Change::Worker { info, state });
+        self.replan = true;
+    }
+
+    /// Has the planner count an adopted attempt once it knows all its workers.
+    pub(crate) fn count_adopted(&mut self, now: Millis, job: JobId) {
+        let Some(run) = self.runs.get_mut(&job).filter(|run| !run.counted && !run.closed) else {
+            return;
+        };
+        let known = |part: &crate::gang::PartRun| self.workers.get(&part.worker).is_some_and(|w| w.told.is_some());
+        if !run.parts.iter().all(known) {
+            return;
+        }
+        run.counted = true;
+        let workers: Vec<WorkerName> = run.parts.iter().map(|part| part.worker.clone()).collect();
+        let ended: Vec<u32> = (0..)
+            .zip(&run.parts)
+            .filter(|(_, part)| part.end.is_some())
+            .map(|(index, _)| index)
+            .collect();
+        let Some(entry) = self.state.job(job) else {
+            return;
+        };
+        let adopted = Change::Adopted {
+            job,
+            spec: entry.spec.clone(),
+            workers: workers.clone(),
+        };
+        self.planner.apply(now, adopted);
+        for part in ended {
+            self.planner.apply(now, Change::PartEnded(job, part));
+        }
+        for worker in workers {
+            self.sync_worker(now, &worker);
+        }
+    }
+
+    /// Takes in the reply to commands.
+    pub(crate) fn replied(
+        &mut self,
+        now: Millis,
+        worker: &WorkerName,
+        batch: &CommandBatch,
+        reply: Option<BatchReply>,
+    ) {
+        if batch.term != self.term {
+            return;
+        }
+        match reply {
+            // The commands may still arrive up to now.
+            None => {
+                let leases = batch.commands.iter().any(starts_lease);
+                if let Some(upstream) = self.workers.get_mut(worker).filter(|_| leases) {
+                    upstream.contact = upstream.contact.max(now);
+                }
+            }
+            Some(BatchReply::OldTerm { term }) => self.outdated |= term > self.term,
+            Some(BatchReply::OtherIncarnation { .. }) => self.deny(batch),
+            Some(BatchReply::Done { results }) => {
+                for (command, result) in batch.commands.iter().zip(results) {
+                    self.result(worker, command, result);
+                }
+            }
+        }
+        self.touched.insert(worker.clone());
+    }
+
+    /// Nothing of the batch was carried out.
+    fn deny(&mut self, batch: &CommandBatch) {
+        for command in &batch.commands {
+            let Command::Start(start) = command else {
+                continue;
+            };
+            if let Some(run) = self.runs.get_mut(&start.task.job)
+                && run.attempt == start.task.attempt
+                && let Some(part) = run.parts.get_mut(start.task.part as usize)
+            {
+                part.denied += 1;
+            }
+            self.review.insert(start.task.job);
+        }
+    }
+
+    fn result(&mut self, worker: &WorkerName, command: &Command, result: CommandResult) {
+        match (command, result) {
+            (Command::Start(start), CommandResult::Refused { reason }) => {
+                // A copy of the command may still arrive: a stop follows, which rules that out.
+                if let Some(run) = self.runs.get_mut(&start.task.job)
+                    && run.attempt == start.task.attempt
+                    && let Some(part) = run.parts.get_mut(start.task.part as usize)
+                {
+                    part.refused = Some(reason);
+                    self.review.insert(start.task.job);
+                }
+            }
+            (Command::Forget { tasks }, CommandResult::Ok) => {
+                if let Some(upstream) = self.workers.get_mut(worker) {
+                    for task in tasks {
+                        upstream.tasks.remove(task);
+                        upstream.sent.remove(task);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// The platform's list no longer contains the worker.
+    pub(crate) fn gone(&mut self, now: Millis, worker: &WorkerName) {
+        let Some(upstream) = self.workers.get_mut(worker) else {
+            return;
+        };
+        upstream.gone = true;
+        upstream.silent = true;
+        upstream.told = None;
+        let jobs: Vec<JobId> = upstream.parts.iter().map(|task| task.job).collect();
+        self.review.extend(jobs);
+        self.touched.insert(worker.clone());
+        self.planner.apply(now, Change::WorkerGone(worker.clone()));
+        self.replan = true;
+    }
+
+    /// The platform's list marks the worker as leaving.
+    pub(crate) fn leaving(&mut self, now: Millis, worker: &WorkerName) {
+        let Some(upstream) = self.workers.get_mut(worker) else {
+            return;
+        };
+        upstream.leaving = true;
+        let jobs: Vec<JobId> = upstream.parts.iter().map(|task| task.job).collect();
+        self.review.extend(jobs);
+        self.sync_worker(now, worker);
+    }
+}
+
+/// Whether the command starts a lease or renews it.
+pub(crate) fn starts_lease(command: &Command) -> bool {
+    matches!(
+        command,
+        Command::Start(_) | Command::Release { .. } | Command::Renew { .. }
+    )
+}
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -1,9 +1,14 @@
 //! Life cycle of jobs in a region, without I/O.
 
+use std::collections::BTreeMap;
+
+use crate::active::{Active, Known, Retention};
 use crate::appender::{AppendAction, AppendEvent};
+use crate::clock::Millis;
 use crate::edge::Transaction;
-use crate::ids::{AccountName, GuaranteeName, JobId, JobName, Seq, Term, WorkerName};
-use crate::message::{Call, Response};
+use crate::error::{ErrorKind, Ran};
+use crate::ids::{AccountName, GuaranteeName, JobId, JobName, RegionName, Seq, Term, WorkerName};
+use crate::message::{Call, Failure, Response};
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, Policy};
 use crate::worker::{BatchReply, Changes, CommandBatch};
@@ -26,6 +31,8 @@
         snapshot: Option<Vec<u8>>,
         /// Journal rows behind the snapshot, in order.
         rows: Vec<(Seq, String)>,
+        /// Milliseconds since the Unix epoch, for deadlines and retention across takeovers.
+        wall: Millis,
     },
     /// Whether it may accept, place and start; renewing, stopping and reclaiming go on without.
     Tenure {
@@ -130,3 +137,147 @@
     /// Reason.
     pub reason: String,
 }
+
+/// The scheduler of a region: accepts jobs, places them, and carries them to their end.
+///
+/// While this daemon is not the region's scheduler it refuses every call and does nothing else.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    region: RegionName,
+    retention: Retention,
+    known: Known,
+    active: Option<Box<Active>>,
+}
+
+impl Scheduler {
+    /// A scheduler that waits to be elected.
+    pub fn new(region: RegionName) -> Self {
+        Self {
+            region,
+            retention: Retention::default(),
+            known: Known {
+                accounts: BTreeMap::new(),
+                guarantees: BTreeMap::new(),
+                policy: Policy::default(),
+            },
+            active: None,
+        }
+    }
+
+    /// Changes how long ended jobs are kept.
+    #[must_use]
+    pub fn with_retention(mut self, retention: Retention) -> Self {
+        self.retention = retention;
+        self
+    }
+
+    /// Takes note of an event and returns what must be done.
+    pub fn on(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        self.remember(&event);
+        match event {
+            Event::Elected {
+                term,
+                fence,
+                snapshot,
+                rows,
+                wall,
+            } => {
+                let mut actions = self.depose();
+                let active = Active::new(
+                    now,
+                    wall,
+                    self.region.clone(),
+                    self.retention,
+                    (term, fence),
+                    snapshot.as_deref(),
+                    &rows,
+                    &self.known,
+                );
+                match active {
+                    Ok(active) => self.active = Some(Box::new(active)),
+                    Err(error) => {
+                        actions.push(Action::Log(LogLine::of("takeover failed", term, error.to_string())));
+                        actions.push(Action::StepDown);
+                    }
+                }
+                actions
+            }
+            Event::Deposed => self.depose(),
+            event => {
+                let Some(active) = &mut self.active else {
+                    return self.refuse(event);
+                };
+                let mut actions = active.on(now, event);
+                if active.over() {
+                    actions.extend(self.depose());
+                    actions.push(Action::StepDown);
+                }
+                actions
+            }
+        }
+    }
+
+    /// When an [`Event::Tick`] before the regular one is useful: a batch waits for its gap.
+    pub fn wake(&self) -> Option<Millis> {
+        self.active.as_ref().and_then(|active| active.wake())
+    }
+
+    /// Counts for metrics; nothing while this daemon is not the scheduler.
+    pub fn figures(&self) -> Option<crate::planner::Figures> {
+        self.active.as_ref().map(|active| active.figures())
+    }
+
+    fn remember(&mut self, event: &Event) {
+        match event {
+            Event::Account(name, Some(spec)) => {
+                self.known.accounts.insert(name.clone(), spec.clone());
+            }
+            Event::Account(name, None) => {
+                self.known.accounts.remove(name);
+            }
+            Event::Guarantee(name, Some(guarantee)) => {
+                self.known.guarantees.insert(name.clone(), guarantee.clone());
+            }
+            Event::Guarantee(name, None) => {
+                self.known.guarantees.remove(name);
+            }
+            Event::Policy(policy) => self.known.policy = policy.clone(),
+            _ => {}
+        }
+    }
+
+    fn depose(&mut self) -> Vec<Action> {
+        self.active.take().map_or_else(Vec::new, |mut active| active.abandon())
+    }
+
+    fn refuse(&self, event: Event) -> Vec<Action> {
+        const RETRY_MS: u64 = 200;
+        let Event::Call { token, .. } = event else {
+            return Vec::new();
+        };
+        let failure = Failure {
+            kind: ErrorKind::Unavailable,
+            message: format!("this daemon is not the scheduler of region {}", self.region),
+            ran: Ran::No,
+            retry: Some(RETRY_MS),
+        };
+        vec![Action::Reply {
+            token,
+            response: Response::Failed(failure),
+        }]
+    }
+}
+
+impl LogLine {
+    pub(crate) fn of(what: &'static str, term: Term, reason: impl Into<String>) -> Self {
+        Self {
+            what,
+            job: JobId(0),
+            name: JobName::default(),
+            account: AccountName::default(),
+            workers: Vec::new(),
+            term,
+            reason: reason.into(),
+        }
+    }
+}
--- a/crates/pistachiostair/src/tenure.rs
+++ b/crates/pistachiostair/src/tenure.rs
@@ -1,8 +1,10 @@
 //! Tenure of a region's scheduler by a conditional row of the table service.
 
 use crate::clock::Millis;
-use crate::edge::{Row, Transaction};
-use crate::ids::Term;
+use crate::edge::{Check, Row, Transaction, Write};
+use crate::ids::{DaemonName, Incarnation, RegionName, Term};
+use crate::journal::term_key;
+use crate::record;
 
 /// Something that happened to the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,3 +63,376 @@
     /// The lease is given back.
     Resigned,
 }
+
+/// Span for which a lease row protects its holder after each renewal.
+const LEASE_TTL: Millis = Millis(4_000);
+/// Span between renewals.
+const RENEW: Millis = Millis(1_000);
+/// The holder stops acting this long before the ttl ends, for the drift between two clocks.
+const MARGIN: Millis = Millis(500);
+/// Span between a candidate's reads.
+const POLL: Millis = Millis(500);
+/// Pause before an unanswered renewal or read-back is tried again.
+const RETRY: Millis = Millis(250);
+
+record! {
+    /// Value of the row `lease/R`, as JSON.
+    pub struct Lease {
+        /// The holder; nobody once the lease was given back.
+        pub holder: Option<DaemonName>,
+        /// Incarnation of the holder.
+        pub incarnation: Incarnation,
+        /// Term.
+        pub term: Term,
+        /// Span in milliseconds for which each renewal protects the holder.
+        pub ttl: Millis,
+        /// Number of the renewal, different for each transaction sent under one term.
+        pub renewal: u64,
+        /// Address of the holder's links.
+        pub address: String,
+    }
+}
+
+impl Lease {
+    /// Parses the row's value.
+    pub fn parse(text: &str) -> Option<Self> {
+        serde_json::from_str(text).ok()
+    }
+}
+
+/// Key of a region's lease row.
+pub fn lease_key(region: &RegionName) -> String {
+    format!("lease/{region}")
+}
+
+/// The version of the lease row that a candidate waits to see unchanged.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    version: u64,
+    since: Millis,
+}
+
+/// A transaction that may have taken effect.
+#[derive(Clone, Debug)]
+struct Sent {
+    lease: Lease,
+    at: Millis,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Candidate,
+    Holder,
+    /// Gives the lease back; ends at the time given at the latest.
+    Leaving(Millis),
+    Resigned,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    Nothing,
+    Read,
+    Commit,
+}
+
+/// The lease of one daemon on the scheduling of a region: holder or candidate.
+///
+/// A holder counts its lease from before it sent the renewal. A candidate counts from when it
+/// first saw the row unchanged, and each on its own clock, so that the holder always stops first.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    region: RegionName,
+    me: DaemonName,
+    incarnation: Incarnation,
+    address: String,
+    mode: Mode,
+    wait: Wait,
+    next: Millis,
+    seen: Option<Seen>,
+    /// Transactions whose outcome is not known, and the one in flight.
+    sent: Vec<Sent>,
+    /// Version of the lease row after the last own write.
+    version: u64,
+    term: Term,
+    renewal: u64,
+    until: Millis,
+    held: bool,
+    resign: bool,
+}
+
+impl Tenure {
+    /// A candidate for the region. `incarnation` tells it from an earlier process of the same name.
+    pub fn new(region: RegionName, me: DaemonName, incarnation: Incarnation, address: impl Into<String>) -> Self {
+        Self {
+            region,
+            me,
+            incarnation,
+            address: address.into(),
+            mode: Mode::Candidate,
+            wait: Wait::Nothing,
+            next: Millis::ZERO,
+            seen: None,
+            sent: Vec::new(),
+            version: 0,
+            term: Term(0),
+            renewal: 0,
+            until: Millis::ZERO,
+            held: false,
+            resign: false,
+        }
+    }
+
+    /// Whether this daemon may act as the scheduler at `now`.
+    pub fn held(&self, now: Millis) -> bool {
+        self.held && now < self.until
+    }
+
+    /// Takes note of an event.
+    pub fn on(&mut self, now: Millis, event: TenureEvent) -> Vec<TenureAction> {
+        let mut actions = Vec::new();
+        match event {
+            TenureEvent::Tick => {}
+            TenureEvent::Resign => self.resign = true,
+            TenureEvent::Read { sent, lease, term } => {
+                self.wait = Wait::Nothing;
+                self.read(now, sent, lease, term, &mut actions);
+            }
+            TenureEvent::Unread => self.again(now),
+            TenureEvent::Committed { version, .. } => {
+                self.wait = Wait::Nothing;
+                self.committed(now, version, &mut actions);
+            }
+            TenureEvent::Conflict | TenureEvent::Unknown => {
+                self.wait = Wait::Nothing;
+                self.next = now;
+                self.ask(&mut actions);
+            }
+        }
+        self.update(now, &mut actions);
+        self.act(now, &mut actions);
+        actions
+    }
+
+    fn again(&mut self, now: Millis) {
+        self.wait = Wait::Nothing;
+        self.next = now + RETRY;
+    }
+
+    fn ask(&mut self, actions: &mut Vec<TenureAction>) {
+        self.wait = Wait::Read;
+        actions.push(TenureAction::Read {
+            lease: lease_key(&self.region),
+            term: term_key(&self.region),
+        });
+    }
+
+    fn read(
+        &mut self,
+        now: Millis,
+        sent: Millis,
+        lease: Option<Row>,
+        term: Option<Row>,
+        actions: &mut Vec<TenureAction>,
+    ) {
+        let version = lease.as_ref().map_or(0, |row| row.version);
+        let held = lease.as_ref().and_then(|row| Lease::parse(&row.value));
+        let own = held
+            .as_ref()
+            .and_then(|held| self.sent.iter().find(|sent| sent.lease == *held).cloned());
+        match (self.mode, own) {
+            (Mode::Candidate, Some(own)) => {
+                let fence = term.as_ref().map_or(0, |row| row.version);
+                self.elect(now, own, version, fence, actions);
+            }
+            (Mode::Candidate, None) => self.watch(now, sent, version, held, term, actions),
+            (Mode::Holder | Mode::Leaving(_), Some(own)) => self.renewed(now, &own, version, actions),
+            (Mode::Holder | Mode::Leaving(_), None) if version == self.version => self.again(now),
+            (Mode::Holder | Mode::Leaving(_), None) => self.depose(now, actions),
+            (Mode::Resigned, _) => {}
+        }
+    }
+
+    fn watch(
+        &mut self,
+        now: Millis,
+        sent: Millis,
+        version: u64,
+        held: Option<Lease>,
+        term: Option<Row>,
+        actions: &mut Vec<TenureAction>,
+    ) {
+        self.next = now + POLL;
+        let ttl = held.as_ref().map_or(LEASE_TTL, |lease| lease.ttl);
+        let free = version == 0 || held.as_ref().is_some_and(|lease| lease.holder.is_none());
+        // A row first seen in this answer may have been written just before.
+        let seen = match self.seen {
+            Some(seen) if seen.version == version => seen,
+            _ => Seen { version, since: now },
+        };
+        self.seen = Some(seen);
+        let expired = sent.since(seen.since) >= ttl;
+        if self.resign {
+            self.sent.clear();
+        } else if free || expired {
+            self.claim(now, version, term, actions);
+        }
+    }
+
+    fn claim(&mut self, now: Millis, version: u64, term: Option<Row>, actions: &mut Vec<TenureAction>) {
+        let old = term.as_ref().and_then(|row| row.value.parse().ok()).unwrap_or(0);
+        self.term = Term(old + 1);
+        self.renewal += 1;
+        let lease = self.lease(Some(self.me.clone()));
+        let key = term_key(&self.region);
+        let mut transaction = self.transaction(version, &lease);
+        transaction.checks.push(Check {
+            key: key.clone(),
+            version: term.map_or(0, |row| row.version),
+        });
+        transaction.writes.push(Write {
+            key,
+            value: Some(self.term.to_string()),
+        });
+        self.commit(now, lease, transaction, actions);
+    }
+
+    fn lease(&self, holder: Option<DaemonName>) -> Lease {
+        Lease {
+            holder,
+            incarnation: self.incarnation,
+            term: self.term,
+            ttl: LEASE_TTL,
+            renewal: self.renewal,
+            address: self.address.clone(),
+        }
+    }
+
+    fn transaction(&self, version: u64, lease: &Lease) -> Transaction {
+        let key = lease_key(&self.region);
+        Transaction {
+            checks: vec![Check {
+                key: key.clone(),
+                version,
+            }],
+            writes: vec![Write {
+                key,
+                value: serde_json::to_string(lease).ok(),
+            }],
+        }
+    }
+
+    fn commit(&mut self, now: Millis, lease: Lease, transaction: Transaction, actions: &mut Vec<TenureAction>) {
+        // All transactions sent at one version exclude each other; older ones can't take effect.
+        const KEPT: usize = 64;
+        if self.sent.len() == KEPT {
+            self.sent.remove(0);
+        }
+        self.sent.push(Sent { lease, at: now });
+        self.wait = Wait::Commit;
+        actions.push(TenureAction::Commit(transaction));
+    }
+
+    fn committed(&mut self, now: Millis, version: u64, actions: &mut Vec<TenureAction>) {
+        let Some(own) = self.sent.last().cloned() else {
+            return;
+        };
+        match self.mode {
+            Mode::Candidate => self.elect(now, own, version, version, actions),
+            Mode::Holder | Mode::Leaving(_) => self.renewed(now, &own, version, actions),
+            Mode::Resigned => {}
+        }
+    }
+
+    fn elect(&mut self, now: Millis, own: Sent, version: u64, fence: u64, actions: &mut Vec<TenureAction>) {
+        self.mode = Mode::Holder;
+        self.term = own.lease.term;
+        self.held = false;
+        actions.push(TenureAction::Elected { term: self.term, fence });
+        self.renewed(now, &own, version, actions);
+    }
+
+    fn renewed(&mut self, now: Millis, own: &Sent, version: u64, actions: &mut Vec<TenureAction>) {
+        self.version = version;
+        self.sent.clear();
+        self.until = own.at + (LEASE_TTL - MARGIN);
+        self.next = match self.mode {
+            Mode::Holder => own.at + RENEW,
+            _ => now,
+        };
+        if own.lease.holder.is_none() {
+            self.resigned(actions);
+        }
+    }
+
+    fn depose(&mut self, now: Millis, actions: &mut Vec<TenureAction>) {
+        if self.mode == Mode::Holder {
+            actions.push(TenureAction::Deposed);
+        }
+        self.held = false;
+        self.sent.clear();
+        self.seen = None;
+        self.next = now + POLL;
+        self.mode = match self.mode {
+            Mode::Leaving(_) => Mode::Resigned,
+            _ => Mode::Candidate,
+        };
+        if self.mode == Mode::Resigned {
+            actions.push(TenureAction::Resigned);
+        }
+    }
+
+    /// Reports whether the lease is held, if that changed.
+    fn update(&mut self, now: Millis, actions: &mut Vec<TenureAction>) {
+        if self.mode != Mode::Holder {
+            return;
+        }
+        let held = now < self.until;
+        let elected = matches!(actions.last(), Some(TenureAction::Elected { .. }));
+        if held != self.held || elected {
+            self.held = held;
+            actions.push(TenureAction::Held(held));
+        }
+    }
+
+    fn act(&mut self, now: Millis, actions: &mut Vec<TenureAction>) {
+        if self.resign {
+            self.leave(now, actions);
+        }
+        if self.wait != Wait::Nothing || now < self.next {
+            return;
+        }
+        match self.mode {
+            Mode::Candidate if !self.resign => self.ask(actions),
+            Mode::Holder => self.renew(now, Some(self.me.clone()), actions),
+            Mode::Leaving(_) => self.renew(now, None, actions),
+            Mode::Candidate | Mode::Resigned => {}
+        }
+    }
+
+    fn renew(&mut self, now: Millis, holder: Option<DaemonName>, actions: &mut Vec<TenureAction>) {
+        self.renewal += 1;
+        let lease = self.lease(holder);
+        let transaction = self.transaction(self.version, &lease);
+        self.commit(now, lease, transaction, actions);
+    }
+
+    fn leave(&mut self, now: Millis, actions: &mut Vec<TenureAction>) {
+        match self.mode {
+            Mode::Holder => {
+                self.mode = Mode::Leaving(now + LEASE_TTL);
+                self.held = false;
+                self.next = now;
+                actions.push(TenureAction::Deposed);
+            }
+            // A claim in flight may still make this daemon the holder.
+            Mode::Candidate if self.sent.is_empty() => self.resigned(actions),
+            Mode::Leaving(end) if now >= end => self.resigned(actions),
+            _ => {}
+        }
+    }
+
+    fn resigned(&mut self, actions: &mut Vec<TenureAction>) {
+        self.mode = Mode::Resigned;
+        actions.push(TenureAction::Resigned);
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/views.rs
@@ -0,0 +1,114 @@
+//! Objects as callers see them.
+
+use crate::active::Active;
+use crate::error::Ran;
+use crate::gang::{Run, worst};
+use crate::ids::{Attempt, Revision};
+use crate::state::{Ended, Entry};
+
+use crate::resource::{Condition, Job, JobPhase, JobStatus, MemberState, Metadata, Worker};
+
+impl Active {
+    /// A job as its caller sees it.
+    pub(crate) fn job_view(&self, entry: &Entry) -> Job {
+        let status = match (&entry.ended, self.runs.get(&entry.id)) {
+            (Some(ended), _) => ended_status(entry, ended),
+            (None, Some(run)) => self.run_status(entry, run),
+            (None, None) => status(entry, JobPhase::Queued, entry.attempt, entry.ran, &entry.reason),
+        };
+        Job {
+            metadata: Metadata {
+                name: entry.name.to_string(),
+                revision: entry.revision,
+                ..Metadata::default()
+            },
+            spec: entry.spec.clone(),
+            status,
+        }
+    }
+
+    fn run_status(&self, entry: &Entry, run: &Run) -> JobStatus {
+        let phase = if run.halt.is_some() || entry.cancelling {
+            JobPhase::Stopping
+        } else if run.released && run.running.is_some() {
+            JobPhase::Running
+        } else {
+            JobPhase::Starting
+        };
+        let mut ran = worst(entry.ran, run.ran());
+        let mut conditions = Vec::new();
+        for part in run.parts.iter().filter(|part| part.end.is_none()) {
+            let silent = self.workers.get(&part.worker).is_some_and(|upstream| upstream.silent);
+            if silent {
+                conditions.push(Condition {
+                    kind: "Responding".to_owned(),
+                    status: false,
+                    reason: format!("{} does not respond", part.worker),
+                });
+                if run.released && !part.unsent() {
+                    ran = Ran::Unknown;
+                }
+            }
+        }
+        let reason = conditions.first().map_or("", |condition| condition.reason.as_str());
+        let mut status = status(entry, phase, run.attempt, ran, reason);
+        status.conditions = conditions;
+        status
+    }
+
+    /// All workers as the scheduler sees them.
+    pub(crate) fn worker_views(&self) -> Vec<Worker> {
+        let quarantined = self.planner.quarantined();
+        self.workers
+            .iter()
+            .filter_map(|(name, upstream)| {
+                let info = upstream.info.clone()?;
+                let drained = self.state.drained.contains(name);
+                let state = if upstream.silent {
+                    MemberState::Dead
+                } else if upstream.leaving || drained {
+                    MemberState::Leaving
+                } else {
+                    MemberState::Live
+                };
+                let used = upstream
+                    .parts
+                    .iter()
+                    .filter_map(|task| self.state.job(task.job))
+                    .map(|entry| entry.spec.shape.accelerators)
+                    .sum();
+                Some(Worker {
+                    metadata: Metadata {
+                        name: name.to_string(),
+                        revision: Revision(0),
+                        ..Metadata::default()
+                    },
+                    info,
+                    state,
+                    quarantined: quarantined.contains(name),
+                    tasks: upstream.parts.len() as u32,
+                    used,
+                })
+            })
+            .collect()
+    }
+}
+
+fn ended_status(entry: &Entry, ended: &Ended) -> JobStatus {
+    let mut status = status(entry, ended.phase, entry.attempt, ended.ran, &ended.reason);
+    status.answer.clone_from(&ended.answer);
+    status
+}
+
+fn status(entry: &Entry, phase: JobPhase, attempt: Attempt, ran: Ran, reason: &str) -> JobStatus {
+    JobStatus {
+        id: entry.id,
+        phase,
+        attempt,
+        workers: entry.workers.clone(),
+        ran,
+        answer: None,
+        reason: reason.to_owned(),
+        conditions: Vec::new(),
+    }
+}
