Add QUIC links between daemons

Cause: services need a request and response channel to the other daemons with mutual authentication.

Change: `Peers` (kernel service "peers") with one stream per request, length-prefixed MessagePack, and limits on message size, streams, running requests and held bytes. Each outgoing connection has a UDP socket of its own, since a device that lost the state of a flow would also drop a new connection between the same ports. Requests are sent only after the peer has accepted this daemon's certificate, so that a refused handshake is `ran: no`. Tasks of quinn run on the kernel's executor. A timed-out request makes the next call open a new connection; the older one is closed at once if it received nothing, otherwise after its last request.

Conclusion: the interface in the module documentation can be used by the services.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -29,6 +29,10 @@
 mod ids;
 mod kernel;
 mod message;
+mod peer_frame;
+mod peer_link;
+mod peer_tls;
+mod peers;
 mod planner;
 mod resource;
 mod scheduler;
@@ -51,6 +55,8 @@
 };
 pub use kernel::{Kernel, Service, Stop};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use peer_tls::PeerTls;
+pub use peers::{PeerHandler, PeerReport, PeerSettings, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
--- /dev/null
+++ b/crates/pistachiostair/src/peers.rs
@@ -0,0 +1,407 @@
+//! QUIC links between daemons: one stream for each request and its response.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Weak};
+
+use async_io::Timer;
+use futures_lite::future;
+use quinn::{ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
+
+use crate::clock::Millis;
+use crate::edge::BoxFuture;
+use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::ids::DaemonName;
+use crate::kernel::{Kernel, Service, Stop};
+use crate::message::{Envelope, Failure, MESSAGE_VERSION, Request, Response};
+use crate::peer_frame::{Held, RETRY, decode, encode, read_frame};
+use crate::peer_link::{Link, Slot};
+use crate::peer_tls::{KernelRuntime, PeerTls, SERVER_NAME, client_config, server_config};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Millis = Millis(1_000);
+/// Longest time to read a request, or to write a response and have it acknowledged.
+const TRANSFER_TIMEOUT: Millis = Millis(10_000);
+/// Longest time that a stop waits for running requests.
+const DRAIN_TIMEOUT: Millis = Millis(10_000);
+/// Longest time that a stop waits until peers know that connections are closed.
+const CLOSE_TIMEOUT: Millis = Millis(1_000);
+/// Requests of all peers answered at once; more are refused.
+const MAX_RUNNING: usize = 8_192;
+/// Connections from peers at once: 27 daemons with a few old connections each, and room for restarts.
+const MAX_INCOMING: usize = 256;
+
+/// Answers requests of peers. The future is dropped if the peer no longer waits for the response.
+pub type PeerHandler = Arc<dyn Fn(Envelope) -> BoxFuture<'static, Response> + Send + Sync>;
+
+/// Called with the address and the error when a peer's connection is refused, for the log.
+pub type PeerReport = Arc<dyn Fn(SocketAddr, &Error) + Send + Sync>;
+
+/// Settings of the links.
+#[derive(Clone)]
+pub struct PeerSettings {
+    /// Name of this daemon, sent with each request.
+    pub name: DaemonName,
+    /// Address to listen at.
+    pub listen: SocketAddr,
+    /// Certificates and key.
+    pub tls: PeerTls,
+    /// Called when a peer's connection is refused.
+    pub refused: Option<PeerReport>,
+}
+
+/// Links to the other daemons.
+pub struct Peers {
+    settings: PeerSettings,
+    handler: PeerHandler,
+    kernel: Weak<Kernel>,
+    endpoint: Endpoint,
+    client: ClientConfig,
+    slots: Mutex<BTreeMap<String, Arc<Slot>>>,
+    running: Arc<AtomicUsize>,
+    held: Arc<AtomicUsize>,
+    closing: Stop,
+}
+
+impl Service for Peers {
+    const NAME: &'static str = "peers";
+
+    fn stop(&self) -> BoxFuture<'_, ()> {
+        Box::pin(self.close())
+    }
+}
+
+impl Peers {
+    /// Listens for peers and answers their requests with `handler` on the kernel's executor.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` if the certificates or the key are not usable, `Unavailable` if the address is not.
+    pub fn start(kernel: &Arc<Kernel>, settings: PeerSettings, handler: PeerHandler) -> Result<Arc<Self>> {
+        let unusable = |e: std::io::Error| {
+            Error::new(ErrorKind::Unavailable, "listen for peers", e).at(settings.listen.to_string())
+        };
+        let server = server_config(&settings.tls)?;
+        let client = client_config(&settings.tls)?;
+        let socket = std::net::UdpSocket::bind(settings.listen).map_err(unusable)?;
+        let runtime = Arc::new(KernelRuntime::new(Arc::downgrade(kernel)));
+        let endpoint = Endpoint::new(Default::default(), Some(server), socket, runtime).map_err(unusable)?;
+        let peers = Arc::new(Self {
+            settings,
+            handler,
+            kernel: Arc::downgrade(kernel),
+            endpoint,
+            client,
+            slots: Mutex::default(),
+            running: Arc::default(),
+            held: Arc::default(),
+            closing: Stop::new(),
+        });
+        kernel.spawn(peers.clone().accept());
+        Ok(peers)
+    }
+
+    /// The address that the links listen at.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if the socket has none.
+    pub fn local_address(&self) -> Result<SocketAddr> {
+        let address = self.endpoint.local_addr();
+        address.map_err(|e| Error::new(ErrorKind::Unavailable, "read local address", e))
+    }
+
+    /// Number of open connections from peers.
+    pub fn connections(&self) -> usize {
+        self.endpoint.open_connections()
+    }
+
+    /// Sends a request to the daemon at `address`, an `ip:port`, and waits for its response. A response
+    /// of [`Response::Failed`] is returned as `Ok`.
+    ///
+    /// # Errors
+    ///
+    /// With `ran: no` if nothing was sent, otherwise with `ran: unknown`. `Invalid` if the request is too
+    /// long, `Refused` if one of the daemons does not accept the other's certificate, `Timeout` after
+    /// `timeout`, `Unavailable` if the connection can't be opened or breaks.
+    pub async fn call(&self, address: &str, request: Request, timeout: Millis) -> Result<Response> {
+        if self.closing.is_raised() {
+            return Err(Error::msg(ErrorKind::Unavailable, "call peer", "links are closed").at(address));
+        }
+        let envelope = Envelope {
+            version: MESSAGE_VERSION,
+            from: self.settings.name.clone(),
+            timeout,
+            request,
+        };
+        let frame = encode(&envelope, "encode request").map_err(|e| e.at(address))?;
+        let _running = Count::enter(&self.running);
+        let track = Track::default();
+        let result = within(timeout, self.attempt(address, &frame, &track)).await;
+        let ran = if track.sent.load(Ordering::Relaxed) {
+            Ran::Unknown
+        } else {
+            Ran::No
+        };
+        match result {
+            Some(result) => result.map_err(|error| error.ran(ran)),
+            None => {
+                if let Some((link, heard)) = track.take() {
+                    link.suspect(heard, timeout);
+                }
+                let message = format!("no response within {timeout}");
+                Err(Error::msg(ErrorKind::Timeout, "call peer", message)
+                    .at(address)
+                    .ran(ran))
+            }
+        }
+    }
+
+    async fn attempt(&self, address: &str, frame: &[u8], track: &Track) -> Result<Response> {
+        let broken = |e: anyhow::Error| Error::new(ErrorKind::Unavailable, "call peer", e).at(address);
+        let (mut send, mut recv) = self.open(address, track).await?;
+        track.sent.store(true, Ordering::Relaxed);
+        send.write_all(frame).await.map_err(|e| broken(e.into()))?;
+        let _ = send.finish();
+        let body = read_frame(&mut recv, |_| Ok(())).await.map_err(|e| e.at(address))?;
+        decode(&body, "decode response").map_err(|e| e.at(address))
+    }
+
+    /// Opens a stream. A connection that turns out to be closed is replaced once.
+    async fn open(&self, address: &str, track: &Track) -> Result<(SendStream, RecvStream)> {
+        let mut retried = false;
+        loop {
+            let link = self.slot(address).get(|| self.connect(address)).await?;
+            track.set(&link);
+            match within(CONNECT_TIMEOUT, link.connection.open_bi()).await {
+                Some(Ok((send, recv))) => return Ok((send, recv)),
+                Some(Err(_)) if !retried => retried = true,
+                Some(Err(error)) => return Err(lost("open stream", error).at(address)),
+                None => {
+                    let message = "too many requests are in progress on the connection";
+                    let error = Error::msg(ErrorKind::Limited, "open stream", message).at(address);
+                    return Err(error.retry_after(RETRY));
+                }
+            }
+        }
+    }
+
+    fn slot(&self, address: &str) -> Arc<Slot> {
+        let mut slots = self.slots.lock().expect("slots lock");
+        if let Some(slot) = slots.get(address) {
+            return slot.clone();
+        }
+        // Addresses of replaced VMs are forgotten here.
+        slots.retain(|_, slot| Arc::strong_count(slot) > 1 || slot.is_open());
+        slots.entry(address.to_owned()).or_default().clone()
+    }
+
+    /// Opens a connection from a socket of its own: a device that dropped the state of the flow between
+    /// two ports would also drop a new connection between the same ports.
+    async fn connect(&self, address: &str) -> Result<Arc<Link>> {
+        let invalid = |e: anyhow::Error| Error::new(ErrorKind::Invalid, "connect peer", e).at(address);
+        let unavailable = |e: anyhow::Error| Error::new(ErrorKind::Unavailable, "connect peer", e).at(address);
+        let target: SocketAddr = address
+            .parse()
+            .map_err(|e: std::net::AddrParseError| invalid(e.into()))?;
+        let local = SocketAddr::new(self.settings.listen.ip(), 0);
+        let socket = std::net::UdpSocket::bind(local).map_err(|e| unavailable(e.into()))?;
+        let runtime = Arc::new(KernelRuntime::new(self.kernel.clone()));
+        let endpoint = Endpoint::new(Default::default(), None, socket, runtime).map_err(|e| unavailable(e.into()))?;
+        let connecting = endpoint
+            .connect_with(self.client.clone(), target, SERVER_NAME)
+            .map_err(|e| invalid(e.into()))?;
+        let connected = within(CONNECT_TIMEOUT, async {
+            let connection = connecting.await?;
+            // The peer opens this stream once it has accepted our certificate. Without it, requests
+            // would be sent to a peer that may still refuse the connection.
+            connection.accept_uni().await?;
+            Ok(connection)
+        });
+        match connected.await {
+            Some(Ok(connection)) => Ok(Arc::new(Link::new(connection, endpoint))),
+            Some(Err(error)) => Err(lost("connect peer", error).at(address)),
+            None => Err(unavailable(anyhow::anyhow!("no connection within {CONNECT_TIMEOUT}"))),
+        }
+    }
+
+    async fn accept(self: Arc<Self>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            if self.closing.is_raised() || self.endpoint.open_connections() > MAX_INCOMING {
+                incoming.refuse();
+                continue;
+            }
+            self.spawn(self.clone().serve(incoming));
+        }
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        if let Some(kernel) = self.kernel.upgrade() {
+            kernel.spawn(task);
+        }
+    }
+
+    async fn serve(self: Arc<Self>, incoming: Incoming) {
+        let address = incoming.remote_address();
+        let connection = match accepted(incoming).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                if let Some(report) = &self.settings.refused {
+                    report(address, &lost("accept peer", error).at(address.to_string()));
+                }
+                return;
+            }
+        };
+        while let Ok((send, recv)) = connection.accept_bi().await {
+            self.spawn(self.clone().answer(send, recv));
+        }
+    }
+
+    async fn answer(self: Arc<Self>, mut send: SendStream, mut recv: RecvStream) {
+        let running = Count::enter(&self.running);
+        let gone = send.stopped();
+        let respond = async {
+            let refuse = |error: Error| Some(Response::Failed(Failure::from(&error)));
+            if self.closing.is_raised() {
+                return refuse(Error::msg(
+                    ErrorKind::Unavailable,
+                    "answer peer",
+                    "the daemon is stopping",
+                ));
+            }
+            if running.number > MAX_RUNNING {
+                let error = Error::msg(ErrorKind::Limited, "answer peer", "too many requests are in progress");
+                return refuse(error.retry_after(RETRY));
+            }
+            match self.read(&mut recv).await {
+                Ok((envelope, _held)) => Some((self.handler)(envelope).await),
+                Err(error) => {
+                    let _ = recv.stop(VarInt::from_u32(1));
+                    refuse(error)
+                }
+            }
+        };
+        let abandoned = async {
+            let _ = gone.await;
+            None
+        };
+        if let Some(response) = future::or(respond, abandoned).await {
+            within(TRANSFER_TIMEOUT, write(&mut send, &response)).await;
+        }
+    }
+
+    async fn read(&self, recv: &mut RecvStream) -> Result<(Envelope, Held)> {
+        let mut held = Held::new(&self.held);
+        let body = within(TRANSFER_TIMEOUT, read_frame(recv, |length| held.take(length))).await;
+        let late = || Error::msg(ErrorKind::Timeout, "read request", "the request did not arrive in time");
+        let body = body.ok_or_else(late)??;
+        Ok((decode(&body, "decode request")?, held))
+    }
+
+    async fn close(&self) {
+        self.closing.raise();
+        self.endpoint.set_server_config(None);
+        let idle = async {
+            while self.running.load(Ordering::Relaxed) > 0 {
+                Timer::after(Millis(5).duration()).await;
+            }
+        };
+        within(DRAIN_TIMEOUT, idle).await;
+        let slots = std::mem::take(&mut *self.slots.lock().expect("slots lock"));
+        let endpoints: Vec<_> = slots.values().filter_map(|slot| slot.close()).collect();
+        self.endpoint.close(VarInt::from_u32(0), b"stopped");
+        within(CLOSE_TIMEOUT, async {
+            self.endpoint.wait_idle().await;
+            for endpoint in &endpoints {
+                endpoint.wait_idle().await;
+            }
+        })
+        .await;
+    }
+}
+
+/// Completes the handshake and tells the peer that its certificate is accepted.
+async fn accepted(incoming: Incoming) -> std::result::Result<Connection, quinn::ConnectionError> {
+    let connection = incoming.await?;
+    let mut hello = connection.open_uni().await?;
+    let _ = hello.write_all(&MESSAGE_VERSION.to_be_bytes()).await;
+    Ok(connection)
+}
+
+async fn write(send: &mut SendStream, response: &Response) {
+    let frame = encode(response, "encode response").or_else(|error| {
+        let failure = Failure::from(&error.ran(Ran::Unknown));
+        encode(&Response::Failed(failure), "encode response")
+    });
+    let Ok(frame) = frame else { return };
+    // An error means that the peer no longer waits, or that the connection broke, which it sees itself.
+    if send.write_all(&frame).await.is_ok() && send.finish().is_ok() {
+        let _ = send.stopped().await;
+    }
+}
+
+/// Error of a lost connection; `Refused` if the TLS handshake failed on either side.
+fn lost(step: &'static str, error: quinn::ConnectionError) -> Error {
+    let code = match &error {
+        quinn::ConnectionError::TransportError(error) => u64::from(error.code),
+        quinn::ConnectionError::ConnectionClosed(close) => u64::from(close.error_code),
+        _ => 0,
+    };
+    // RFC 9000, section 20.1: 0x0100 to 0x01ff are TLS alerts.
+    let kind = if (0x100..0x200).contains(&code) {
+        ErrorKind::Refused
+    } else {
+        ErrorKind::Unavailable
+    };
+    Error::new(kind, step, error)
+}
+
+async fn within<T>(timeout: Millis, work: impl Future<Output = T>) -> Option<T> {
+    future::or(async { Some(work.await) }, async {
+        Timer::after(timeout.duration()).await;
+        None
+    })
+    .await
+}
+
+/// What a call has done so far, for the time when it is cut off.
+#[derive(Default)]
+struct Track {
+    link: Mutex<Option<(Arc<Link>, u64)>>,
+    sent: AtomicBool,
+}
+
+impl Track {
+    fn set(&self, link: &Arc<Link>) {
+        let heard = link.heard();
+        *self.link.lock().expect("track lock") = Some((link.clone(), heard));
+    }
+
+    fn take(&self) -> Option<(Arc<Link>, u64)> {
+        self.link.lock().expect("track lock").take()
+    }
+}
+
+/// A place among the running requests.
+struct Count {
+    total: Arc<AtomicUsize>,
+    number: usize,
+}
+
+impl Count {
+    fn enter(total: &Arc<AtomicUsize>) -> Self {
+        let number = total.fetch_add(1, Ordering::Relaxed) + 1;
+        Self {
+            total: total.clone(),
+            number,
+        }
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.total.fetch_sub(1, Ordering::Relaxed);
+    }
+}
