Add stand-ins for the platform, workers, a relay and keys

Cause: the daemon needs an outside world to run against on loopback. Conclusion: the daemon can be wired and run against it.

--- a/crates/standin/src/main.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Placeholder.
-fn main() {}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,201 @@
+//! A worker that reports over HTTP and pretends to run tasks.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use async_executor::Executor;
+use async_io::Timer;
+use futures_lite::future;
+use hyper::{Method, StatusCode};
+use pistachiostair::{
+    Clock, CommandBatch, HttpReply, HttpRequest, Incarnation, MemberState, Millis, Stop, Vm, VmRole, WorkerInfo,
+};
+
+use crate::inventory::Inventory;
+use crate::server::{
+    Client, Fault, Mode, ask, new_client, reply_invalid, reply_json, reply_lost, reply_status, segments, serve,
+};
+
+/// Connections that a worker takes at once, as real ones do.
+const CONNECTIONS: usize = 60;
+/// Pause between attempts to enter the platform's list.
+const REGISTER_PAUSE: Millis = Millis(500);
+/// Longest wait of a poll for changes.
+const MAX_WAIT: u64 = 60_000;
+
+/// One worker identity.
+pub struct StandinWorker {
+    clock: Clock,
+    platform: Option<String>,
+    client: Client,
+    inventory: Mutex<Inventory>,
+    fault: Mutex<Fault>,
+    /// Raised and replaced at each change.
+    changed: Mutex<Stop>,
+    address: OnceLock<SocketAddr>,
+}
+
+impl StandinWorker {
+    /// A worker with a new incarnation that enters the list of the platform at `platform`, if given.
+    pub fn new(executor: &Arc<Executor<'static>>, info: WorkerInfo, platform: Option<String>) -> Arc<Self> {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let incarnation = Incarnation(since.as_micros() as u64);
+        Arc::new(Self {
+            clock: Clock::start(),
+            platform,
+            client: new_client(executor),
+            inventory: Mutex::new(Inventory::new(info, incarnation, since.as_millis() as u64)),
+            fault: Mutex::default(),
+            changed: Mutex::new(Stop::new()),
+            address: OnceLock::new(),
+        })
+    }
+
+    /// Serves and runs tasks in the background, and returns the address.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub async fn serve(
+        self: &Arc<Self>,
+        executor: &Arc<Executor<'static>>,
+        listen: SocketAddr,
+    ) -> anyhow::Result<SocketAddr> {
+        let worker = self.clone();
+        let handler = Arc::new(move |request| {
+            let worker = worker.clone();
+            Box::pin(async move { worker.answer(request).await }) as _
+        });
+        let address = serve(executor, listen, CONNECTIONS, handler).await?;
+        let _ = self.address.set(address);
+        let worker = self.clone();
+        executor.spawn(async move { worker.run_tasks().await }).detach();
+        let worker = self.clone();
+        executor
+            .spawn(async move { worker.enter_list(MemberState::Live).await })
+            .detach();
+        Ok(address)
+    }
+
+    async fn run_tasks(&self) {
+        loop {
+            let changed = self.change_signal();
+            let next = self.update(|inventory, _| inventory.next_end());
+            let due = async {
+                match next {
+                    Some(at) => {
+                        Timer::after(at.since(self.clock.now()).duration()).await;
+                    }
+                    None => std::future::pending().await,
+                }
+            };
+            future::or(due, changed.wait()).await;
+        }
+    }
+
+    async fn enter_list(&self, state: MemberState) {
+        let (Some(platform), Some(address)) = (&self.platform, self.address.get()) else {
+            return;
+        };
+        let vm = Vm {
+            name: self.inventory.lock().expect("inventory lock").info.name.to_string(),
+            role: VmRole::Worker,
+            address: address.to_string(),
+            state,
+        };
+        while let Err(error) = ask::<()>(&self.client, platform, Method::POST, "/v1/vms", &vm).await {
+            eprintln!("worker {}: enter the platform's list: {error:#}", vm.name);
+            Timer::after(REGISTER_PAUSE.duration()).await;
+        }
+    }
+
+    /// Changes the inventory after its tasks were brought up to now, and wakes who waits for changes.
+    fn update<T>(&self, change: impl FnOnce(&mut Inventory, Millis) -> T) -> T {
+        let mut inventory = self.inventory.lock().expect("inventory lock");
+        let before = inventory.change();
+        let now = self.clock.now();
+        inventory.advance(now);
+        let result = change(&mut inventory, now);
+        if inventory.change() != before {
+            std::mem::take(&mut *self.changed.lock().expect("signal lock")).raise();
+        }
+        result
+    }
+
+    fn change_signal(&self) -> Stop {
+        self.changed.lock().expect("signal lock").clone()
+    }
+
+    async fn answer(&self, request: HttpRequest) -> HttpReply {
+        let path = segments(&request.path);
+        let path: Vec<&str> = path.iter().map(String::as_str).collect();
+        let fault = *self.fault.lock().expect("fault lock");
+        let mode = if path[0] == "control" { Mode::None } else { fault.draw() };
+        match mode {
+            Mode::Freeze => return std::future::pending().await,
+            Mode::Slow => {
+                Timer::after(Millis(fault.millis).duration()).await;
+            }
+            _ => {}
+        }
+        match (&request.method, &path[..]) {
+            (&Method::POST, ["v1", "commands"]) => match serde_json::from_slice::<CommandBatch>(&request.body) {
+                Ok(batch) => {
+                    let reply = self.update(|inventory, now| inventory.carry_out(now, &batch));
+                    if mode == Mode::LoseReply {
+                        reply_lost()
+                    } else {
+                        reply_json(&reply)
+                    }
+                }
+                Err(error) => reply_invalid(error),
+            },
+            (&Method::GET, ["v1", "changes"]) => self.poll(&request).await,
+            (&Method::GET, ["control", "log"]) => self.update(|inventory, _| reply_json(&inventory.log())),
+            (&Method::POST, ["control", "fault"]) => match serde_json::from_slice(&request.body) {
+                Ok(fault) => self.set_fault(fault).await,
+                Err(error) => reply_invalid(error),
+            },
+            _ => reply_status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn poll(&self, request: &HttpRequest) -> HttpReply {
+        let number = |name: &str| match request.query.get(name) {
+            Some(digits) => digits.parse::<u64>().map_err(|e| format!("{name} {digits:?}: {e}")),
+            None => Ok(0),
+        };
+        let (after, wait) = match (number("after"), number("wait")) {
+            (Ok(after), Ok(wait)) => (after, Millis(wait.min(MAX_WAIT))),
+            (Err(reason), _) | (_, Err(reason)) => return reply_invalid(reason),
+        };
+        let until = self.clock.now() + wait;
+        loop {
+            let changed = self.change_signal();
+            let (newest, now) = self.update(|inventory, now| (inventory.change(), now));
+            if newest != after || now >= until {
+                return self.update(|inventory, now| reply_json(&inventory.changes(now, after)));
+            }
+            let lapsed = async {
+                Timer::after(until.since(now).duration()).await;
+            };
+            future::or(changed.wait(), lapsed).await;
+        }
+    }
+
+    async fn set_fault(&self, fault: Fault) -> HttpReply {
+        *self.fault.lock().expect("fault lock") = fault;
+        self.update(|inventory, _| {
+            inventory.refuse = fault.mode == Mode::Refuse;
+            inventory.fail = fault.mode == Mode::FailAll;
+            if fault.mode == Mode::Leave {
+                inventory.leave();
+            }
+        });
+        if fault.mode == Mode::Leave {
+            self.enter_list(MemberState::Leaving).await;
+        }
+        reply_status(StatusCode::OK)
+    }
+}
