Add settings, logging, metrics and validation to the library

Cause: the daemon needs its settings checked as a whole, a log with fixed prefixes, metrics, and checks of resource documents before they reach the scheduler.

Change: modules settings, logging, metrics and validate with tests in test files. Shape is now deserialised by a visitor, since the YAML parser names the field only for errors that arise within a visitor; the accepted texts are unchanged.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -28,12 +28,16 @@
 mod http_server;
 mod ids;
 mod kernel;
+mod logging;
 mod message;
+mod metrics;
 mod planner;
 mod resource;
 mod scheduler;
+mod settings;
 mod store;
 mod tenure;
+mod validate;
 mod worker;
 
 pub use appender::{AppendAction, AppendEvent};
@@ -50,13 +54,20 @@
     Revision, Seq, TaskId, Term, WorkerName,
 };
 pub use kernel::{Kernel, Service, Stop};
+pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use metrics::{Metrics, ProcessUsage, process_usage};
 pub use planner::{Change, Decision, End, Figures, Planner};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
 pub use scheduler::{Action, Event, LogLine, Token};
+pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
 pub use store::Store;
 pub use tenure::{TenureAction, TenureEvent};
+pub use validate::{
+    Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
+    join_findings, key_fault, name_fault, parse_json, parse_policy, parse_yaml,
+};
 pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- a/crates/pistachiostair/src/resource.rs
+++ b/crates/pistachiostair/src/resource.rs
@@ -14,8 +14,8 @@
 
 /// A gang's shape: a number of parts and the accelerators of each, written `2x4`. Each part also
 /// takes one slot of its worker; a part may take no accelerator.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize)]
+#[serde(into = "String")]
 pub struct Shape {
     /// Number of parts, each on a worker of its own unless accelerators are zero or one.
     pub workers: u32,
@@ -73,6 +73,27 @@
     }
 }
 
+impl<'de> serde::Deserialize<'de> for Shape {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_str(ShapeVisitor)
+    }
+}
+
+/// Parses within the visitor, since parsers name the field only in errors that arise there.
+struct ShapeVisitor;
+
+impl serde::de::Visitor<'_> for ShapeVisitor {
+    type Value = Shape;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a shape such as 2x4")
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Shape, E> {
+        text.parse().map_err(E::custom)
+    }
+}
+
 closed_set! {
     /// Urgency of a job within its client account.
     #[derive(Default)]
