Add the bodies of lists, watches and the configuration

Cause: the daemon's interface and the client need the same definition of the bodies that are not objects: lists, watch lines, explanations and the configuration.

The name in Metadata may be absent when read, since a job's name may be generated and the configuration has none; check_metadata still requires it.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -27,6 +27,7 @@
 mod http_client;
 mod http_server;
 mod ids;
+mod interface;
 mod kernel;
 mod logging;
 mod message;
@@ -53,6 +54,7 @@
     AccountName, Attempt, DaemonName, DomainName, GuaranteeName, Incarnation, JobId, JobName, RackName, RegionName,
     Revision, Seq, TaskId, Term, WorkerName,
 };
+pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use kernel::{Kernel, Service, Stop};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
--- a/crates/pistachiostair/src/resource.rs
+++ b/crates/pistachiostair/src/resource.rs
@@ -126,6 +126,7 @@
     #[derive(Default)]
     pub struct Metadata {
         /// Name, unique for its kind (for jobs: within the client account).
+        #[serde(default)]
         pub name: String,
         /// Revision of the last change; `If-Match` compares it.
         #[serde(default)]
