Keep silenced relay connections from forwarding

Cause: the relay polled both the silence and the copy, so that a silenced connection went on forwarding; seen by hand with curl. Change: the copy is dropped at the silence and both sides are kept open. Conclusion: a silent connection can be shown to a daemon.

--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -103,13 +103,18 @@
             return;
         };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
-        let ended = future::race(copy(near.clone(), far.clone()), copy(far.clone(), near.clone()));
-        let silent = async {
+        let ended = async {
+            future::race(copy(near.clone(), far.clone()), copy(far.clone(), near.clone())).await;
+            false
+        };
+        let silenced = async {
             silence.wait().await;
-            // Both sides stay open and nothing moves until the relay ends or the connection is cut.
-            std::future::pending().await
+            true
         };
-        future::or(silent, ended).await;
+        if future::or(silenced, ended).await {
+            // Both sides stay open and nothing moves until the connection is cut or the relay ends.
+            std::future::pending().await
+        }
     }
 }
 
