--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -27,17 +27,23 @@
 mod http_client;
 mod http_server;
 mod ids;
+mod interface;
 mod kernel;
+mod logging;
 mod message;
+mod metrics;
 mod peer_frame;
 mod peer_link;
 mod peer_tls;
 mod peers;
 mod planner;
+mod rendezvous;
 mod resource;
 mod scheduler;
+mod settings;
 mod store;
 mod tenure;
+mod validate;
 mod worker;
 
 pub use appender::{AppendAction, AppendEvent};
@@ -53,16 +59,25 @@
     AccountName, Attempt, DaemonName, DomainName, GuaranteeName, Incarnation, JobId, JobName, RackName, RegionName,
     Revision, Seq, TaskId, Term, WorkerName,
 };
+pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use kernel::{Kernel, Service, Stop};
+pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use metrics::{Metrics, ProcessUsage, process_usage};
 pub use peer_tls::PeerTls;
-pub use peers::{PeerHandler, PeerReport, PeerSettings, Peers};
+pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
+pub use rendezvous::{owner, share};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
 pub use scheduler::{Action, Event, LogLine, Token};
+pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
 pub use store::Store;
 pub use tenure::{TenureAction, TenureEvent};
+pub use validate::{
+    Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
+    join_findings, key_fault, name_fault, parse_json, parse_policy, parse_yaml,
+};
 pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- a/crates/pistachiostair/src/peers.rs
+++ b/crates/pistachiostair/src/peers.rs
@@ -41,7 +41,7 @@
 
 /// Settings of the links.
 #[derive(Clone)]
-pub struct PeerSettings {
+pub struct LinkSettings {
     /// Name of this daemon, sent with each request.
     pub name: DaemonName,
     /// Address to listen at.
@@ -54,7 +54,7 @@
 
 /// Links to the other daemons.
 pub struct Peers {
-    settings: PeerSettings,
+    settings: LinkSettings,
     handler: PeerHandler,
     kernel: Weak<Kernel>,
     endpoint: Endpoint,
@@ -79,7 +79,7 @@
     /// # Errors
     ///
     /// `Invalid` if the certificates or the key are not usable, `Unavailable` if the address is not.
-    pub fn start(kernel: &Arc<Kernel>, settings: PeerSettings, handler: PeerHandler) -> Result<Arc<Self>> {
+    pub fn start(kernel: &Arc<Kernel>, settings: LinkSettings, handler: PeerHandler) -> Result<Arc<Self>> {
         let unusable = |e: std::io::Error| {
             Error::new(ErrorKind::Unavailable, "listen for peers", e).at(settings.listen.to_string())
         };
--- a/crates/pistachiostair/tests/peers.rs
+++ b/crates/pistachiostair/tests/peers.rs
@@ -9,7 +9,7 @@
 use async_executor::Executor;
 use async_io::{Timer, block_on};
 use pistachiostair::{
-    DaemonName, ErrorKind, Kernel, MAX_MESSAGE, Millis, PeerHandler, PeerSettings, PeerTls, Peers, Ran, Request,
+    DaemonName, ErrorKind, Kernel, LinkSettings, MAX_MESSAGE, Millis, PeerHandler, PeerTls, Peers, Ran, Request,
     Response, Revision,
 };
 use rcgen::{BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair};
@@ -61,7 +61,7 @@
         let kernel = Kernel::new(executor);
         let refused = Arc::new(AtomicUsize::new(0));
         let count = refused.clone();
-        let settings = PeerSettings {
+        let settings = LinkSettings {
             name: DaemonName::from(name),
             listen: "127.0.0.1:0".parse().unwrap(),
             tls,
