--- a/crates/pistachiostair/tests/rendezvous.rs
+++ b/crates/pistachiostair/tests/rendezvous.rs
@@ -94,7 +94,7 @@
         name: format!("w{number}"),
         role: VmRole::Worker,
         address: String::new(),
-        state: if number % 10 == 0 {
+        state: if number < 20 {
             MemberState::Dead
         } else {
             MemberState::Leaving
