Add the harness for tests on real processes, and the demo

Cause: tests and the demo need daemons, workers and the platform as processes. Change: Bench starts and ends them by id, also at a failure or a signal; Caller keeps what callers were told; the checkers compare that with the workers' log files, which outlive a killed worker. scripts/demo runs a gang and an order. Conclusion: ready for the daemon.

--- /dev/null
+++ b/crates/standin/src/bench.rs
@@ -0,0 +1,318 @@
+//! Starts a platform, workers and daemons as processes and gives tests access to them.
+
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use async_executor::{Executor, Task};
+use hyper::Method;
+use pistachiostair::{HttpClient, MemberState, Millis, Row, Vm, VmRole};
+use serde_json::Value;
+
+use crate::caller::Caller;
+use crate::check::read_log;
+use crate::inventory::LogEntry;
+use crate::keys::write_keys;
+use crate::launch::{Daemon, REGION, Relayed, START, Scratch, Server, Setup, new_dir, start_server};
+use crate::process::{Process, end_on_signal};
+use crate::server::ask;
+
+/// Connections of callers to one daemon.
+const CONNECTIONS: usize = 2_000;
+/// Largest response that callers read, in bytes.
+const MAX_BODY: usize = 64 * 1024 * 1024;
+/// Running processes. All of them end when this value is dropped.
+pub struct Bench {
+    /// Callers' client.
+    pub caller: Caller,
+    pub(crate) setup: Setup,
+    pub(crate) executor: Arc<Executor<'static>>,
+    pub(crate) client: Arc<HttpClient>,
+    pub(crate) entries: Arc<Mutex<Vec<String>>>,
+    pub(crate) platform: Server,
+    pub(crate) platform_relays: Vec<Relayed>,
+    pub(crate) workers: Vec<Server>,
+    pub(crate) worker_relays: Vec<Relayed>,
+    pub(crate) daemons: Vec<Daemon>,
+    /// Last, so that the processes end before it is removed.
+    pub(crate) dir: Scratch,
+}
+
+impl Bench {
+    /// Starts everything and waits until the daemons are ready.
+    ///
+    /// # Errors
+    ///
+    /// If a process does not start; those that did are ended.
+    pub fn start(setup: Setup) -> Result<Self> {
+        end_on_signal();
+        let dir = new_dir()?;
+        write_keys(&dir.0.join("keys"))?;
+        let executor = Arc::new(Executor::new());
+        let runner = executor.clone();
+        // The thread lives as long as the test process.
+        thread::spawn(move || async_io::block_on(runner.run(std::future::pending::<()>())));
+        let client = Arc::new(HttpClient::new(executor.clone(), CONNECTIONS, MAX_BODY));
+        let entries = Arc::new(Mutex::new(Vec::new()));
+        let platform = start_server("platform", "standin-platform", &[], &dir.0)?;
+        let mut bench = Self {
+            caller: Caller::new(client.clone(), entries.clone()),
+            dir,
+            setup: setup.clone(),
+            executor,
+            client,
+            entries,
+            platform,
+            platform_relays: Vec::new(),
+            workers: Vec::new(),
+            worker_relays: Vec::new(),
+            daemons: Vec::new(),
+        };
+        for index in 0..setup.workers {
+            bench.add_worker(index)?;
+        }
+        for index in 0..setup.daemons {
+            if setup.platform_relays {
+                let relay = bench.start_relay(&format!("platform-relay-{index}"), &bench.platform.address)?;
+                bench.platform_relays.push(relay);
+            }
+            let daemon = bench.start_daemon(index)?;
+            bench.daemons.push(daemon);
+            bench.publish_entries();
+        }
+        for index in 0..setup.daemons {
+            bench.await_ready(index)?;
+        }
+        Ok(bench)
+    }
+
+    /// Directory with settings, keys and logs.
+    pub fn dir(&self) -> &Path {
+        &self.dir.0
+    }
+
+    /// Runs a future to its end.
+    pub fn block<T>(&self, future: impl Future<Output = T>) -> T {
+        async_io::block_on(future)
+    }
+
+    /// Runs a future in the background.
+    pub fn spawn<T: Send + 'static>(&self, future: impl Future<Output = T> + Send + 'static) -> Task<T> {
+        self.executor.spawn(future)
+    }
+
+    /// Address of the interface for callers of a daemon.
+    pub fn api(&self, daemon: usize) -> &str {
+        &self.daemons[daemon].server.address
+    }
+
+    /// Address of `/healthz`, `/readyz` and `/metrics` of a daemon.
+    pub fn admin(&self, daemon: usize) -> &str {
+        &self.daemons[daemon].admin
+    }
+
+    /// Address of the platform.
+    pub fn platform(&self) -> &str {
+        &self.platform.address
+    }
+
+    /// Address of a worker, not of its relay.
+    pub fn worker(&self, worker: usize) -> &str {
+        &self.workers[worker].address
+    }
+
+    /// Process of a daemon.
+    pub fn daemon_process(&mut self, daemon: usize) -> &mut Process {
+        &mut self.daemons[daemon].server.process
+    }
+
+    /// Process of a worker.
+    pub fn worker_process(&mut self, worker: usize) -> &mut Process {
+        &mut self.workers[worker].process
+    }
+
+    /// Index of the daemon that holds the region's lease.
+    ///
+    /// # Errors
+    ///
+    /// If there is no lease or its holder is not among the daemons.
+    pub fn leader(&self) -> Result<usize> {
+        let path = format!("/v1/rows/lease%2F{REGION}");
+        let row: Row = self.ask_platform(Method::GET, &path, &())?;
+        let lease: Value = serde_json::from_str(&row.value)?;
+        let holder = lease["holder"].as_str().context("the lease names no holder")?;
+        let index = holder.strip_prefix('d').and_then(|digits| digits.parse().ok());
+        index.with_context(|| format!("{holder} is not one of the daemons"))
+    }
+
+    /// Replaces the process of a daemon, which has ended, by a new one on new ports.
+    ///
+    /// # Errors
+    ///
+    /// If the new one does not start.
+    pub fn restart_daemon(&mut self, index: usize) -> Result<()> {
+        self.daemons[index] = self.start_daemon(index)?;
+        self.publish_entries();
+        Ok(())
+    }
+
+    /// Stops sending callers to a daemon, or sends them there again.
+    pub fn set_entry(&self, index: usize, used: bool) {
+        let mut entries = self.entries.lock().expect("entries lock");
+        let address = self.api(index).to_owned();
+        entries.retain(|entry| *entry != address);
+        if used {
+            entries.push(address);
+        }
+    }
+
+    /// Waits until a daemon says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// If it does not say so in time.
+    pub fn await_ready(&self, index: usize) -> Result<()> {
+        let admin = self.admin(index).to_owned();
+        self.await_that(&format!("d{index} is ready"), START, || {
+            self.block(get_status(&self.client, &admin, "/readyz")) == Some(200)
+        })
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// If it does not hold `within` the time.
+    pub fn await_that(&self, what: &str, within: Duration, mut holds: impl FnMut() -> bool) -> Result<()> {
+        let until = Instant::now() + within;
+        while !holds() {
+            anyhow::ensure!(
+                Instant::now() < until,
+                "not within {within:?}: {what}; see {}",
+                self.dir().display()
+            );
+            thread::sleep(Duration::from_millis(20));
+        }
+        Ok(())
+    }
+
+    /// Adds a VM to the platform's list, or changes it.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not respond.
+    pub fn list_vm(&self, name: &str, role: VmRole, address: &str, state: MemberState) -> Result<()> {
+        let vm = Vm {
+            name: name.to_owned(),
+            role,
+            address: address.to_owned(),
+            state,
+        };
+        self.ask_platform(Method::POST, "/v1/vms", &vm)
+    }
+
+    /// Removes a VM from the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not respond.
+    pub fn unlist_vm(&self, name: &str) -> Result<()> {
+        self.ask_platform(Method::DELETE, &format!("/v1/vms/{name}"), &())
+    }
+
+    /// Sets the platform's fault.
+    ///
+    /// # Errors
+    ///
+    /// If the platform does not respond.
+    pub fn fault_platform(&self, fault: &Value) -> Result<()> {
+        self.ask_platform(Method::POST, "/control/fault", fault)
+    }
+
+    /// Sets a worker's fault.
+    ///
+    /// # Errors
+    ///
+    /// If the worker does not respond.
+    pub fn fault_worker(&self, worker: usize, fault: &Value) -> Result<()> {
+        let address = self.worker(worker);
+        self.block(ask(&self.client, address, Method::POST, "/control/fault", fault))
+    }
+
+    /// Sends `silence`, `cut` or `open` to the relay between a daemon and the platform.
+    ///
+    /// # Errors
+    ///
+    /// If the relay does not respond.
+    pub fn platform_relay(&self, daemon: usize, order: &str) -> Result<()> {
+        self.control(&self.platform_relays[daemon], order)
+    }
+
+    /// Sends `silence`, `cut` or `open` to the relay before a worker.
+    ///
+    /// # Errors
+    ///
+    /// If the relay does not respond.
+    pub fn worker_relay(&self, worker: usize, order: &str) -> Result<()> {
+        self.control(&self.worker_relays[worker], order)
+    }
+
+    /// The logs of all workers, also of those that have ended.
+    ///
+    /// # Errors
+    ///
+    /// If a log can't be read.
+    pub fn log(&self) -> Result<Vec<LogEntry>> {
+        let logs = (0..self.setup.workers).map(|index| read_log(&self.worker_log(index)));
+        Ok(logs.collect::<Result<Vec<_>>>()?.concat())
+    }
+
+    /// Leaves all processes and the directory, and returns the names and ids of the processes.
+    pub fn keep(self) -> Vec<(String, u32)> {
+        std::mem::forget(self.dir);
+        let daemons = self.daemons.into_iter().map(|daemon| daemon.server);
+        let servers = [self.platform].into_iter().chain(self.workers).chain(daemons);
+        let relays = self.platform_relays.into_iter().chain(self.worker_relays);
+        let processes = servers
+            .map(|server| server.process)
+            .chain(relays.map(|relay| relay.process));
+        let kept = processes.map(|process| {
+            let id = (process.name.clone(), process.id());
+            process.keep();
+            id
+        });
+        kept.collect()
+    }
+
+    fn publish_entries(&self) {
+        let apis = self.daemons.iter().map(|daemon| daemon.server.address.clone());
+        *self.entries.lock().expect("entries lock") = apis.collect();
+    }
+
+    pub(crate) fn control(&self, relay: &Relayed, order: &str) -> Result<()> {
+        let path = format!("/control/{order}");
+        self.block(ask(&self.client, &relay.control, Method::POST, &path, &()))
+    }
+
+    fn ask_platform<T: serde::de::DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl serde::Serialize,
+    ) -> Result<T> {
+        self.block(ask(&self.client, &self.platform.address, method, path, body))
+    }
+}
+
+async fn get_status(client: &HttpClient, peer: &str, path: &str) -> Option<u16> {
+    let call = pistachiostair::HttpCall {
+        method: Method::GET,
+        path,
+        headers: &[],
+        body: Default::default(),
+        timeout: Millis(1_000),
+    };
+    client.send(peer, call).await.ok().map(|answer| answer.status.as_u16())
+}
--- a/crates/standin/src/bin/standin-worker.rs
+++ b/crates/standin/src/bin/standin-worker.rs
@@ -1,6 +1,8 @@
 //! Serves one or more worker identities that pretend to run tasks.
 
+use std::fs::File;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use clap::Parser;
 use pistachiostair::WorkerInfo;
@@ -45,6 +47,9 @@
     /// Workers in a rack, if there are several identities.
     #[arg(long, default_value_t = 8)]
     per_rack: usize,
+    /// File that the log of all identities is appended to, as JSON lines.
+    #[arg(long)]
+    log: Option<PathBuf>,
     /// Threads.
     #[arg(long, default_value_t = 1)]
     threads: usize,
@@ -72,8 +77,11 @@
 fn main() -> anyhow::Result<()> {
     let args = Args::parse();
     run(args.threads, |executor| async move {
+        let open = |path: &PathBuf| File::options().create(true).append(true).open(path);
+        let log = args.log.as_ref().map(open).transpose()?;
         for index in 0..args.count {
-            let worker = StandinWorker::new(&executor, args.info(index), args.platform.clone());
+            let log = log.as_ref().map(File::try_clone).transpose()?;
+            let worker = StandinWorker::new(&executor, args.info(index), args.platform.clone(), log);
             let address = worker.serve(&executor, args.listen).await?;
             println!("listening {address}");
         }
--- a/crates/standin/src/inventory.rs
+++ b/crates/standin/src/inventory.rs
@@ -4,29 +4,11 @@
 
 use pistachiostair::{
     BatchReply, Changes, Command, CommandBatch, CommandResult, Incarnation, Millis, Size, Start, TaskId, TaskState,
-    TaskView, Term, WorkerInfo,
+    Term, WorkerInfo, WorkerName,
 };
 use serde::{Deserialize, Serialize};
 
-/// Run time of a task that declares none.
-const DEFAULT_RUNTIME: Millis = Millis(100);
-/// Time after which the usage of a running task is reported.
-const USAGE_LAG: Millis = Millis(2_000);
-/// Progress of a task that is done.
-const WHOLE: u64 = 1_000;
-
-/// Instructions in a task's payload; other payloads are the answer themselves.
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "camelCase", deny_unknown_fields)]
-struct Instructions {
-    sleep_ms: Option<u64>,
-    echo: Option<String>,
-    #[serde(default)]
-    fail: bool,
-    /// Pads the answer to this many bytes.
-    #[serde(default)]
-    answer_bytes: usize,
-}
+use crate::task::Task;
 
 /// Kind of a log entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +27,8 @@
 /// One entry of a worker's log, from which checkers learn what ran.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogEntry {
+    /// The worker.
+    pub worker: WorkerName,
     /// Time on the worker's own clock.
     pub at: Millis,
     /// Milliseconds since the Unix epoch, to compare workers of one machine.
@@ -64,21 +48,6 @@
     pub payload: Option<String>,
 }
 
-struct Task {
-    start: Start,
-    state: TaskState,
-    /// Number of the change that started it, which `Renew` compares.
-    started: u64,
-    /// Number of the last change.
-    change: u64,
-    lease: Millis,
-    begun: Option<Millis>,
-    /// When it will have run to its end.
-    due: Millis,
-    progress: u32,
-    answer: Option<String>,
-}
-
 /// The tasks of a worker.
 pub struct Inventory {
     /// Place and size.
@@ -234,19 +203,8 @@
 
     fn begin(&mut self, now: Millis, id: TaskId) {
         let Some(task) = self.tasks.get_mut(&id) else { return };
-        let instructions = instructions(task.start.payload.as_deref());
-        let runtime = instructions
-            .sleep_ms
-            .map(Millis)
-            .or(task.start.runtime)
-            .unwrap_or(DEFAULT_RUNTIME);
-        let left = WHOLE.saturating_sub(u64::from(task.start.progress));
         task.begun = Some(now);
-        task.due = if self.fail {
-            now
-        } else {
-            now + Millis(runtime.0.saturating_mul(left) / WHOLE)
-        };
+        task.due = if self.fail { now } else { now + task.runtime() };
         self.change += 1;
         task.state = TaskState::Running;
         task.change = self.change;
@@ -356,6 +314,7 @@
         let task = &self.tasks[&id];
         let payload = task.start.payload.clone().filter(|_| kind == LogKind::Begin);
         let entry = LogEntry {
+            worker: self.info.name.clone(),
             at,
             wall: self.epoch + at.0,
             incarnation: self.incarnation,
@@ -385,53 +344,6 @@
     }
 }
 
-impl Task {
-    fn progress_at(&self, now: Millis) -> u32 {
-        let Some(begun) = self.begun else { return self.progress };
-        let left = WHOLE.saturating_sub(u64::from(self.start.progress));
-        let planned = self.due.since(begun).0.max(1);
-        let done = now.since(begun).0.min(planned);
-        self.start.progress + (left * done / planned) as u32
-    }
-
-    fn outcome(&self, fail: bool) -> (TaskState, Option<String>) {
-        let instructions = instructions(self.start.payload.as_deref());
-        if fail || instructions.fail {
-            let reason = if fail {
-                "every task fails as a fault"
-            } else {
-                "the payload asks to fail"
-            };
-            return (TaskState::Failed, Some(reason.to_owned()));
-        }
-        let answer = instructions.echo.unwrap_or_else(|| format!("ran {}", self.start.task));
-        let missing = instructions.answer_bytes.saturating_sub(answer.len());
-        (TaskState::Succeeded, Some(answer + &".".repeat(missing)))
-    }
-
-    fn view(&self, now: Millis, id: TaskId) -> TaskView {
-        let used = self.begun.is_some_and(|begun| now.since(begun) >= USAGE_LAG) && !self.state.is_final();
-        TaskView {
-            task: id,
-            state: self.state,
-            change: self.change,
-            progress: self.progress,
-            usage: if used { self.start.size } else { Size::default() },
-            answer: self.answer.clone(),
-        }
-    }
-}
-
-fn instructions(payload: Option<&str>) -> Instructions {
-    let Some(payload) = payload else {
-        return Instructions::default();
-    };
-    serde_json::from_str(payload).unwrap_or_else(|_| Instructions {
-        echo: Some(payload.to_owned()),
-        ..Instructions::default()
-    })
-}
-
 fn refused(reason: String) -> CommandResult {
     CommandResult::Refused { reason }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,16 +2,29 @@
 //!
 //! Used by tests, demos and measurements only; never shipped.
 
+mod bench;
+mod caller;
+mod check;
+mod demo;
 mod inventory;
 mod keys;
+mod launch;
 mod platform;
+mod process;
 mod relay;
 mod server;
+mod task;
 mod worker;
 
+pub use bench::Bench;
+pub use caller::{Caller, Order, Settled, Told};
+pub use check::{Gang, check_gangs, check_settled, gang_parts, read_log, runs_of};
+pub use demo::run_demo;
 pub use inventory::{Inventory, LogEntry, LogKind};
 pub use keys::write_keys;
+pub use launch::Setup;
 pub use platform::{Counts, Platform, Tables};
+pub use process::Process;
 pub use relay::Relay;
 pub use server::{Client, Fault, Mode, ask, run, serve};
 pub use worker::StandinWorker;
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -1,5 +1,7 @@
 //! A worker that reports over HTTP and pretends to run tasks.
 
+use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -12,7 +14,7 @@
     Clock, CommandBatch, HttpReply, HttpRequest, Incarnation, MemberState, Millis, Stop, Vm, VmRole, WorkerInfo,
 };
 
-use crate::inventory::Inventory;
+use crate::inventory::{Inventory, LogEntry};
 use crate::server::{
     Client, Fault, Mode, ask, new_client, reply_invalid, reply_json, reply_lost, reply_status, segments, serve,
 };
@@ -34,11 +36,18 @@
     /// Raised and replaced at each change.
     changed: Mutex<Stop>,
     address: OnceLock<SocketAddr>,
+    log: Option<File>,
 }
 
 impl StandinWorker {
-    /// A worker with a new incarnation that enters the list of the platform at `platform`, if given.
-    pub fn new(executor: &Arc<Executor<'static>>, info: WorkerInfo, platform: Option<String>) -> Arc<Self> {
+    /// A worker with a new incarnation that enters the list of the platform at `platform`, if given,
+    /// and appends its log to `log`, so that it outlives the process.
+    pub fn new(
+        executor: &Arc<Executor<'static>>,
+        info: WorkerInfo,
+        platform: Option<String>,
+        log: Option<File>,
+    ) -> Arc<Self> {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = Incarnation(since.as_micros() as u64);
         Arc::new(Self {
@@ -49,6 +58,7 @@
             fault: Mutex::default(),
             changed: Mutex::new(Stop::new()),
             address: OnceLock::new(),
+            log,
         })
     }
 
@@ -114,15 +124,25 @@
     fn update<T>(&self, change: impl FnOnce(&mut Inventory, Millis) -> T) -> T {
         let mut inventory = self.inventory.lock().expect("inventory lock");
         let before = inventory.change();
+        let logged = inventory.log().len();
         let now = self.clock.now();
         inventory.advance(now);
         let result = change(&mut inventory, now);
+        self.append_log(&inventory.log()[logged..]);
         if inventory.change() != before {
             std::mem::take(&mut *self.changed.lock().expect("signal lock")).raise();
         }
         result
     }
 
+    fn append_log(&self, entries: &[LogEntry]) {
+        let Some(mut file) = self.log.as_ref() else { return };
+        for entry in entries {
+            let line = serde_json::to_string(entry).expect("a log entry is plain data") + "\n";
+            file.write_all(line.as_bytes()).expect("write the log file");
+        }
+    }
+
     fn change_signal(&self) -> Stop {
         self.changed.lock().expect("signal lock").clone()
     }
