--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -16,6 +16,7 @@
 use crate::inventory::LogEntry;
 use crate::keys::write_keys;
 use crate::launch::{Daemon, REGION, Relayed, START, Scratch, Server, Setup, new_dir, start_server};
+use crate::platform::Counts;
 use crate::process::{Process, end_on_signal};
 use crate::server::ask;
 
@@ -80,10 +81,10 @@
             }
             let daemon = bench.start_daemon(index)?;
             bench.daemons.push(daemon);
-            bench.publish_entries();
         }
         for index in 0..setup.daemons {
             bench.await_ready(index)?;
+            bench.set_entry(index, true);
         }
         Ok(bench)
     }
@@ -103,6 +104,11 @@
         self.executor.spawn(future)
     }
 
+    /// The executor of callers.
+    pub fn executor(&self) -> Arc<Executor<'static>> {
+        self.executor.clone()
+    }
+
     /// Address of the interface for callers of a daemon.
     pub fn api(&self, daemon: usize) -> &str {
         &self.daemons[daemon].server.address
@@ -128,6 +134,20 @@
         &mut self.daemons[daemon].server.process
     }
 
+    /// Process id of a daemon.
+    pub fn daemon_id(&self, daemon: usize) -> u32 {
+        self.daemons[daemon].server.process.id()
+    }
+
+    /// What the platform was asked so far.
+    ///
+    /// # Errors
+    ///
+    /// If it does not respond.
+    pub fn counts(&self) -> Result<Counts> {
+        self.ask_platform(Method::GET, "/control/counts", &())
+    }
+
     /// Process of a worker.
     pub fn worker_process(&mut self, worker: usize) -> &mut Process {
         &mut self.workers[worker].process
@@ -147,14 +167,15 @@
         index.with_context(|| format!("{holder} is not one of the daemons"))
     }
 
-    /// Replaces the process of a daemon, which has ended, by a new one on new ports.
+    /// Replaces the process of a daemon, which has ended, by a new one on new ports. Callers are
+    /// not sent there yet.
     ///
     /// # Errors
     ///
     /// If the new one does not start.
     pub fn restart_daemon(&mut self, index: usize) -> Result<()> {
+        self.set_entry(index, false);
         self.daemons[index] = self.start_daemon(index)?;
-        self.publish_entries();
         Ok(())
     }
 
@@ -174,10 +195,12 @@
     ///
     /// If it does not say so in time.
     pub fn await_ready(&self, index: usize) -> Result<()> {
-        let admin = self.admin(index).to_owned();
-        self.await_that(&format!("d{index} is ready"), START, || {
-            self.block(get_status(&self.client, &admin, "/readyz")) == Some(200)
-        })
+        self.await_that(&format!("d{index} is ready"), START, || self.is_ready(index))
+    }
+
+    /// Whether a daemon says that it is ready.
+    pub fn is_ready(&self, index: usize) -> bool {
+        self.block(get_status(&self.client, self.admin(index), "/readyz")) == Some(200)
     }
 
     /// Waits until a condition holds.
@@ -286,11 +309,6 @@
         kept.collect()
     }
 
-    fn publish_entries(&self) {
-        let apis = self.daemons.iter().map(|daemon| daemon.server.address.clone());
-        *self.entries.lock().expect("entries lock") = apis.collect();
-    }
-
     pub(crate) fn control(&self, relay: &Relayed, order: &str) -> Result<()> {
         let path = format!("/control/{order}");
         self.block(ask(&self.client, &relay.control, Method::POST, &path, &()))
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use anyhow::Context;
 use async_io::Timer;
 use hyper::{Method, StatusCode};
 use pistachiostair::{Failure, HttpCall, HttpClient, Job, Millis, Ran};
@@ -101,9 +102,10 @@
         Self { client, entries }
     }
 
-    fn entry(&self, index: usize) -> String {
+    fn entry(&self, index: usize) -> Option<String> {
         let entries = self.entries.lock().expect("entries lock");
-        entries[index % entries.len()].clone()
+        let index = index.checked_rem(entries.len())?;
+        Some(entries[index].clone())
     }
 
     /// Sends a request to a daemon.
@@ -127,7 +129,8 @@
             body: body.to_owned().into(),
             timeout,
         };
-        let answer = self.client.send(&self.entry(entry), call).await?;
+        let peer = self.entry(entry).context("no daemon serves callers")?;
+        let answer = self.client.send(&peer, call).await?;
         Ok((answer.status, String::from_utf8_lossy(&answer.body).into_owned()))
     }
 
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use pistachiostair::{JobPhase, Millis};
+use pistachiostair::{Job, JobPhase, Millis, WatchLine, WorkerName};
 use serde_json::json;
 
 use crate::bench::Bench;
@@ -51,7 +51,10 @@
         bench.block(caller.put(1, "/v1/guarantees/hearing", &guarantee)).is_ok()
     })?;
     println!("applied guarantee hearing: shape 1x4 for court");
-    watch_jobs(bench.api(2))?;
+    let revision = bench.block(caller.read(2, "/v1/jobs"))?["revision"]
+        .as_u64()
+        .context("a list has a revision")?;
+    watch_jobs(bench.api(2), revision)?;
     let gang = Order::new("court", "gang", "2x4", 500);
     let order = Order::new("court", "order", "1x1", 100);
     let (first, second) = (caller.clone(), caller.clone());
@@ -85,23 +88,34 @@
     Ok(())
 }
 
-/// Prints the lines of a watch in the background until the daemon closes it or the demo ends.
-fn watch_jobs(api: &str) -> Result<()> {
+/// Prints what a watch shows, in the background, until the daemon closes it or the demo ends.
+fn watch_jobs(api: &str, revision: u64) -> Result<()> {
     let mut stream = TcpStream::connect(api)?;
     write!(
         stream,
-        "GET /v1/jobs?watch=0 HTTP/1.1\r\nhost: {api}\r\nconnection: close\r\n\r\n"
+        "GET /v1/jobs?watch={revision} HTTP/1.1\r\nhost: {api}\r\nconnection: close\r\n\r\n"
     )?;
     thread::spawn(move || {
         let lines = BufReader::new(stream).lines().map_while(Result::ok);
         // The other lines are the head of the response and the lengths of its chunks.
         for line in lines.filter(|line| line.starts_with('{')) {
-            println!("watch: {line}");
+            println!("watch: {}", summarize(&line).unwrap_or(line));
         }
     });
     Ok(())
 }
 
+fn summarize(line: &str) -> Option<String> {
+    let line: WatchLine<Job> = serde_json::from_str(line).ok()?;
+    let job = line.object?;
+    let workers: Vec<&str> = job.status.workers.iter().map(WorkerName::as_str).collect();
+    let (name, phase, workers) = (&job.metadata.name, job.status.phase, workers.join(", "));
+    Some(format!(
+        "revision {}: {name} is {phase:?} on [{workers}]",
+        line.revision
+    ))
+}
+
 fn print_addresses(bench: Bench) {
     println!("platform {}", bench.platform());
     for index in 0..3 {
