--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -34,17 +34,27 @@
 mod http_client;
 mod http_server;
 mod ids;
+mod interface;
 mod journal;
 mod kernel;
+mod logging;
 mod message;
+mod metrics;
+mod peer_frame;
+mod peer_link;
+mod peer_tls;
+mod peers;
 mod planner;
 mod reconcile;
+mod rendezvous;
 mod resource;
 mod scheduler;
+mod settings;
 mod snapshot;
 mod state;
 mod store;
 mod tenure;
+mod validate;
 mod views;
 mod worker;
 
@@ -62,17 +72,28 @@
     AccountName, Attempt, DaemonName, DomainName, GuaranteeName, Incarnation, JobId, JobName, RackName, RegionName,
     Revision, Seq, TaskId, Term, WorkerName,
 };
+pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use journal::{Batch, Part, Record, journal_key, revision, term_key};
 pub use kernel::{Kernel, Service, Stop};
+pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use metrics::{Metrics, ProcessUsage, process_usage};
+pub use peer_tls::PeerTls;
+pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
+pub use rendezvous::{owner, share};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
 pub use scheduler::{Action, Event, LogLine, Scheduler, Token};
+pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
 pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
 pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
+pub use validate::{
+    Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
+    join_findings, key_fault, name_fault, parse_json, parse_policy, parse_yaml,
+};
 pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
