Let a thousand worker identities enter the list over one connection

Change: the identities share a client and enter one after the other; the platform keeps changes that are not shown yet instead of whole lists.

--- a/crates/standin/src/bin/standin-worker.rs
+++ b/crates/standin/src/bin/standin-worker.rs
@@ -3,10 +3,11 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use clap::Parser;
-use pistachiostair::WorkerInfo;
-use standin::{StandinWorker, run};
+use pistachiostair::{MemberState, WorkerInfo};
+use standin::{Listed, StandinWorker, new_client, run};
 
 /// Stand-in for a worker.
 #[derive(Parser)]
@@ -79,11 +80,19 @@
     run(args.threads, |executor| async move {
         let open = |path: &PathBuf| File::options().create(true).append(true).open(path);
         let log = args.log.as_ref().map(open).transpose()?;
+        let client = Arc::new(new_client(&executor));
+        let listed = args.platform.clone().map(|platform| Listed { client, platform });
+        let mut workers = Vec::new();
         for index in 0..args.count {
             let log = log.as_ref().map(File::try_clone).transpose()?;
-            let worker = StandinWorker::new(&executor, args.info(index), args.platform.clone(), log);
+            let worker = StandinWorker::new(args.info(index), listed.clone(), log);
             let address = worker.serve(&executor, args.listen).await?;
             println!("listening {address}");
+            workers.push(worker);
+        }
+        // One after the other, so that the platform gets one connection and not one for each.
+        for worker in &workers {
+            worker.enter_list(MemberState::Live).await;
         }
         std::future::pending().await
     })
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,5 +28,5 @@
 pub use platform::{Counts, Platform, Tables};
 pub use process::Process;
 pub use relay::Relay;
-pub use server::{Client, Fault, Mode, ask, run, serve};
-pub use worker::StandinWorker;
+pub use server::{Client, Fault, Mode, ask, new_client, run, serve};
+pub use worker::{Listed, StandinWorker};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -92,9 +92,10 @@
 struct State {
     tables: Tables,
     objects: BTreeMap<String, Vec<u8>>,
+    /// The list as it is shown.
     vms: BTreeMap<String, Vm>,
-    /// Versions of the list with the time of the change, oldest first.
-    lists: VecDeque<(Millis, Vec<Vm>)>,
+    /// Changes that are not shown yet, with their time; no VM if one was removed.
+    changes: VecDeque<(Millis, String, Option<Vm>)>,
     fault: Fault,
     counts: Counts,
 }
@@ -178,20 +179,10 @@
             (_, ["v1", "objects", key]) => self.object(request, key),
             (&Method::GET, ["v1", "vms"]) => reply_json(&self.list()),
             (&Method::POST, ["v1", "vms"]) => match serde_json::from_slice::<Vm>(&request.body) {
-                Ok(vm) => {
-                    self.change_list(|vms| {
-                        vms.insert(vm.name.clone(), vm);
-                    });
-                    reply_status(StatusCode::OK)
-                }
+                Ok(vm) => self.change_list(vm.name.clone(), Some(vm)),
                 Err(error) => reply_invalid(error),
             },
-            (&Method::DELETE, ["v1", "vms", name]) => {
-                self.change_list(|vms| {
-                    vms.remove(*name);
-                });
-                reply_status(StatusCode::OK)
-            }
+            (&Method::DELETE, ["v1", "vms", name]) => self.change_list((*name).to_owned(), None),
             (&Method::GET, ["control", "counts"]) => reply_json(&self.state().counts),
             (&Method::POST, ["control", "fault"]) => match serde_json::from_slice(&request.body) {
                 Ok(fault) => {
@@ -258,27 +249,24 @@
         }
     }
 
-    fn change_list(&self, change: impl FnOnce(&mut BTreeMap<String, Vm>)) {
+    fn change_list(&self, name: String, vm: Option<Vm>) -> HttpReply {
         let now = self.clock.now();
-        let mut state = self.state();
-        change(&mut state.vms);
-        let list = state.vms.values().cloned().collect();
-        state.lists.push_back((now, list));
+        self.state().changes.push_back((now, name, vm));
+        reply_status(StatusCode::OK)
     }
 
-    /// The newest version of the list that is at least the lag old.
+    /// The list as it was before the lag.
     fn list(&self) -> Vec<Vm> {
         let now = self.clock.now();
         let mut state = self.state();
         state.counts.reads += 1;
-        let shown = |at: Millis| at + self.lag <= now;
-        while state.lists.get(1).is_some_and(|(at, _)| shown(*at)) {
-            state.lists.pop_front();
-        }
-        match state.lists.front() {
-            Some((at, list)) if shown(*at) => list.clone(),
-            _ => Vec::new(),
+        while let Some((_, name, vm)) = state.changes.pop_front_if(|(at, ..)| *at + self.lag <= now) {
+            match vm {
+                Some(vm) => state.vms.insert(name, vm),
+                None => state.vms.remove(&name),
+            };
         }
+        state.vms.values().cloned().collect()
     }
 
     fn state(&self) -> std::sync::MutexGuard<'_, State> {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -154,7 +154,7 @@
 }
 
 /// A client whose responses may be long.
-pub(crate) fn new_client(executor: &Arc<Executor<'static>>) -> HttpClient {
+pub fn new_client(executor: &Arc<Executor<'static>>) -> Client {
     HttpClient::new(executor.clone(), 64, MAX_BODY)
 }
 
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -15,9 +15,7 @@
 };
 
 use crate::inventory::{Inventory, LogEntry};
-use crate::server::{
-    Client, Fault, Mode, ask, new_client, reply_invalid, reply_json, reply_lost, reply_status, segments, serve,
-};
+use crate::server::{Client, Fault, Mode, ask, reply_invalid, reply_json, reply_lost, reply_status, segments, serve};
 
 /// Connections that a worker takes at once, as real ones do.
 const CONNECTIONS: usize = 60;
@@ -26,11 +24,19 @@
 /// Longest wait of a poll for changes.
 const MAX_WAIT: u64 = 60_000;
 
+/// How a worker enters the platform's list.
+#[derive(Clone)]
+pub struct Listed {
+    /// Client that all identities of the process share.
+    pub client: Arc<Client>,
+    /// Address of the platform.
+    pub platform: String,
+}
+
 /// One worker identity.
 pub struct StandinWorker {
     clock: Clock,
-    platform: Option<String>,
-    client: Client,
+    platform: Option<Listed>,
     inventory: Mutex<Inventory>,
     fault: Mutex<Fault>,
     /// Raised and replaced at each change.
@@ -40,20 +46,13 @@
 }
 
 impl StandinWorker {
-    /// A worker with a new incarnation that enters the list of the platform at `platform`, if given,
-    /// and appends its log to `log`, so that it outlives the process.
-    pub fn new(
-        executor: &Arc<Executor<'static>>,
-        info: WorkerInfo,
-        platform: Option<String>,
-        log: Option<File>,
-    ) -> Arc<Self> {
+    /// A worker with a new incarnation. Its log is appended to `log`, so that it outlives the process.
+    pub fn new(info: WorkerInfo, platform: Option<Listed>, log: Option<File>) -> Arc<Self> {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = Incarnation(since.as_micros() as u64);
         Arc::new(Self {
             clock: Clock::start(),
             platform,
-            client: new_client(executor),
             inventory: Mutex::new(Inventory::new(info, incarnation, since.as_millis() as u64)),
             fault: Mutex::default(),
             changed: Mutex::new(Stop::new()),
@@ -81,10 +80,6 @@
         let _ = self.address.set(address);
         let worker = self.clone();
         executor.spawn(async move { worker.run_tasks().await }).detach();
-        let worker = self.clone();
-        executor
-            .spawn(async move { worker.enter_list(MemberState::Live).await })
-            .detach();
         Ok(address)
     }
 
@@ -104,8 +99,9 @@
         }
     }
 
-    async fn enter_list(&self, state: MemberState) {
-        let (Some(platform), Some(address)) = (&self.platform, self.address.get()) else {
+    /// Enters the platform's list, or changes the entry, and tries until that succeeds.
+    pub async fn enter_list(&self, state: MemberState) {
+        let (Some(listed), Some(address)) = (&self.platform, self.address.get()) else {
             return;
         };
         let vm = Vm {
@@ -114,7 +110,7 @@
             address: address.to_string(),
             state,
         };
-        while let Err(error) = ask::<()>(&self.client, platform, Method::POST, "/v1/vms", &vm).await {
+        while let Err(error) = ask::<()>(&listed.client, &listed.platform, Method::POST, "/v1/vms", &vm).await {
             eprintln!("worker {}: enter the platform's list: {error:#}", vm.name);
             Timer::after(REGISTER_PAUSE.duration()).await;
         }
