--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -32,7 +32,12 @@
 mod logging;
 mod message;
 mod metrics;
+mod peer_frame;
+mod peer_link;
+mod peer_tls;
+mod peers;
 mod planner;
+mod rendezvous;
 mod resource;
 mod scheduler;
 mod settings;
@@ -59,7 +64,10 @@
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
 pub use metrics::{Metrics, ProcessUsage, process_usage};
+pub use peer_tls::PeerTls;
+pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
+pub use rendezvous::{owner, share};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -104,11 +104,13 @@
         let (Some(listed), Some(address)) = (&self.platform, self.address.get()) else {
             return;
         };
+        let info = self.inventory.lock().expect("inventory lock").info.clone();
         let vm = Vm {
-            name: self.inventory.lock().expect("inventory lock").info.name.to_string(),
+            name: info.name.to_string(),
             role: VmRole::Worker,
             address: address.to_string(),
             state,
+            region: Some(info.region),
         };
         while let Err(error) = ask::<()>(&listed.client, &listed.platform, Method::POST, "/v1/vms", &vm).await {
             eprintln!("worker {}: enter the platform's list: {error:#}", vm.name);
