--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -232,6 +232,7 @@
             role,
             address: address.to_owned(),
             state,
+            region: Some(REGION.into()),
         };
         self.ask_platform(Method::POST, "/v1/vms", &vm)
     }
