Add the fault matrix with a harness on a virtual clock

Cause: the life cycle was not tested; every fault at every step must be a case. Change: harness of two daemons, four workers, table, objects and callers, with faults on messages, store, daemons, workers and operators; a checker after each run; 15 steps by 20 faults, and every pair at one step with the same fault twice. A call delivered twice now waits once: its second time-out stayed in the index and the scheduler looped over it without end. The first run found the endless loop; it held memory until the machine stalled for several minutes. Conclusion: the loop is fixed.

--- a/crates/pistachiostair/src/calls.rs
+++ b/crates/pistachiostair/src/calls.rs
@@ -130,6 +130,8 @@
     }
 
     pub(crate) fn wait(&mut self, token: Token, wait: Wait, until: Millis) {
+        // A call that was delivered twice waits once.
+        self.stop_waiting(token);
         match &wait {
             Wait::Job(job) => {
                 self.by_job.entry(*job).or_default().insert(token);
@@ -488,6 +490,7 @@
         while let Some((at, token)) = self.calls.timeouts.first().copied()
             && at <= now
         {
+            self.calls.timeouts.remove(&(at, token));
             let wait = self.calls.waits.get(&token).map(|(wait, _)| wait.clone());
             self.calls.stop_waiting(token);
             self.end_wait(token, wait);
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -227,6 +227,16 @@
         self.active.as_ref().map(|active| active.figures())
     }
 
+    /// Acts on a decision as if the planner had made it, for tests of what follows from it.
+    #[doc(hidden)]
+    pub fn decide(&mut self, now: Millis, decision: crate::planner::Decision) -> Vec<Action> {
+        let Some(active) = &mut self.active else {
+            return Vec::new();
+        };
+        active.decide(now, decision);
+        active.on(now, Event::Tick)
+    }
+
     fn remember(&mut self, event: &Event) {
         match event {
             Event::Account(name, Some(spec)) => {
--- /dev/null
+++ b/crates/pistachiostair/tests/life/check.rs
@@ -0,0 +1,270 @@
+//! The checker: rules that hold after every run, whatever faults struck.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pistachiostair::{
+    Batch, Command, CommandBatch, JobId, JobPhase, Millis, Ran, Record, TaskId, TaskState, Transaction,
+};
+use standin::{LogEntry, LogKind};
+
+use super::world::World;
+
+/// Lease of a task, the margin of a slower clock, and the delay of a message.
+const LEASE: Millis = Millis(15_000 + 1_000);
+
+/// One run of a task, from its begin to its end.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub task: TaskId,
+    pub worker: String,
+    pub begin: Millis,
+    pub end: Millis,
+    pub state: Option<TaskState>,
+    pub payload: String,
+    pub incarnation: u64,
+}
+
+/// Has every start run at once, for a trial of the checker.
+pub fn let_go(batch: &mut CommandBatch) {
+    for command in &mut batch.commands {
+        if let Command::Start(start) = command {
+            start.held = false;
+        }
+    }
+}
+
+/// No write of an older term takes effect, and no term goes backwards.
+pub fn check_write(world: &mut World, transaction: &Transaction) {
+    for write in &transaction.writes {
+        let value = write.value.as_deref().unwrap_or_default();
+        if write.key.starts_with("term/") {
+            let term = pistachiostair::Term(value.parse().unwrap_or(0));
+            if world.terms.last().is_some_and(|last| *last >= term) {
+                world
+                    .wrong
+                    .push(format!("term {term} was written after {:?}", world.terms.last()));
+            }
+            world.terms.push(term);
+        } else if write.key.starts_with("journal/")
+            && let Ok(batch) = Batch::parse(value)
+            && world.terms.last() != Some(&batch.term)
+        {
+            let text = format!(
+                "row {} of term {} after {:?}",
+                write.key,
+                batch.term,
+                world.terms.last()
+            );
+            world.wrong.push(text);
+        }
+    }
+}
+
+/// Everything that ran, and what started without running.
+pub fn logs(world: &World) -> Vec<(Vec<LogEntry>, Millis)> {
+    world
+        .workers
+        .iter()
+        .flat_map(|worker| {
+            let current = (worker.inventory.log().to_vec(), world.now);
+            worker.old.iter().cloned().chain([current])
+        })
+        .collect()
+}
+
+pub fn runs(world: &World) -> Vec<Run> {
+    let mut runs = Vec::new();
+    for (log, until) in logs(world) {
+        for entry in log.iter().filter(|entry| entry.kind == LogKind::Begin) {
+            let end = log
+                .iter()
+                .find(|other| other.kind == LogKind::End && other.task == entry.task && other.at >= entry.at);
+            runs.push(Run {
+                task: entry.task,
+                worker: entry.worker.to_string(),
+                begin: entry.at,
+                end: end.map_or(until, |end| end.at),
+                state: end.map(|end| end.state),
+                payload: entry.payload.clone().unwrap_or_default(),
+                incarnation: entry.incarnation.0,
+            });
+        }
+    }
+    runs
+}
+
+/// Violations of all rules.
+pub fn violations(world: &World) -> Vec<String> {
+    let mut wrong = world.wrong.clone();
+    let runs = runs(world);
+    check_once(world, &runs, &mut wrong);
+    check_gangs(world, &runs, &mut wrong);
+    check_told(world, &mut wrong);
+    check_refusals(world, &runs, &mut wrong);
+    check_answers(world, &mut wrong);
+    check_terms(world, &mut wrong);
+    if world.guarantees > 1 {
+        wrong.push("two operators created the same guarantee".to_owned());
+    }
+    wrong
+}
+
+/// Work that is not idempotent runs at most once.
+fn check_once(world: &World, runs: &[Run], wrong: &mut Vec<String>) {
+    for client in world.clients.iter().filter(|client| client.once) {
+        let mut parts: BTreeMap<u32, Vec<&Run>> = BTreeMap::new();
+        let own = format!("\"answer of {}\"", client.key);
+        for run in runs.iter().filter(|run| run.payload.contains(&own)) {
+            parts.entry(run.task.part).or_default().push(run);
+        }
+        for (part, runs) in parts {
+            if runs.len() > 1 {
+                wrong.push(format!(
+                    "part {part} of {} ran {} times: {runs:?}",
+                    client.key,
+                    runs.len()
+                ));
+            }
+        }
+    }
+}
+
+fn key_of(world: &World, job: JobId) -> String {
+    let client = world.clients.iter().find(|client| client.accepted == Some(job));
+    client.map_or_else(|| format!("job {job}"), |client| client.key.clone())
+}
+
+/// No part runs before the whole gang was started, or beyond the task lease without the whole gang.
+fn check_gangs(world: &World, runs: &[Run], wrong: &mut Vec<String>) {
+    let starts: Vec<LogEntry> = logs(world)
+        .into_iter()
+        .flat_map(|(log, _)| log)
+        .filter(|entry| entry.kind == LogKind::Start)
+        .collect();
+    for run in runs {
+        let parts = gang_size(world, run);
+        for part in (0..parts).filter(|part| *part != run.task.part) {
+            let mate = TaskId { part, ..run.task };
+            if !starts.iter().any(|entry| entry.task == mate && entry.at <= run.begin) {
+                let key = key_of(world, run.task.job);
+                wrong.push(format!(
+                    "part {} of {key} ran before part {part} was held",
+                    run.task.part
+                ));
+            }
+            let alone = alone(run, runs.iter().filter(|other| other.task == mate));
+            if alone > LEASE {
+                let key = key_of(world, run.task.job);
+                wrong.push(format!(
+                    "part {} of {key} ran {alone} without part {part}",
+                    run.task.part
+                ));
+            }
+        }
+    }
+}
+
+fn gang_size(world: &World, run: &Run) -> u32 {
+    let client = world
+        .clients
+        .iter()
+        .find(|client| run.payload.contains(&format!("\"answer of {}\"", client.key)));
+    client.map_or(1, |client| client.spec.shape.workers)
+}
+
+/// Longest time for which `run` went on while its mate neither ran nor had succeeded.
+fn alone<'a>(run: &Run, mates: impl Iterator<Item = &'a Run>) -> Millis {
+    let mut covered: Vec<(Millis, Millis)> = mates
+        .map(|mate| {
+            let done = mate.state == Some(TaskState::Succeeded);
+            (mate.begin, if done { Millis::MAX } else { mate.end })
+        })
+        .collect();
+    covered.sort();
+    let mut longest = Millis(0);
+    let mut at = run.begin;
+    for (begin, end) in covered {
+        longest = longest.max(begin.min(run.end).since(at));
+        at = at.max(end.min(run.end));
+    }
+    longest.max(run.end.since(at))
+}
+
+/// Every accepted job reaches an end that its caller is told.
+fn check_told(world: &World, wrong: &mut Vec<String>) {
+    for client in &world.clients {
+        let must = !client.single || client.accepted.is_some();
+        if must && client.told.is_none() {
+            wrong.push(format!(
+                "{} was not told its end; accepted {:?}",
+                client.key, client.accepted
+            ));
+        }
+    }
+    for job in accepted(world).difference(&finished(world)) {
+        wrong.push(format!("{} was accepted and has not ended", key_of(world, *job)));
+    }
+}
+
+/// "Did not run" was true.
+fn check_refusals(world: &World, runs: &[Run], wrong: &mut Vec<String>) {
+    for client in &world.clients {
+        let own = format!("\"answer of {}\"", client.key);
+        let ran = runs.iter().any(|run| run.payload.contains(&own));
+        let refused = client.accepted.is_none() && !client.doubt && client.refused.is_some();
+        if refused && ran {
+            wrong.push(format!("{} was refused with ran: no and ran", client.key));
+        }
+        let told = client.told.as_ref().map(|job| (job.status.phase, job.status.ran));
+        if matches!(told, Some((_, Ran::No))) && ran {
+            wrong.push(format!("{} ended as {told:?} and ran", client.key));
+        }
+        if matches!(told, Some((JobPhase::Succeeded, _))) && !ran {
+            wrong.push(format!("{} succeeded and did not run", client.key));
+        }
+    }
+}
+
+/// Each answer went to its own caller, whole.
+fn check_answers(world: &World, wrong: &mut Vec<String>) {
+    for client in &world.clients {
+        wrong.extend(client.wrong.iter().map(|text| format!("{}: {text}", client.key)));
+    }
+}
+
+/// No worker carries out commands of an older term after a newer one.
+fn check_terms(world: &World, wrong: &mut Vec<String>) {
+    for worker in &world.workers {
+        if !worker.terms.is_sorted() {
+            wrong.push(format!("{} carried out terms {:?}", worker.info.name, worker.terms));
+        }
+    }
+}
+
+fn records(world: &World) -> Vec<Record> {
+    let rows = world.rows("journal/fi/");
+    let batches = rows.iter().filter_map(|row| Batch::parse(&row.value).ok());
+    batches.flat_map(|batch| batch.records).collect()
+}
+
+fn accepted(world: &World) -> BTreeSet<JobId> {
+    let records = records(world);
+    records
+        .iter()
+        .filter_map(|record| match record {
+            Record::Accepted { job, .. } => Some(*job),
+            _ => None,
+        })
+        .collect()
+}
+
+fn finished(world: &World) -> BTreeSet<JobId> {
+    let records = records(world);
+    records
+        .iter()
+        .filter_map(|record| match record {
+            Record::Finished { job, .. } => Some(*job),
+            _ => None,
+        })
+        .collect()
+}
