--- /dev/null
+++ b/crates/pistachiostair/tests/fault_sequences.rs
@@ -0,0 +1,39 @@
+//! Longer sequences of faults at random times. Guards against faults that only hurt in combination,
+//! long after the step at which they struck. proptest prints the sequence that fails.
+
+mod life;
+
+use life::world::{Delivery, spec};
+use life::{Fault, World, check};
+use pistachiostair::Millis;
+use proptest::prelude::*;
+
+fn run(seed: u64, faults: &[(u64, usize)]) -> Vec<String> {
+    let mut world = World::new(seed);
+    world.add_client("order", spec("order", "1x1", 3_000, false, false), false, 6_000);
+    world.add_client("gang", spec("gang", "3x1", 18_000, false, false), false, 6_000);
+    world.add_client("batch", spec("batch", "2x2", 6_000, true, true), false, 6_000);
+    world.add_client("plain", spec("plain", "1x0", 2_000, true, false), false, 6_000);
+    for (index, (at, fault)) in faults.iter().enumerate() {
+        world.after(*at, Delivery::Inject(Fault::ALL[*fault]));
+        let key = format!("late-{index}");
+        let late = spec(&key, "1x1", 1_000, index % 2 == 0, false);
+        world.add_client(&key, late, false, at + 200);
+    }
+    world.settle(Millis(300_000));
+    check::violations(&world)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, max_shrink_iters: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn strike_sequence(
+        seed in any::<u64>(),
+        faults in prop::collection::vec((0_u64..45_000, 0..Fault::ALL.len()), 1..9),
+    ) {
+        let wrong = run(seed, &faults);
+        let named: Vec<(u64, Fault)> = faults.iter().map(|(at, fault)| (*at, Fault::ALL[*fault])).collect();
+        prop_assert!(wrong.is_empty(), "seed {seed}, {named:?}: {wrong:#?}");
+    }
+}
