--- a/crates/pistachiostair/tests/life/faults.rs
+++ b/crates/pistachiostair/tests/life/faults.rs
@@ -2,7 +2,7 @@
 
 use pistachiostair::{Call, Event, Millis, Policy, Revision, Token, WorkerName};
 
-use super::world::{Delivery, World, spec};
+use super::world::{Delivery, MAX_CLIENTS, World, spec};
 
 /// Step of a job's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -234,7 +234,7 @@
                 name: client.key.clone(),
                 revision: None,
             };
-            self.feed(leader, |d, now, out| d.call(now, Token(999), call, out));
+            self.feed(leader, |d, now, out| d.call(now, Token(MAX_CLIENTS - 1), call, out));
         }
     }
 
@@ -246,19 +246,19 @@
                 "spec": {"account": "court", "shape": "1x1"},
             }));
             let call = Call::PutGuarantee(Box::new(guarantee.expect("a valid guarantee")));
-            self.feed(leader, |d, now, out| d.call(now, Token(999), call, out));
+            self.feed(leader, |d, now, out| d.call(now, Token(MAX_CLIENTS - 1), call, out));
         }
         for drain in [true, false] {
             let worker: WorkerName = "w1".into();
             let call = Call::Drain { worker, drain };
-            self.feed(leader, |d, now, out| d.call(now, Token(999), call, out));
+            self.feed(leader, |d, now, out| d.call(now, Token(MAX_CLIENTS - 1), call, out));
         }
         let stale = Call::Cancel {
             account: "court".to_owned(),
             name: "order".to_owned(),
             revision: Some(Revision(1)),
         };
-        self.feed(leader, |d, now, out| d.call(now, Token(999), stale, out));
+        self.feed(leader, |d, now, out| d.call(now, Token(MAX_CLIENTS - 1), stale, out));
     }
 
     fn configure(&mut self) {
--- a/crates/pistachiostair/tests/life/world.rs
+++ b/crates/pistachiostair/tests/life/world.rs
@@ -12,6 +12,8 @@
 use super::faults::{Fault, Faults, Step};
 
 pub const REGION: &str = "fi";
+/// Callers; the last number stands for an operator.
+pub const MAX_CLIENTS: u64 = 10_000;
 /// One-way delay of a message.
 const DELAY: u64 = 3;
 /// A request without a response is given up after this span.
@@ -138,6 +140,9 @@
     /// Guarantee writes that succeeded from revision 0.
     pub guarantees: u32,
     pub writes: u64,
+    pub lease_writes: u64,
+    /// Row writes of each second.
+    pub by_second: BTreeMap<u64, u64>,
     /// Whether the workers are there.
     pub booted: bool,
     /// Terms in the order in which they were written.
@@ -150,6 +155,10 @@
 
 impl World {
     pub fn new(seed: u64) -> Self {
+        Self::with_workers(seed, 4)
+    }
+
+    pub fn with_workers(seed: u64, workers: usize) -> Self {
         let mut world = Self {
             now: Millis(0),
             queue: BTreeMap::new(),
@@ -158,7 +167,7 @@
             tables: Tables::default(),
             objects: BTreeMap::new(),
             daemons: (0..2).map(Daemon::new).collect(),
-            workers: (0..4).map(|index| FakeWorker::new(info(index))).collect(),
+            workers: (0..workers).map(|index| FakeWorker::new(info(index))).collect(),
             clients: Vec::new(),
             faults: Faults::default(),
             switches: Switches::default(),
@@ -168,6 +177,8 @@
             wrong: Vec::new(),
             guarantees: 0,
             writes: 0,
+            lease_writes: 0,
+            by_second: BTreeMap::new(),
             booted: false,
             terms: Vec::new(),
             reclaimed: false,
@@ -371,6 +382,12 @@
         let commit = self.tables.commit(&transaction);
         if let Commit::Done { .. } = commit {
             self.writes += transaction.writes.len() as u64;
+            self.lease_writes += transaction
+                .writes
+                .iter()
+                .filter(|write| write.key.starts_with("lease/"))
+                .count() as u64;
+            *self.by_second.entry(self.now.0 / 1_000).or_default() += transaction.writes.len() as u64;
             super::check::check_write(self, &transaction);
         }
         commit
@@ -504,7 +521,7 @@
 
     /// Sends a call of a caller to the daemon that it last found to be the scheduler.
     pub fn call(&mut self, index: usize, call: Call) {
-        let token = Token(self.next_token * 1_000 + index as u64);
+        let token = Token(self.next_token * MAX_CLIENTS + index as u64);
         self.next_token += 1;
         let client = &mut self.clients[index];
         client.calls += 1;
@@ -533,7 +550,7 @@
             token = self.order.first().copied().unwrap_or(token);
         }
         self.order.retain(|other| *other != token);
-        let index = (token.0 % 1_000) as usize;
+        let index = (token.0 % MAX_CLIENTS) as usize;
         let Some(client) = self.clients.get_mut(index) else {
             return;
         };
