--- a/crates/pistachiostair/src/calls.rs
+++ b/crates/pistachiostair/src/calls.rs
@@ -6,10 +6,9 @@
 use crate::clock::Millis;
 use crate::error::{ErrorKind, Ran};
 use crate::ids::{AccountName, JobId, JobName, Revision, WorkerName};
-use crate::journal::{Record, digest};
+use crate::journal::Record;
 use crate::message::{Call, Failure, Response};
-use crate::planner::Change;
-use crate::resource::{JobPhase, JobSpec};
+use crate::resource::JobPhase;
 use crate::scheduler::{Action, Token};
 use crate::state::Entry;
 
@@ -17,10 +16,6 @@
 const STALLED: Millis = Millis(1_000);
 /// A submission whose commit takes longer is answered: its outcome is not known.
 const COMMIT_WAIT: Millis = Millis(3_000);
-/// Most records that wait for a commit; more submissions are refused.
-const MAX_BACKLOG: usize = 20_000;
-/// Most bytes of payloads of jobs that have not ended.
-const MAX_BYTES: usize = 64 * 1024 * 1024;
 /// Most calls that wait at a time.
 const MAX_WAITS: usize = 20_000;
 /// When a refused caller may try again, in milliseconds.
@@ -30,15 +25,15 @@
 
 /// A submission that is not committed yet.
 #[derive(Clone, Debug)]
-struct Pending {
-    account: AccountName,
-    name: JobName,
-    key: String,
-    digest: u64,
-    bytes: usize,
-    since: Millis,
+pub(crate) struct Pending {
+    pub(crate) account: AccountName,
+    pub(crate) name: JobName,
+    pub(crate) key: String,
+    pub(crate) digest: u64,
+    pub(crate) bytes: usize,
+    pub(crate) since: Millis,
     /// Callers, and whether each created the job.
-    tokens: Vec<(Token, bool)>,
+    pub(crate) tokens: Vec<(Token, bool)>,
 }
 
 #[derive(Clone, Debug)]
@@ -57,12 +52,12 @@
 /// Calls that wait, and submissions that are not committed yet.
 #[derive(Clone, Debug)]
 pub(crate) struct Calls {
-    last: JobId,
-    pending: BTreeMap<JobId, Pending>,
-    names: BTreeMap<(AccountName, JobName), JobId>,
-    keys: BTreeMap<(AccountName, String), JobId>,
-    open: BTreeMap<AccountName, u32>,
-    bytes: usize,
+    pub(crate) last: JobId,
+    pub(crate) pending: BTreeMap<JobId, Pending>,
+    pub(crate) names: BTreeMap<(AccountName, JobName), JobId>,
+    pub(crate) keys: BTreeMap<(AccountName, String), JobId>,
+    pub(crate) open: BTreeMap<AccountName, u32>,
+    pub(crate) bytes: usize,
     pub(crate) cancels: BTreeMap<JobId, Vec<Token>>,
     pub(crate) drains: BTreeMap<WorkerName, Vec<Token>>,
     pub(crate) waits: BTreeMap<Token, (Wait, Millis)>,
@@ -144,7 +139,7 @@
         self.waits.insert(token, (wait, until));
     }
 
-    fn add(&mut self, job: JobId, pending: Pending) {
+    pub(crate) fn add(&mut self, job: JobId, pending: Pending) {
         self.names.insert((pending.account.clone(), pending.name.clone()), job);
         self.keys.insert((pending.account.clone(), pending.key.clone()), job);
         *self.open.entry(pending.account.clone()).or_default() += 1;
@@ -152,7 +147,7 @@
         self.pending.insert(job, pending);
     }
 
-    fn remove(&mut self, job: JobId) -> Option<Pending> {
+    pub(crate) fn remove(&mut self, job: JobId) -> Option<Pending> {
         let pending = self.pending.remove(&job)?;
         self.names.remove(&(pending.account.clone(), pending.name.clone()));
         self.keys.remove(&(pending.account.clone(), pending.key.clone()));
@@ -241,119 +236,6 @@
         Ok(())
     }
 
-    fn submit(
-        &mut self,
-        now: Millis,
-        token: Token,
-        name: String,
-        key: Option<String>,
-        spec: Box<JobSpec>,
-    ) -> Result<(), Failure> {
-        let account = spec.account.clone();
-        let job = self.calls.last.next();
-        let key = match (key, name.is_empty()) {
-            (Some(key), _) => key,
-            (None, false) => name.clone(),
-            (None, true) => format!("job-{job}"),
-        };
-        let digest = digest(&spec);
-        if self.duplicate(token, &account, &key, &name, digest)? {
-            return Ok(());
-        }
-        self.writable(now)?;
-        let name = JobName::from(if name.is_empty() { format!("job-{job}") } else { name });
-        self.check_limits(&spec)?;
-        let taken = self.calls.names.contains_key(&(account.clone(), name.clone()));
-        if taken || self.state.named(&account, &name).is_some() {
-            let text = format!("account {account} has a job {name} with another idempotency key");
-            return Err(refusal(ErrorKind::Conflict, text));
-        }
-        self.calls.last = job;
-        let pending = Pending {
-            account,
-            name: name.clone(),
-            key: key.clone(),
-            digest,
-            bytes: spec.payload.as_ref().map_or(0, String::len),
-            since: now,
-            tokens: vec![(token, true)],
-        };
-        self.calls.add(job, pending);
-        let queued = Change::Queued {
-            job,
-            spec: spec.as_ref().clone(),
-            served: Millis::ZERO,
-        };
-        self.push(Record::Accepted { job, name, key, spec });
-        self.planner.apply(now, queued);
-        self.replan = true;
-        Ok(())
-    }
-
-    /// Answers a submission that was made before with the job of the first one.
-    fn duplicate(
-        &mut self,
-        token: Token,
-        account: &AccountName,
-        key: &str,
-        name: &str,
-        digest: u64,
-    ) -> Result<bool, Failure> {
-        let same = |other: &JobName, sum: u64| (name.is_empty() || other.as_str() == name) && sum == digest;
-        let conflict = || {
-            let text = format!("idempotency key {key} was used for another job of account {account}");
-            refusal(ErrorKind::Conflict, text)
-        };
-        if let Some(entry) = self.state.keyed(account, key).cloned() {
-            if !same(&entry.name, entry.digest) {
-                return Err(conflict());
-            }
-            self.answer_job(token, &entry, false);
-            return Ok(true);
-        }
-        let job = self.calls.keys.get(&(account.clone(), key.to_owned()));
-        if let Some(pending) = job.and_then(|job| self.calls.pending.get_mut(job)) {
-            if !same(&pending.name, pending.digest) {
-                return Err(conflict());
-            }
-            pending.tokens.push((token, false));
-            return Ok(true);
-        }
-        Ok(false)
-    }
-
-    fn check_limits(&self, spec: &JobSpec) -> Result<(), Failure> {
-        let account = &spec.account;
-        let known = self.known.accounts.get(account).and_then(|spec| spec.outstanding);
-        let limit = known.unwrap_or(self.known.policy.limits.outstanding);
-        let open = self.state.open(account) + self.calls.open.get(account).copied().unwrap_or(0);
-        if open >= limit {
-            let text = format!("account {account} has {open} jobs that have not ended, of at most {limit}");
-            return Err(refusal(ErrorKind::Limited, text));
-        }
-        let bytes = self.state.bytes() + self.calls.bytes + spec.payload.as_ref().map_or(0, String::len);
-        if bytes > MAX_BYTES || self.appender.backlog() >= MAX_BACKLOG {
-            return Err(refusal(
-                ErrorKind::Limited,
-                "the region has too many jobs that have not ended",
-            ));
-        }
-        Ok(())
-    }
-
-    /// The submission is committed.
-    pub(crate) fn answer_submit(&mut self, job: JobId) {
-        let Some(pending) = self.calls.remove(job) else {
-            return;
-        };
-        let Some(entry) = self.state.job(job).cloned() else {
-            return;
-        };
-        for (token, created) in pending.tokens {
-            self.answer_job(token, &entry, created);
-        }
-    }
-
     /// Finds a job for a call. An absent one can be told only while the lease is held: another
     /// scheduler may have accepted it.
     pub(crate) fn find(&self, account: &str, name: &str) -> Result<Entry, Failure> {
--- a/crates/pistachiostair/src/gang.rs
+++ b/crates/pistachiostair/src/gang.rs
@@ -5,9 +5,8 @@
 use crate::error::Ran;
 use crate::ids::{Attempt, Incarnation, JobId, TaskId, WorkerName};
 use crate::journal::{Part, Record};
-use crate::planner::{Change, Decision, End};
+use crate::planner::Change;
 use crate::reconcile::LAPSE;
-use crate::resource::JobPhase;
 use crate::state::{Entry, Placement};
 use crate::worker::TaskState;
 
@@ -320,7 +319,7 @@
         entry.spec.deadline.is_some_and(|span| self.wall >= entry.wall + span)
     }
 
-    fn halt(&mut self, run: &mut Run, halt: Halt) {
+    pub(crate) fn halt(&mut self, run: &mut Run, halt: Halt) {
         run.halt = Some(halt);
         self.touch(run);
     }
@@ -356,70 +355,4 @@
             self.planner.apply(now, Change::Running(entry.id));
         }
     }
-
-    /// Acts on one decision of the planner.
-    pub(crate) fn decide(&mut self, now: Millis, decision: Decision) {
-        match decision {
-            Decision::Place { job, workers, reason } => self.place(now, job, &workers, reason),
-            Decision::Reclaim {
-                job,
-                winner,
-                grace,
-                reason,
-            } => self.reclaim(now, job, winner, grace, &reason),
-            Decision::Unrunnable { job, reason } => {
-                let ran = self.state.job(job).map_or(Ran::No, |entry| entry.ran);
-                self.planner.apply(now, Change::Ended { job, end: End::Stopped });
-                self.finish_job(job, JobPhase::Unrunnable, ran, None, reason);
-            }
-        }
-    }
-
-    fn place(&mut self, now: Millis, job: JobId, workers: &[WorkerName], reason: String) {
-        let parts: Option<Vec<Part>> = workers
-            .iter()
-            .map(|name| {
-                let upstream = self.workers.get(name)?;
-                Some(Part {
-                    worker: name.clone(),
-                    incarnation: upstream.incarnation,
-                })
-            })
-            .collect();
-        let attempt = self.state.job(job).map_or(Attempt(0), |entry| entry.attempt).next();
-        match parts.filter(|_| !self.closing.contains(&job)) {
-            Some(parts) => {
-                self.placing.insert(job, reason);
-                self.push(Record::Placed { job, attempt, parts });
-            }
-            // The planner is told only of workers that reported, and of jobs that have not ended.
-            None => self.planner.apply(now, Change::Ended { job, end: End::Stopped }),
-        }
-    }
-
-    fn reclaim(&mut self, now: Millis, job: JobId, winner: JobId, grace: Millis, reason: &str) {
-        let Some(entry) = self.state.job(job).cloned() else {
-            return;
-        };
-        let Some(mut run) = self.runs.remove(&job) else {
-            return;
-        };
-        let spec = &entry.spec;
-        let stoppable = spec.idempotent || spec.checkpointable || !run.released;
-        if !run.closed && run.halt.is_none() && stoppable {
-            let saves = spec.checkpointable && run.released;
-            let halt = Halt {
-                why: Why::Reclaimed,
-                until: saves.then_some(now + grace),
-            };
-            for part in &mut run.parts {
-                part.base = part.progress;
-            }
-            let workers = run.parts.iter().map(|part| part.worker.clone()).collect();
-            self.log("reclaiming", job, workers, format!("for job {winner}: {reason}"));
-            self.halt(&mut run, halt);
-            self.review.insert(job);
-        }
-        self.runs.insert(job, run);
-    }
 }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -37,6 +37,7 @@
 mod interface;
 mod journal;
 mod kernel;
+mod lease;
 mod logging;
 mod message;
 mod metrics;
@@ -44,6 +45,7 @@
 mod peer_link;
 mod peer_tls;
 mod peers;
+mod place;
 mod planner;
 mod reconcile;
 mod rendezvous;
@@ -53,6 +55,7 @@
 mod snapshot;
 mod state;
 mod store;
+mod submit;
 mod tenure;
 mod validate;
 mod views;
@@ -75,6 +78,7 @@
 pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use journal::{Batch, Part, Record, journal_key, revision, term_key};
 pub use kernel::{Kernel, Service, Stop};
+pub use lease::{Lease, lease_key};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
 pub use metrics::{Metrics, ProcessUsage, process_usage};
@@ -91,7 +95,7 @@
 pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
-pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
+pub use tenure::{Tenure, TenureAction, TenureEvent};
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
     join_findings, key_fault, name_fault, parse_json, parse_policy, parse_yaml,
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -144,7 +144,11 @@
         upstream.heard = now;
         upstream.unanswered = false;
         upstream.gone = false;
-        let parts: Vec<TaskId> = upstream.parts.iter().copied().collect();
+        // Only what changed is looked at: most reports of a busy worker contain nothing new.
+        let parts: Vec<TaskId> = match changes.full || upstream.leaving {
+            true => upstream.parts.iter().copied().collect(),
+            false => changes.tasks.iter().map(|view| view.task).collect(),
+        };
         self.silence(now, &worker, false);
         for view in &changes.tasks {
             if !view.state.is_final() && self.runs.contains_key(&view.task.job) {
--- /dev/null
+++ b/crates/pistachiostair/src/submit.rs
@@ -0,0 +1,132 @@
+//! Submissions: idempotency keys, limits, and the answer after the commit.
+
+use crate::active::Active;
+use crate::calls::{Pending, refusal};
+use crate::clock::Millis;
+use crate::error::ErrorKind;
+use crate::ids::{AccountName, JobId, JobName};
+use crate::journal::{Record, digest};
+use crate::message::Failure;
+use crate::planner::Change;
+use crate::resource::JobSpec;
+use crate::scheduler::Token;
+
+/// Most records that wait for a commit; more submissions are refused.
+const MAX_BACKLOG: usize = 20_000;
+/// Most bytes of payloads of jobs that have not ended.
+const MAX_BYTES: usize = 64 * 1024 * 1024;
+
+impl Active {
+    pub(crate) fn submit(
+        &mut self,
+        now: Millis,
+        token: Token,
+        name: String,
+        key: Option<String>,
+        spec: Box<JobSpec>,
+    ) -> Result<(), Failure> {
+        let account = spec.account.clone();
+        let job = self.calls.last.next();
+        let key = match (key, name.is_empty()) {
+            (Some(key), _) => key,
+            (None, false) => name.clone(),
+            (None, true) => format!("job-{job}"),
+        };
+        let digest = digest(&spec);
+        if self.duplicate(token, &account, &key, &name, digest)? {
+            return Ok(());
+        }
+        self.writable(now)?;
+        let name = JobName::from(if name.is_empty() { format!("job-{job}") } else { name });
+        self.check_limits(&spec)?;
+        let taken = self.calls.names.contains_key(&(account.clone(), name.clone()));
+        if taken || self.state.named(&account, &name).is_some() {
+            let text = format!("account {account} has a job {name} with another idempotency key");
+            return Err(refusal(ErrorKind::Conflict, text));
+        }
+        self.calls.last = job;
+        let pending = Pending {
+            account,
+            name: name.clone(),
+            key: key.clone(),
+            digest,
+            bytes: spec.payload.as_ref().map_or(0, String::len),
+            since: now,
+            tokens: vec![(token, true)],
+        };
+        self.calls.add(job, pending);
+        let queued = Change::Queued {
+            job,
+            spec: spec.as_ref().clone(),
+            served: Millis::ZERO,
+        };
+        self.push(Record::Accepted { job, name, key, spec });
+        self.planner.apply(now, queued);
+        self.replan = true;
+        Ok(())
+    }
+
+    /// Answers a submission that was made before with the job of the first one.
+    fn duplicate(
+        &mut self,
+        token: Token,
+        account: &AccountName,
+        key: &str,
+        name: &str,
+        digest: u64,
+    ) -> Result<bool, Failure> {
+        let same = |other: &JobName, sum: u64| (name.is_empty() || other.as_str() == name) && sum == digest;
+        let conflict = || {
+            let text = format!("idempotency key {key} was used for another job of account {account}");
+            refusal(ErrorKind::Conflict, text)
+        };
+        if let Some(entry) = self.state.keyed(account, key).cloned() {
+            if !same(&entry.name, entry.digest) {
+                return Err(conflict());
+            }
+            self.answer_job(token, &entry, false);
+            return Ok(true);
+        }
+        let job = self.calls.keys.get(&(account.clone(), key.to_owned()));
+        if let Some(pending) = job.and_then(|job| self.calls.pending.get_mut(job)) {
+            if !same(&pending.name, pending.digest) {
+                return Err(conflict());
+            }
+            pending.tokens.push((token, false));
+            return Ok(true);
+        }
+        Ok(false)
+    }
+
+    fn check_limits(&self, spec: &JobSpec) -> Result<(), Failure> {
+        let account = &spec.account;
+        let known = self.known.accounts.get(account).and_then(|spec| spec.outstanding);
+        let limit = known.unwrap_or(self.known.policy.limits.outstanding);
+        let open = self.state.open(account) + self.calls.open.get(account).copied().unwrap_or(0);
+        if open >= limit {
+            let text = format!("account {account} has {open} jobs that have not ended, of at most {limit}");
+            return Err(refusal(ErrorKind::Limited, text));
+        }
+        let bytes = self.state.bytes() + self.calls.bytes + spec.payload.as_ref().map_or(0, String::len);
+        if bytes > MAX_BYTES || self.appender.backlog() >= MAX_BACKLOG {
+            return Err(refusal(
+                ErrorKind::Limited,
+                "the region has too many jobs that have not ended",
+            ));
+        }
+        Ok(())
+    }
+
+    /// The submission is committed.
+    pub(crate) fn answer_submit(&mut self, job: JobId) {
+        let Some(pending) = self.calls.remove(job) else {
+            return;
+        };
+        let Some(entry) = self.state.job(job).cloned() else {
+            return;
+        };
+        for (token, created) in pending.tokens {
+            self.answer_job(token, &entry, created);
+        }
+    }
+}
--- a/crates/pistachiostair/src/tenure.rs
+++ b/crates/pistachiostair/src/tenure.rs
@@ -4,7 +4,7 @@
 use crate::edge::{Check, Row, Transaction, Write};
 use crate::ids::{DaemonName, Incarnation, RegionName, Term};
 use crate::journal::term_key;
-use crate::record;
+use crate::lease::{Lease, lease_key};
 
 /// Something that happened to the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,36 +75,6 @@
 /// Pause before an unanswered renewal or read-back is tried again.
 const RETRY: Millis = Millis(250);
 
-record! {
-    /// Value of the row `lease/R`, as JSON.
-    pub struct Lease {
-        /// The holder; nobody once the lease was given back.
-        pub holder: Option<DaemonName>,
-        /// Incarnation of the holder.
-        pub incarnation: Incarnation,
-        /// Term.
-        pub term: Term,
-        /// Span in milliseconds for which each renewal protects the holder.
-        pub ttl: Millis,
-        /// Number of the renewal, different for each transaction sent under one term.
-        pub renewal: u64,
-        /// Address of the holder's links.
-        pub address: String,
-    }
-}
-
-impl Lease {
-    /// Parses the row's value.
-    pub fn parse(text: &str) -> Option<Self> {
-        serde_json::from_str(text).ok()
-    }
-}
-
-/// Key of a region's lease row.
-pub fn lease_key(region: &RegionName) -> String {
-    format!("lease/{region}")
-}
-
 /// The version of the lease row that a candidate waits to see unchanged.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
