Check that no two runs of a job overlap, and let late writes strike

Cause: requeueing after the lease was only checked for work that may run once. Trace: a start command stuck in the socket of a frozen worker is carried out when it wakes, after the job was queued again; the next exchange stops it after 96 ms to 297 ms. The rule allows that for a worker that was frozen, a run that was stopped, and an overlap of at most 500 ms; the job is idempotent, which may run again by its declaration. A cut-off failure domain is exempt: the old scheduler goes on renewing its side.

--- a/crates/pistachiostair/tests/life/world.rs
+++ b/crates/pistachiostair/tests/life/world.rs
@@ -46,6 +46,8 @@
     Poll,
     Step(usize),
     Store(usize, u64, StoreOp),
+    /// A write that was given up takes effect.
+    Late(StoreOp),
     Stored(usize, u64, StoreEvent),
     Batch(usize, u64, WorkerName, CommandBatch),
     Replied(usize, u64, WorkerName, CommandBatch, Option<BatchReply>),
@@ -65,6 +67,8 @@
     pub alive: bool,
     pub gone: bool,
     pub frozen: Option<Millis>,
+    /// Whether it was ever frozen.
+    pub froze: bool,
     pub cursors: BTreeMap<(usize, u64), u64>,
     /// Log entries of earlier incarnations, and when each of these ended.
     pub old: Vec<(Vec<LogEntry>, Millis)>,
@@ -81,6 +85,7 @@
             alive: false,
             gone: false,
             frozen: None,
+            froze: false,
             cursors: BTreeMap::new(),
             old: Vec::new(),
             terms: Vec::new(),
@@ -143,6 +148,8 @@
     pub lease_writes: u64,
     /// Row writes of each second.
     pub by_second: BTreeMap<u64, u64>,
+    /// A failure domain was cut off: two schedulers may have renewed leases at the same time.
+    pub split: bool,
     /// Whether the workers are there.
     pub booted: bool,
     /// Terms in the order in which they were written.
@@ -179,6 +186,7 @@
             writes: 0,
             lease_writes: 0,
             by_second: BTreeMap::new(),
+            split: false,
             booted: false,
             terms: Vec::new(),
             reclaimed: false,
@@ -299,6 +307,9 @@
             }
             Delivery::Step(client) => self.step_client(client),
             Delivery::Store(daemon, life, op) => self.store(daemon, life, op),
+            Delivery::Late(op) => {
+                self.carry_out(0, op);
+            }
             Delivery::Stored(daemon, life, event) => {
                 self.feed_life(daemon, life, |d, now, out| d.stored(now, event, out))
             }
@@ -365,6 +376,10 @@
         if down {
             return self.after(TIMEOUT, Delivery::Stored(daemon, life, op.unknown()));
         }
+        if self.faults.behind > self.now && op.writes() {
+            self.after(TIMEOUT * 2, Delivery::Late(op.clone()));
+            return self.after(TIMEOUT, Delivery::Stored(daemon, life, op.unknown()));
+        }
         let event = self.carry_out(daemon, op.clone());
         if self.faults.answers > 0 && op.writes() {
             self.faults.answers -= 1;
