--- /dev/null
+++ b/crates/pistachiostair/src/answer.rs
@@ -0,0 +1,71 @@
+//! Answers requests of other daemons, and of this one to itself.
+
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::config::Config;
+use crate::error::{Error, ErrorKind, Result};
+use crate::govern::{Govern, pass_on};
+use crate::ids::{DaemonName, RegionName};
+use crate::kernel::Kernel;
+use crate::members::Members;
+use crate::message::{Failure, Request, Response};
+
+/// Answers a request; failures become a response.
+pub(crate) async fn dispatch(
+    kernel: Arc<Kernel>,
+    region: RegionName,
+    from: DaemonName,
+    request: Request,
+    timeout: Millis,
+) -> Response {
+    let answer = answer(&kernel, &region, &from, request, timeout).await;
+    answer.unwrap_or_else(|error| Response::Failed(Failure::from(&error)))
+}
+
+async fn answer(
+    kernel: &Arc<Kernel>,
+    region: &RegionName,
+    from: &DaemonName,
+    request: Request,
+    timeout: Millis,
+) -> Result<Response> {
+    let own = |wanted: &RegionName| {
+        if wanted == region {
+            return Ok(());
+        }
+        let message = format!("this daemon serves region {region}, not {wanted}");
+        Err(Error::msg(ErrorKind::Refused, "find region", message))
+    };
+    match request {
+        Request::Heartbeat(heartbeat) => Ok(kernel.find::<Members>()?.receive(*heartbeat)),
+        Request::Command { worker, batch } => Ok(pass_on(kernel, &worker, &batch).await),
+        Request::Report {
+            region: wanted,
+            worker,
+            changes,
+        } => {
+            own(&wanted)?;
+            Ok(kernel.find::<Govern>()?.report(worker, changes.map(|changes| *changes)))
+        }
+        Request::Alive {
+            region: wanted,
+            workers,
+        } => {
+            own(&wanted)?;
+            Ok(kernel.find::<Govern>()?.alive(workers))
+        }
+        Request::Call { region: wanted, call } => {
+            own(&wanted)?;
+            Ok(kernel.find::<Govern>()?.call(call, timeout).await)
+        }
+        Request::Policy { revision, document } => {
+            kernel.find::<Config>()?.apply(revision, &document, from.as_str());
+            Ok(Response::Ack)
+        }
+        Request::GetPolicy => {
+            let (revision, document) = kernel.find::<Config>()?.document();
+            Ok(Response::Policy { revision, document })
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/config.rs
@@ -0,0 +1,545 @@
+//! Service for the configuration in force and for the catalog of accounts and guarantees.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use async_io::Timer;
+use futures_lite::future;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::edge::{Check, Commit, Row, Table, Transaction, Write};
+use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::ids::{AccountName, DaemonName, GuaranteeName, Revision};
+use crate::kernel::{Kernel, Service};
+use crate::links::Links;
+use crate::members::Members;
+use crate::message::{Request, Response};
+use crate::policy::PolicyState;
+use crate::record;
+use crate::resource::{Account, AccountSpec, Guarantee, Metadata, Policy};
+use crate::store::Store;
+
+/// Row that is written with each change of an account or a guarantee, so that one read tells whether there is news.
+pub(crate) const CATALOG_KEY: &str = "catalog";
+
+const HEAD_KEY: &str = "config/head";
+const ACCOUNT_PREFIX: &str = "account/";
+const GUARANTEE_PREFIX: &str = "guarantee/";
+
+/// Time between two looks at the table service. A change must be in force everywhere within 4 s.
+const POLL_INTERVAL: Millis = Millis(1_000);
+
+/// Longest time for a peer to take a pushed revision.
+const PUSH_TIMEOUT: Millis = Millis(1_500);
+
+/// Rows read at once.
+const SCAN_LIMIT: usize = 500;
+
+/// Tries to learn the outcome of a write whose answer was lost.
+const READ_BACK_TRIES: u32 = 5;
+
+/// Pause between two such tries.
+const READ_BACK_PAUSE: Millis = Millis(200);
+
+record! {
+    /// Row of the newest configuration, and of each one in the history.
+    pub(crate) struct ConfigRow {
+        /// Revision.
+        pub(crate) revision: Revision,
+        /// Document, as YAML.
+        pub(crate) document: String,
+        /// Who changed it.
+        pub(crate) author: String,
+        /// Unique id of the write, to find out whether it took effect.
+        pub(crate) write: String,
+    }
+}
+
+/// Accounts and guarantees at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Catalog {
+    /// Version of the catalog row.
+    pub(crate) revision: u64,
+    pub(crate) accounts: BTreeMap<AccountName, Account>,
+    pub(crate) guarantees: BTreeMap<GuaranteeName, Guarantee>,
+}
+
+#[derive(Default)]
+struct Shared {
+    policy: PolicyState,
+    /// Who committed it, as far as the table service told.
+    author: String,
+    catalog: Catalog,
+    /// Whether the newest revision that can be learnt is in force.
+    ready: bool,
+    /// Whether the last look at the table service succeeded.
+    reached: bool,
+}
+
+/// The configuration's service.
+pub(crate) struct Config {
+    kernel: Arc<Kernel>,
+    store: Arc<Store>,
+    me: DaemonName,
+    log: slog::Logger,
+    shared: Mutex<Shared>,
+    wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
+}
+
+impl Service for Config {
+    const NAME: &'static str = "policy";
+}
+
+impl Config {
+    /// Registers the service and starts to poll.
+    pub(crate) fn start(kernel: &Arc<Kernel>, me: DaemonName, log: slog::Logger) -> Result<Arc<Self>> {
+        let config = Arc::new(Self {
+            kernel: kernel.clone(),
+            store: kernel.find()?,
+            me,
+            log,
+            shared: Mutex::default(),
+            wake: async_channel::bounded(1),
+        });
+        kernel.register(config.clone())?;
+        kernel.spawn_until_stop(config.clone().poll());
+        Ok(config)
+    }
+
+    /// The configuration in force and its revision.
+    pub(crate) fn policy(&self) -> (Revision, Policy) {
+        let shared = self.shared.lock().expect("config lock");
+        (shared.policy.revision(), shared.policy.policy().clone())
+    }
+
+    /// Who committed the configuration in force; empty if that is not known.
+    pub(crate) fn author(&self) -> String {
+        self.shared.lock().expect("config lock").author.clone()
+    }
+
+    /// The document in force and its revision.
+    pub(crate) fn document(&self) -> (Revision, String) {
+        let shared = self.shared.lock().expect("config lock");
+        (shared.policy.revision(), shared.policy.document().to_owned())
+    }
+
+    /// Whether the newest configuration that can be learnt is in force here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.shared.lock().expect("config lock").ready
+    }
+
+    /// Whether the last look at the table service succeeded.
+    pub(crate) fn store_reached(&self) -> bool {
+        self.shared.lock().expect("config lock").reached
+    }
+
+    /// The catalog, if it is newer than `revision`.
+    pub(crate) fn catalog_newer(&self, revision: u64) -> Option<Catalog> {
+        let shared = self.shared.lock().expect("config lock");
+        (shared.catalog.revision > revision).then(|| shared.catalog.clone())
+    }
+
+    /// The catalog.
+    pub(crate) fn catalog(&self) -> Catalog {
+        self.shared.lock().expect("config lock").catalog.clone()
+    }
+
+    /// A client account; one that this daemon has not heard of yet is looked up in the table service.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if it is not known here and the table service can't be reached.
+    pub(crate) async fn find_account(&self, name: &AccountName) -> Result<Option<Account>> {
+        let known = self
+            .shared
+            .lock()
+            .expect("config lock")
+            .catalog
+            .accounts
+            .get(name)
+            .cloned();
+        if known.is_some() {
+            return Ok(known);
+        }
+        let row = self.store.get(&account_key(name)).await?;
+        row.map(|row| parse_account(&row)).transpose()
+    }
+
+    /// Looks at the table service without waiting for the next interval.
+    pub(crate) fn reload_soon(&self) {
+        // A full channel means that a look is due already.
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Applies a revision that a peer pushed or told.
+    pub(crate) fn apply(&self, revision: Revision, document: &str, source: &str) {
+        let mut shared = self.shared.lock().expect("config lock");
+        match shared.policy.apply(revision, document) {
+            Ok(true) => {
+                slog::info!(self.log, "applied"; "revision" => revision.0, "source" => source);
+            }
+            Ok(false) => {}
+            Err(error) => {
+                slog::error!(self.log, "not applied"; "revision" => revision.0, "error" => %error);
+            }
+        }
+    }
+
+    async fn poll(self: Arc<Self>) {
+        loop {
+            match self.refresh().await {
+                Ok(()) => {
+                    let mut shared = self.shared.lock().expect("config lock");
+                    shared.ready = true;
+                    shared.reached = true;
+                }
+                Err(error) => self.unreached(&error).await,
+            }
+            let timer = async {
+                Timer::after(POLL_INTERVAL.duration()).await;
+            };
+            let woken = async {
+                let _ = self.wake.1.recv().await;
+            };
+            future::or(timer, woken).await;
+        }
+    }
+
+    async fn unreached(&self, error: &Error) {
+        let first = std::mem::take(&mut self.shared.lock().expect("config lock").reached);
+        if first {
+            slog::warn!(self.log, "table service not reached"; "error" => %error);
+        }
+        if !self.is_ready() && self.ask_peers().await {
+            self.shared.lock().expect("config lock").ready = true;
+        }
+    }
+
+    async fn refresh(&self) -> Result<()> {
+        let (head, catalog) = future::try_zip(self.store.get(HEAD_KEY), self.store.get(CATALOG_KEY)).await?;
+        if let Some(row) = head {
+            let parsed = parse_row::<ConfigRow>("read configuration", &row)?;
+            self.apply(parsed.revision, &parsed.document, "table service");
+            let mut shared = self.shared.lock().expect("config lock");
+            if shared.policy.revision() == parsed.revision {
+                shared.author = parsed.author;
+            }
+        }
+        let version = catalog.map_or(0, |row| row.version);
+        if version != self.catalog().revision {
+            let catalog = self.load_catalog(version).await?;
+            self.shared.lock().expect("config lock").catalog = catalog;
+        }
+        Ok(())
+    }
+
+    /// Reads accounts and guarantees. They may be newer than `version`; the next look reads them again then.
+    async fn load_catalog(&self, version: u64) -> Result<Catalog> {
+        let mut catalog = Catalog {
+            revision: version,
+            ..Catalog::default()
+        };
+        for row in scan_all(&self.store, ACCOUNT_PREFIX).await? {
+            let account = parse_account(&row)?;
+            catalog
+                .accounts
+                .insert(AccountName::from(account.metadata.name.as_str()), account);
+        }
+        for row in scan_all(&self.store, GUARANTEE_PREFIX).await? {
+            let guarantee: Guarantee = parse_row("read guarantee", &row)?;
+            let metadata = Metadata {
+                revision: Revision(row.version),
+                ..guarantee.metadata.clone()
+            };
+            catalog
+                .guarantees
+                .insert(guarantee.name(), Guarantee { metadata, ..guarantee });
+        }
+        Ok(catalog)
+    }
+
+    async fn ask_peers(&self) -> bool {
+        let (Ok(links), Ok(members)) = (self.kernel.find::<Links>(), self.kernel.find::<Members>()) else {
+            return false;
+        };
+        let mut heard = false;
+        for daemon in members.other_daemons() {
+            let answer = links.to_daemon(&daemon, Request::GetPolicy, PUSH_TIMEOUT).await;
+            if let Ok(Response::Policy { revision, document }) = answer
+                && revision > Revision(0)
+            {
+                self.apply(revision, &document, daemon.as_str());
+                heard = true;
+            }
+        }
+        heard
+    }
+
+    /// Commits a new configuration and pushes it to the other daemons.
+    ///
+    /// # Errors
+    ///
+    /// `Invalid` for a document that can't be parsed, `Conflict` if the revision is not `expected`
+    /// or another operator was first, `Unavailable` with `ran: unknown` if the outcome can't be learnt.
+    pub(crate) async fn set_policy(
+        &self,
+        document: &str,
+        author: &str,
+        expected: Option<Revision>,
+    ) -> Result<Revision> {
+        PolicyState::parse(document)?;
+        let head = self
+            .store
+            .get(HEAD_KEY)
+            .await
+            .map_err(|e| e.ran(Ran::No).retry_after(1_000))?;
+        let version = head.as_ref().map_or(0, |row| row.version);
+        let current = match &head {
+            Some(row) => parse_row::<ConfigRow>("read configuration", row)?.revision,
+            None => Revision(0),
+        };
+        if expected.is_some_and(|expected| expected != current) {
+            let message = format!("the configuration is at revision {current}");
+            return Err(Error::msg(ErrorKind::Conflict, "set configuration", message));
+        }
+        let row = ConfigRow {
+            revision: current.next(),
+            document: document.to_owned(),
+            author: author.to_owned(),
+            write: format!("{}-{:016x}", self.me, fastrand::u64(..)),
+        };
+        let value = encode("set configuration", &row)?;
+        let history = format!("config/{:016}", row.revision.0);
+        // The history row comes first: it is never overwritten, so that reading it back tells for
+        // certain whether this write took effect, even if another change followed.
+        let transaction = Transaction {
+            checks: vec![
+                Check {
+                    key: history.clone(),
+                    version: 0,
+                },
+                Check {
+                    key: HEAD_KEY.to_owned(),
+                    version,
+                },
+            ],
+            writes: vec![
+                Write {
+                    key: history,
+                    value: Some(value.clone()),
+                },
+                Write {
+                    key: HEAD_KEY.to_owned(),
+                    value: Some(value),
+                },
+            ],
+        };
+        self.commit_known("set configuration", &transaction, Overwritten::Never)
+            .await?;
+        self.apply(row.revision, document, "operator");
+        self.push(row.revision, document);
+        Ok(row.revision)
+    }
+
+    fn push(&self, revision: Revision, document: &str) {
+        let (Ok(links), Ok(members)) = (self.kernel.find::<Links>(), self.kernel.find::<Members>()) else {
+            return;
+        };
+        for daemon in members.other_daemons() {
+            let links = links.clone();
+            let request = Request::Policy {
+                revision,
+                document: document.to_owned(),
+            };
+            self.kernel.spawn_until_stop(async move {
+                // A daemon that missed the push finds the revision when it polls.
+                let _ = links.to_daemon(&daemon, request, PUSH_TIMEOUT).await;
+            });
+        }
+    }
+
+    /// Newest revisions of the configuration, newest first.
+    pub(crate) async fn history(&self, limit: usize) -> Result<Vec<ConfigRow>> {
+        let (newest, _) = self.document();
+        let first = newest.0.saturating_sub(limit as u64);
+        let rows = self
+            .store
+            .scan("config/0", &format!("config/{first:016}"), limit)
+            .await?;
+        let mut parsed = Vec::with_capacity(rows.len());
+        for row in rows.iter().rev() {
+            parsed.push(parse_row("read history", row)?);
+        }
+        Ok(parsed)
+    }
+
+    /// Creates or replaces a client account.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if the revision is not `expected` or another operator was first.
+    pub(crate) async fn put_account(
+        &self,
+        name: &AccountName,
+        spec: AccountSpec,
+        expected: Option<Revision>,
+    ) -> Result<Account> {
+        let step = "put account";
+        let version = self.expect_version(step, name, expected).await?;
+        let metadata = Metadata {
+            name: name.to_string(),
+            ..Metadata::default()
+        };
+        let mut account = Account { metadata, spec };
+        let write = Write {
+            key: account_key(name),
+            value: Some(encode(step, &account)?),
+        };
+        let version = self.write_account(step, name, version, write).await?;
+        account.metadata.revision = Revision(version);
+        Ok(account)
+    }
+
+    /// Deletes a client account; its waiting jobs stay.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound`, or `Conflict` if the revision is not `expected` or another operator was first.
+    pub(crate) async fn delete_account(&self, name: &AccountName, expected: Option<Revision>) -> Result<()> {
+        let step = "delete account";
+        let version = self.expect_version(step, name, expected).await?;
+        if version == 0 {
+            return Err(Error::msg(
+                ErrorKind::NotFound,
+                step,
+                format!("account {name:?} does not exist"),
+            ));
+        }
+        let write = Write {
+            key: account_key(name),
+            value: None,
+        };
+        self.write_account(step, name, version, write).await.map(drop)
+    }
+
+    async fn expect_version(&self, step: &'static str, name: &AccountName, expected: Option<Revision>) -> Result<u64> {
+        let row = self
+            .store
+            .get(&account_key(name))
+            .await
+            .map_err(|e| e.ran(Ran::No).retry_after(1_000))?;
+        let version = row.map_or(0, |row| row.version);
+        if expected.is_some_and(|expected| expected.0 != version) {
+            let message = format!("account {name:?} is at revision {version}");
+            return Err(Error::msg(ErrorKind::Conflict, step, message));
+        }
+        Ok(version)
+    }
+
+    async fn write_account(&self, step: &'static str, name: &AccountName, version: u64, write: Write) -> Result<u64> {
+        let transaction = Transaction {
+            checks: vec![Check {
+                key: account_key(name),
+                version,
+            }],
+            writes: vec![
+                write,
+                Write {
+                    key: CATALOG_KEY.to_owned(),
+                    value: Some(String::new()),
+                },
+            ],
+        };
+        let version = self.commit_known(step, &transaction, Overwritten::Possibly).await?;
+        self.reload_soon();
+        Ok(version)
+    }
+
+    /// Commits a transaction; a lost answer is resolved by reading back the row of its first check and first write.
+    async fn commit_known(
+        &self,
+        step: &'static str,
+        transaction: &Transaction,
+        overwritten: Overwritten,
+    ) -> Result<u64> {
+        let (Some(check), Some(write)) = (transaction.checks.first(), transaction.writes.first()) else {
+            return Err(Error::msg(
+                ErrorKind::Internal,
+                step,
+                "a transaction needs a check and a write",
+            ));
+        };
+        let conflict = || Error::msg(ErrorKind::Conflict, step, "someone else changed it").at(check.key.as_str());
+        let unknown = |source: anyhow::Error| {
+            Error::new(ErrorKind::Unavailable, step, source)
+                .at(check.key.as_str())
+                .ran(Ran::Unknown)
+                .retry_after(1_000)
+        };
+        let mut lost = None;
+        for _ in 0..READ_BACK_TRIES {
+            match self.store.commit(transaction).await {
+                Ok(Commit::Done { version }) => return Ok(version),
+                Ok(Commit::Conflict { .. }) if lost.is_none() => return Err(conflict()),
+                Ok(Commit::Conflict { .. }) => {}
+                Err(error) => lost = Some(error.source),
+            }
+            Timer::after(READ_BACK_PAUSE.duration()).await;
+            let Ok(row) = self.store.get(&check.key).await else {
+                continue;
+            };
+            let version = row.as_ref().map_or(0, |row| row.version);
+            if version == check.version {
+                continue;
+            }
+            if row.map(|row| row.value) == write.value {
+                return Ok(version);
+            }
+            return Err(match overwritten {
+                Overwritten::Never => conflict(),
+                Overwritten::Possibly => unknown(anyhow::anyhow!("the answer was lost and another change followed")),
+            });
+        }
+        Err(unknown(lost.unwrap_or_else(|| anyhow::anyhow!("no answer"))))
+    }
+}
+
+/// Whether a row may have been overwritten after a write of unknown outcome.
+#[derive(Clone, Copy)]
+enum Overwritten {
+    Never,
+    Possibly,
+}
+
+fn account_key(name: &AccountName) -> String {
+    format!("{ACCOUNT_PREFIX}{name}")
+}
+
+fn encode<T: Serialize>(step: &'static str, value: &T) -> Result<String> {
+    serde_json::to_string(value).map_err(|e| Error::new(ErrorKind::Internal, step, e))
+}
+
+fn parse_row<T: serde::de::DeserializeOwned>(step: &'static str, row: &Row) -> Result<T> {
+    serde_json::from_str(&row.value).map_err(|e| Error::new(ErrorKind::Internal, step, e).at(row.key.as_str()))
+}
+
+fn parse_account(row: &Row) -> Result<Account> {
+    let mut account: Account = parse_row("read account", row)?;
+    account.metadata.revision = Revision(row.version);
+    Ok(account)
+}
+
+/// Reads all rows with a prefix, page by page.
+async fn scan_all(store: &Store, prefix: &str) -> Result<Vec<Row>> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let after = rows.last().map_or(String::new(), |row| row.key.clone());
+        let page = store.scan(prefix, &after, SCAN_LIMIT).await?;
+        let full = page.len() == SCAN_LIMIT;
+        rows.extend(page);
+        if !full {
+            return Ok(rows);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/govern.rs
@@ -0,0 +1,854 @@
+//! Service around the tenure and the scheduler of this daemon's region.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use async_channel::{Receiver, Sender, TrySendError};
+use futures_lite::future;
+
+use crate::appender::{AppendAction, AppendEvent};
+use crate::clock::Millis;
+use crate::config::{CATALOG_KEY, Catalog, Config};
+use crate::edge::{BoxFuture, Commit, Objects, Table, Transaction, Write};
+use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::ids::{DaemonName, Incarnation, RegionName, Revision, Seq, Term, WorkerName};
+use crate::journal::journal_key;
+use crate::kernel::{Kernel, Service};
+use crate::links::Links;
+use crate::logging;
+use crate::members::Members;
+use crate::message::{Call, Failure, Leader, Request, Response};
+use crate::metrics::Metrics;
+use crate::resource::{Guarantee, MemberState};
+use crate::scheduler::{Action, Event, Scheduler, Token};
+use crate::snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
+use crate::store::Store;
+use crate::supervise::Supervise;
+use crate::tenure::{Lease, Tenure, TenureAction, TenureEvent};
+use crate::worker::{BatchReply, Changes, CommandBatch};
+
+/// Time between two ticks.
+const TICK: Millis = Millis(100);
+
+/// Inputs that may wait; a call beyond them is refused.
+const INBOX: usize = 20_000;
+
+/// Command batches that may wait for one worker; older ones are given up, since the scheduler sends again.
+const LANE: usize = 64;
+
+/// Longest time for commands to reach a worker through its supervisor.
+const COMMAND_TIMEOUT: Millis = Millis(3_000);
+
+/// Rows read at once during take-over.
+const SCAN_LIMIT: usize = 500;
+
+/// Pause before the journal is read again after a failed take-over.
+const LOAD_PAUSE: Millis = Millis(200);
+
+enum Input {
+    Tenure(TenureEvent),
+    Event(Box<Event>),
+    Call {
+        token: Token,
+        call: Box<Call>,
+        reply: Sender<Response>,
+    },
+    Loaded {
+        term: Term,
+        loaded: Box<Event>,
+    },
+    Alive(Vec<WorkerName>),
+    Sent {
+        worker: WorkerName,
+        batch: CommandBatch,
+        reply: Option<BatchReply>,
+    },
+    Resign(Sender<()>),
+}
+
+#[derive(Default)]
+struct Shared {
+    leader: Option<Leader>,
+    term: Option<Term>,
+}
+
+/// The scheduler's service, which is active on one daemon of the region.
+pub(crate) struct Govern {
+    region: RegionName,
+    me: DaemonName,
+    inbox: Sender<Input>,
+    tokens: AtomicU64,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl Service for Govern {
+    const NAME: &'static str = "scheduler";
+
+    fn stop(&self) -> BoxFuture<'_, ()> {
+        Box::pin(self.resign())
+    }
+}
+
+impl Govern {
+    /// Starts the service.
+    pub(crate) fn start(
+        kernel: &Arc<Kernel>,
+        region: RegionName,
+        me: DaemonName,
+        incarnation: Incarnation,
+        address: String,
+        log: slog::Logger,
+    ) -> Result<Arc<Self>> {
+        let (inbox, receiver) = async_channel::bounded(INBOX);
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        let actor = Actor {
+            store: kernel.find::<Store>()?,
+            metrics: kernel.find::<Metrics>()?,
+            kernel: kernel.clone(),
+            region: region.clone(),
+            me: me.clone(),
+            log,
+            inbox: inbox.clone(),
+            shared: shared.clone(),
+            tenure: Tenure::new(region.clone(), me.clone(), incarnation, address),
+            scheduler: Scheduler::new(region.clone()),
+            calls: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            headers: BTreeMap::new(),
+            known: Known::default(),
+            elected: None,
+            resigning: None,
+        };
+        kernel.spawn_until_stop(actor.run(receiver));
+        let govern = Arc::new(Self {
+            region,
+            me,
+            inbox,
+            tokens: AtomicU64::new(1),
+            shared,
+        });
+        kernel.register(govern.clone())?;
+        Ok(govern)
+    }
+
+    /// Gives the lease back and waits until that is done, or no longer than a command may take.
+    pub(crate) async fn resign(&self) {
+        let (sender, receiver) = async_channel::bounded(1);
+        if self.inbox.send(Input::Resign(sender)).await.is_ok() {
+            let lapsed = async {
+                async_io::Timer::after(COMMAND_TIMEOUT.duration()).await;
+            };
+            let resigned = async {
+                let _ = receiver.recv().await;
+            };
+            future::or(resigned, lapsed).await;
+        }
+    }
+
+    /// The scheduler of this region, as seen in the lease row.
+    pub(crate) fn leader(&self, region: &RegionName) -> Option<Leader> {
+        if *region != self.region {
+            return None;
+        }
+        self.shared.lock().expect("leader lock").leader.clone()
+    }
+
+    /// The term in which this daemon is the scheduler.
+    pub(crate) fn term(&self) -> Option<Term> {
+        self.shared.lock().expect("leader lock").term
+    }
+
+    /// Hands a caller's request to the scheduler.
+    pub(crate) async fn call(&self, call: Call, timeout: Millis) -> Response {
+        let step = "call scheduler";
+        if self.term().is_none() {
+            let error = Error::msg(ErrorKind::Unavailable, step, "this daemon is not the scheduler").retry_after(200);
+            return failed(&error.at(self.me.as_str()));
+        }
+        let submits = matches!(call, Call::Submit { .. });
+        let token = Token(self.tokens.fetch_add(1, Ordering::Relaxed));
+        let (reply, response) = async_channel::bounded(1);
+        if let Err(error) = self.inbox.try_send(Input::Call {
+            token,
+            call: Box::new(call),
+            reply,
+        }) {
+            return failed(&inbox_error(&error).at(self.me.as_str()));
+        }
+        let _abandon = Abandon {
+            inbox: &self.inbox,
+            token,
+        };
+        let lapsed = async {
+            async_io::Timer::after(timeout.duration()).await;
+            let ran = if submits { Ran::Unknown } else { Ran::No };
+            failed(&Error::msg(ErrorKind::Timeout, step, format!("no response within {timeout}")).ran(ran))
+        };
+        let answered = async {
+            response.recv().await.unwrap_or_else(|_| {
+                let ran = if submits { Ran::Unknown } else { Ran::No };
+                failed(
+                    &Error::msg(ErrorKind::Unavailable, step, "the scheduler changed")
+                        .ran(ran)
+                        .retry_after(200),
+                )
+            })
+        };
+        future::or(answered, lapsed).await
+    }
+
+    /// Takes news of a worker.
+    pub(crate) fn report(&self, worker: WorkerName, changes: Option<Changes>) -> Response {
+        self.take(Input::Event(Box::new(Event::Report { worker, changes })))
+    }
+
+    /// Takes note of workers that answered without changes.
+    pub(crate) fn alive(&self, workers: Vec<WorkerName>) -> Response {
+        self.take(Input::Alive(workers))
+    }
+
+    fn take(&self, input: Input) -> Response {
+        if self.term().is_none() {
+            let error = Error::msg(ErrorKind::Refused, "report worker", "this daemon is not the scheduler");
+            return failed(&error.at(self.me.as_str()));
+        }
+        match self.inbox.try_send(input) {
+            Ok(()) => Response::Ack,
+            Err(error) => failed(&inbox_error(&error).at(self.me.as_str())),
+        }
+    }
+}
+
+fn failed(error: &Error) -> Response {
+    Response::Failed(Failure::from(error))
+}
+
+fn inbox_error(error: &TrySendError<Input>) -> Error {
+    match error {
+        TrySendError::Full(_) => {
+            Error::msg(ErrorKind::Limited, "call scheduler", "too many requests wait").retry_after(500)
+        }
+        TrySendError::Closed(_) => Error::msg(ErrorKind::Unavailable, "call scheduler", "the daemon is stopping"),
+    }
+}
+
+/// Tells the scheduler that the caller went away.
+struct Abandon<'a> {
+    inbox: &'a Sender<Input>,
+    token: Token,
+}
+
+impl Drop for Abandon<'_> {
+    fn drop(&mut self) {
+        let _ = self
+            .inbox
+            .try_send(Input::Event(Box::new(Event::Abandoned { token: self.token })));
+    }
+}
+
+/// Batches that wait for one worker; one is on its way at a time, so that they arrive in order.
+#[derive(Default)]
+struct Lane {
+    busy: bool,
+    waiting: VecDeque<CommandBatch>,
+}
+
+/// What the scheduler was last told about accounts, guarantees, policy and the platform's list.
+#[derive(Default)]
+struct Known {
+    catalog: Catalog,
+    policy: Option<Revision>,
+    listed: BTreeSet<WorkerName>,
+    leaving: BTreeSet<WorkerName>,
+}
+
+struct Actor {
+    kernel: Arc<Kernel>,
+    store: Arc<Store>,
+    metrics: Arc<Metrics>,
+    region: RegionName,
+    me: DaemonName,
+    log: slog::Logger,
+    inbox: Sender<Input>,
+    shared: Arc<Mutex<Shared>>,
+    tenure: Tenure,
+    scheduler: Scheduler,
+    calls: BTreeMap<Token, Sender<Response>>,
+    lanes: BTreeMap<WorkerName, Lane>,
+    /// Last changes of each worker without tasks, to stand for a report of an unchanged worker.
+    headers: BTreeMap<WorkerName, Changes>,
+    known: Known,
+    /// Term and fence while the lease is held.
+    elected: Option<(Term, u64)>,
+    resigning: Option<Sender<()>>,
+}
+
+impl Actor {
+    async fn run(mut self, inbox: Receiver<Input>) {
+        let mut next = self.now();
+        loop {
+            if self.now() >= next {
+                next = self.now() + TICK;
+                self.tick();
+            }
+            if self.scheduler.wake().is_some_and(|wake| self.now() >= wake) {
+                self.event(Event::Tick);
+            }
+            let wait = self
+                .scheduler
+                .wake()
+                .map_or(next, |wake| next.min(wake))
+                .since(self.now());
+            let timer = async {
+                async_io::Timer::after(wait.duration()).await;
+                None
+            };
+            match future::or(async { inbox.recv().await.ok() }, timer).await {
+                Some(input) => self.handle(input),
+                None if inbox.is_closed() => return,
+                None => {}
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.kernel.clock.now()
+    }
+
+    fn tick(&mut self) {
+        self.tenure(TenureEvent::Tick);
+        self.refresh();
+        self.event(Event::Tick);
+        self.metrics.set_figures(&self.scheduler.figures().unwrap_or_default());
+        self.metrics
+            .tenure
+            .set(self.elected.map_or(0, |(term, _)| term.0 as i64));
+    }
+
+    fn handle(&mut self, input: Input) {
+        match input {
+            Input::Tenure(event) => self.tenure(event),
+            Input::Event(event) => self.event(*event),
+            Input::Call { token, call, reply } => {
+                self.calls.insert(token, reply);
+                self.event(Event::Call { token, call: *call });
+            }
+            Input::Loaded { term, loaded } => self.loaded(term, *loaded),
+            Input::Alive(workers) => self.alive(workers),
+            Input::Sent { worker, batch, reply } => {
+                self.event(Event::Replied {
+                    worker: worker.clone(),
+                    batch,
+                    reply,
+                });
+                if let Some(lane) = self.lanes.get_mut(&worker) {
+                    lane.busy = false;
+                }
+                self.send_next(&worker);
+            }
+            Input::Resign(done) => {
+                self.resigning = Some(done);
+                self.tenure(TenureEvent::Resign);
+            }
+        }
+    }
+
+    fn tenure(&mut self, event: TenureEvent) {
+        if let TenureEvent::Read { lease: Some(row), .. } = &event {
+            let seen = Lease::parse(&row.value);
+            let leader = seen.and_then(|lease| {
+                Some(Leader {
+                    region: self.region.clone(),
+                    daemon: lease.holder?,
+                    term: lease.term,
+                })
+            });
+            self.shared.lock().expect("leader lock").leader = leader;
+        }
+        for action in self.tenure.on(self.now(), event) {
+            self.tenure_action(action);
+        }
+    }
+
+    fn tenure_action(&mut self, action: TenureAction) {
+        match action {
+            TenureAction::Read { lease, term } => self.read_lease(lease, term),
+            TenureAction::Commit(transaction) => self.commit_lease(transaction),
+            TenureAction::Elected { term, fence } => {
+                slog::info!(self.log, "elected"; "region" => %self.region, "term" => term.0);
+                self.elected = Some((term, fence));
+                self.load(term, fence);
+            }
+            TenureAction::Held(held) => {
+                slog::info!(self.log, "tenure changed"; "region" => %self.region, "held" => held);
+                self.event(Event::Tenure { held });
+            }
+            TenureAction::Deposed => {
+                slog::warn!(self.log, "deposed"; "region" => %self.region);
+                self.depose();
+            }
+            TenureAction::Resigned => {
+                self.depose();
+                if let Some(done) = self.resigning.take() {
+                    let _ = done.try_send(());
+                }
+            }
+        }
+    }
+
+    fn depose(&mut self) {
+        self.elected = None;
+        self.shared.lock().expect("leader lock").term = None;
+        self.event(Event::Deposed);
+        self.calls.clear();
+        self.lanes.clear();
+        self.headers.clear();
+    }
+
+    /// The scheduler gave up: its journal was written by someone else, or could not be folded. If
+    /// the lease turns out to be held still, the journal is read again.
+    fn step_down(&mut self) {
+        self.shared.lock().expect("leader lock").term = None;
+        self.lanes.clear();
+        self.headers.clear();
+        self.tenure(TenureEvent::Conflict);
+        if let Some((term, fence)) = self.elected {
+            self.load(term, fence);
+        }
+    }
+
+    fn read_lease(&self, lease: String, term: String) {
+        let sent = self.now();
+        let store = self.store.clone();
+        self.reply_later(async move {
+            let rows = future::try_zip(store.get(&lease), store.get(&term)).await;
+            Input::Tenure(match rows {
+                Ok((lease, term)) => TenureEvent::Read { sent, lease, term },
+                Err(_) => TenureEvent::Unread,
+            })
+        });
+    }
+
+    fn commit_lease(&self, transaction: Transaction) {
+        let sent = self.now();
+        let store = self.store.clone();
+        self.reply_later(async move {
+            Input::Tenure(match store.commit(&transaction).await {
+                Ok(Commit::Done { version }) => TenureEvent::Committed { sent, version },
+                Ok(Commit::Conflict { .. }) => TenureEvent::Conflict,
+                Err(_) => TenureEvent::Unknown,
+            })
+        });
+    }
+
+    /// Reads the snapshot and the journal behind it, again until that succeeds.
+    fn load(&self, term: Term, fence: u64) {
+        let store = self.store.clone();
+        let region = self.region.clone();
+        let log = self.log.clone();
+        let mut pause = if self.scheduler.figures().is_some() {
+            LOAD_PAUSE
+        } else {
+            Millis::ZERO
+        };
+        self.reply_later(async move {
+            loop {
+                async_io::Timer::after(pause.duration()).await;
+                pause = LOAD_PAUSE;
+                match load_journal(&store, &region).await {
+                    Ok((snapshot, rows)) => {
+                        let loaded = Box::new(Event::Elected {
+                            term,
+                            fence,
+                            snapshot,
+                            rows,
+                            wall: wall_time(),
+                        });
+                        return Input::Loaded { term, loaded };
+                    }
+                    Err(error) => slog::warn!(log, "take-over can't read"; "error" => %error),
+                }
+            }
+        });
+    }
+
+    fn loaded(&mut self, term: Term, event: Event) {
+        if self.elected.map(|(elected, _)| elected) != Some(term) {
+            return;
+        }
+        self.known = Known::default();
+        self.event(event);
+        if self.scheduler.figures().is_none() {
+            return;
+        }
+        self.event(Event::Tenure {
+            held: self.tenure.held(self.now()),
+        });
+        let mut shared = self.shared.lock().expect("leader lock");
+        shared.term = Some(term);
+        shared.leader = Some(Leader {
+            region: self.region.clone(),
+            daemon: self.me.clone(),
+            term,
+        });
+        drop(shared);
+        self.refresh();
+    }
+
+    /// Tells the scheduler what changed in the catalog, the policy and the platform's list.
+    fn refresh(&mut self) {
+        if self.shared.lock().expect("leader lock").term.is_none() {
+            return;
+        }
+        if let Ok(config) = self.kernel.find::<Config>() {
+            self.refresh_catalog(&config);
+        }
+        if let Ok(members) = self.kernel.find::<Members>() {
+            self.refresh_list(&members);
+        }
+    }
+
+    fn refresh_catalog(&mut self, config: &Config) {
+        let (revision, policy) = config.policy();
+        if self.known.policy != Some(revision) {
+            self.known.policy = Some(revision);
+            self.event(Event::Policy(policy));
+        }
+        let Some(catalog) = config.catalog_newer(self.known.catalog.revision) else {
+            return;
+        };
+        let old = std::mem::replace(&mut self.known.catalog, catalog.clone());
+        for (name, account) in &catalog.accounts {
+            if old.accounts.get(name) != Some(account) {
+                self.event(Event::Account(name.clone(), Some(account.spec.clone())));
+            }
+        }
+        for name in old.accounts.keys().filter(|name| !catalog.accounts.contains_key(name)) {
+            self.event(Event::Account(name.clone(), None));
+        }
+        for (name, guarantee) in &catalog.guarantees {
+            if old.guarantees.get(name) != Some(guarantee) {
+                self.event(Event::Guarantee(name.clone(), Some(guarantee.clone())));
+            }
+        }
+        for name in old
+            .guarantees
+            .keys()
+            .filter(|name| !catalog.guarantees.contains_key(name))
+        {
+            self.event(Event::Guarantee(name.clone(), None));
+        }
+    }
+
+    fn refresh_list(&mut self, members: &Members) {
+        let Some(workers) = members.listed_workers() else {
+            return;
+        };
+        let listed: BTreeSet<WorkerName> = workers.keys().cloned().collect();
+        let leaving: BTreeSet<WorkerName> = workers
+            .iter()
+            .filter(|(_, vm)| vm.state == MemberState::Leaving)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let gone: Vec<WorkerName> = self.known.listed.difference(&listed).cloned().collect();
+        let left: Vec<WorkerName> = leaving.difference(&self.known.leaving).cloned().collect();
+        self.known.listed = listed;
+        self.known.leaving = leaving;
+        for worker in gone {
+            self.event(Event::WorkerGone(worker));
+        }
+        for worker in left {
+            self.event(Event::Leaving(worker));
+        }
+    }
+
+    fn alive(&mut self, workers: Vec<WorkerName>) {
+        for worker in workers {
+            if let Some(header) = self.headers.get(&worker) {
+                let changes = Some(header.clone());
+                self.event(Event::Report { worker, changes });
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        if let Event::Report {
+            worker,
+            changes: Some(changes),
+        } = &event
+        {
+            let header = Changes {
+                full: false,
+                tasks: Vec::new(),
+                ..changes.clone()
+            };
+            self.headers.insert(worker.clone(), header);
+        }
+        for action in self.scheduler.on(self.now(), event) {
+            self.action(action);
+        }
+    }
+
+    fn action(&mut self, action: Action) {
+        match action {
+            Action::Append(action) => self.append(action),
+            Action::Reply { token, response } => {
+                if let Some(reply) = self.calls.remove(&token) {
+                    let _ = reply.try_send(response);
+                }
+            }
+            Action::Send { worker, batch } => self.enqueue(worker, batch),
+            Action::Write {
+                token,
+                transaction,
+                guarantee,
+            } => self.write(token, transaction, guarantee),
+            Action::StepDown => self.step_down(),
+            Action::Log(line) => {
+                self.count(line.what);
+                logging::log_decision(&self.log, &line);
+            }
+        }
+    }
+
+    fn count(&self, what: &str) {
+        match what {
+            "placed" => self.metrics.placements.inc(),
+            "reclaiming" => self.metrics.reclaims.inc(),
+            _ => {}
+        }
+    }
+
+    fn append(&self, action: AppendAction) {
+        let store = self.store.clone();
+        let inbox = self.inbox.clone();
+        self.kernel.spawn_until_stop(async move {
+            if let Some(event) = perform(&store, action).await {
+                let _ = inbox.send(Input::Event(Box::new(Event::Stored(event)))).await;
+            }
+        });
+    }
+
+    fn write(&mut self, token: Token, mut transaction: Transaction, guarantee: Option<Guarantee>) {
+        // Every daemon reads the catalog again when this row changes.
+        transaction.writes.push(Write {
+            key: CATALOG_KEY.to_owned(),
+            value: Some(String::new()),
+        });
+        let Some(reply) = self.calls.remove(&token) else { return };
+        let store = self.store.clone();
+        let kernel = self.kernel.clone();
+        self.kernel.spawn(async move {
+            let response = match store.commit(&transaction).await {
+                Ok(Commit::Done { version }) => {
+                    if let Ok(config) = kernel.find::<Config>() {
+                        config.reload_soon();
+                    }
+                    let guarantees = guarantee.into_iter().map(|mut written| {
+                        written.metadata.revision = Revision(version);
+                        written
+                    });
+                    Response::Guarantees {
+                        guarantees: guarantees.collect(),
+                    }
+                }
+                Ok(Commit::Conflict { key, version }) => {
+                    let message = format!("{key} is at revision {version}");
+                    failed(&Error::msg(ErrorKind::Conflict, "write guarantee", message))
+                }
+                Err(error) => failed(&error.ran(Ran::Unknown)),
+            };
+            let _ = reply.try_send(response);
+        });
+    }
+
+    fn enqueue(&mut self, worker: WorkerName, batch: CommandBatch) {
+        let lane = self.lanes.entry(worker.clone()).or_default();
+        lane.waiting.push_back(batch);
+        let overflow = if lane.waiting.len() > LANE {
+            lane.waiting.pop_front()
+        } else {
+            None
+        };
+        self.send_next(&worker);
+        if let Some(batch) = overflow {
+            let lost = Event::Replied {
+                worker,
+                batch,
+                reply: None,
+            };
+            let _ = self.inbox.try_send(Input::Event(Box::new(lost)));
+        }
+    }
+
+    fn send_next(&mut self, worker: &WorkerName) {
+        let Some(lane) = self.lanes.get_mut(worker) else { return };
+        if lane.busy {
+            return;
+        }
+        let Some(batch) = lane.waiting.pop_front() else { return };
+        lane.busy = true;
+        let kernel = self.kernel.clone();
+        let worker = worker.clone();
+        let log = self.log.clone();
+        self.reply_later(async move {
+            let reply = match send_batch(&kernel, &worker, &batch).await {
+                Ok(reply) => Some(reply),
+                Err(error) => {
+                    slog::info!(log, "commands lost"; "worker" => %worker, "error" => %error);
+                    None
+                }
+            };
+            Input::Sent { worker, batch, reply }
+        });
+    }
+
+    fn reply_later(&self, task: impl Future<Output = Input> + Send + 'static) {
+        let inbox = self.inbox.clone();
+        self.kernel.spawn_until_stop(async move {
+            let _ = inbox.send(task.await).await;
+        });
+    }
+}
+
+/// Sends commands to a worker through the daemon that supervises it.
+async fn send_batch(kernel: &Kernel, worker: &WorkerName, batch: &CommandBatch) -> Result<BatchReply> {
+    let members = kernel.find::<Members>()?;
+    let supervisor = members.supervisor(worker).ok_or_else(|| {
+        Error::msg(
+            ErrorKind::Unavailable,
+            "find supervisor",
+            "no live daemon of the region",
+        )
+        .at(worker.as_str())
+    })?;
+    let request = Request::Command {
+        worker: worker.clone(),
+        batch: batch.clone(),
+    };
+    match kernel
+        .find::<Links>()?
+        .to_daemon(&supervisor, request, COMMAND_TIMEOUT)
+        .await?
+    {
+        Response::Command(reply) => Ok(reply),
+        Response::Failed(failure) => Err(failure.into_error("send commands", worker.as_str())),
+        _ => Err(Error::msg(ErrorKind::Internal, "send commands", "unexpected response").at(supervisor.as_str())),
+    }
+}
+
+/// Passes commands on to a worker, as its supervisor.
+pub(crate) async fn pass_on(kernel: &Kernel, worker: &WorkerName, batch: &CommandBatch) -> Response {
+    let passed = async {
+        let address = kernel.find::<Members>()?.worker_address(worker).ok_or_else(|| {
+            Error::msg(
+                ErrorKind::Unavailable,
+                "find worker",
+                "the platform's list has no address",
+            )
+            .at(worker.as_str())
+        })?;
+        kernel.find::<Supervise>()?.command(&address, batch).await
+    };
+    match passed.await {
+        Ok(reply) => Response::Command(reply),
+        Err(error) => failed(&error),
+    }
+}
+
+async fn perform(store: &Store, action: AppendAction) -> Option<AppendEvent> {
+    Some(match action {
+        AppendAction::Commit { seq, transaction } => match store.commit(&transaction).await {
+            Ok(Commit::Done { .. }) => AppendEvent::Committed(seq),
+            Ok(Commit::Conflict { .. }) => AppendEvent::Conflict(seq),
+            Err(_) => AppendEvent::Unknown(seq),
+        },
+        AppendAction::ReadBack { seq, key } => match store.get(&key).await {
+            Ok(row) => AppendEvent::Row(seq, row.map(|row| row.value)),
+            Err(_) => AppendEvent::Unread(seq),
+        },
+        AppendAction::ReadSnapshotRow { key } => match store.get(&key).await {
+            Ok(row) => AppendEvent::SnapshotRow { answered: true, row },
+            Err(_) => AppendEvent::SnapshotRow {
+                answered: false,
+                row: None,
+            },
+        },
+        AppendAction::DeleteObject { key } => {
+            // An object that stays costs space only.
+            let _ = store.delete(&key).await;
+            return None;
+        }
+        AppendAction::PutSnapshot { key, body } => {
+            let done = store.write(&key, &body).await.is_ok();
+            AppendEvent::SnapshotPut { key, done }
+        }
+        AppendAction::ReadSnapshot { key } => {
+            let body = store.read(&key).await.ok().flatten();
+            AppendEvent::SnapshotRead { key, body }
+        }
+        AppendAction::Maintain { transaction } => {
+            AppendEvent::Maintained(matches!(store.commit(&transaction).await, Ok(Commit::Done { .. })))
+        }
+    })
+}
+
+type Loaded = (Option<Vec<u8>>, Vec<(Seq, String)>);
+
+async fn load_journal(store: &Store, region: &RegionName) -> Result<Loaded> {
+    let (snapshot, after) = match store.get(&snapshot_key(region)).await? {
+        Some(row) => load_snapshot(store, &row.value).await?,
+        None => (None, Seq(0)),
+    };
+    let prefix = format!("journal/{region}/");
+    let mut from = journal_key(region, after);
+    let mut rows = Vec::new();
+    loop {
+        let page = store.scan(&prefix, &from, SCAN_LIMIT).await?;
+        let Some(last) = page.last() else {
+            return Ok((snapshot, rows));
+        };
+        from.clone_from(&last.key);
+        let full = page.len() == SCAN_LIMIT;
+        for row in page {
+            let seq = row
+                .key
+                .strip_prefix(&prefix)
+                .and_then(|text| text.parse().ok())
+                .ok_or_else(|| {
+                    Error::msg(ErrorKind::Internal, "scan journal", "the key has no number").at(row.key.as_str())
+                })?;
+            rows.push((Seq(seq), row.value));
+        }
+        if !full {
+            return Ok((snapshot, rows));
+        }
+    }
+}
+
+/// Reads the newest snapshot whose content agrees with its checksum, and its journal position.
+async fn load_snapshot(store: &Store, value: &str) -> Result<(Option<Vec<u8>>, Seq)> {
+    let step = "read snapshot";
+    let row = SnapshotRow::parse(value).ok_or_else(|| Error::msg(ErrorKind::Internal, step, "bad row"))?;
+    let named: Vec<SnapshotRef> = std::iter::once(row.current).chain(row.previous).collect();
+    for snapshot in &named {
+        if let Some(body) = store.read(&snapshot.key).await?.filter(|body| snapshot.matches(body)) {
+            return Ok((Some(body), snapshot.seq));
+        }
+    }
+    Err(Error::msg(ErrorKind::Internal, step, "no named snapshot is whole"))
+}
+
+/// Milliseconds since the Unix epoch.
+fn wall_time() -> Millis {
+    let since = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
+    Millis(since.as_millis() as u64)
+}
+
+/// Incarnation of this process: a later start gives a higher one, as long as the wall clock does.
+pub(crate) fn new_incarnation() -> Incarnation {
+    Incarnation(wall_time().0)
+}
--- /dev/null
+++ b/crates/pistachiostair/src/links.rs
@@ -0,0 +1,127 @@
+//! Requests to other daemons and to the schedulers of regions, found by name.
+
+use std::sync::Arc;
+
+use futures_lite::future;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::govern::Govern;
+use crate::ids::{DaemonName, RegionName};
+use crate::kernel::{Kernel, Service};
+use crate::members::Members;
+use crate::message::{Call, Leader, Request, Response};
+use crate::peers::Peers;
+
+/// Pause between two attempts to reach a region's scheduler.
+const RETRY_PAUSE: Millis = Millis(150);
+
+/// Longest time for one attempt before the scheduler is looked up again.
+const ATTEMPT_TIMEOUT: Millis = Millis(3_000);
+
+/// Answers requests of this daemon to itself, without a link.
+pub(crate) type Dispatch = Arc<dyn Fn(DaemonName, Request, Millis) -> future::Boxed<Response> + Send + Sync>;
+
+/// Routes requests between daemons.
+pub(crate) struct Links {
+    kernel: Arc<Kernel>,
+    me: DaemonName,
+    dispatch: Dispatch,
+}
+
+impl Service for Links {
+    const NAME: &'static str = "links";
+}
+
+impl Links {
+    pub(crate) fn new(kernel: Arc<Kernel>, me: DaemonName, dispatch: Dispatch) -> Self {
+        Self { kernel, me, dispatch }
+    }
+
+    /// Sends a request to a daemon and waits for the response.
+    pub(crate) async fn to_daemon(&self, daemon: &DaemonName, request: Request, timeout: Millis) -> Result<Response> {
+        if *daemon == self.me {
+            return Ok((self.dispatch)(self.me.clone(), request, timeout).await);
+        }
+        let address = self.kernel.find::<Members>()?.address(daemon).ok_or_else(|| {
+            Error::msg(ErrorKind::Unavailable, "find daemon", "its address is not known").at(daemon.as_str())
+        })?;
+        self.kernel.find::<Peers>()?.call(&address, request, timeout).await
+    }
+
+    /// The scheduler of a region, as far as this daemon knows.
+    pub(crate) fn leader(&self, region: &RegionName) -> Option<Leader> {
+        let own = self
+            .kernel
+            .find::<Govern>()
+            .ok()
+            .and_then(|govern| govern.leader(region));
+        let heard = self
+            .kernel
+            .find::<Members>()
+            .ok()
+            .and_then(|members| members.leader(region));
+        own.into_iter().chain(heard).max_by_key(|leader| leader.term)
+    }
+
+    /// Sends a request to a region's scheduler once.
+    pub(crate) async fn to_leader(&self, region: &RegionName, request: Request, timeout: Millis) -> Result<Response> {
+        let leader = self.leader(region).ok_or_else(|| no_leader(region))?;
+        self.to_daemon(&leader.daemon, request, timeout).await
+    }
+
+    /// Sends a caller's request to a region's scheduler, again while that is safe and `deadline` has not passed.
+    ///
+    /// Every [`Call`] may be sent again: reads change nothing, a submission carries its idempotency
+    /// key, and cancelling, draining and conditional writes have the same effect twice.
+    pub(crate) async fn call(&self, region: &RegionName, call: &Call, deadline: Millis) -> Result<Response> {
+        let mut ran = Ran::No;
+        loop {
+            let left = deadline.since(self.kernel.clock.now());
+            let request = Request::Call {
+                region: region.clone(),
+                call: call.clone(),
+            };
+            let limit = Millis(left.0.min(attempt_timeout(call).0));
+            let result = match self.to_leader(region, request, limit).await {
+                Ok(Response::Failed(failure)) => Err(failure.into_error("call scheduler", region.as_str())),
+                other => other,
+            };
+            let mut error = match result {
+                Ok(response) => return Ok(response),
+                Err(error) => error,
+            };
+            // An attempt of unknown outcome is not made known by a later refusal.
+            if error.ran != Ran::No {
+                ran = error.ran;
+            }
+            let passing = matches!(error.kind, ErrorKind::Unavailable | ErrorKind::Timeout);
+            let pause = Millis(error.retry.unwrap_or(RETRY_PAUSE.0).clamp(20, 1_000));
+            if !passing || self.kernel.clock.now() + pause >= deadline {
+                if passing && matches!(call, Call::Submit { .. }) && ran != Ran::No {
+                    error.ran = ran;
+                }
+                return Err(error);
+            }
+            async_io::Timer::after(pause.duration()).await;
+        }
+    }
+}
+
+/// A waiting call may take as long as its wait.
+fn attempt_timeout(call: &Call) -> Millis {
+    match call {
+        Call::Wait { wait, .. } | Call::List { wait, .. } => *wait + ATTEMPT_TIMEOUT,
+        _ => ATTEMPT_TIMEOUT,
+    }
+}
+
+fn no_leader(region: &RegionName) -> Error {
+    Error::msg(
+        ErrorKind::Unavailable,
+        "find scheduler",
+        "the region has no scheduler at present",
+    )
+    .at(region.as_str())
+    .retry_after(500)
+}
--- /dev/null
+++ b/crates/pistachiostair/src/members.rs
@@ -0,0 +1,270 @@
+//! Service around membership: heartbeats, the platform's list, and this daemon's share of the workers.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use async_io::Timer;
+
+use crate::clock::Millis;
+use crate::config::Config;
+use crate::edge::{BoxFuture, Vm, VmList, VmRole};
+use crate::error::Result;
+use crate::govern::Govern;
+use crate::ids::{DaemonName, RegionName, WorkerName};
+use crate::kernel::{Kernel, Service};
+use crate::membership::{MemberAction, MemberEvent, Membership};
+use crate::message::{Heartbeat, Leader, Request, Response, View};
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::rendezvous;
+use crate::resource::{Member, MemberState};
+use crate::store::Store;
+use crate::supervise::Supervise;
+
+/// Time between two ticks of the membership.
+const TICK: Millis = Millis(100);
+
+/// Time between two reads of the platform's list.
+const LIST_INTERVAL: Millis = Millis(1_000);
+
+/// Longest time for a heartbeat's answer.
+const HEARTBEAT_TIMEOUT: Millis = Millis(1_500);
+
+/// The service of the members.
+pub(crate) struct Members {
+    kernel: Arc<Kernel>,
+    region: RegionName,
+    log: slog::Logger,
+    membership: Mutex<Membership>,
+    /// Whether the platform's list was read since the start.
+    listed: Mutex<bool>,
+}
+
+impl Service for Members {
+    const NAME: &'static str = "members";
+
+    fn stop(&self) -> BoxFuture<'_, ()> {
+        Box::pin(async {
+            let actions = self.on(MemberEvent::Exit);
+            self.send_all(actions).await;
+        })
+    }
+}
+
+impl Members {
+    /// Registers the service and starts its tasks.
+    pub(crate) fn start(kernel: &Arc<Kernel>, me: Member, seeds: Vec<String>, log: slog::Logger) -> Result<Arc<Self>> {
+        let members = Arc::new(Self {
+            kernel: kernel.clone(),
+            region: me.region.clone(),
+            log,
+            membership: Mutex::new(Membership::new(me)),
+            listed: Mutex::new(false),
+        });
+        kernel.register(members.clone())?;
+        members.on(MemberEvent::Seeds(seeds));
+        kernel.spawn_until_stop(members.clone().tick());
+        kernel.spawn_until_stop(members.clone().read_list());
+        Ok(members)
+    }
+
+    /// Link address of a daemon.
+    pub(crate) fn address(&self, daemon: &DaemonName) -> Option<String> {
+        let view = self.view();
+        view.daemons
+            .into_iter()
+            .find(|member| member.name == *daemon)
+            .map(|member| member.address)
+    }
+
+    /// Scheduler of a region, as told by heartbeats.
+    pub(crate) fn leader(&self, region: &RegionName) -> Option<Leader> {
+        self.membership.lock().expect("membership lock").leader(region).cloned()
+    }
+
+    /// Daemons and listed workers.
+    pub(crate) fn view(&self) -> View {
+        self.membership.lock().expect("membership lock").view()
+    }
+
+    /// Daemons besides this one that take requests.
+    pub(crate) fn other_daemons(&self) -> Vec<DaemonName> {
+        let membership = self.membership.lock().expect("membership lock");
+        let me = membership.me().name.clone();
+        let live = membership.daemons(MemberState::Live);
+        live.iter()
+            .map(|member| member.name.clone())
+            .filter(|name| *name != me)
+            .collect()
+    }
+
+    /// Workers of this region in the platform's list, or nothing before it was read.
+    pub(crate) fn listed_workers(&self) -> Option<BTreeMap<WorkerName, Vm>> {
+        if !*self.listed.lock().expect("listed lock") {
+            return None;
+        }
+        let workers = self.view().workers.into_iter().filter(|vm| self.is_own(vm));
+        Some(workers.map(|vm| (WorkerName::from(vm.name.as_str()), vm)).collect())
+    }
+
+    /// Address of a worker.
+    pub(crate) fn worker_address(&self, worker: &WorkerName) -> Option<String> {
+        let view = self.view();
+        view.workers
+            .into_iter()
+            .find(|vm| vm.name == worker.as_str())
+            .map(|vm| vm.address)
+    }
+
+    /// The daemon that supervises a worker.
+    pub(crate) fn supervisor(&self, worker: &WorkerName) -> Option<DaemonName> {
+        rendezvous::owner(worker.as_str(), Some(&self.region), &self.own_daemons()).cloned()
+    }
+
+    /// Answers a heartbeat.
+    pub(crate) fn receive(&self, heartbeat: Heartbeat) -> Response {
+        let mut response = Response::Ack;
+        for action in self.on(MemberEvent::Asked(Box::new(heartbeat))) {
+            match action {
+                MemberAction::Respond(heartbeat) => response = Response::Heartbeat(heartbeat),
+                other => self.perform(other),
+            }
+        }
+        response
+    }
+
+    /// Tells the other daemons that this one takes no new work.
+    pub(crate) async fn leave(&self) {
+        let actions = self.on(MemberEvent::Leave);
+        self.send_all(actions).await;
+    }
+
+    fn own_daemons(&self) -> Vec<Member> {
+        let mut daemons = self.view().daemons;
+        daemons.retain(|member| member.region == self.region);
+        daemons
+    }
+
+    fn is_own(&self, vm: &Vm) -> bool {
+        vm.role == VmRole::Worker && vm.region.as_ref().is_none_or(|region| *region == self.region)
+    }
+
+    fn on(&self, event: MemberEvent) -> Vec<MemberAction> {
+        self.membership
+            .lock()
+            .expect("membership lock")
+            .on(self.kernel.clock.now(), event)
+    }
+
+    async fn tick(self: Arc<Self>) {
+        loop {
+            if let Ok(config) = self.kernel.find::<Config>() {
+                self.on(MemberEvent::Policy(config.policy().0));
+            }
+            if let Some(leader) = self
+                .kernel
+                .find::<Govern>()
+                .ok()
+                .and_then(|govern| govern.leader(&self.region))
+            {
+                self.handle(MemberEvent::Leader(leader));
+            }
+            self.handle(MemberEvent::Tick);
+            self.update_share();
+            Timer::after(TICK.duration()).await;
+        }
+    }
+
+    async fn read_list(self: Arc<Self>) {
+        loop {
+            if let Ok(store) = self.kernel.find::<Store>() {
+                match store.list().await {
+                    Ok(vms) => {
+                        self.handle(MemberEvent::Listed(vms));
+                        *self.listed.lock().expect("listed lock") = true;
+                    }
+                    Err(error) => slog::debug!(self.log, "list not read"; "error" => %error),
+                }
+            }
+            Timer::after(LIST_INTERVAL.duration()).await;
+        }
+    }
+
+    fn handle(&self, event: MemberEvent) {
+        for action in self.on(event) {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&self, action: MemberAction) {
+        match action {
+            MemberAction::Send { address, heartbeat } => self.send(address, heartbeat),
+            MemberAction::Respond(_) => {}
+            MemberAction::Daemon(member) => {
+                slog::info!(self.log, "daemon changed"; "daemon" => %member.name, "state" => ?member.state,
+                    "incarnation" => member.incarnation.0);
+                if let Ok(metrics) = self.kernel.find::<Metrics>() {
+                    metrics.peers.set(self.other_daemons().len() as i64);
+                }
+            }
+            MemberAction::Worker(vm) => {
+                slog::info!(self.log, "worker changed"; "worker" => vm.name, "state" => ?vm.state);
+            }
+            MemberAction::Leader(leader) => {
+                slog::info!(self.log, "scheduler known"; "region" => %leader.region, "daemon" => %leader.daemon,
+                    "term" => leader.term.0);
+            }
+        }
+    }
+
+    fn send(&self, address: String, heartbeat: Box<Heartbeat>) {
+        let kernel = self.kernel.clone();
+        self.kernel
+            .spawn_until_stop(async move { exchange(&kernel, &address, heartbeat).await });
+    }
+
+    /// Sends heartbeats and waits for them, at the end of the process.
+    async fn send_all(&self, actions: Vec<MemberAction>) {
+        for action in actions {
+            if let MemberAction::Send { address, heartbeat } = action {
+                let kernel = self.kernel.clone();
+                self.kernel
+                    .spawn(async move { exchange(&kernel, &address, heartbeat).await });
+            }
+        }
+        Timer::after(TICK.duration()).await;
+    }
+
+    fn update_share(&self) {
+        let Ok(supervise) = self.kernel.find::<Supervise>() else {
+            return;
+        };
+        let view = self.view();
+        let me = self.membership.lock().expect("membership lock").me().name.clone();
+        let daemons = self.own_daemons();
+        let workers: Vec<Vm> = view.workers.into_iter().filter(|vm| self.is_own(vm)).collect();
+        let share = rendezvous::share(&me, &daemons, &workers);
+        let addresses: BTreeMap<&str, &str> = workers
+            .iter()
+            .map(|vm| (vm.name.as_str(), vm.address.as_str()))
+            .collect();
+        let share: Vec<(WorkerName, String)> = share
+            .into_iter()
+            .filter_map(|name| Some((name.clone(), (*addresses.get(name.as_str())?).to_owned())))
+            .collect();
+        supervise.set_share(&share);
+    }
+}
+
+/// Sends one heartbeat and takes its answer.
+async fn exchange(kernel: &Kernel, address: &str, heartbeat: Box<Heartbeat>) {
+    let (Ok(peers), Ok(members)) = (kernel.find::<Peers>(), kernel.find::<Members>()) else {
+        return;
+    };
+    let answer = peers
+        .call(address, Request::Heartbeat(heartbeat), HEARTBEAT_TIMEOUT)
+        .await;
+    if let Ok(Response::Heartbeat(heartbeat)) = answer {
+        members.handle(MemberEvent::Answered(heartbeat));
+    }
+}
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -53,6 +53,13 @@
             /// The changes, or nothing if the worker does not answer.
             changes: Option<Box<Changes>>,
         },
+        /// From a supervisor to the scheduler: workers that answered without changes since the last report.
+        Alive {
+            /// The region.
+            region: RegionName,
+            /// The workers.
+            workers: Vec<WorkerName>,
+        },
         /// From an entry daemon to the scheduler: a caller's request about jobs.
         Call {
             /// The region.
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::{Encoder, Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::kernel::Service;
 use crate::planner::Figures;
 
 #[cfg(test)]
@@ -56,6 +57,10 @@
     memory: IntGauge,
 }
 
+impl Service for Metrics {
+    const NAME: &'static str = "metrics";
+}
+
 impl Metrics {
     /// Metrics in a registry of their own.
     ///
--- a/crates/pistachiostair/src/store.rs
+++ b/crates/pistachiostair/src/store.rs
@@ -12,12 +12,14 @@
 use crate::http_client::{HttpAnswer, HttpCall, HttpClient};
 use crate::http_server::encode_percent;
 use crate::kernel::Service;
+use crate::metrics::Metrics;
 
 /// Client of the platform's services.
 pub struct Store {
     client: Arc<HttpClient>,
     address: String,
     timeout: Millis,
+    metrics: Option<Arc<Metrics>>,
 }
 
 impl Service for Store {
@@ -31,18 +33,53 @@
             client,
             address: address.into(),
             timeout,
+            metrics: None,
+        }
+    }
+
+    /// Counts reads, writes and failures in `metrics`.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
+    fn count(&self, method: &Method, rows: usize, failed: bool) {
+        let Some(metrics) = &self.metrics else { return };
+        match *method {
+            Method::GET => metrics.reads.inc(),
+            _ => metrics.writes.inc_by(rows as u64),
+        }
+        metrics.outage.set(i64::from(failed));
+        if failed {
+            metrics.errors.inc();
         }
     }
 
     async fn send(&self, step: &'static str, method: Method, path: &str, body: Bytes) -> Result<HttpAnswer> {
+        self.send_rows(step, method, path, body, 1).await
+    }
+
+    /// Sends a request that writes `rows` rows or one object, or reads.
+    async fn send_rows(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        rows: usize,
+    ) -> Result<HttpAnswer> {
         let call = HttpCall {
-            method,
+            method: method.clone(),
             path,
             headers: &[],
             body,
             timeout: self.timeout,
         };
-        let answer = self.client.send(&self.address, call).await?;
+        let result = self.client.send(&self.address, call).await;
+        let failed = result.as_ref().map_or(true, |answer| answer.status.is_server_error());
+        self.count(&method, rows, failed);
+        let answer = result?;
         if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND {
             return Ok(answer);
         }
--- /dev/null
+++ b/crates/pistachiostair/src/supervise.rs
@@ -0,0 +1,286 @@
+//! Supervisor: connections to this daemon's share of the workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use hyper::Method;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::http_client::{HttpCall, HttpClient};
+use crate::ids::{Incarnation, RegionName, WorkerName};
+use crate::kernel::{Kernel, Service, Stop};
+use crate::links::Links;
+use crate::message::{Leader, Request, Response};
+use crate::worker::{BatchReply, Changes, CommandBatch};
+
+/// How long a worker may hold a request for changes.
+const POLL_WAIT: Millis = Millis(1_000);
+
+/// Longest time for an answer to a request for changes.
+const POLL_TIMEOUT: Millis = Millis(2_500);
+
+/// Longest time for an answer to commands.
+const COMMAND_TIMEOUT: Millis = Millis(2_000);
+
+/// Longest time for the scheduler to take a report.
+const REPORT_TIMEOUT: Millis = Millis(1_500);
+
+/// Silence after which a worker is reported as not answering.
+const SILENCE: Millis = Millis(4_000);
+
+/// Pause after a failed poll, and between reports of silence.
+const RETRY_PAUSE: Millis = Millis(250);
+
+/// Time between two reports of the workers without changes.
+pub(crate) const ALIVE_INTERVAL: Millis = Millis(2_000);
+
+struct Watched {
+    address: String,
+    stop: Stop,
+}
+
+/// The supervisor of a share of the workers.
+pub(crate) struct Supervise {
+    kernel: Arc<Kernel>,
+    client: Arc<HttpClient>,
+    region: RegionName,
+    log: slog::Logger,
+    watched: Mutex<BTreeMap<WorkerName, Watched>>,
+    alive: Mutex<BTreeSet<WorkerName>>,
+}
+
+impl Service for Supervise {
+    const NAME: &'static str = "supervisor";
+
+    fn stop(&self) -> crate::edge::BoxFuture<'_, ()> {
+        Box::pin(async {
+            self.set_share(&[]);
+        })
+    }
+}
+
+impl Supervise {
+    pub(crate) fn new(
+        kernel: Arc<Kernel>,
+        client: Arc<HttpClient>,
+        region: RegionName,
+        log: slog::Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            kernel,
+            client,
+            region,
+            log,
+            watched: Mutex::default(),
+            alive: Mutex::default(),
+        })
+    }
+
+    /// Starts and ends watches so that exactly these workers, with their addresses, are watched.
+    pub(crate) fn set_share(&self, share: &[(WorkerName, String)]) {
+        let wanted: BTreeMap<&WorkerName, &String> = share.iter().map(|(name, address)| (name, address)).collect();
+        let mut watched = self.watched.lock().expect("watched lock");
+        watched.retain(|name, entry| {
+            let keep = wanted.get(name).is_some_and(|address| **address == entry.address);
+            if !keep {
+                slog::info!(self.log, "stop watching worker"; "worker" => %name);
+                entry.stop.raise();
+            }
+            keep
+        });
+        for (name, address) in wanted {
+            if !watched.contains_key(name) {
+                slog::info!(self.log, "watch worker"; "worker" => %name, "address" => address);
+                let stop = Stop::new();
+                watched.insert(
+                    name.clone(),
+                    Watched {
+                        address: address.clone(),
+                        stop: stop.clone(),
+                    },
+                );
+                self.spawn_watch(name.clone(), address.clone(), stop);
+            }
+        }
+    }
+
+    /// Passes commands on to a worker at `address`.
+    ///
+    /// # Errors
+    ///
+    /// With `ran: unknown` if the commands may have arrived.
+    pub(crate) async fn command(&self, address: &str, batch: &CommandBatch) -> Result<BatchReply> {
+        let body = serde_json::to_vec(batch).map_err(|e| Error::new(ErrorKind::Internal, "encode commands", e))?;
+        let call = HttpCall {
+            method: Method::POST,
+            path: "/v1/commands",
+            headers: &[("content-type", "application/json")],
+            body: body.into(),
+            timeout: COMMAND_TIMEOUT,
+        };
+        let answer = self.client.send(address, call).await?;
+        if !answer.status.is_success() {
+            let message = format!("the worker answered {}", answer.status);
+            return Err(Error::msg(ErrorKind::Unavailable, "send commands", message)
+                .at(address)
+                .ran(Ran::Unknown));
+        }
+        serde_json::from_slice(&answer.body).map_err(|e| {
+            Error::new(ErrorKind::Unavailable, "read command reply", e)
+                .at(address)
+                .ran(Ran::Unknown)
+        })
+    }
+
+    /// Tells the scheduler, once each interval, which workers answered without changes.
+    pub(crate) async fn report_alive(self: Arc<Self>) {
+        loop {
+            async_io::Timer::after(ALIVE_INTERVAL.duration()).await;
+            let workers: Vec<WorkerName> = std::mem::take(&mut *self.alive.lock().expect("alive lock"))
+                .into_iter()
+                .collect();
+            if workers.is_empty() {
+                continue;
+            }
+            let Ok(links) = self.kernel.find::<Links>() else { return };
+            let request = Request::Alive {
+                region: self.region.clone(),
+                workers,
+            };
+            if let Err(error) = links.to_leader(&self.region, request, REPORT_TIMEOUT).await {
+                slog::debug!(self.log, "report failed"; "error" => %error);
+            }
+        }
+    }
+
+    fn spawn_watch(&self, worker: WorkerName, address: String, stop: Stop) {
+        let Ok(me) = self.kernel.find::<Self>() else { return };
+        self.kernel.spawn_until_stop(async move {
+            let watch = Watch {
+                supervisor: me,
+                worker,
+                address,
+                after: 0,
+                incarnation: None,
+                leader: None,
+                leaving: false,
+                heard: Millis::ZERO,
+            };
+            futures_lite::future::or(watch.run(), async move { stop.wait().await }).await;
+        });
+    }
+
+    async fn poll(&self, address: &str, after: u64) -> Result<Changes> {
+        let path = format!("/v1/changes?after={after}&wait={}", POLL_WAIT.0);
+        let call = HttpCall {
+            method: Method::GET,
+            path: &path,
+            headers: &[],
+            body: Bytes::new(),
+            timeout: POLL_TIMEOUT,
+        };
+        let answer = self.client.send(address, call).await?;
+        if !answer.status.is_success() {
+            let message = format!("the worker answered {}", answer.status);
+            return Err(Error::msg(ErrorKind::Unavailable, "poll worker", message).at(address));
+        }
+        serde_json::from_slice(&answer.body)
+            .map_err(|e| Error::new(ErrorKind::Unavailable, "poll worker", e).at(address))
+    }
+}
+
+/// The watch over one worker.
+struct Watch {
+    supervisor: Arc<Supervise>,
+    worker: WorkerName,
+    address: String,
+    after: u64,
+    incarnation: Option<Incarnation>,
+    leader: Option<Leader>,
+    leaving: bool,
+    heard: Millis,
+}
+
+impl Watch {
+    async fn run(mut self) {
+        self.heard = self.supervisor.kernel.clock.now();
+        loop {
+            self.follow_leader();
+            match self.supervisor.poll(&self.address, self.after).await {
+                Ok(changes) => self.take(changes).await,
+                Err(error) => self.silent(&error).await,
+            }
+        }
+    }
+
+    /// A new scheduler gets the whole inventory first.
+    fn follow_leader(&mut self) {
+        let links = self.supervisor.kernel.find::<Links>().ok();
+        let leader = links.and_then(|links| links.leader(&self.supervisor.region));
+        if leader != self.leader {
+            self.leader = leader;
+            self.after = 0;
+        }
+    }
+
+    async fn take(&mut self, changes: Changes) {
+        self.heard = self.supervisor.kernel.clock.now();
+        let restarted = self
+            .incarnation
+            .is_some_and(|incarnation| incarnation != changes.incarnation);
+        self.incarnation = Some(changes.incarnation);
+        if restarted && !changes.full {
+            self.after = 0;
+            return;
+        }
+        let news = changes.full
+            || changes.leaving != self.leaving
+            || !changes.tasks.is_empty()
+            || changes.change != self.after;
+        if !news {
+            self.supervisor
+                .alive
+                .lock()
+                .expect("alive lock")
+                .insert(self.worker.clone());
+            return;
+        }
+        let change = changes.change;
+        let leaving = changes.leaving;
+        if self.report(Some(changes)).await {
+            self.after = change;
+            self.leaving = leaving;
+        } else {
+            self.after = 0;
+            async_io::Timer::after(RETRY_PAUSE.duration()).await;
+        }
+    }
+
+    async fn silent(&mut self, error: &Error) {
+        let silence = self.supervisor.kernel.clock.now().since(self.heard);
+        slog::debug!(self.supervisor.log, "poll failed"; "worker" => %self.worker, "error" => %error);
+        if silence >= SILENCE {
+            self.after = 0;
+            self.report(None).await;
+        }
+        async_io::Timer::after(RETRY_PAUSE.duration()).await;
+    }
+
+    async fn report(&self, changes: Option<Changes>) -> bool {
+        let Ok(links) = self.supervisor.kernel.find::<Links>() else {
+            return false;
+        };
+        let Some(leader) = &self.leader else { return false };
+        let request = Request::Report {
+            region: self.supervisor.region.clone(),
+            worker: self.worker.clone(),
+            changes: changes.map(Box::new),
+        };
+        matches!(
+            links.to_daemon(&leader.daemon, request, REPORT_TIMEOUT).await,
+            Ok(Response::Ack)
+        )
+    }
+}
