Replace the first-fit planner with the placement and queueing core

Cause: the first-fit planner knew no adjacency, guarantees, shares, reclaim or bad workers. Change: topology with counts per rack, explicit packing of guarantees, queues by class of alike jobs in fair order, reclaim with grace, reservations and compaction for gangs, quarantine and probes, explain and figures. Cost and waits are not measured yet.

--- /dev/null
+++ b/crates/pistachiostair/src/compact.rs
@@ -0,0 +1,131 @@
+//! Room for large gangs: moving checkpointable work away, and reservations.
+
+use crate::clock::Millis;
+use crate::fair::{ClassKey, Stop};
+use crate::guarantee::Aid;
+use crate::ids::JobId;
+use crate::node::{Kind, Wid};
+use crate::planner::{Placed, Planner};
+use crate::resource::Shape;
+use crate::search::{Found, Seeker, loss};
+use crate::topology::Topology;
+
+/// Accelerators from which a shape counts as large. Smaller ones find room by themselves whenever
+/// a few short jobs end.
+const LARGE: u32 = 4;
+/// Fraction of `Scheduling.patience` after which work is moved for a gang.
+const COMPACT_AFTER: u64 = 4;
+/// The most jobs that are moved for one gang.
+const MOVES: usize = 16;
+/// Grace for work that is moved.
+const GRACE: Millis = Millis(2_000);
+
+impl Planner {
+    /// Makes or keeps room for a large job that waits.
+    pub(crate) fn reserve_for(&mut self, now: Millis, account: Aid, key: &ClassKey, job: JobId, searches: &mut usize) {
+        let shape = key.shape;
+        let waited = now.since(self.waiting[&job].since);
+        let large = shape.total() >= LARGE || (shape.workers > 1 && shape.accelerators > 0) || key.level > 0;
+        let patience = self.scheduling.patience;
+        if !large
+            || *searches == 0
+            || waited.0 < patience.0 / COMPACT_AFTER
+            || !self.may_search(now, account, key, true)
+        {
+            return;
+        }
+        *searches -= 1;
+        let seeker = Seeker {
+            account,
+            shape,
+            kind: self.kind(account, key),
+            waits: false,
+        };
+        if self.long_admitted(account, shape, seeker.kind) && self.compact(now, &seeker, job) {
+            return;
+        }
+        let reserved = self.holds.iter().filter(|(_, hold)| !hold.reclaim);
+        let holders: Vec<&JobId> = reserved.map(|(holder, _)| holder).collect();
+        let same = holders.iter().any(|holder| self.waiting[holder].account == account);
+        let taken: u32 = holders
+            .iter()
+            .map(|holder| self.waiting[holder].spec.shape.total())
+            .sum();
+        let crowded = taken > 0 && taken + shape.total() > self.topology.total / 2;
+        if waited < patience || same || crowded {
+            return;
+        }
+        // The longer a job has run, the longer it is likely to run on; declared run times are of no
+        // use here.
+        let remaining = |_: Wid, placed: &Placed| Some(placed.run(now).0 + 1);
+        let seeker = Seeker { waits: true, ..seeker };
+        if let Some(found) = self.search(&seeker, |_| true, remaining) {
+            self.hold(job, found.workers, "reserved after a long wait", false);
+        }
+    }
+
+    /// Moves checkpointable work if the gang fits then and all of the work fits elsewhere.
+    fn compact(&mut self, now: Millis, seeker: &Seeker, job: JobId) -> bool {
+        let movable = |_: Wid, placed: &Placed| match placed.key.stop {
+            Stop::Checkpoint => loss(placed, now),
+            Stop::Restart | Stop::Pinned => None,
+        };
+        let Some(found) = self.search(seeker, |_| true, movable) else {
+            return false;
+        };
+        if found.victims.is_empty() || found.victims.len() > MOVES || !self.relocatable(&found, seeker.shape) {
+            return false;
+        }
+        self.stop_for(job, found, GRACE, "moved to make room for a gang");
+        true
+    }
+
+    /// Whether all jobs to be stopped fit elsewhere while the gang has its workers. They must be
+    /// smaller than the gang, or moving them would not be a gain.
+    fn relocatable(&mut self, found: &Found, gang: Shape) -> bool {
+        let shapes: Vec<(Shape, Kind)> = found
+            .victims
+            .iter()
+            .map(|victim| &self.placed[victim])
+            .map(|placed| {
+                let kind = Kind {
+                    long: placed.long,
+                    pinned: false,
+                };
+                (placed.spec.shape, kind)
+            })
+            .collect();
+        if shapes.iter().any(|(shape, _)| shape.total() >= gang.total()) {
+            return false;
+        }
+        let mut taken = vec![(found.workers.clone(), gang.accelerators)];
+        take(&mut self.topology, &taken[0], true);
+        let mut fits = true;
+        for (shape, kind) in shapes {
+            let Some(workers) = self.topology.find(shape, kind) else {
+                fits = false;
+                break;
+            };
+            taken.push((workers, shape.accelerators));
+            take(&mut self.topology, &taken[taken.len() - 1], true);
+        }
+        for entry in &taken {
+            take(&mut self.topology, entry, false);
+        }
+        fits
+    }
+}
+
+fn take(topology: &mut Topology, (workers, accelerators): &(Vec<Wid>, u32), add: bool) {
+    for wid in workers {
+        topology.update(*wid, |node| {
+            if add {
+                node.claimed += accelerators;
+                node.claimed_slots += 1;
+            } else {
+                node.claimed -= accelerators;
+                node.claimed_slots -= 1;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/guarantee.rs
@@ -0,0 +1,355 @@
+//! Guarantees as an explicit packing.
+//!
+//! Each instance of a guarantee has a set of workers that is known to be obtainable. On every
+//! worker the sum over accounts of max(accelerators of pinned work, accelerators of instances)
+//! stays within the hardware. Pinned work can't be stopped; everything else on the workers can be
+//! reclaimed, and an account's own pinned work counts towards its own instances.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::GuaranteeName;
+use crate::node::{Kind, Wid};
+use crate::resource::{GuaranteeSpec, Shape};
+use crate::topology::Topology;
+
+/// Index of a client account.
+pub(crate) type Aid = usize;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Cell {
+    pinned: u32,
+    pinned_slots: u32,
+    packed: u32,
+    packed_slots: u32,
+}
+
+impl Cell {
+    fn load(self) -> (u32, u32) {
+        (self.pinned.max(self.packed), self.pinned_slots.max(self.packed_slots))
+    }
+}
+
+/// One shape of one guarantee. Without workers it can't be honoured at present.
+#[derive(Clone, Debug)]
+pub(crate) struct Instance {
+    pub(crate) name: GuaranteeName,
+    pub(crate) account: Aid,
+    pub(crate) shape: Shape,
+    pub(crate) workers: Vec<Wid>,
+}
+
+/// All guarantees and where they are packed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Guarantees {
+    specs: BTreeMap<GuaranteeName, (Aid, GuaranteeSpec)>,
+    pub(crate) instances: Vec<Instance>,
+    cells: BTreeMap<(Wid, Aid), Cell>,
+    /// Something changed that may displace an instance or let a broken one be packed.
+    dirty: bool,
+}
+
+impl Guarantees {
+    /// Enters or replaces a guarantee; [`Self::settle`] packs it.
+    pub(crate) fn set(&mut self, topology: &mut Topology, name: GuaranteeName, account: Aid, spec: GuaranteeSpec) {
+        self.remove(topology, &name);
+        for _ in 0..spec.count {
+            self.instances.push(Instance {
+                name: name.clone(),
+                account,
+                shape: spec.shape,
+                workers: Vec::new(),
+            });
+        }
+        self.instances.sort_by_key(|i| {
+            (
+                std::cmp::Reverse((i.shape.total(), i.shape.accelerators)),
+                i.name.clone(),
+            )
+        });
+        self.specs.insert(name, (account, spec));
+        self.dirty = true;
+    }
+
+    /// Deletes a guarantee.
+    pub(crate) fn remove(&mut self, topology: &mut Topology, name: &GuaranteeName) {
+        if self.specs.remove(name).is_none() {
+            return;
+        }
+        for index in 0..self.instances.len() {
+            if self.instances[index].name == *name {
+                self.unpack(topology, index);
+            }
+        }
+        self.instances.retain(|instance| instance.name != *name);
+        self.dirty = true;
+    }
+
+    /// Notes that hardware changed.
+    pub(crate) fn touch(&mut self) {
+        self.dirty = true;
+    }
+
+    /// Takes all instances off a worker that is gone.
+    pub(crate) fn evict(&mut self, topology: &mut Topology, wid: Wid) {
+        for index in 0..self.instances.len() {
+            if self.instances[index].workers.contains(&wid) {
+                self.unpack(topology, index);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Whether there are none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.specs.is_empty()
+    }
+
+    /// Guarantees of an account.
+    pub(crate) fn of(&self, account: Aid) -> impl Iterator<Item = &GuaranteeSpec> {
+        self.specs
+            .values()
+            .filter(move |(owner, _)| *owner == account)
+            .map(|(_, spec)| spec)
+    }
+
+    /// Accelerators guaranteed to an account.
+    pub(crate) fn total(&self, account: Aid) -> u32 {
+        self.of(account).map(|spec| spec.shape.total() * spec.count).sum()
+    }
+
+    /// Slots guaranteed to an account.
+    pub(crate) fn slots(&self, account: Aid) -> u32 {
+        self.of(account).map(|spec| spec.shape.workers * spec.count).sum()
+    }
+
+    /// Guarantees that can't be honoured, with the number of missing instances.
+    pub(crate) fn broken(&self) -> BTreeMap<GuaranteeName, (Shape, u32)> {
+        let mut broken = BTreeMap::new();
+        for instance in self.instances.iter().filter(|instance| instance.workers.is_empty()) {
+            broken.entry(instance.name.clone()).or_insert((instance.shape, 0)).1 += 1;
+        }
+        broken
+    }
+
+    /// Whether [`Self::settle`] has something to do.
+    pub(crate) fn is_dirty(&self) -> bool {
+        self.dirty
+    }
+
+    /// Packs what is not packed and moves what lost its room. Instances that can be honoured stay
+    /// so: a packing from scratch replaces the present one only if it loses none of them.
+    pub(crate) fn settle(&mut self, topology: &mut Topology) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
+        let indexes = 0..self.instances.len();
+        let displaced: Vec<usize> = indexes.filter(|index| !self.stands(topology, *index)).collect();
+        for index in &displaced {
+            self.unpack(topology, *index);
+        }
+        let missing = displaced
+            .into_iter()
+            .filter(|index| !self.pack(topology, *index))
+            .count();
+        if missing > 0 {
+            self.repack(topology);
+        }
+    }
+
+    /// Counts pinned work, whether or not guarantees can still be packed. Used for work that runs.
+    pub(crate) fn pin(&mut self, topology: &mut Topology, account: Aid, workers: &[Wid], accelerators: u32) {
+        for wid in workers {
+            self.change(topology, *wid, account, |cell| {
+                cell.pinned += accelerators;
+                cell.pinned_slots += 1;
+            });
+        }
+        self.dirty |= workers.iter().any(|wid| overfull(topology, *wid));
+    }
+
+    /// Stops counting one part of pinned work.
+    pub(crate) fn unpin(&mut self, topology: &mut Topology, account: Aid, wid: Wid, accelerators: u32) {
+        self.change(topology, wid, account, |cell| {
+            cell.pinned -= accelerators.min(cell.pinned);
+            cell.pinned_slots = cell.pinned_slots.saturating_sub(1);
+        });
+        self.dirty |= self.instances.iter().any(|instance| instance.workers.is_empty());
+    }
+
+    /// Counts pinned work if all guarantees that are honoured stay so, moving instances if needed.
+    pub(crate) fn try_pin(
+        &mut self,
+        topology: &mut Topology,
+        account: Aid,
+        workers: &[Wid],
+        accelerators: u32,
+    ) -> bool {
+        let dirty = self.dirty;
+        self.pin(topology, account, workers, accelerators);
+        let over: BTreeSet<Wid> = workers.iter().copied().filter(|wid| overfull(topology, *wid)).collect();
+        if over.is_empty() {
+            return true;
+        }
+        let touched = |instance: &Instance| instance.workers.iter().any(|wid| over.contains(wid));
+        let moved: Vec<usize> = (0..self.instances.len())
+            .filter(|i| touched(&self.instances[*i]))
+            .collect();
+        let saved: Vec<Vec<Wid>> = moved
+            .iter()
+            .map(|index| self.instances[*index].workers.clone())
+            .collect();
+        for index in &moved {
+            self.unpack(topology, *index);
+        }
+        let fits = !over.iter().any(|wid| overfull(topology, *wid));
+        self.dirty = dirty;
+        if fits && moved.iter().all(|index| self.pack(topology, *index)) {
+            return true;
+        }
+        for index in &moved {
+            self.unpack(topology, *index);
+        }
+        for wid in workers {
+            self.unpin(topology, account, *wid, accelerators);
+        }
+        for (index, workers) in moved.into_iter().zip(saved) {
+            self.assign(topology, index, workers);
+        }
+        self.dirty = dirty;
+        false
+    }
+
+    /// Accelerators of a worker that pinned work of an account may take beyond what it has; -1 if
+    /// no slot is left to it.
+    pub(crate) fn open(&self, topology: &Topology, wid: Wid, account: Aid) -> i32 {
+        let node = &topology.nodes[wid];
+        let cell = self.cell(wid, account);
+        let (load, slots) = cell.load();
+        if node.committed_slots + cell.pinned_slots >= node.info.slots + slots {
+            return -1;
+        }
+        (node.info.accelerators + load) as i32 - (node.committed + cell.pinned) as i32
+    }
+
+    /// Accelerators of a worker that guarantees of other accounts leave to an account, whatever
+    /// runs there at present.
+    pub(crate) fn unpacked(&self, topology: &Topology, wid: Wid, account: Aid) -> i32 {
+        let cells = self.cells.range((wid, 0)..(wid + 1, 0));
+        let others = cells.filter(|((_, owner), _)| *owner != account);
+        let packed: u32 = others.map(|(_, cell)| cell.packed).sum();
+        topology.nodes[wid].info.accelerators as i32 - packed as i32
+    }
+
+    /// Whether an instance of the account is packed on the worker.
+    pub(crate) fn owns(&self, wid: Wid, account: Aid) -> bool {
+        self.cell(wid, account).packed_slots > 0
+    }
+
+    /// Workers of all instances of an account.
+    pub(crate) fn packed(&self, account: Aid) -> BTreeSet<Wid> {
+        let own = self.instances.iter().filter(|instance| instance.account == account);
+        own.flat_map(|instance| instance.workers.iter().copied()).collect()
+    }
+
+    fn cell(&self, wid: Wid, account: Aid) -> Cell {
+        self.cells.get(&(wid, account)).copied().unwrap_or_default()
+    }
+
+    fn change(&mut self, topology: &mut Topology, wid: Wid, account: Aid, change: impl FnOnce(&mut Cell)) {
+        let cell = self.cells.entry((wid, account)).or_default();
+        let before = cell.load();
+        change(cell);
+        let after = cell.load();
+        if *cell == Cell::default() {
+            self.cells.remove(&(wid, account));
+        }
+        if before != after {
+            topology.update(wid, |node| {
+                node.committed = node.committed + after.0 - before.0;
+                node.committed_slots = node.committed_slots + after.1 - before.1;
+            });
+        }
+    }
+
+    /// Whether the workers of an instance can still be had.
+    fn stands(&self, topology: &Topology, index: usize) -> bool {
+        let workers = &self.instances[index].workers;
+        let sound = |wid: &Wid| topology.nodes[*wid].usable() && !overfull(topology, *wid);
+        !workers.is_empty() && workers.iter().all(sound)
+    }
+
+    fn assign(&mut self, topology: &mut Topology, index: usize, workers: Vec<Wid>) {
+        let Instance { account, shape, .. } = self.instances[index];
+        for wid in &workers {
+            self.change(topology, *wid, account, |cell| {
+                cell.packed += shape.accelerators;
+                cell.packed_slots += 1;
+            });
+        }
+        self.instances[index].workers = workers;
+    }
+
+    fn unpack(&mut self, topology: &mut Topology, index: usize) {
+        let Instance { account, shape, .. } = self.instances[index];
+        for wid in std::mem::take(&mut self.instances[index].workers) {
+            self.change(topology, wid, account, |cell| {
+                cell.packed -= shape.accelerators;
+                cell.packed_slots -= 1;
+            });
+        }
+    }
+
+    fn pack(&mut self, topology: &mut Topology, index: usize) -> bool {
+        let Instance { account, shape, .. } = self.instances[index];
+        let room = |wid: Wid| {
+            let node = &topology.nodes[wid];
+            if !node.usable() {
+                return -1;
+            }
+            let cell = self.cell(wid, account);
+            let (load, slots) = cell.load();
+            if node.committed_slots + cell.packed_slots >= node.info.slots + slots {
+                return -1;
+            }
+            (node.info.accelerators + load) as i32 - (node.committed + cell.packed) as i32
+        };
+        let Some(workers) = topology.find_by(shape, room) else {
+            return false;
+        };
+        self.assign(topology, index, workers);
+        true
+    }
+
+    /// Packs everything from scratch: largest first, then with the honoured ones first.
+    fn repack(&mut self, topology: &mut Topology) {
+        let saved: Vec<Vec<Wid>> = self.instances.iter().map(|instance| instance.workers.clone()).collect();
+        let honoured: Vec<usize> = (0..saved.len()).filter(|index| !saved[*index].is_empty()).collect();
+        let missing: Vec<usize> = (0..saved.len()).filter(|index| saved[*index].is_empty()).collect();
+        let largest: Vec<usize> = (0..saved.len()).collect();
+        for order in [largest, [&honoured[..], &missing[..]].concat()] {
+            for index in 0..saved.len() {
+                self.unpack(topology, index);
+            }
+            let packed = order.iter().filter(|index| self.pack(topology, **index)).count();
+            let kept = honoured.iter().all(|index| !self.instances[*index].workers.is_empty());
+            if kept && packed > honoured.len() {
+                return;
+            }
+        }
+        for (index, workers) in saved.into_iter().enumerate() {
+            self.unpack(topology, index);
+            self.assign(topology, index, workers);
+        }
+    }
+}
+
+fn overfull(topology: &Topology, wid: Wid) -> bool {
+    let node = &topology.nodes[wid];
+    node.committed > node.info.accelerators || node.committed_slots > node.info.slots
+}
+
+/// What pinned work of an account finds on a worker: what is free and not needed by others.
+pub(crate) fn pinned_room(guarantees: &Guarantees, topology: &Topology, wid: Wid, account: Aid, long: bool) -> i32 {
+    let kind = Kind { long, pinned: false };
+    topology.avail(wid, kind).min(guarantees.open(topology, wid, account))
+}
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -21,19 +21,32 @@
 mod macros;
 
 mod appender;
+mod blame;
 mod clock;
+mod compact;
+mod decide;
 mod edge;
 mod error;
+mod explain;
+mod fair;
+mod fit;
+mod guarantee;
+mod headroom;
 mod http_client;
 mod http_server;
 mod ids;
 mod kernel;
+mod ledger;
 mod message;
+mod node;
 mod planner;
+mod reclaim;
 mod resource;
 mod scheduler;
+mod search;
 mod store;
 mod tenure;
+mod topology;
 mod worker;
 
 pub use appender::{AppendAction, AppendEvent};
--- a/crates/pistachiostair/src/planner.rs
+++ b/crates/pistachiostair/src/planner.rs
@@ -3,11 +3,17 @@
 //! The planner holds the topology, the waiting jobs and what runs where. It is fed with
 //! [`Change`]s and asked for [`Decision`]s; it reads no clock and no random source.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::blame::Blame;
 use crate::clock::Millis;
+use crate::fair::{Account, ClassKey, Stop};
+use crate::guarantee::{Aid, Guarantees};
+use crate::headroom::Headroom;
 use crate::ids::{AccountName, GuaranteeName, JobId, WorkerName};
-use crate::resource::{AccountSpec, Guarantee, JobSpec, MemberState, Scheduling, Size, WorkerInfo};
+use crate::node::{Kind, Wid};
+use crate::resource::{AccountSpec, Guarantee, JobSpec, MemberState, Scheduling, Shape, Size, WorkerInfo};
+use crate::topology::Topology;
 
 /// Something that happened and that placement depends on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -124,183 +130,248 @@
     pub broken: usize,
 }
 
+/// A job in the queue.
 #[derive(Clone, Debug)]
-struct WorkerState {
-    info: WorkerInfo,
-    state: MemberState,
-    slots: u32,
-    used: u32,
+pub(crate) struct Waiting {
+    pub(crate) spec: JobSpec,
+    pub(crate) account: Aid,
+    pub(crate) key: ClassKey,
+    pub(crate) since: Millis,
+    pub(crate) served: Millis,
 }
 
-impl WorkerState {
-    fn fits(&self, accelerators: u32) -> bool {
-        self.state == MemberState::Live
-            && self.slots < self.info.slots
-            && self.used + accelerators <= self.info.accelerators
+/// A job that occupies workers.
+#[derive(Clone, Debug)]
+pub(crate) struct Placed {
+    pub(crate) spec: JobSpec,
+    pub(crate) account: Aid,
+    pub(crate) key: ClassKey,
+    pub(crate) workers: Vec<Wid>,
+    pub(crate) ended: BTreeSet<u32>,
+    /// When it was placed, then when the whole gang began to run.
+    pub(crate) since: Millis,
+    pub(crate) running: bool,
+    pub(crate) served: Millis,
+    /// Counts as long: expected at the start, or observed since.
+    pub(crate) long: bool,
+    /// It has run longer than `Scheduling.short`.
+    pub(crate) proven: bool,
+    pub(crate) stopping: bool,
+    /// Observed memory of each part, in mebibytes.
+    pub(crate) memory: u64,
+}
+
+impl Placed {
+    pub(crate) fn pinned(&self) -> bool {
+        self.key.stop == Stop::Pinned
+    }
+
+    /// Service of this attempt.
+    pub(crate) fn run(&self, now: Millis) -> Millis {
+        if self.running {
+            now.since(self.since)
+        } else {
+            Millis::ZERO
+        }
+    }
+
+    /// Parts that still hold their accelerators.
+    pub(crate) fn parts(&self) -> impl Iterator<Item = (u32, Wid)> + '_ {
+        let parts = self.workers.iter().enumerate().map(|(part, wid)| (part as u32, *wid));
+        parts.filter(|(part, _)| !self.ended.contains(part))
     }
 }
 
+/// Workers that are kept for a waiting job until they are free.
+#[derive(Clone, Debug)]
+pub(crate) struct Hold {
+    pub(crate) workers: Vec<Wid>,
+    pub(crate) reason: &'static str,
+    /// Whether running work is being stopped for it.
+    pub(crate) reclaim: bool,
+    /// Whether it counts as long work that waits.
+    pub(crate) long: bool,
+}
+
 /// The decision core of a region's scheduler.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
-    workers: BTreeMap<WorkerName, WorkerState>,
-    waiting: BTreeMap<JobId, JobSpec>,
-    placed: BTreeMap<JobId, (JobSpec, Vec<WorkerName>)>,
-    ended: BTreeSet<(JobId, u32)>,
-    guarantees: BTreeMap<GuaranteeName, Guarantee>,
+    pub(crate) topology: Topology,
+    pub(crate) guarantees: Guarantees,
+    pub(crate) blame: Blame,
+    pub(crate) accounts: Vec<Account>,
+    names: BTreeMap<AccountName, Aid>,
+    pub(crate) scheduling: Scheduling,
+    pub(crate) waiting: BTreeMap<JobId, Waiting>,
+    pub(crate) placed: BTreeMap<JobId, Placed>,
+    pub(crate) holds: BTreeMap<JobId, Hold>,
+    /// When running jobs become long.
+    pub(crate) aging: BTreeSet<(Millis, JobId)>,
+    /// Waiting jobs that can never run, unless hardware appears.
+    pub(crate) doomed: BTreeSet<JobId>,
+    /// Decisions that were taken together and exceeded the caller's limit.
+    pub(crate) backlog: VecDeque<Decision>,
+    pub(crate) headroom: Headroom,
+    /// Rises whenever work that could not be placed before may be placeable now.
+    pub(crate) epoch: u64,
+    /// Shapes that did not fit since the epoch began.
+    pub(crate) unfit: BTreeSet<(Shape, Kind)>,
+    pub(crate) turn: u64,
+    /// When hardware last appeared.
+    pub(crate) grown: Millis,
 }
 
 impl Planner {
     /// An empty planner.
     pub fn new() -> Self {
-        Self::default()
+        let mut planner = Self::default();
+        planner.topology.set_reserve(planner.scheduling.reserve);
+        planner.epoch = 1;
+        planner
     }
 
     /// Takes note of a change.
-    pub fn apply(&mut self, _now: Millis, change: Change) {
+    pub fn apply(&mut self, now: Millis, change: Change) {
         match change {
-            Change::Worker { info, state } => {
-                let old = self.workers.remove(&info.name);
-                let (slots, used) = old.map_or((0, 0), |old| (old.slots, old.used));
-                self.workers.insert(
-                    info.name.clone(),
-                    WorkerState {
-                        info,
-                        state,
-                        slots,
-                        used,
-                    },
-                );
-            }
-            Change::WorkerGone(name) => {
-                self.workers.remove(&name);
-            }
-            Change::Queued { job, spec, .. } => {
-                self.waiting.insert(job, spec);
-            }
-            Change::Adopted { job, spec, workers } => {
-                self.take(&workers, spec.shape.accelerators);
-                self.placed.insert(job, (spec, workers));
-            }
-            Change::Ended { job, .. } => {
-                self.waiting.remove(&job);
-                if let Some((spec, workers)) = self.placed.remove(&job) {
-                    for (part, worker) in workers.iter().enumerate() {
-                        if !self.ended.remove(&(job, part as u32)) {
-                            self.give(worker, spec.shape.accelerators);
-                        }
-                    }
-                }
-            }
-            Change::PartEnded(job, part) => {
-                let Some((spec, workers)) = self.placed.get(&job) else {
-                    return;
-                };
-                let Some(worker) = workers.get(part as usize).cloned() else {
-                    return;
-                };
-                let accelerators = spec.shape.accelerators;
-                if self.ended.insert((job, part)) {
-                    self.give(&worker, accelerators);
-                }
+            Change::Worker { info, state } => self.set_worker(now, info, state),
+            Change::WorkerGone(name) => self.remove_worker(&name),
+            Change::Account(name, spec) => {
+                let account = self.account(&name);
+                self.accounts[account].spec = spec;
+                self.next_epoch();
             }
             Change::Guarantee(guarantee) => {
-                self.guarantees.insert(guarantee.name(), guarantee);
+                let account = self.account(&guarantee.spec.account);
+                let name = guarantee.name();
+                self.guarantees.set(&mut self.topology, name, account, guarantee.spec);
+                self.next_epoch();
             }
             Change::GuaranteeGone(name) => {
-                self.guarantees.remove(&name);
+                self.guarantees.remove(&mut self.topology, &name);
+                self.next_epoch();
+            }
+            Change::Scheduling(scheduling) => {
+                self.topology.set_reserve(scheduling.reserve);
+                self.scheduling = scheduling;
+                self.next_epoch();
             }
-            Change::Account(..) | Change::Scheduling(_) | Change::Running(_) | Change::Usage(..) => {}
+            Change::Queued { job, spec, served } => self.queue(now, job, spec, served),
+            Change::Adopted { job, spec, workers } => self.adopt(now, job, spec, &workers),
+            Change::Running(job) => self.start(now, job),
+            Change::Ended { job, end } => self.end(now, job, end),
+            Change::PartEnded(job, part) => self.end_part(job, part),
+            Change::Usage(job, size) => self.observe_usage(job, size),
         }
     }
 
     /// Returns at most `limit` decisions.
-    pub fn plan(&mut self, _now: Millis, limit: usize) -> Vec<Decision> {
+    pub fn plan(&mut self, now: Millis, limit: usize) -> Vec<Decision> {
+        self.age(now);
+        self.guarantees.settle(&mut self.topology);
         let mut decisions = Vec::new();
-        let jobs: Vec<JobId> = self.waiting.keys().copied().collect();
-        for job in jobs {
-            if decisions.len() >= limit {
-                break;
-            }
-            let Some(workers) = self.find(&self.waiting[&job]) else {
-                continue;
-            };
-            let Some(spec) = self.waiting.remove(&job) else {
-                continue;
-            };
-            self.take(&workers, spec.shape.accelerators);
-            self.placed.insert(job, (spec, workers.clone()));
-            decisions.push(Decision::Place {
-                job,
-                workers,
-                reason: "first fit".to_owned(),
-            });
-        }
+        self.drain_backlog(&mut decisions, limit);
+        self.reject(now, &mut decisions, limit);
+        self.fulfil(now, &mut decisions, limit);
+        self.fill(now, &mut decisions, limit);
+        self.probe(now, &mut decisions, limit);
+        self.recover(now, limit.saturating_sub(decisions.len()));
+        self.drain_backlog(&mut decisions, limit);
         decisions
     }
 
     /// Checks whether a guarantee can be honoured together with all others; the reason if not.
     pub fn check_guarantee(&self, guarantee: &Guarantee) -> Result<(), String> {
-        let needed = guarantee.spec.shape.total() * guarantee.spec.count;
-        let present: u32 = self.workers.values().map(|w| w.info.accelerators).sum();
-        if needed > present {
-            return Err(format!("it needs {needed} accelerators and there are {present}"));
+        let shape = guarantee.spec.shape;
+        if !self.topology.holds(shape) {
+            return Err(format!("no hardware of this region can hold {shape}"));
+        }
+        let mut trial = self.clone();
+        trial.guarantees.settle(&mut trial.topology);
+        let before = trial.guarantees.broken();
+        trial.apply(Millis::ZERO, Change::Guarantee(guarantee.clone()));
+        trial.guarantees.settle(&mut trial.topology);
+        let after = trial.guarantees.broken();
+        if let Some((_, missing)) = after.get(&guarantee.name()) {
+            let count = guarantee.spec.count;
+            return Err(format!(
+                "{missing} of {count} x {shape} can't be packed beside the other guarantees and work that can't be \
+                 stopped"
+            ));
+        }
+        match after.keys().find(|name| !before.contains_key(name)) {
+            Some(other) => Err(format!("guarantee {other} could no longer be honoured")),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     /// Explains why a job waits, in lines for people; nothing if it does not wait.
     pub fn explain(&self, job: JobId) -> Vec<String> {
-        match self.waiting.get(&job) {
-            Some(spec) => vec![format!("no {} is free", spec.shape)],
-            None => Vec::new(),
-        }
+        self.reasons(job)
     }
 
     /// Guarantees with the reason why they can't be honoured at present.
     pub fn broken_guarantees(&self) -> Vec<(GuaranteeName, String)> {
-        Vec::new()
+        let broken = if self.guarantees.is_dirty() {
+            let (mut guarantees, mut topology) = (self.guarantees.clone(), self.topology.clone());
+            guarantees.settle(&mut topology);
+            guarantees.broken()
+        } else {
+            self.guarantees.broken()
+        };
+        let reason = |shape: Shape, missing: u32| {
+            let cause = if self.topology.holds(shape) {
+                "left by live workers, other guarantees and work that can't be stopped"
+            } else {
+                "in the hardware"
+            };
+            format!("no room for {missing} x {shape} {cause}")
+        };
+        broken
+            .into_iter()
+            .map(|(name, (shape, missing))| (name, reason(shape, missing)))
+            .collect()
     }
 
     /// Workers that are quarantined after failures of several jobs.
     pub fn quarantined(&self) -> Vec<WorkerName> {
-        Vec::new()
+        self.blame.quarantined()
     }
 
     /// Figures for metrics.
     pub fn figures(&self) -> Figures {
+        let used = self.accounts.iter().map(|account| account.used).sum();
+        let free: u32 = self.topology.racks.iter().map(|rack| rack.free).sum();
+        let largest = self.topology.largest();
+        let fragmentation = if free == 0 {
+            0.0
+        } else {
+            1.0 - f64::from(largest) / f64::from(free)
+        };
         Figures {
             waiting: self.waiting.len(),
             placed: self.placed.len(),
-            ..Figures::default()
+            accelerators: self.topology.total,
+            used,
+            largest,
+            fragmentation,
+            broken: self.broken_guarantees().len(),
         }
     }
 
-    fn find(&self, spec: &JobSpec) -> Option<Vec<WorkerName>> {
-        let count = spec.shape.workers as usize;
-        let found: Vec<WorkerName> = self
-            .workers
-            .values()
-            .filter(|worker| worker.fits(spec.shape.accelerators))
-            .map(|worker| worker.info.name.clone())
-            .take(count)
-            .collect();
-        (found.len() == count).then_some(found)
-    }
-
-    fn take(&mut self, workers: &[WorkerName], accelerators: u32) {
-        for name in workers {
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.slots += 1;
-                worker.used += accelerators;
-            }
+    /// Index of an account; one that was never declared has weight 1 and no quota.
+    pub(crate) fn account(&mut self, name: &AccountName) -> Aid {
+        if let Some(account) = self.names.get(name) {
+            return *account;
         }
+        let account = self.accounts.len();
+        self.accounts.push(Account::new(name.clone()));
+        self.names.insert(name.clone(), account);
+        account
     }
 
-    fn give(&mut self, name: &WorkerName, accelerators: u32) {
-        if let Some(worker) = self.workers.get_mut(name) {
-            worker.slots = worker.slots.saturating_sub(1);
-            worker.used = worker.used.saturating_sub(accelerators);
-        }
+    /// Lets everything that did not fit be tried again.
+    pub(crate) fn next_epoch(&mut self) {
+        self.epoch += 1;
+        self.unfit.clear();
     }
 }
--- /dev/null
+++ b/crates/pistachiostair/src/reclaim.rs
@@ -0,0 +1,241 @@
+//! Stopping running work for waiting jobs that have a better claim.
+
+use crate::clock::Millis;
+use crate::fair::{ClassKey, Stop};
+use crate::guarantee::Aid;
+use crate::ids::JobId;
+use crate::node::Wid;
+use crate::planner::{Decision, Placed, Planner};
+use crate::resource::Urgency;
+use crate::search::{Found, Seeker, loss};
+
+/// Grace where no guarantee states one.
+const GRACE: Millis = Millis(2_000);
+/// Searches for running work to stop in one plan call. Each may look at every task, about 0.3 ms
+/// at full scale; the others come with the next call.
+const SEARCHES: usize = 2;
+/// Pause of a class between two searches that find nothing. It adds little to the grace.
+const PAUSE: Millis = Millis(200);
+/// Jobs for which workers may be kept at the same time.
+const HOLDS: usize = 64;
+
+/// Why a waiting job may have running work stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Claim {
+    /// It is within a guarantee of its account.
+    Guarantee,
+    /// It is urgent: its account's other work gives way, and that of accounts above their share.
+    Urgent,
+    /// It is short and waits behind stragglers in slots that are reserved for short work.
+    Short,
+    /// It waited for long while other accounts are above their share.
+    Share,
+}
+
+impl Claim {
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Guarantee => "reclaimed under a guarantee",
+            Self::Urgent => "reclaimed for urgent work",
+            Self::Short => "reclaimed from stragglers in reserved slots",
+            Self::Share => "reclaimed from accounts above their share",
+        }
+    }
+}
+
+impl Planner {
+    /// Reclaims for waiting jobs that could not be placed, then keeps workers for gangs that
+    /// waited too long.
+    pub(crate) fn recover(&mut self, now: Millis, limit: usize) {
+        let mut searches = SEARCHES;
+        for account in self.by_share() {
+            let epoch = self.epoch;
+            let heads = self.accounts[account].heads(|class| class.blocked == epoch);
+            for (key, job) in heads {
+                if self.backlog.len() >= limit || searches == 0 || self.holds.len() >= HOLDS {
+                    return;
+                }
+                if self.doomed.contains(&job) || !self.accounts[account].allows(key.shape.total()) {
+                    continue;
+                }
+                if self.reclaim_for(now, account, &key, job, &mut searches) {
+                    continue;
+                }
+                self.reserve_for(now, account, &key, job, &mut searches);
+            }
+        }
+    }
+
+    fn reclaim_for(&mut self, now: Millis, account: Aid, key: &ClassKey, job: JobId, searches: &mut usize) -> bool {
+        let Some(claim) = self.claim_of(now, account, key, job) else {
+            return false;
+        };
+        if !self.may_search(now, account, key, false) {
+            return false;
+        }
+        *searches -= 1;
+        let seeker = Seeker {
+            account,
+            shape: key.shape,
+            kind: self.kind(account, key),
+            waits: false,
+        };
+        let found = self.search_claim(now, &seeker, claim, key.urgency.0);
+        let Some(found) = found.filter(|found| !found.victims.is_empty()) else {
+            return false;
+        };
+        let grace = match claim {
+            Claim::Guarantee => self
+                .guarantees
+                .of(account)
+                .map(|spec| spec.grace)
+                .min()
+                .unwrap_or(GRACE),
+            Claim::Urgent | Claim::Short | Claim::Share => GRACE,
+        };
+        if let Some(class) = self.accounts[account].classes.get_mut(key) {
+            class.reclaimed = None;
+        }
+        self.stop_for(job, found, grace, claim.reason());
+        true
+    }
+
+    /// Whether a class may search for running work now: a search that found nothing is repeated
+    /// only after a pause.
+    pub(crate) fn may_search(&mut self, now: Millis, account: Aid, key: &ClassKey, reserve: bool) -> bool {
+        let Some(class) = self.accounts[account].classes.get_mut(key) else {
+            return false;
+        };
+        let last = if reserve {
+            &mut class.reserved
+        } else {
+            &mut class.reclaimed
+        };
+        if last.is_some_and(|last| now.since(last) < PAUSE) {
+            return false;
+        }
+        *last = Some(now);
+        true
+    }
+
+    /// Keeps the workers for the job and has the others stopped.
+    pub(crate) fn stop_for(&mut self, job: JobId, found: Found, grace: Millis, reason: &'static str) {
+        self.hold(job, found.workers, reason, true);
+        for victim in found.victims {
+            self.mark_stopping(victim);
+            self.backlog.push_back(Decision::Reclaim {
+                job: victim,
+                winner: job,
+                grace,
+                reason: reason.to_owned(),
+            });
+        }
+    }
+
+    fn claim_of(&self, now: Millis, account: Aid, key: &ClassKey, job: JobId) -> Option<Claim> {
+        if self.covered(account, key.shape) {
+            return Some(Claim::Guarantee);
+        }
+        if key.urgency.0 == Urgency::Urgent {
+            return Some(Claim::Urgent);
+        }
+        if !self.kind(account, key).long {
+            return Some(Claim::Short);
+        }
+        let waited = now.since(self.waiting[&job].since);
+        let below = self.share(account, (key.shape.total(), key.shape.workers)) <= self.fair_share(account);
+        (waited >= self.scheduling.patience && below).then_some(Claim::Share)
+    }
+
+    fn search_claim(&self, now: Millis, seeker: &Seeker, claim: Claim, urgency: Urgency) -> Option<Found> {
+        let own = seeker.account;
+        match claim {
+            Claim::Guarantee => {
+                let beyond = self.search(
+                    seeker,
+                    |_| true,
+                    |_, victim| {
+                        let guaranteed = self.guarantees.total(victim.account);
+                        let rest = self.accounts[victim.account]
+                            .used
+                            .saturating_sub(victim.spec.shape.total());
+                        (victim.account != own && rest >= guaranteed)
+                            .then(|| loss(victim, now))
+                            .flatten()
+                    },
+                );
+                // On its own workers a guarantee comes before everything. These are disjoint from
+                // those of other guarantees, so that two accounts can't reclaim from each other
+                // in turns.
+                beyond.or_else(|| {
+                    let packed = self.guarantees.packed(own);
+                    let other = |_: Wid, victim: &Placed| (victim.account != own).then(|| loss(victim, now)).flatten();
+                    self.search(seeker, |wid| packed.contains(&wid), other)
+                })
+            }
+            Claim::Urgent => {
+                let needy = self.share(own, (seeker.shape.total(), seeker.shape.workers)) <= self.fair_share(own);
+                self.search(
+                    seeker,
+                    |_| true,
+                    |_, victim| {
+                        let yields = if victim.account == own {
+                            victim.spec.urgency < urgency
+                        } else {
+                            needy && self.above_share(victim)
+                        };
+                        yields.then(|| loss(victim, now)).flatten()
+                    },
+                )
+            }
+            Claim::Short => {
+                let reserve = self.topology.reserve;
+                let excess = self.headroom.excess(self.topology.total, self.most_headroom());
+                self.search(
+                    seeker,
+                    |_| true,
+                    |wid, victim| {
+                        let crowded = self.topology.nodes[wid].over_reserve(reserve);
+                        let greedy = seeker.shape.accelerators > 0 && excess >= victim.spec.shape.total().max(1);
+                        (victim.proven && (crowded || greedy))
+                            .then(|| loss(victim, now))
+                            .flatten()
+                    },
+                )
+            }
+            Claim::Share => self.search(
+                seeker,
+                |_| true,
+                |_, victim| {
+                    let resumes = victim.key.stop == Stop::Checkpoint;
+                    (victim.account != own && resumes && self.above_share(victim))
+                        .then(|| loss(victim, now))
+                        .flatten()
+                },
+            ),
+        }
+    }
+
+    /// Share that each account would have if all that want more had the same per weight.
+    pub(crate) fn fair_share(&self, account: Aid) -> u64 {
+        let wants = |(aid, other): &(Aid, &crate::fair::Account)| {
+            *aid == account || other.used + other.tasks + other.held > 0 || !other.classes.is_empty()
+        };
+        let weights = self.accounts.iter().enumerate().filter(wants);
+        let weights: u64 = weights.map(|(_, other)| u64::from(other.spec.weight.max(1))).sum();
+        1_000_000 / weights.max(1)
+    }
+
+    /// Whether the account of a running job is above its share, and above its guarantees, even
+    /// without the job.
+    fn above_share(&self, victim: &Placed) -> bool {
+        let owner = &self.accounts[victim.account];
+        let (total, slots) = (self.topology.total, self.topology.slots);
+        let weight = u64::from(owner.spec.weight.max(1));
+        let part = |used: u32, of: u32| u64::from(used) * 1_000_000 / u64::from(of.max(1)) / weight;
+        let used = owner.used.saturating_sub(victim.spec.shape.total());
+        let tasks = owner.tasks.saturating_sub(victim.spec.shape.workers);
+        let share = part(used, total).max(part(tasks, slots));
+        share >= self.fair_share(victim.account) && used >= self.guarantees.total(victim.account)
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/tests/planner/queueing.rs
@@ -0,0 +1,278 @@
+//! One test for each rule of waiting, reclaiming and blame.
+
+use pistachiostair::{Change, Decision, End, JobId, JobSpec, Millis, Urgency};
+
+use crate::world::{World, checkpointable, pinned, spec};
+
+fn start(world: &mut World, job: JobSpec) -> JobId {
+    let job = world.queue(job);
+    world.plan();
+    assert!(world.placed.contains_key(&job), "{job} starts at once");
+    job
+}
+
+/// Lets the jobs that are being stopped end and wait again.
+fn stop_victims(world: &mut World) {
+    for victim in world.reclaimed.keys().copied().collect::<Vec<_>>() {
+        let spec = world.end(victim, End::Stopped).expect("it ran");
+        world.requeue(victim, spec, Millis(6_000));
+    }
+    world.plan();
+}
+
+/// Guards against long work that fills the slots kept for short work, whatever it declared.
+#[test]
+fn plan_reserved_slots() {
+    let mut world = World::new(1, 1, 1, 8, 8);
+    let lying = JobSpec {
+        runtime: Some(Millis(1_000)),
+        ..pinned("a", "1x0")
+    };
+    (0..5).for_each(|_| {
+        world.queue(lying.clone());
+    });
+    world.plan();
+    assert_eq!(world.placed.len(), 5, "nothing is known yet");
+    world.later(5_002);
+    (0..5).for_each(|_| {
+        world.queue(lying.clone());
+    });
+    world.plan();
+    assert_eq!(world.placed.len(), 7, "one of 8 slots is left");
+    let waiting = *world.queued.keys().next().expect("some wait");
+    let lines = world.planner.explain(waiting);
+    assert!(
+        lines.iter().any(|line| line.starts_with("reserved slots:")),
+        "{lines:?}"
+    );
+    start(&mut world, spec("a", "1x0"));
+}
+
+/// Guards against short work that waits behind stragglers, which started as short work.
+#[test]
+fn plan_behind_stragglers() {
+    let mut world = World::new(1, 1, 1, 4, 8);
+    (0..4).for_each(|_| {
+        start(&mut world, spec("a", "1x0"));
+    });
+    world.later(5_002);
+    let short = JobSpec {
+        runtime: Some(Millis(100)),
+        ..spec("b", "1x0")
+    };
+    let short = world.queue(short);
+    world.plan();
+    assert_eq!(world.reclaimed.len(), 1, "one straggler gives back the reserved slot");
+    stop_victims(&mut world);
+    assert!(world.placed.contains_key(&short));
+}
+
+/// Guards against a large gang that starves because small jobs take every place that frees up.
+#[test]
+fn plan_reservation() {
+    let mut world = World::new(1, 1, 4, 8, 8);
+    let small: Vec<JobId> = (0..4).map(|_| start(&mut world, pinned("a", "1x8"))).collect();
+    let gang = world.queue(pinned("b", "2x8"));
+    world.later(10_000);
+    world.end(small[0], End::Succeeded);
+    let backfill = world.queue(pinned("c", "1x1"));
+    world.later(100);
+    let lines = world.planner.explain(gang);
+    assert!(lines[0].starts_with("reserved after a long wait"), "{lines:?}");
+    assert!(world.queued.contains_key(&backfill), "it would delay the gang");
+    let kept = world.planner.explain(backfill);
+    assert!(
+        kept.iter()
+            .any(|line| line.contains(&format!("reserved for jobs {gang}"))),
+        "{kept:?}"
+    );
+    world.end(small[3], End::Succeeded);
+    world.end(small[2], End::Succeeded);
+    world.end(small[1], End::Succeeded);
+    world.plan();
+    assert!(world.placed.contains_key(&gang));
+}
+
+/// Guards against the backlog of one account that holds up the others.
+#[test]
+fn plan_burst() {
+    let mut world = World::new(1, 2, 4, 8, 8);
+    (0..10_000).for_each(|_| {
+        world.queue(spec("a", "1x1"));
+    });
+    world.plan();
+    let other: Vec<JobId> = (0..32).map(|_| world.queue(spec("b", "1x1"))).collect();
+    for _ in 0..32 {
+        let next = *world
+            .placed
+            .iter()
+            .find(|(_, (spec, _))| spec.account.as_str() == "a")
+            .expect("it runs")
+            .0;
+        world.end(next, End::Succeeded);
+        world.plan();
+    }
+    assert!(
+        other.iter().all(|job| world.placed.contains_key(job)),
+        "b gets its half with the next 32 ends"
+    );
+}
+
+/// Guards against urgent work that waits for its account's other work.
+#[test]
+fn plan_urgent_reclaims() {
+    let mut world = World::new(1, 1, 1, 8, 8);
+    let fixed = start(&mut world, pinned("a", "1x4"));
+    let batch = start(&mut world, spec("a", "1x4"));
+    let urgent = JobSpec {
+        urgency: Urgency::Urgent,
+        ..spec("a", "1x4")
+    };
+    let urgent = world.queue(urgent);
+    world.plan();
+    assert_eq!(
+        world.reclaimed.keys().copied().collect::<Vec<_>>(),
+        [batch],
+        "not {fixed}"
+    );
+    stop_victims(&mut world);
+    assert!(world.placed.contains_key(&urgent) && world.queued.contains_key(&batch));
+}
+
+/// Guards against an account that keeps the region after another one came back to its share.
+#[test]
+fn plan_share_reclaims() {
+    let mut world = World::new(1, 1, 2, 8, 8);
+    (0..4).for_each(|_| {
+        start(&mut world, checkpointable("a", "1x4"));
+    });
+    let job = JobSpec {
+        runtime: Some(Millis(3_600_000)),
+        ..pinned("b", "1x4")
+    };
+    let job = world.queue(job);
+    world.plan();
+    assert!(world.reclaimed.is_empty(), "it has not waited yet");
+    world.later(10_000);
+    assert_eq!(world.reclaimed.len(), 1);
+    stop_victims(&mut world);
+    assert!(world.placed.contains_key(&job));
+}
+
+/// Guards against gangs that wait although moving a small job would make room, and against moves
+/// without a gain.
+#[test]
+fn plan_compaction() {
+    let mut world = World::new(1, 2, 2, 8, 8);
+    let jobs: Vec<JobId> = (0..6).map(|_| start(&mut world, checkpointable("a", "1x4"))).collect();
+    world.end(jobs[0], End::Succeeded);
+    world.end(jobs[2], End::Succeeded);
+    world.end(jobs[4], End::Succeeded);
+    start(&mut world, pinned("a", "1x8"));
+    world.later(100);
+    assert!(world.reclaimed.is_empty(), "nobody waits");
+    let gang = world.queue(pinned("b", "1x8"));
+    world.plan();
+    assert!(world.reclaimed.is_empty(), "the gang has not waited");
+    world.later(2_500);
+    assert_eq!(world.reclaimed.len(), 1);
+    stop_victims(&mut world);
+    assert!(world.placed.contains_key(&gang));
+    assert_eq!(world.placed.len(), 5, "the moved job runs elsewhere");
+}
+
+/// Guards against a job that takes down worker after worker.
+#[test]
+fn plan_failed_on_three() {
+    let mut world = World::new(1, 1, 4, 8, 8);
+    let job = world.queue(spec("a", "1x1"));
+    for attempt in 0..3 {
+        world.plan();
+        assert!(world.placed.contains_key(&job), "attempt {attempt}");
+        let spec = world.end(job, End::Failed(0)).expect("it ran");
+        world.requeue(job, spec, Millis::ZERO);
+    }
+    world.plan();
+    assert!(
+        world.unrunnable[&job].starts_with("it failed on 3 workers"),
+        "{:?}",
+        world.unrunnable
+    );
+}
+
+/// Guards against a worker that fails every job and is the freest one because of it.
+#[test]
+fn plan_quarantine() {
+    let mut world = World::new(1, 1, 2, 8, 8);
+    let bad = world.workers.keys().next().expect("a worker").clone();
+    let fail = |world: &mut World, job: JobSpec| {
+        let job = world.queue(job);
+        world.plan();
+        let workers = world.placed.get(&job).map(|(_, workers)| workers.clone());
+        let end = if workers == Some(vec![bad.clone()]) {
+            End::Failed(0)
+        } else {
+            End::Succeeded
+        };
+        world.end(job, end);
+        end
+    };
+    for _ in 0..8 {
+        fail(&mut world, spec("a", "1x1"));
+    }
+    assert_eq!(world.planner.quarantined(), std::slice::from_ref(&bad));
+    assert_eq!(fail(&mut world, spec("a", "1x1")), End::Succeeded, "it goes elsewhere");
+    start(&mut world, pinned("a", "1x8"));
+    world.now += Millis(5_000);
+    let fixed = world.queue(pinned("a", "1x1"));
+    world.plan();
+    assert!(world.queued.contains_key(&fixed), "a probe must be idempotent");
+    assert_eq!(fail(&mut world, spec("a", "1x1")), End::Failed(0), "the probe");
+    world.now += Millis(5_000);
+    let probe = world.queue(spec("a", "1x1"));
+    assert_eq!(world.plan(), [], "the pause grows");
+    world.later(5_000);
+    assert!(world.placed.contains_key(&probe));
+    world.end(probe, End::Succeeded);
+    world.plan();
+    assert!(world.planner.quarantined().is_empty() && world.placed.contains_key(&fixed));
+}
+
+/// Guards against a job that is ended right after a take-over because its workers have not
+/// reported yet.
+#[test]
+fn plan_unrunnable_settled() {
+    let mut world = World::new(1, 1, 1, 8, 8);
+    let extra = World::new(1, 1, 2, 8, 8)
+        .workers
+        .into_values()
+        .nth(1)
+        .expect("a second worker")
+        .0;
+    world.now = Millis(1_000);
+    let job = world.queue(spec("a", "2x8"));
+    assert_eq!(world.plan(), []);
+    world.worker(extra);
+    world.plan();
+    assert!(world.placed.contains_key(&job));
+}
+
+/// Guards against adopted work that is not counted: at take-over jobs can be known before workers.
+#[test]
+fn apply_adopted_first() {
+    let mut world = World::new(1, 1, 1, 8, 8);
+    let known = world.workers.values().next().expect("a worker").0.clone();
+    world.planner = pistachiostair::Planner::new();
+    world.apply(Change::Adopted {
+        job: JobId(100),
+        spec: pinned("a", "1x8"),
+        workers: vec![known.name.clone()],
+    });
+    world.worker(known);
+    let job = world.queue(spec("a", "1x1"));
+    world.later(10_000);
+    assert!(world.queued.contains_key(&job), "the worker is full");
+    world.apply(Change::PartEnded(JobId(100), 0));
+    let decisions = world.plan();
+    assert!(matches!(&decisions[..], [Decision::Place { job: placed, .. }] if *placed == job));
+}
