--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -9,7 +9,6 @@
 use async_net::TcpListener;
 use hyper::StatusCode;
 
-use crate::answer::dispatch;
 use crate::api::{Api, error_reply};
 use crate::clock::Millis;
 use crate::config::Config;
@@ -26,6 +25,7 @@
 use crate::peer_tls::PeerTls;
 use crate::peers::{LinkSettings, Peers};
 use crate::resource::{Member, MemberState};
+use crate::serve::dispatch;
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::supervise::Supervise;
