Count the control plane's bytes at the sockets

Cause: docs/CAPACITY.md needs the bytes per second of a daemon, and the counter was never fed. Change: TCP streams and the UDP socket of the links count what they carry; TCP counts payload only. Conclusion: /metrics shows control_bytes_total; the test of metrics feeds the same counter.

--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -78,8 +78,9 @@
         let api_listener = bind("bind api", settings.api).await?;
         let admin_listener = bind("bind admin", settings.admin).await?;
         kernel.register(Arc::new(Metrics::new()?))?;
-        let platform = Arc::new(HttpClient::new(executor.clone(), STORE_CONNECTIONS, STORE_BODY));
         let metrics = kernel.find::<Metrics>()?;
+        let platform = HttpClient::new(executor.clone(), STORE_CONNECTIONS, STORE_BODY);
+        let platform = Arc::new(platform.with_traffic(metrics.traffic.clone()));
         kernel.register(Arc::new(
             Store::new(
                 platform,
@@ -235,7 +236,9 @@
     });
     kernel.register(Arc::new(Links::new(kernel.clone(), settings.name.clone(), local)))?;
     Config::start(kernel, settings.name.clone(), component_logger(log, Component::Policy))?;
-    let workers = Arc::new(HttpClient::new(executor.clone(), WORKER_CONNECTIONS, WORKER_BODY));
+    let traffic = kernel.find::<Metrics>()?.traffic.clone();
+    let workers = HttpClient::new(executor.clone(), WORKER_CONNECTIONS, WORKER_BODY);
+    let workers = Arc::new(workers.with_traffic(traffic));
     let region = settings.region.clone();
     let supervise = Supervise::new(
         kernel.clone(),
--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::traffic::{CountedStream, Traffic};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -57,6 +58,7 @@
     pools: Arc<Mutex<BTreeMap<String, Pool>>>,
     limit: usize,
     max_body: usize,
+    traffic: Arc<Traffic>,
 }
 
 impl HttpClient {
@@ -67,9 +69,17 @@
             pools: Arc::default(),
             limit,
             max_body,
+            traffic: Arc::default(),
         }
     }
 
+    /// Counts the bytes of its connections in `traffic`.
+    #[must_use]
+    pub fn with_traffic(mut self, traffic: Arc<Traffic>) -> Self {
+        self.traffic = traffic;
+        self
+    }
+
     /// Sends a request to `peer`, an `ip:port`, and reads the whole response.
     ///
     /// # Errors
@@ -159,7 +169,7 @@
             .await
             .map_err(|e| unavailable(e.into()))?;
         stream.set_nodelay(true).map_err(|e| unavailable(e.into()))?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http1::handshake(FuturesIo::new(CountedStream::new(stream, self.traffic.clone())))
             .await
             .map_err(|e| unavailable(e.into()))?;
         let epoch = guard.epoch;
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -81,6 +81,7 @@
 mod supervise;
 mod tenure;
 mod topology;
+mod traffic;
 mod validate;
 mod views;
 mod worker;
@@ -123,6 +124,7 @@
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
 pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
+pub use traffic::Traffic;
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
     join_findings, key_fault, name_fault, parse_json, parse_policy, parse_yaml,
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -1,11 +1,14 @@
 //! Counters and gauges of a daemon.
 
+use std::sync::Arc;
+
 use prometheus::core::Collector;
 use prometheus::{Encoder, Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::kernel::Service;
 use crate::planner::Figures;
+use crate::traffic::Traffic;
 
 #[cfg(test)]
 mod tests;
@@ -51,8 +54,9 @@
     pub policy: IntGauge,
     /// Term of this daemon's scheduler while it holds the lease, 0 otherwise.
     pub tenure: IntGauge,
-    /// Bytes between this daemon and other daemons, workers and the platform, by direction.
-    pub control: IntCounterVec,
+    /// Bytes between this daemon and other daemons, workers and the platform.
+    pub traffic: Arc<Traffic>,
+    control: IntCounterVec,
     cpu: Gauge,
     memory: IntGauge,
 }
@@ -94,6 +98,7 @@
             control: with.vec("control_bytes_total", "Bytes of the control plane.", &["direction"])?,
             cpu: with.float("process_cpu_seconds_total", "Processor time of the process.")?,
             memory: with.gauge("process_resident_bytes", "Resident memory of the process.")?,
+            traffic: Arc::default(),
             registry,
         })
     }
@@ -111,12 +116,6 @@
             .inc();
     }
 
-    /// Counts bytes that were received and sent on control connections.
-    pub fn count_control(&self, received: u64, sent: u64) {
-        self.control.with_label_values(&["received"]).inc_by(received);
-        self.control.with_label_values(&["sent"]).inc_by(sent);
-    }
-
     /// Takes over the planner's figures.
     pub fn set_figures(&self, figures: &Figures) {
         self.queue.set(figures.waiting as i64);
@@ -129,6 +128,10 @@
 
     /// All metrics in the text format of Prometheus.
     pub fn render(&self) -> String {
+        for (direction, total) in [("sent", self.traffic.sent()), ("received", self.traffic.received())] {
+            let counter = self.control.with_label_values(&[direction]);
+            counter.inc_by(total.saturating_sub(counter.get()));
+        }
         let usage = process_usage();
         self.cpu.set(usage.cpu);
         self.memory.set(usage.resident as i64);
--- a/crates/pistachiostair/src/metrics/tests.rs
+++ b/crates/pistachiostair/src/metrics/tests.rs
@@ -36,7 +36,7 @@
     let metrics = Metrics::new().unwrap();
     metrics.count_request("/v1/jobs", 201);
     metrics.count_refusal(ErrorKind::Unavailable, Ran::Unknown);
-    metrics.count_control(10, 20);
+    metrics.traffic.add_sent(20);
     let figures = Figures {
         accelerators: 8,
         used: 3,
--- a/crates/pistachiostair/src/peer_tls.rs
+++ b/crates/pistachiostair/src/peer_tls.rs
@@ -17,6 +17,8 @@
 
 use crate::error::{Error, ErrorKind, Result};
 use crate::kernel::Kernel;
+use crate::metrics::Metrics;
+use crate::traffic::CountedSocket;
 
 /// DNS name that each daemon's certificate must carry. It is the same for all, since VMs are replaced and
 /// their addresses with them.
@@ -176,6 +178,11 @@
     }
 
     fn wrap_udp_socket(&self, socket: std::net::UdpSocket) -> io::Result<Arc<dyn AsyncUdpSocket>> {
-        SmolRuntime.wrap_udp_socket(socket)
+        let socket = SmolRuntime.wrap_udp_socket(socket)?;
+        let metrics = self.0.upgrade().and_then(|kernel| kernel.find::<Metrics>().ok());
+        Ok(match metrics {
+            Some(metrics) => Arc::new(CountedSocket::new(socket, metrics.traffic.clone())),
+            None => socket,
+        })
     }
 }
