Add membership from heartbeats and the platform's list

Cause: services need to know which daemons and workers are live, leaving or dead, sooner than the platform's list says.

Change: `Membership`, a pure state machine. Heartbeats decide life and death, the list adds contacts and the leaving state, incarnations separate a restarted daemon from its predecessor, gossip carries members and leaders in turn to save bytes. After a pause of the own process, silence proves nothing and deadlines move. A worker is gone only after two lists in a row without it.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -30,6 +30,7 @@
 mod interface;
 mod kernel;
 mod logging;
+mod membership;
 mod message;
 mod metrics;
 mod peer_frame;
@@ -62,6 +63,7 @@
 pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use kernel::{Kernel, Service, Stop};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
+pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
 pub use metrics::{Metrics, ProcessUsage, process_usage};
 pub use peer_tls::PeerTls;
