Add retry budget, backoff and circuit breaker

Cause: retries must not multiply load on a failing peer, and a peer that fails must be left alone for a while.

Change: `Budget` (10% of the requests of ten seconds, at least 3), `Backoff` (exponential, jitter from a seed passed in) and `Breaker` (closed, open, half-open). A request carries a `Pass`, so that a late outcome from before a change of state is not taken for the probe's, and a probe without an outcome counts as failed after 10 s.

Figures: none beyond the tests: 1,000 requests that are all retried give 100 retries.

Conclusion: the pure parts are ready for the store and the services.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -40,6 +40,7 @@
 mod planner;
 mod rendezvous;
 mod resource;
+mod retry;
 mod scheduler;
 mod settings;
 mod store;
@@ -74,6 +75,7 @@
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
+pub use retry::{Backoff, Breaker, BreakerState, Budget, Pass};
 pub use scheduler::{Action, Event, LogLine, Token};
 pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
 pub use store::Store;
--- /dev/null
+++ b/crates/pistachiostair/tests/retry.rs
@@ -0,0 +1,141 @@
+//! Retry budget, backoff and circuit breaker.
+
+use pistachiostair::{Backoff, Breaker, BreakerState, Budget, Millis};
+use proptest::prelude::*;
+
+/// Guards against retries that multiply the load of a failing peer.
+#[test]
+fn budget_over_share() {
+    let mut budget = Budget::new();
+    let mut retries = 0;
+    for number in 0..1_000 {
+        budget.request(Millis(number));
+        retries += u32::from(budget.retry(Millis(number)));
+    }
+    assert_eq!(retries, 100);
+}
+
+/// Guards against rare requests that are never retried, and against a floor that isn't one per span.
+#[test]
+fn budget_floor() {
+    let mut budget = Budget::new();
+    budget.request(Millis(0));
+    let granted = (0..10).filter(|_| budget.retry(Millis(5))).count();
+    assert_eq!(granted, 3);
+    assert!(!budget.retry(Millis(9_999)));
+    assert!(budget.retry(Millis(10_000)));
+}
+
+/// Guards against load of long ago that still allows retries now, after any gap.
+#[test]
+fn budget_forgets() {
+    for gap in [10_000, 10_001, 95_000, 1_000_000_000] {
+        let mut budget = Budget::new();
+        (0..1_000).for_each(|_| budget.request(Millis(500)));
+        let granted = (0..200).filter(|_| budget.retry(Millis(gap))).count();
+        assert_eq!(granted, 3, "after {gap} ms");
+    }
+}
+
+proptest! {
+    /// Guards against pauses of zero, beyond the cap, or that overflow after many attempts.
+    #[test]
+    fn backoff_bounds(base in 2_u64..5_000, cap in 1_u64..60_000, seed: u64) {
+        let mut backoff = Backoff::new(Millis(base), Millis(cap), seed);
+        for attempt in 0..100_u32 {
+            let pause = backoff.pause().0;
+            let longest = base.saturating_mul(1 << attempt.min(40)).min(cap);
+            prop_assert!(pause >= 1 && pause <= longest, "attempt {}: {} ms", attempt, pause);
+        }
+        backoff.reset();
+        prop_assert!(backoff.pause().0 <= base);
+    }
+}
+
+/// Guards against daemons whose retries arrive together.
+#[test]
+fn backoff_seeds_differ() {
+    let pauses = |seed| {
+        let mut backoff = Backoff::new(Millis(100), Millis(10_000), seed);
+        (0..6).map(|_| backoff.pause()).collect::<Vec<_>>()
+    };
+    assert_eq!(pauses(1), pauses(1));
+    assert_ne!(pauses(1), pauses(2));
+}
+
+/// Fails requests until the breaker opens, and returns the time of the last one.
+fn open(breaker: &mut Breaker) -> Millis {
+    for number in 0..5 {
+        let pass = breaker.admit(Millis(number)).unwrap();
+        breaker.failed(Millis(number), pass);
+    }
+    assert_eq!(breaker.state(), BreakerState::Open { until: Millis(504) });
+    Millis(504)
+}
+
+/// Guards against a breaker that opens because of failures that successes interrupt.
+#[test]
+fn breaker_failures_in_row() {
+    let mut breaker = Breaker::new();
+    for number in 0..100 {
+        let pass = breaker.admit(Millis(number)).unwrap();
+        if number % 5 == 4 {
+            breaker.succeeded(pass);
+        } else {
+            breaker.failed(Millis(number), pass);
+        }
+    }
+    assert_eq!(breaker.state(), BreakerState::Closed);
+}
+
+/// Guards against a peer that gets all requests again at once, before a single one has succeeded.
+#[test]
+fn breaker_one_probe() {
+    let mut breaker = Breaker::new();
+    let until = open(&mut breaker);
+    assert_eq!(breaker.admit(Millis(404)), Err(Millis(100)));
+    let probe = breaker.admit(until).unwrap();
+    assert!((0..10).all(|_| breaker.admit(until).is_err()));
+    breaker.succeeded(probe);
+    assert_eq!(breaker.state(), BreakerState::Closed);
+}
+
+/// Guards against a peer that stays down for long and is probed at the same pace, or never again.
+#[test]
+fn breaker_open_grows() {
+    let mut breaker = Breaker::new();
+    let mut now = open(&mut breaker);
+    let mut spans = Vec::new();
+    for _ in 0..6 {
+        let probe = breaker.admit(now).unwrap();
+        breaker.failed(now, probe);
+        let wait = breaker.admit(now).unwrap_err();
+        spans.push(wait.0);
+        now += wait;
+    }
+    assert_eq!(spans, [1_000, 2_000, 4_000, 8_000, 8_000, 8_000]);
+}
+
+/// Guards against late outcomes of requests from before the breaker opened, taken for the probe's.
+#[test]
+fn breaker_late_outcome() {
+    let mut breaker = Breaker::new();
+    let early = breaker.admit(Millis(0)).unwrap();
+    let until = open(&mut breaker);
+    breaker.succeeded(early);
+    assert!(breaker.admit(Millis(10)).is_err());
+    let _probe = breaker.admit(until).unwrap();
+    breaker.succeeded(early);
+    breaker.failed(until, early);
+    assert_eq!(breaker.state(), BreakerState::HalfOpen { since: until });
+}
+
+/// Guards against a breaker that stays half-open for ever after its probe was cancelled.
+#[test]
+fn breaker_lost_probe() {
+    let mut breaker = Breaker::new();
+    let until = open(&mut breaker);
+    let _lost = breaker.admit(until).unwrap();
+    assert!(breaker.admit(until + Millis(9_999)).is_err());
+    assert!(breaker.admit(until + Millis(10_000)).is_ok());
+}
