Add admission per client account

Cause: one account's burst must not take the requests in progress of a daemon from the others.

Change: `Admission` with a token bucket and outstanding work per account, and a total. Half of the total is divided by weight among the tracked accounts and always available to them; the other half is common. At most 1,024 accounts are tracked.

Conclusion: an account within its part is admitted whatever the others do, checked for random orders with proptest. An account that is alone can use half of the total and its own part.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -29,6 +29,7 @@
 mod ids;
 mod interface;
 mod kernel;
+mod limits;
 mod logging;
 mod membership;
 mod message;
@@ -63,6 +64,7 @@
 };
 pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use kernel::{Kernel, Service, Stop};
+pub use limits::{AccountLimits, Admission, MAX_ACCOUNTS, Permit, Refusal, RefusalReason};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
