Add outlier ejection and the configuration state

Change: `Ejector` ejects after 5 failures in a row or half of at least 20 requests in 10 s, for 5 s, doubled each time up to 300 s, at most a third of the upstreams at once.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -23,6 +23,7 @@
 mod appender;
 mod clock;
 mod edge;
+mod ejection;
 mod error;
 mod http_client;
 mod http_server;
@@ -39,6 +40,7 @@
 mod peer_tls;
 mod peers;
 mod planner;
+mod policy;
 mod rendezvous;
 mod resource;
 mod retry;
@@ -52,6 +54,7 @@
 pub use appender::{AppendAction, AppendEvent};
 pub use clock::{Clock, Millis};
 pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
+pub use ejection::Ejector;
 pub use error::{Error, ErrorKind, Ran, Result};
 pub use http_client::{HttpAnswer, HttpCall, HttpClient};
 pub use http_server::{
@@ -72,6 +75,7 @@
 pub use peer_tls::PeerTls;
 pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
+pub use policy::{MAX_DOCUMENT, PolicySpread, PolicyState};
 pub use rendezvous::{owner, share};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
--- /dev/null
+++ b/crates/pistachiostair/tests/ejection.rs
@@ -0,0 +1,113 @@
+//! Ejection of outliers.
+
+use pistachiostair::{Ejector, Millis};
+use proptest::prelude::*;
+
+fn ejector(count: u32) -> Ejector<u32> {
+    let mut ejector = Ejector::new();
+    ejector.set(0..count);
+    ejector
+}
+
+/// Records failures of an upstream until it is ejected, at most 100; returns their number and the end.
+fn fail(ejector: &mut Ejector<u32>, now: Millis, upstream: u32) -> Option<(u32, Millis)> {
+    (1..=100).find_map(|number| Some((number, ejector.record(now, &upstream, false)?)))
+}
+
+/// Guards against an upstream that fails everything and still gets requests.
+#[test]
+fn record_consecutive() {
+    let mut ejector = ejector(9);
+    assert_eq!(fail(&mut ejector, Millis(100), 3), Some((5, Millis(5_100))));
+    assert!(ejector.is_ejected(Millis(5_099), &3));
+    assert!(!ejector.is_ejected(Millis(5_100), &3));
+}
+
+/// Guards against an upstream that fails half of its requests, never five in a row.
+#[test]
+fn record_failure_rate() {
+    let mut ejector = ejector(9);
+    let outcome = |number: u64, ejector: &mut Ejector<u32>| ejector.record(Millis(number), &3, number % 2 == 1);
+    let ejected = (0..100).find(|&number| outcome(number, &mut ejector).is_some());
+    assert_eq!(ejected, Some(20));
+}
+
+/// Guards against a healthy upstream ejected because of a few failures or of old ones.
+#[test]
+fn record_few_failures() {
+    let mut ejector = ejector(9);
+    for number in 0..2_000 {
+        // One failure in three, then a single one every 11 s.
+        assert_eq!(ejector.record(Millis(number * 10), &3, number % 3 > 0), None);
+        assert_eq!(ejector.record(Millis(number * 11_000), &4, number % 3 > 0), None);
+    }
+}
+
+/// Guards against the loss of most capacity when the fault is not the upstreams': at most a third.
+#[test]
+fn record_all_fail() {
+    for count in 0..20 {
+        let mut ejector = ejector(count);
+        let ejected = (0..count)
+            .filter_map(|upstream| fail(&mut ejector, Millis(0), upstream))
+            .count();
+        assert_eq!(
+            (ejected, ejector.ejected(Millis(1)).len()),
+            (count as usize / 3, count as usize / 3)
+        );
+    }
+}
+
+/// Guards against a broken upstream that returns as often as a once unlucky one, and one that never returns.
+#[test]
+fn record_growing_time() {
+    let mut ejector = ejector(9);
+    let mut now = Millis(0);
+    let mut spans = Vec::new();
+    for _ in 0..8 {
+        let (_, until) = fail(&mut ejector, now, 3).unwrap();
+        spans.push(until.since(now).0 / 1_000);
+        now = until;
+    }
+    assert_eq!(spans, [5, 10, 20, 40, 80, 160, 300, 300]);
+    now += Millis(300_000);
+    ejector.record(now, &3, true);
+    assert_eq!(fail(&mut ejector, now, 3), Some((5, now + Millis(5_000))));
+}
+
+/// Guards against a returned upstream that gets as many requests to fail as before, and one success that
+/// does not count.
+#[test]
+fn record_after_return() {
+    let mut ejector = ejector(9);
+    let (_, until) = fail(&mut ejector, Millis(0), 3).unwrap();
+    assert_eq!(fail(&mut ejector, until, 3).unwrap().0, 2);
+    let (_, until) = fail(&mut ejector, Millis(0), 4).unwrap();
+    ejector.record(until, &4, true);
+    assert_eq!(fail(&mut ejector, until, 4).unwrap().0, 5);
+}
+
+/// Guards against outcomes of requests from before the ejection that prolong it or end it.
+#[test]
+fn record_late_outcome() {
+    let mut ejector = ejector(9);
+    let (_, until) = fail(&mut ejector, Millis(0), 3).unwrap();
+    assert_eq!(fail(&mut ejector, Millis(10), 3), None);
+    ejector.record(Millis(20), &3, true);
+    assert!(ejector.is_ejected(Millis(21), &3));
+    assert_eq!(fail(&mut ejector, until, 3).unwrap().0, 2);
+}
+
+proptest! {
+    /// Guards against any order of outcomes and changes of the set that ejects more than a third.
+    #[test]
+    fn record_any_order(steps in proptest::collection::vec((0_u64..3_000, 0_u32..12, any::<bool>()), 0..500)) {
+        let mut ejector = ejector(12);
+        let mut now = Millis(0);
+        for (span, upstream, success) in steps {
+            now += Millis(span);
+            ejector.record(now, &upstream, success);
+            prop_assert!(ejector.ejected(now).len() <= 4);
+        }
+    }
+}
