--- a/crates/pistachiostair/src/api_jobs.rs
+++ b/crates/pistachiostair/src/api_jobs.rs
@@ -6,11 +6,12 @@
     Api, MAX_WAIT, if_match, json_reply, list_reply, millis_param, parse_body, refuse_findings, unexpected,
 };
 use crate::clock::Millis;
-use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::error::{Error, ErrorKind, Result};
 use crate::http_server::{HttpReply, HttpRequest};
 use crate::ids::{AccountName, Revision};
 use crate::interface::Explanation;
-use crate::message::{Call, Response};
+use crate::limits::AccountLimits;
+use crate::message::{Call, Failure, Response};
 use crate::resource::{AccountSpec, Job, JobSpec, Metadata};
 use crate::validate;
 
@@ -174,18 +175,28 @@
     fn admit(&self, account: &AccountName, spec: &AccountSpec) -> Result<Admitted<'_>> {
         let (_, policy) = self.config.policy();
         let now = self.kernel.clock.now();
+        // Callers reach all daemons of the region alike, so each admits its part of the rate.
+        let daemons = self.members.region_daemons().max(1) as u32;
+        let part = |rate: u32| rate.div_ceil(daemons).max(1);
+        let defaults = AccountLimits {
+            rate: part(policy.limits.rate),
+            outstanding: policy.limits.requests,
+            weight: 1,
+        };
+        let own = AccountLimits {
+            rate: spec.rate.map_or(defaults.rate, part),
+            weight: policy.weights.get(account).copied().unwrap_or(spec.weight),
+            ..defaults
+        };
         let mut admission = self.admission.lock().expect("admission lock");
-        admission.set_limits(&policy.limits);
-        admission.set_account(account, spec);
+        admission.configure(policy.limits.requests, defaults);
+        admission.limit(now, account, Some(own));
         match admission.admit(now, account, 1) {
             Ok(permit) => Ok(Admitted {
                 api: self,
                 permit: Some(permit),
             }),
-            Err(refusal) => Err(Error::msg(ErrorKind::Limited, "admit", refusal.reason)
-                .at(account.as_str())
-                .ran(Ran::No)
-                .retry_after(refusal.retry.0)),
+            Err(refusal) => Err(Failure::from(&refusal).into_error("admit", account.as_str())),
         }
     }
 }
--- a/crates/pistachiostair/src/config.rs
+++ b/crates/pistachiostair/src/config.rs
@@ -19,6 +19,7 @@
 use crate::record;
 use crate::resource::{Account, AccountSpec, Guarantee, Metadata, Policy};
 use crate::store::Store;
+use crate::validate;
 
 /// Row that is written with each change of an account or a guarantee, so that one read tells whether there is news.
 pub(crate) const CATALOG_KEY: &str = "catalog";
@@ -129,6 +130,11 @@
         self.shared.lock().expect("config lock").ready
     }
 
+    /// Whether a newer configuration exists than the one in force here.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.shared.lock().expect("config lock").policy.is_behind()
+    }
+
     /// Whether the last look at the table service succeeded.
     pub(crate) fn store_reached(&self) -> bool {
         self.shared.lock().expect("config lock").reached
@@ -180,8 +186,9 @@
                 slog::info!(self.log, "applied"; "revision" => revision.0, "source" => source);
             }
             Ok(false) => {}
-            Err(error) => {
-                slog::error!(self.log, "not applied"; "revision" => revision.0, "error" => %error);
+            Err(findings) => {
+                let reason = validate::join_findings(&findings);
+                slog::error!(self.log, "not applied"; "revision" => revision.0, "error" => reason);
             }
         }
     }
@@ -288,7 +295,7 @@
         author: &str,
         expected: Option<Revision>,
     ) -> Result<Revision> {
-        PolicyState::parse(document)?;
+        parse_document(document)?;
         let head = self
             .store
             .get(HEAD_KEY)
@@ -512,6 +519,21 @@
     Possibly,
 }
 
+/// Parses and checks a configuration.
+///
+/// # Errors
+///
+/// `Invalid` with all findings.
+pub(crate) fn parse_document(document: &str) -> Result<Policy> {
+    validate::parse_policy(document).map_err(|findings| {
+        Error::msg(
+            ErrorKind::Invalid,
+            "parse configuration",
+            validate::join_findings(&findings),
+        )
+    })
+}
+
 fn account_key(name: &AccountName) -> String {
     format!("{ACCOUNT_PREFIX}{name}")
 }
--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -17,14 +17,14 @@
 use crate::http_client::HttpClient;
 use crate::http_server::{HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer};
 use crate::kernel::{Kernel, Stop};
-use crate::limits::Admission;
+use crate::limits::{AccountLimits, Admission};
 use crate::links::Links;
 use crate::logging::{Component, component_logger};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
 use crate::peers::{LinkSettings, Peers};
-use crate::resource::{Member, MemberState};
+use crate::resource::{Limits, Member, MemberState};
 use crate::serve::dispatch;
 use crate::settings::Settings;
 use crate::store::Store;
@@ -271,7 +271,7 @@
         config: kernel.find()?,
         members: kernel.find()?,
         metrics: kernel.find()?,
-        admission: std::sync::Mutex::new(Admission),
+        admission: std::sync::Mutex::new(initial_admission()),
         running: AtomicUsize::new(0),
         watches: Arc::new(AtomicUsize::new(0)),
         watch_limit: settings.limits.watches,
@@ -281,6 +281,17 @@
     Ok(api)
 }
 
+/// Admission by the default limits, until the first request brings those in force.
+fn initial_admission() -> Admission {
+    let limits = Limits::default();
+    let defaults = AccountLimits {
+        rate: limits.rate,
+        outstanding: limits.requests,
+        weight: 1,
+    };
+    Admission::new(limits.requests, defaults)
+}
+
 fn refusal() -> HttpRefusal {
     Arc::new(|status, reason| {
         let kind = match status {
@@ -324,6 +335,9 @@
     if !config.is_ready() {
         return Err("the configuration is not known yet".to_owned());
     }
+    if config.is_behind() {
+        return Err("a newer configuration is known and not in force yet".to_owned());
+    }
     if !config.store_reached() {
         return Ok("ready; the table service is not reached, the configuration may be behind");
     }
--- a/crates/pistachiostair/src/links.rs
+++ b/crates/pistachiostair/src/links.rs
@@ -1,6 +1,6 @@
 //! Requests to other daemons and to the schedulers of regions, found by name.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use futures_lite::future;
 
@@ -12,6 +12,7 @@
 use crate::members::Members;
 use crate::message::{Call, Leader, Request, Response};
 use crate::peers::Peers;
+use crate::retry::Budget;
 
 /// Pause between two attempts to reach a region's scheduler.
 const RETRY_PAUSE: Millis = Millis(150);
@@ -27,6 +28,7 @@
     kernel: Arc<Kernel>,
     me: DaemonName,
     dispatch: Dispatch,
+    budget: Mutex<Budget>,
 }
 
 impl Service for Links {
@@ -35,7 +37,12 @@
 
 impl Links {
     pub(crate) fn new(kernel: Arc<Kernel>, me: DaemonName, dispatch: Dispatch) -> Self {
-        Self { kernel, me, dispatch }
+        Self {
+            kernel,
+            me,
+            dispatch,
+            budget: Mutex::default(),
+        }
     }
 
     /// Sends a request to a daemon and waits for the response.
@@ -76,6 +83,10 @@
     /// key, and cancelling, draining and conditional writes have the same effect twice.
     pub(crate) async fn call(&self, region: &RegionName, call: &Call, deadline: Millis) -> Result<Response> {
         let mut ran = Ran::No;
+        self.budget
+            .lock()
+            .expect("budget lock")
+            .request(self.kernel.clock.now());
         loop {
             let left = deadline.since(self.kernel.clock.now());
             let request = Request::Call {
@@ -97,7 +108,10 @@
             }
             let passing = matches!(error.kind, ErrorKind::Unavailable | ErrorKind::Timeout);
             let pause = Millis(error.retry.unwrap_or(RETRY_PAUSE.0).clamp(20, 1_000));
-            if !passing || self.kernel.clock.now() + pause >= deadline {
+            // Only a request that reached a scheduler counts as load on it.
+            let allowed =
+                error.ran == Ran::No || self.budget.lock().expect("budget lock").retry(self.kernel.clock.now());
+            if !passing || !allowed || self.kernel.clock.now() + pause >= deadline {
                 if passing && matches!(call, Call::Submit { .. }) && ran != Ran::No {
                     error.ran = ran;
                 }
