--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -9,12 +9,14 @@
 use bytes::Bytes;
 use futures_lite::future;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::http_lines::HttpLines;
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -106,6 +108,28 @@
         }
     }
 
+    /// Sends a request on a connection of its own and returns once the head of the response is there;
+    /// the body is then read line by line. The call's timeout is for the head.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn stream(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpLines> {
+        let attempt = async {
+            let (_, mut sender) = self.connect(peer).await?;
+            self.request(peer, &mut sender, &call).await
+        };
+        let lapsed = async {
+            Timer::after(call.timeout.duration()).await;
+            let message = format!("no response within {}", call.timeout);
+            Err(Error::msg(ErrorKind::Timeout, "http request", message)
+                .at(peer)
+                .ran(Ran::Unknown))
+        };
+        let response = future::or(attempt, lapsed).await?;
+        Ok(HttpLines::new(peer, response, self.max_body))
+    }
+
     /// Closes all idle connections to `peer`.
     pub fn forget(&self, peer: &str) {
         if let Some(pool) = self.pools.lock().expect("pool lock").get_mut(peer) {
@@ -196,19 +220,7 @@
         sender: &mut SendRequest<Full<Bytes>>,
         call: &HttpCall<'_>,
     ) -> Result<HttpAnswer> {
-        let invalid = |e: hyper::http::Error| Error::new(ErrorKind::Invalid, "build request", e).at(peer);
-        let mut builder = Request::builder()
-            .method(call.method.clone())
-            .uri(call.path)
-            .header("host", peer);
-        for (name, value) in call.headers {
-            builder = builder.header(*name, *value);
-        }
-        let request = builder.body(Full::new(call.body.clone())).map_err(invalid)?;
-        let response = sender.send_request(request).await.map_err(|e| {
-            let ran = if e.is_canceled() { Ran::No } else { Ran::Unknown };
-            Error::new(ErrorKind::Unavailable, "send request", e).at(peer).ran(ran)
-        })?;
+        let response = self.request(peer, sender, call).await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), self.max_body)
             .collect()
@@ -223,6 +235,27 @@
             body: body.to_bytes(),
         })
     }
+
+    async fn request(
+        &self,
+        peer: &str,
+        sender: &mut SendRequest<Full<Bytes>>,
+        call: &HttpCall<'_>,
+    ) -> Result<Response<Incoming>> {
+        let invalid = |e: hyper::http::Error| Error::new(ErrorKind::Invalid, "build request", e).at(peer);
+        let mut builder = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path)
+            .header("host", peer);
+        for (name, value) in call.headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(call.body.clone())).map_err(invalid)?;
+        sender.send_request(request).await.map_err(|e| {
+            let ran = if e.is_canceled() { Ran::No } else { Ran::Unknown };
+            Error::new(ErrorKind::Unavailable, "send request", e).at(peer).ran(ran)
+        })
+    }
 }
 
 /// A place among the open connections of a peer, given back when the connection ends.
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -25,6 +25,7 @@
 mod edge;
 mod error;
 mod http_client;
+mod http_lines;
 mod http_server;
 mod ids;
 mod interface;
@@ -46,6 +47,7 @@
 pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
 pub use error::{Error, ErrorKind, Ran, Result};
 pub use http_client::{HttpAnswer, HttpCall, HttpClient};
+pub use http_lines::HttpLines;
 pub use http_server::{
     HttpBody, HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer, decode_percent, encode_percent,
     parse_query,
@@ -70,6 +72,6 @@
 pub use tenure::{TenureAction, TenureEvent};
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
-    join_findings, key_fault, name_fault, parse_json, parse_policy, parse_yaml,
+    join_findings, key_fault, locate_fault, name_fault, parse_json, parse_policy, parse_yaml,
 };
 pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- a/crates/pistachiostair/src/validate.rs
+++ b/crates/pistachiostair/src/validate.rs
@@ -84,7 +84,7 @@
 ///
 /// A finding with the path of the field where the parser names it.
 pub fn parse_yaml<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Finding> {
-    serde_norway::from_slice(bytes).map_err(|error| locate(&error.to_string()))
+    serde_norway::from_slice(bytes).map_err(|error| locate_fault(&error.to_string()))
 }
 
 /// Parses and checks a configuration document in YAML.
@@ -98,8 +98,8 @@
     if findings.is_empty() { Ok(policy) } else { Err(findings) }
 }
 
-/// Splits an error text such as `spec.shape: reason` into path and reason.
-fn locate(text: &str) -> Finding {
+/// Splits a YAML parser's error text such as `spec.shape: reason` into path and reason.
+pub fn locate_fault(text: &str) -> Finding {
     let path_char = |c: char| c.is_ascii_alphanumeric() || "_-.[]".contains(c);
     let (prefix, reason) = match text.split_once(": ") {
         Some((path, reason)) if !path.is_empty() && path.chars().all(path_char) => (path, reason),
