--- a/crates/pistachiostair/src/edge.rs
+++ b/crates/pistachiostair/src/edge.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 
 use crate::error::Result;
+use crate::ids::RegionName;
 use crate::resource::MemberState;
 use crate::{closed_set, record};
 
@@ -115,6 +116,9 @@
         pub address: String,
         /// State as far as the platform knows.
         pub state: MemberState,
+        /// Region, if the platform tells it.
+        #[serde(default)]
+        pub region: Option<RegionName>,
     }
 }
 
