--- a/crates/pstair/src/api.rs
+++ b/crates/pstair/src/api.rs
@@ -12,42 +12,68 @@
 use crate::cli::JobPath;
 use crate::client::{ApiCall, Client};
 
+/// Jobs in a full page of a list; a shorter page is the last one.
+const PAGE: usize = 500;
+
 /// An object of the interface.
 pub(crate) trait Object: Serialize + DeserializeOwned {
     /// Word for its kind, as in a document.
     const KIND: &'static str;
     /// Path of its list.
     const PATH: &'static str;
+    /// Whether its list comes in pages that continue after a revision.
+    const PAGED: bool = false;
+    /// Name under which the interface finds it.
+    fn name(&self) -> String;
 }
 
 impl Object for Job {
     const KIND: &'static str = "Job";
     const PATH: &'static str = "/v1/jobs";
+    const PAGED: bool = true;
+    fn name(&self) -> String {
+        format!("{}/{}", self.spec.account, self.metadata.name)
+    }
 }
 
 impl Object for Account {
     const KIND: &'static str = "Account";
     const PATH: &'static str = "/v1/accounts";
+    fn name(&self) -> String {
+        self.metadata.name.clone()
+    }
 }
 
 impl Object for Guarantee {
     const KIND: &'static str = "Guarantee";
     const PATH: &'static str = "/v1/guarantees";
+    fn name(&self) -> String {
+        self.metadata.name.clone()
+    }
 }
 
 impl Object for Worker {
     const KIND: &'static str = "Worker";
     const PATH: &'static str = "/v1/workers";
+    fn name(&self) -> String {
+        self.info.name.to_string()
+    }
 }
 
 impl Object for Member {
     const KIND: &'static str = "Member";
     const PATH: &'static str = "/v1/members";
+    fn name(&self) -> String {
+        self.name.to_string()
+    }
 }
 
 impl Object for Configuration {
     const KIND: &'static str = "Configuration";
     const PATH: &'static str = "/v1/configuration";
+    fn name(&self) -> String {
+        self.metadata.name.clone()
+    }
 }
 
 /// An object that is replaced as a whole under `If-Match`.
@@ -111,6 +137,12 @@
     object_path::<Job>(&format!("{}/{}", job.account, job.name))
 }
 
+/// Adds a parameter to a path.
+pub(crate) fn with_query(path: &str, name: &str, value: impl std::fmt::Display) -> String {
+    let separator = if path.contains('?') { '&' } else { '?' };
+    format!("{path}{separator}{name}={value}")
+}
+
 /// Path of a list, of the jobs of one client account if it is given.
 pub(crate) fn list_path<T: Object>(account: Option<&str>) -> String {
     account.map_or_else(
@@ -122,7 +154,29 @@
 impl Client {
     /// Lists objects.
     pub(crate) async fn list<T: Object>(&self, account: Option<&str>) -> Result<Listing<T>> {
-        let call = ApiCall::read("list", list_path::<T>(account));
+        let mut listing = self.page::<T>(account, Revision(0)).await?;
+        let mut last = listing.items.len();
+        while T::PAGED && last >= PAGE {
+            let page = self.page::<T>(account, listing.revision).await?;
+            last = page.items.len();
+            listing.revision = page.revision;
+            // An object that changed meanwhile comes again at its new revision.
+            listing
+                .items
+                .retain(|old| !page.items.iter().any(|new| new.name() == old.name()));
+            listing.items.extend(page.items);
+        }
+        Ok(listing)
+    }
+
+    async fn page<T: Object>(&self, account: Option<&str>, after: Revision) -> Result<Listing<T>> {
+        let path = with_query(&list_path::<T>(account), "after", after);
+        let path = if after == Revision(0) {
+            list_path::<T>(account)
+        } else {
+            path
+        };
+        let call = ApiCall::read("list", path);
         self.send(&call).await?.parse(&call)
     }
 
@@ -207,7 +261,7 @@
     }
 
     /// Drains a worker or ends its drain.
-    pub(crate) async fn drain(&self, worker: &str, drain: bool) -> Result<Worker> {
+    pub(crate) async fn drain(&self, worker: &str, drain: bool) -> Result<Option<Worker>> {
         let (step, verb) = if drain {
             ("drain worker", "drain")
         } else {
@@ -215,7 +269,11 @@
         };
         let path = format!("{}/{verb}", object_path::<Worker>(worker));
         let call = ApiCall::write(step, Method::POST, path);
-        self.send(&call).await?.parse(&call)
+        let reply = self.send(&call).await?;
+        if reply.status == StatusCode::NO_CONTENT {
+            return Ok(None);
+        }
+        reply.parse(&call).map(Some)
     }
 
     /// Past configurations, newest first.
--- a/crates/pstair/src/cli.rs
+++ b/crates/pstair/src/cli.rs
@@ -37,6 +37,9 @@
     /// Addresses of daemons, host:port; the next one is used if one can't be reached
     #[arg(long, global = true, env = "PSTAIR_SERVER", value_delimiter = ',', value_parser = parse_server)]
     pub(crate) server: Vec<String>,
+    /// Region of jobs, guarantees and workers; the server's own if absent
+    #[arg(long, global = true)]
+    pub(crate) region: Option<String>,
     /// Format of the output
     #[arg(short, long, global = true, value_enum, default_value_t = Format::Table)]
     pub(crate) output: Format,
@@ -230,9 +233,6 @@
     /// Text for the worker
     #[arg(long)]
     pub(crate) payload: Option<String>,
-    /// Region; the server's own if absent
-    #[arg(long)]
-    pub(crate) region: Option<String>,
     /// Idempotency key; the name, or a random one, if absent
     #[arg(long)]
     pub(crate) key: Option<String>,
--- a/crates/pstair/src/client.rs
+++ b/crates/pstair/src/client.rs
@@ -6,9 +6,11 @@
 use async_executor::Executor;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use pistachiostair::{Error, ErrorKind, Failure, HttpCall, HttpClient, HttpLines, Millis, Ran, Result};
+use pistachiostair::{Error, ErrorKind, Failure, HttpCall, HttpClient, HttpLines, Millis, Ran, Result, encode_percent};
 use serde::de::DeserializeOwned;
 
+use crate::api::with_query;
+
 /// Connections to one server; one for requests and one for a watch are in use.
 const CONNECTIONS: usize = 4;
 /// Largest response, and largest line of a watch, in bytes. A list of 20,000 jobs is about 16 MB.
@@ -125,19 +127,35 @@
     current: Cell<usize>,
     /// Longest wait for one server's response.
     pub(crate) timeout: Millis,
+    /// Region to ask about; the server's own if absent.
+    pub(crate) region: Option<String>,
 }
 
 impl Client {
     /// A client that starts with the first server.
-    pub(crate) fn new(executor: Arc<Executor<'static>>, servers: Vec<String>, timeout: Millis) -> Self {
+    pub(crate) fn new(
+        executor: Arc<Executor<'static>>,
+        servers: Vec<String>,
+        timeout: Millis,
+        region: Option<String>,
+    ) -> Self {
         Self {
             http: HttpClient::new(executor, CONNECTIONS, MAX_BODY),
             servers,
             current: Cell::new(0),
             timeout,
+            region,
         }
     }
 
+    /// The path of a call with the region, if one is given.
+    fn path(&self, call: &ApiCall) -> String {
+        self.region.as_ref().map_or_else(
+            || call.path.clone(),
+            |region| with_query(&call.path, "region", encode_percent(region)),
+        )
+    }
+
     /// Sends a request to the current server and, as far as it can't take effect twice, to the
     /// others. An error has `ran: unknown` if any attempt may have taken effect.
     pub(crate) async fn send(&self, call: &ApiCall) -> Result<Reply> {
@@ -198,9 +216,10 @@
 
     async fn attempt(&self, call: &ApiCall, server: &str) -> Result<Reply> {
         let headers = borrow(&call.headers);
+        let path = self.path(call);
         let answer = self
             .http
-            .send(server, self.http_call(call, &headers))
+            .send(server, self.http_call(call, &path, &headers))
             .await
             .map_err(|error| transport(call, server, error))?;
         if answer.status.is_success() {
@@ -215,9 +234,10 @@
 
     async fn open(&self, call: &ApiCall, server: &str) -> Result<HttpLines> {
         let headers = borrow(&call.headers);
+        let path = self.path(call);
         let lines = self
             .http
-            .stream(server, self.http_call(call, &headers))
+            .stream(server, self.http_call(call, &path, &headers))
             .await
             .map_err(|error| transport(call, server, error))?;
         let status = lines.status();
@@ -228,10 +248,10 @@
         Err(refusal(call, server, status, &body))
     }
 
-    fn http_call<'a>(&self, call: &'a ApiCall, headers: &'a [(&'a str, &'a str)]) -> HttpCall<'a> {
+    fn http_call<'a>(&self, call: &ApiCall, path: &'a str, headers: &'a [(&'a str, &'a str)]) -> HttpCall<'a> {
         HttpCall {
             method: call.method.clone(),
-            path: &call.path,
+            path,
             headers,
             body: call.body.clone(),
             timeout: self.timeout + call.hold,
--- a/crates/pstair/src/jobs.rs
+++ b/crates/pstair/src/jobs.rs
@@ -19,13 +19,12 @@
 
 /// Submits a job and, if asked to, waits for its end.
 pub(crate) async fn submit(client: &Client, printer: &mut Printer<'_>, args: &SubmitArgs) -> Result<Exit> {
-    let (metadata, spec) = to_job(args)?;
+    let (metadata, spec) = to_job(args, client.region.as_deref())?;
     let key = job_key(args.key.as_deref(), &metadata);
-    let (job, _) = client.create_job(&metadata, &spec, &key).await.map_err(|error| {
+    let (job, _) = client.create_job(&metadata, &spec, &key).await.inspect_err(|error| {
         if error.ran == Ran::Unknown {
             eprintln!("pstair: to find out what became of it, submit the same job again with --key {key}");
         }
-        error
     })?;
     let Some(wait) = args.wait else {
         printer.object(&job)?;
@@ -96,7 +95,7 @@
     Ok(job)
 }
 
-fn to_job(args: &SubmitArgs) -> Result<(Metadata, JobSpec)> {
+fn to_job(args: &SubmitArgs, region: Option<&str>) -> Result<(Metadata, JobSpec)> {
     let metadata = Metadata {
         name: args.name.clone(),
         ..Metadata::default()
@@ -114,7 +113,7 @@
         checkpointable: args.checkpointable,
         payload: args.payload.clone(),
         deadline: args.deadline,
-        region: args.region.as_deref().map(RegionName::from),
+        region: region.map(RegionName::from),
     };
     let key = args.key.as_deref().and_then(key_fault);
     let findings = [
--- a/crates/pstair/src/run.rs
+++ b/crates/pstair/src/run.rs
@@ -23,7 +23,7 @@
         return finish(
             std::io::stdout()
                 .write_all(&script)
-                .map_err(|e| output_error(e))
+                .map_err(output_error)
                 .map(|()| Exit::Done),
         );
     }
@@ -32,7 +32,12 @@
         return finish(Err(Error::msg(ErrorKind::Invalid, "read arguments", message)));
     }
     let executor = Arc::new(Executor::new());
-    let client = Client::new(executor.clone(), cli.common.server, cli.common.timeout);
+    let client = Client::new(
+        executor.clone(),
+        cli.common.server,
+        cli.common.timeout,
+        cli.common.region,
+    );
     let mut out = std::io::BufWriter::new(std::io::stdout());
     let mut printer = Printer::new(cli.common.output, &mut out);
     let command = async {
@@ -55,8 +60,8 @@
         Command::Delete { kind, name, revision } => delete(client, printer, kind, &name, revision).await?,
         Command::Explain { job } => jobs::explain(client, printer, &job).await?,
         Command::Cancel { job, revision } => jobs::cancel(client, printer, &job, revision).await?,
-        Command::Drain { worker } => printer.object(&client.drain(&worker, true).await?)?,
-        Command::Undrain { worker } => printer.object(&client.drain(&worker, false).await?)?,
+        Command::Drain { worker } => drain(client, printer, &worker, true).await?,
+        Command::Undrain { worker } => drain(client, printer, &worker, false).await?,
         Command::Config { command } => configuration::config(client, printer, &command).await?,
         Command::Members => printer.list(&client.list::<Member>(None).await?.items)?,
         Command::Submit(args) => return jobs::submit(client, printer, &args).await,
@@ -65,6 +70,13 @@
     Ok(Exit::Done)
 }
 
+async fn drain(client: &Client, printer: &mut Printer<'_>, worker: &str, drain: bool) -> Result<()> {
+    match client.drain(worker, drain).await? {
+        Some(worker) => printer.object(&worker),
+        None => printer.line(&format!("{worker} {}", if drain { "drained" } else { "undrained" })),
+    }
+}
+
 async fn delete(
     client: &Client,
     printer: &mut Printer<'_>,
--- a/crates/pstair/src/watch.rs
+++ b/crates/pstair/src/watch.rs
@@ -6,7 +6,7 @@
     Account, Clock, Error, ErrorKind, Guarantee, Job, Member, Millis, Result, Revision, WatchLine, Worker,
 };
 
-use crate::api::{Object, list_path};
+use crate::api::{Object, list_path, with_query};
 use crate::cli::{Kind, WatchArgs};
 use crate::client::{ApiCall, Client};
 use crate::output::Printer;
@@ -69,6 +69,10 @@
     async fn list(&mut self) -> Result<()> {
         let listing = self.client.list::<T>(self.account).await?;
         self.revision = listing.revision;
+        if self.revision == Revision(0) {
+            // A watch from the start sends every object itself.
+            return Ok(());
+        }
         for item in &listing.items {
             self.printer.change(item)?;
         }
@@ -84,6 +88,8 @@
                 Ok(Ended::Counted) => return Ok(()),
                 Ok(Ended::Expired) => {
                     eprintln!("pstair: the revision to watch from is too old; the list starts again");
+                    // Another server may lag behind the one that gave the list.
+                    Timer::after(PAUSE.duration()).await;
                     self.list().await?;
                 }
                 Ok(Ended::Again(true)) => heard = clock.now(),
@@ -101,9 +107,8 @@
     }
 
     async fn connect(&mut self) -> Result<Ended> {
-        let path = list_path::<T>(self.account);
-        let separator = if path.contains('?') { '&' } else { '?' };
-        let call = ApiCall::read(STEP, format!("{path}{separator}watch={}", self.revision));
+        let path = with_query(&list_path::<T>(self.account), "watch", self.revision);
+        let call = ApiCall::read(STEP, path);
         let (peer, mut lines) = match self.client.stream(&call).await {
             Ok(opened) => opened,
             Err(error) if error.kind == ErrorKind::Expired => return Ok(Ended::Expired),
