Let the fault matrix's gang span three workers under the real planner; measure capacity

Cause: with the real planner a gang of 3x1 shares one worker, and the harness had two workers in each failure domain, so no gang of three workers could be placed. Two checks of the checker itself failed (object_to::held, object_to_lease: no objection, since no part was ever apart from the others). Change: the gang is 3x2, and four workers are in one failure domain. With three, the cell Place x (WorkerGone, StoreDown) waits for ever, as it must: two workers can't hold three parts. standin-capacity measures what daemons spend. Conclusion: the checks are as strict as before and look at gangs on several workers again.

--- a/crates/pistachiostair/tests/checker.rs
+++ b/crates/pistachiostair/tests/checker.rs
@@ -12,7 +12,7 @@
     let mut world = World::new(1);
     world.switches = switches;
     world.add_client("order", spec("order", "1x1", 3_000, false, false), false, 6_000);
-    world.add_client("gang", spec("gang", "3x1", 30_000, false, false), false, 6_000);
+    world.add_client("gang", spec("gang", "3x2", 30_000, false, false), false, 6_000);
     world.add_client("plain", spec("plain", "1x0", 9_000, false, false), false, 6_000);
     world.armed.push((step, vec![fault]));
     if apart {
--- a/crates/pistachiostair/tests/fault_matrix.rs
+++ b/crates/pistachiostair/tests/fault_matrix.rs
@@ -12,7 +12,7 @@
 /// idempotent gang that is reclaimed, and an idempotent job.
 fn populate(world: &mut World) {
     world.add_client("order", spec("order", "1x1", 3_000, false, false), false, 6_000);
-    world.add_client("gang", spec("gang", "3x1", 18_000, false, false), false, 6_000);
+    world.add_client("gang", spec("gang", "3x2", 18_000, false, false), false, 6_000);
     world.add_client("batch", spec("batch", "2x2", 6_000, true, true), false, 6_000);
     world.add_client("plain", spec("plain", "1x0", 2_000, true, false), false, 6_000);
 }
--- a/crates/pistachiostair/tests/life/world.rs
+++ b/crates/pistachiostair/tests/life/world.rs
@@ -624,7 +624,9 @@
 }
 
 fn info(index: usize) -> WorkerInfo {
-    let domain = if index < 2 { "helsinki" } else { "espoo" };
+    // A gang of three parts needs three workers of one failure domain, and a fourth one when one of
+    // them is gone for good. A cut separates two of them.
+    let domain = if index < 4 { "helsinki" } else { "espoo" };
     WorkerInfo {
         name: format!("w{index}").as_str().into(),
         region: REGION.into(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod bench;
 mod caller;
+mod capacity;
 mod check;
 mod demo;
 mod inventory;
@@ -19,6 +20,7 @@
 
 pub use bench::Bench;
 pub use caller::{Caller, Order, Settled, Told};
+pub use capacity::{CAPACITY_HEADER, measure_capacity};
 pub use check::{Gang, check_gangs, check_settled, gang_parts, read_log, runs_of};
 pub use demo::run_demo;
 pub use inventory::{Inventory, LogEntry, LogKind};
