Add tests on real processes for crashes, outages, cut links and restarts

Cause: takeover, leases, recovery and graceful shutdown hold only if they hold between processes. Change: 14 tests start daemons, workers and a platform, show a fault, and compare what callers were told with the workers' logs.

--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -99,7 +99,9 @@
         let lines = BufReader::new(stream).lines().map_while(Result::ok);
         // The other lines are the head of the response and the lengths of its chunks.
         for line in lines.filter(|line| line.starts_with('{')) {
-            println!("watch: {}", summarize(&line).unwrap_or(line));
+            if let Some(summary) = summarize(&line) {
+                println!("watch: {summary}");
+            }
         }
     });
     Ok(())
--- /dev/null
+++ b/crates/standin/tests/processes/crash.rs
@@ -0,0 +1,182 @@
+//! Processes that are killed or paused.
+
+use std::collections::BTreeSet;
+
+use pistachiostair::{JobPhase, MemberState, WorkerName};
+use serde_json::json;
+use standin::{LogEntry, LogKind, Order, Setup, runs_of};
+
+use crate::support::{ACCOUNT, Ready, SOON, all_succeeded, orders, pause, wall};
+
+/// Time within which urgent work starts, also if the scheduler's daemon crashes.
+const URGENT_START: u64 = 9_400;
+/// Pause of a scheduler, longer than its lease of 4 s.
+const PAUSE: u64 = 6_000;
+
+/// Guards against gangs that run in part or twice when the scheduler's daemon dies while it
+/// starts them, and against a takeover that is too slow for urgent work.
+#[test]
+fn kill_scheduler_starting_gang() {
+    let mut ready = Ready::start(Setup {
+        workers: 4,
+        ..Setup::default()
+    });
+    // One slow worker keeps the gang from being complete until the scheduler is dead.
+    ready
+        .fault_worker(3, &json!({"mode": "slow", "millis": 1_000}))
+        .expect("fault");
+    let mut tasks = ready.settle(orders("gang", 1, "4x4", 500));
+    ready.await_log("a part is held", |entry| {
+        entry.kind == LogKind::Start && entry.task.part > 0
+    });
+    let leader = ready.leader().expect("leader");
+    ready.bench.daemon_process(leader).kill().expect("kill");
+    ready.set_entry(leader, false);
+    let killed = wall();
+    tasks.extend(ready.settle(vec![
+        Order::new(ACCOUNT, "urgent", "1x1", 100).with("urgency", "urgent"),
+    ]));
+    let settled = ready.verify(tasks);
+    all_succeeded(&settled);
+    let log = ready.log().expect("log");
+    let begun = runs_of(&log, "urgent")[0].wall;
+    assert!(
+        begun < killed + URGENT_START,
+        "urgent work started {} ms after the crash",
+        begun - killed
+    );
+}
+
+/// Guards against work that is lost or repeated because the caller's daemon dies.
+#[test]
+fn kill_entry() {
+    let mut ready = Ready::start(Setup::default());
+    let leader = ready.leader().expect("leader");
+    let entry = (leader + 1) % 3;
+    ready.set_entry((entry + 1) % 3, false);
+    ready.set_entry(leader, false);
+    let tasks = ready.settle(orders("order", 10, "1x1", 1_500));
+    ready.await_run("order-0");
+    ready.bench.daemon_process(entry).kill().expect("kill");
+    ready.set_entry(leader, true);
+    let settled = ready.verify(tasks);
+    all_succeeded(&settled);
+    assert!(
+        settled.iter().all(|settled| settled.lost > 0),
+        "no caller was at the daemon that died"
+    );
+}
+
+/// Guards against idempotent work that is not repeated, other work that is, and gangs that go on
+/// without a part, when a worker dies.
+#[test]
+fn kill_worker() {
+    let mut ready = Ready::start(Setup {
+        workers: 4,
+        slots: 12,
+        ..Setup::default()
+    });
+    let repeatable = |order: Order| order.with("idempotent", true);
+    // The gang first, since the others could leave no rack with room for it.
+    let mut tasks = ready.settle(orders("gang", 1, "3x2", 5_000).into_iter().map(repeatable).collect());
+    ready.await_run("gang-0");
+    // Ten do not fit on the worker that has no part of the gang.
+    tasks.extend(ready.settle(orders("once", 10, "1x1", 4_000)));
+    tasks.extend(ready.settle(orders("again", 6, "1x1", 4_000).into_iter().map(repeatable).collect()));
+    ready.await_run("once-9");
+    ready.await_run("again-5");
+    let log = ready.log().expect("log");
+    let workers = |prefix: &str| -> BTreeSet<WorkerName> {
+        let runs = |entry: &&LogEntry| entry.payload.as_deref().is_some_and(|payload| payload.contains(prefix));
+        log.iter().filter(runs).map(|entry| entry.worker.clone()).collect()
+    };
+    let victim = workers("gang")
+        .intersection(&workers("once"))
+        .next()
+        .cloned()
+        .expect("a worker with both");
+    let index = victim.as_str()[1..].parse().expect("index");
+    ready.bench.worker_process(index).kill().expect("kill");
+    pause(1_000);
+    ready.unlist_vm(victim.as_str()).expect("list");
+    let settled = ready.verify(tasks);
+    let log = ready.log().expect("log");
+    let mut unknown = 0;
+    for settled in &settled {
+        let phase = settled.job.as_ref().map(|job| job.status.phase);
+        let hit = runs_of(&log, &settled.order.name)[0].worker == victim;
+        match (settled.order.is_idempotent(), hit) {
+            (false, true) => {
+                assert_eq!(phase, Some(JobPhase::Unknown), "{settled:?}");
+                unknown += 1;
+            }
+            _ => assert_eq!(phase, Some(JobPhase::Succeeded), "{settled:?}"),
+        }
+    }
+    assert!(unknown > 0, "no order was hit");
+}
+
+/// Guards against a paused scheduler that acts with an old term when it wakes up.
+#[test]
+fn pause_scheduler() {
+    let mut ready = Ready::start(Setup {
+        workers: 4,
+        ..Setup::default()
+    });
+    let leader = ready.leader().expect("leader");
+    let mut tasks = ready.settle(orders("before", 12, "1x1", 2_000));
+    tasks.extend(ready.settle(orders("gang-before", 2, "3x2", 2_000)));
+    pause(300);
+    ready.bench.daemon_process(leader).signal("STOP").expect("stop");
+    ready.set_entry(leader, false);
+    tasks.extend(ready.settle(orders("during", 12, "1x1", 300)));
+    tasks.extend(ready.settle(orders("gang-during", 2, "3x2", 300)));
+    pause(PAUSE);
+    ready.bench.daemon_process(leader).signal("CONT").expect("continue");
+    ready.set_entry(leader, true);
+    tasks.extend(ready.settle(orders("after", 12, "1x1", 100)));
+    all_succeeded(&ready.verify(tasks));
+    assert_ne!(ready.leader().expect("leader"), leader, "no other daemon took over");
+    ready.await_ready(leader).expect("the paused daemon serves again");
+}
+
+/// Guards against state that is lost with the processes: all daemons die and new ones keep nothing.
+#[test]
+fn kill_all() {
+    let mut ready = Ready::start(Setup {
+        workers: 4,
+        ..Setup::default()
+    });
+    // The gang first, since the others could leave no rack with room for it.
+    let mut tasks = ready.settle(orders("gang", 1, "4x4", 6_000));
+    ready.await_run("gang-0");
+    tasks.extend(ready.settle(orders("order", 12, "1x1", 6_000)));
+    ready.await_run("order-0");
+    // More than the workers hold: these wait in the queue of the scheduler that dies.
+    tasks.extend(ready.settle(orders("waiting", 8, "1x4", 200)));
+    pause(500);
+    for index in 0..3 {
+        ready.bench.daemon_process(index).kill().expect("kill");
+        ready.unlist_vm(&format!("d{index}")).expect("list");
+    }
+    pause(500);
+    for index in 0..3 {
+        ready.bench.restart_daemon(index).expect("restart");
+    }
+    for index in 0..3 {
+        ready.await_ready(index).expect("ready");
+        ready.set_entry(index, true);
+    }
+    all_succeeded(&ready.verify(tasks));
+    let live = || {
+        let listed = ready.block(ready.caller.read(0, "/v1/members")).unwrap_or_default();
+        let items = listed["items"].as_array().cloned().unwrap_or_default();
+        items
+            .iter()
+            .filter(|member| member["state"] == json!(MemberState::Live))
+            .count()
+    };
+    ready
+        .await_that("three members are live", SOON, || live() == 3)
+        .expect("members");
+}
--- /dev/null
+++ b/crates/standin/tests/processes/main.rs
@@ -0,0 +1,9 @@
+//! Faults of real processes: daemons against stand-ins for the platform and the workers.
+//!
+//! Verdicts come from what callers were told and from the workers' logs.
+
+mod crash;
+mod network;
+mod operation;
+mod store;
+mod support;
