--- a/crates/pstair/src/api.rs
+++ b/crates/pstair/src/api.rs
@@ -1,5 +1,7 @@
 //! The resource interface: paths and bodies.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use pistachiostair::{
@@ -161,9 +163,8 @@
             last = page.items.len();
             listing.revision = page.revision;
             // An object that changed meanwhile comes again at its new revision.
-            listing
-                .items
-                .retain(|old| !page.items.iter().any(|new| new.name() == old.name()));
+            let newer: BTreeSet<String> = page.items.iter().map(Object::name).collect();
+            listing.items.retain(|old| !newer.contains(&old.name()));
             listing.items.extend(page.items);
         }
         Ok(listing)
--- a/crates/pstair/src/client.rs
+++ b/crates/pstair/src/client.rs
@@ -263,9 +263,11 @@
     headers.iter().map(|(name, value)| (*name, value.as_str())).collect()
 }
 
-/// An error that followed another one at the server tried before.
+/// An error that followed another one at the server tried before. The earlier one is told only if the
+/// later one is no answer to the request.
 fn after(error: Error, before: Option<Error>) -> Error {
-    let Some(before) = before else {
+    let unreachable = matches!(error.kind, ErrorKind::Unavailable | ErrorKind::Timeout);
+    let Some(before) = before.filter(|_| unreachable || error.ran == Ran::Unknown) else {
         return error;
     };
     let source = anyhow::anyhow!("{:#}; before that, {before}", error.source);
--- /dev/null
+++ b/crates/pstair/tests/pstair/main.rs
@@ -0,0 +1,5 @@
+//! Runs of the client as a process against small servers.
+
+mod commands;
+mod failover;
+mod support;
