--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -17,14 +17,14 @@
 use crate::http_client::HttpClient;
 use crate::http_server::{HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer};
 use crate::kernel::{Kernel, Stop};
-use crate::limits::Admission;
+use crate::limits::{AccountLimits, Admission};
 use crate::links::Links;
 use crate::logging::{Component, component_logger};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::peer_tls::PeerTls;
 use crate::peers::{LinkSettings, Peers};
-use crate::resource::{Member, MemberState};
+use crate::resource::{Limits, Member, MemberState};
 use crate::serve::dispatch;
 use crate::settings::Settings;
 use crate::store::Store;
@@ -78,8 +78,9 @@
         let api_listener = bind("bind api", settings.api).await?;
         let admin_listener = bind("bind admin", settings.admin).await?;
         kernel.register(Arc::new(Metrics::new()?))?;
-        let platform = Arc::new(HttpClient::new(executor.clone(), STORE_CONNECTIONS, STORE_BODY));
         let metrics = kernel.find::<Metrics>()?;
+        let platform = HttpClient::new(executor.clone(), STORE_CONNECTIONS, STORE_BODY);
+        let platform = Arc::new(platform.with_traffic(metrics.traffic.clone()));
         kernel.register(Arc::new(
             Store::new(
                 platform,
@@ -235,7 +236,9 @@
     });
     kernel.register(Arc::new(Links::new(kernel.clone(), settings.name.clone(), local)))?;
     Config::start(kernel, settings.name.clone(), component_logger(log, Component::Policy))?;
-    let workers = Arc::new(HttpClient::new(executor.clone(), WORKER_CONNECTIONS, WORKER_BODY));
+    let traffic = kernel.find::<Metrics>()?.traffic.clone();
+    let workers = HttpClient::new(executor.clone(), WORKER_CONNECTIONS, WORKER_BODY);
+    let workers = Arc::new(workers.with_traffic(traffic));
     let region = settings.region.clone();
     let supervise = Supervise::new(
         kernel.clone(),
@@ -268,7 +271,7 @@
         config: kernel.find()?,
         members: kernel.find()?,
         metrics: kernel.find()?,
-        admission: std::sync::Mutex::new(Admission),
+        admission: std::sync::Mutex::new(initial_admission()),
         running: AtomicUsize::new(0),
         watches: Arc::new(AtomicUsize::new(0)),
         watch_limit: settings.limits.watches,
@@ -278,6 +281,17 @@
     Ok(api)
 }
 
+/// Admission by the default limits, until the first request brings those in force.
+fn initial_admission() -> Admission {
+    let limits = Limits::default();
+    let defaults = AccountLimits {
+        rate: limits.rate,
+        outstanding: limits.requests,
+        weight: 1,
+    };
+    Admission::new(limits.requests, defaults)
+}
+
 fn refusal() -> HttpRefusal {
     Arc::new(|status, reason| {
         let kind = match status {
@@ -321,6 +335,9 @@
     if !config.is_ready() {
         return Err("the configuration is not known yet".to_owned());
     }
+    if config.is_behind() {
+        return Err("a newer configuration is known and not in force yet".to_owned());
+    }
     if !config.store_reached() {
         return Ok("ready; the table service is not reached, the configuration may be behind");
     }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -36,6 +36,7 @@
 mod decide;
 mod dispatch;
 mod edge;
+mod ejection;
 mod error;
 mod explain;
 mod fair;
@@ -71,6 +72,7 @@
 mod reconcile;
 mod rendezvous;
 mod resource;
+mod retry;
 mod route;
 mod scheduler;
 mod search;
@@ -82,6 +84,7 @@
 mod supervise;
 mod tenure;
 mod topology;
+mod traffic;
 mod validate;
 mod views;
 mod worker;
@@ -91,6 +94,7 @@
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
 pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
+pub use ejection::Ejector;
 pub use error::{Error, ErrorKind, Ran, Result};
 pub use http_client::{HttpAnswer, HttpCall, HttpClient};
 pub use http_lines::HttpLines;
@@ -105,7 +109,7 @@
 pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use journal::{Batch, Part, Record, journal_key, revision, term_key};
 pub use kernel::{Kernel, Service, Stop};
-pub use limits::{Admission, Permit, Refusal};
+pub use limits::{AccountLimits, Admission, MAX_ACCOUNTS, Permit, Refusal, RefusalReason};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
 pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
@@ -113,18 +117,20 @@
 pub use peer_tls::PeerTls;
 pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
-pub use policy::PolicyState;
+pub use policy::{MAX_DOCUMENT, PolicySpread, PolicyState};
 pub use rendezvous::{owner, share};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
+pub use retry::{Backoff, Breaker, BreakerState, Budget, Pass};
 pub use scheduler::{Action, Event, LogLine, Scheduler, Token};
 pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
 pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
 pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
+pub use traffic::Traffic;
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
     join_findings, key_fault, locate_fault, name_fault, parse_json, parse_policy, parse_yaml,
--- a/crates/pistachiostair/src/members.rs
+++ b/crates/pistachiostair/src/members.rs
@@ -139,6 +139,13 @@
         self.send_all(actions).await;
     }
 
+    /// Number of live daemons of this region.
+    pub(crate) fn region_daemons(&self) -> usize {
+        let membership = self.membership.lock().expect("membership lock");
+        let live = membership.daemons(MemberState::Live);
+        live.iter().filter(|member| member.region == self.region).count()
+    }
+
     fn own_daemons(&self) -> Vec<Member> {
         let mut daemons = self.view().daemons;
         daemons.retain(|member| member.region == self.region);
