--- a/crates/pistachiostair/src/compact.rs
+++ b/crates/pistachiostair/src/compact.rs
@@ -22,19 +22,19 @@
 
 impl Planner {
     /// Makes or keeps room for a large job that waits.
-    pub(crate) fn reserve_for(&mut self, now: Millis, account: Aid, key: &ClassKey, job: JobId, searches: &mut usize) {
+    pub(crate) fn reserve_for(&mut self, now: Millis, account: Aid, key: &ClassKey, job: JobId) {
         let shape = key.shape;
         let waited = now.since(self.waiting[&job].since);
         let large = shape.total() >= LARGE || (shape.workers > 1 && shape.accelerators > 0) || key.level > 0;
         let patience = self.scheduling.patience;
         if !large
-            || *searches == 0
+            || self.searches == 0
             || waited.0 < patience.0 / COMPACT_AFTER
             || !self.may_search(now, account, key, true)
         {
             return;
         }
-        *searches -= 1;
+        self.searches -= 1;
         let seeker = Seeker {
             account,
             shape,
--- a/crates/pistachiostair/src/decide.rs
+++ b/crates/pistachiostair/src/decide.rs
@@ -114,6 +114,7 @@
 
     fn first_fit(&mut self, account: Aid) -> Option<(JobId, Vec<Wid>)> {
         let epoch = self.epoch;
+        self.block_unfit(account);
         for (key, job) in self.accounts[account].heads(|class| class.blocked != epoch) {
             if self.doomed.contains(&job) {
                 continue;
@@ -126,6 +127,23 @@
         None
     }
 
+    /// Blocks the classes whose shape has no free room at all, whoever asks for it.
+    fn block_unfit(&mut self, account: Aid) {
+        let any = Kind::new(false, false);
+        let epoch = self.epoch;
+        for (key, class) in &mut self.accounts[account].classes {
+            if class.blocked == epoch {
+                continue;
+            }
+            if self.tried.insert(key.shape) && self.topology.find(key.shape, any).is_none() {
+                self.unfit.insert((key.shape, any));
+            }
+            if self.unfit.contains(&(key.shape, any)) {
+                class.blocked = epoch;
+            }
+        }
+    }
+
     fn block(&mut self, account: Aid, key: &ClassKey) {
         if let Some(class) = self.accounts[account].classes.get_mut(key) {
             class.blocked = self.epoch;
@@ -162,7 +180,8 @@
                 return Some(workers);
             }
         }
-        if kind.pinned && self.guarantees.total(account) > 0 {
+        let own_room = kind.pinned && self.own_room(account, kind, shape.accelerators);
+        if own_room {
             let room = |wid| match self.guarantees.owns(wid, account) {
                 true => pinned_room(&self.guarantees, &self.topology, wid, account, kind.long),
                 false => -1,
@@ -180,15 +199,15 @@
             self.unfit.insert((shape, kind));
         }
         if kind.pinned && !self.guarantees.is_empty() {
-            return self.seek_beside_guarantees(account, kind, shape);
+            return self.seek_beside_guarantees(account, kind, shape, own_room);
         }
         None
     }
 
     /// Room for pinned work that the common counts don't show: on workers that its own guarantee
     /// shares with others, or after guarantees are packed elsewhere.
-    fn seek_beside_guarantees(&mut self, account: Aid, kind: Kind, shape: Shape) -> Option<Vec<Wid>> {
-        if self.guarantees.total(account) > 0 {
+    fn seek_beside_guarantees(&mut self, account: Aid, kind: Kind, shape: Shape, own: bool) -> Option<Vec<Wid>> {
+        if own {
             let room = |wid| pinned_room(&self.guarantees, &self.topology, wid, account, kind.long);
             let found = self.topology.find_by(shape, room);
             if let Some(workers) = found.filter(|workers| self.confirm(account, kind, shape, workers)) {
@@ -196,8 +215,30 @@
             }
         }
         let loose = Kind { pinned: false, ..kind };
-        let found = self.topology.find(shape, loose);
-        found.filter(|workers| self.confirm(account, kind, shape, workers))
+        if self.unfit.contains(&(shape, loose)) {
+            return None;
+        }
+        let Some(workers) = self.topology.find(shape, loose) else {
+            self.unfit.insert((shape, loose));
+            return None;
+        };
+        self.confirm(account, kind, shape, &workers).then_some(workers)
+    }
+
+    /// Whether a worker on which the account's guarantee is packed has room for a part. Only then
+    /// are single workers looked at.
+    fn own_room(&self, account: Aid, kind: Kind, accelerators: u32) -> bool {
+        let own = self
+            .guarantees
+            .instances
+            .iter()
+            .filter(|instance| instance.account == account);
+        let mut workers = own.flat_map(|instance| &instance.workers);
+        workers.any(|wid| {
+            let free = self.topology.avail(*wid, Kind { pinned: false, ..kind });
+            let room = || pinned_room(&self.guarantees, &self.topology, *wid, account, kind.long);
+            free >= accelerators as i32 && room() >= accelerators as i32
+        })
     }
 
     /// Counts pinned work with the guarantees; false if they don't allow it.
--- a/crates/pistachiostair/src/node.rs
+++ b/crates/pistachiostair/src/node.rs
@@ -241,6 +241,9 @@
     /// Smallest number of available accelerators, at least the asked one, that a worker has.
     pub(crate) fn tightest(&self, kind: Kind, accelerators: u32) -> Option<u32> {
         let counts = &self.counts[kind.index()];
+        if counts.get(accelerators as usize).is_none_or(|count| *count == 0) {
+            return None;
+        }
         let above = |level: usize| counts.get(level + 1).copied().unwrap_or(0);
         (accelerators as usize..LEVELS)
             .find(|level| counts[*level] > above(*level))
--- a/crates/pistachiostair/src/planner.rs
+++ b/crates/pistachiostair/src/planner.rs
@@ -216,7 +216,12 @@
     pub(crate) epoch: u64,
     /// Shapes that did not fit since the epoch began.
     pub(crate) unfit: BTreeSet<(Shape, Kind)>,
+    /// Shapes that were tried since the epoch began.
+    pub(crate) tried: BTreeSet<Shape>,
     pub(crate) turn: u64,
+    /// Searches for running work to stop that may still fail, and when they were last refilled.
+    pub(crate) searches: u32,
+    pub(crate) refilled: Millis,
     /// When hardware last appeared.
     pub(crate) grown: Millis,
 }
@@ -373,5 +378,6 @@
     pub(crate) fn next_epoch(&mut self) {
         self.epoch += 1;
         self.unfit.clear();
+        self.tried.clear();
     }
 }
--- a/crates/pistachiostair/src/reclaim.rs
+++ b/crates/pistachiostair/src/reclaim.rs
@@ -11,9 +11,11 @@
 
 /// Grace where no guarantee states one.
 const GRACE: Millis = Millis(2_000);
-/// Searches for running work to stop in one plan call. Each may look at every task, about 0.3 ms
-/// at full scale; the others come with the next call.
-const SEARCHES: usize = 2;
+/// Searches that may fail at once, and the span in which one more is allowed. A search looks at
+/// every task, about 1 ms at full scale; this bounds the cost of searches that find nothing to 5%
+/// of a core.
+const SEARCHES: u32 = 8;
+const SEARCH_SPAN: Millis = Millis(20);
 /// Pause of a class between two searches that find nothing. It adds little to the grace.
 const PAUSE: Millis = Millis(200);
 /// Jobs for which workers may be kept at the same time.
@@ -47,33 +49,36 @@
     /// Reclaims for waiting jobs that could not be placed, then keeps workers for gangs that
     /// waited too long.
     pub(crate) fn recover(&mut self, now: Millis, limit: usize) {
-        let mut searches = SEARCHES;
+        let refill = now.since(self.refilled).0 / SEARCH_SPAN.0;
+        if refill > 0 {
+            self.searches = (u64::from(self.searches) + refill).min(SEARCHES.into()) as u32;
+            self.refilled = now;
+        }
         for account in self.by_share() {
             let epoch = self.epoch;
             let heads = self.accounts[account].heads(|class| class.blocked == epoch);
             for (key, job) in heads {
-                if self.backlog.len() >= limit || searches == 0 || self.holds.len() >= HOLDS {
+                if self.backlog.len() >= limit || self.searches == 0 || self.holds.len() >= HOLDS {
                     return;
                 }
                 if self.doomed.contains(&job) || !self.accounts[account].allows(key.shape.total()) {
                     continue;
                 }
-                if self.reclaim_for(now, account, &key, job, &mut searches) {
+                if self.reclaim_for(now, account, &key, job) {
                     continue;
                 }
-                self.reserve_for(now, account, &key, job, &mut searches);
+                self.reserve_for(now, account, &key, job);
             }
         }
     }
 
-    fn reclaim_for(&mut self, now: Millis, account: Aid, key: &ClassKey, job: JobId, searches: &mut usize) -> bool {
+    fn reclaim_for(&mut self, now: Millis, account: Aid, key: &ClassKey, job: JobId) -> bool {
         let Some(claim) = self.claim_of(now, account, key, job) else {
             return false;
         };
         if !self.may_search(now, account, key, false) {
             return false;
         }
-        *searches -= 1;
         let seeker = Seeker {
             account,
             shape: key.shape,
@@ -82,6 +87,7 @@
         };
         let found = self.search_claim(now, &seeker, claim, key.urgency.0);
         let Some(found) = found.filter(|found| !found.victims.is_empty()) else {
+            self.searches = self.searches.saturating_sub(1);
             return false;
         };
         let grace = match claim {
@@ -140,7 +146,8 @@
             return Some(Claim::Urgent);
         }
         if !self.kind(account, key).long {
-            return Some(Claim::Short);
+            let excess = self.headroom.excess(self.topology.total, self.most_headroom());
+            return (self.topology.crowded > 0 || excess > 0).then_some(Claim::Short);
         }
         let waited = now.since(self.waiting[&job].since);
         let below = self.share(account, (key.shape.total(), key.shape.workers)) <= self.fair_share(account);
@@ -149,6 +156,9 @@
 
     fn search_claim(&self, now: Millis, seeker: &Seeker, claim: Claim, urgency: Urgency) -> Option<Found> {
         let own = seeker.account;
+        let fair: Vec<u64> = (0..self.accounts.len())
+            .map(|account| self.fair_share(account))
+            .collect();
         match claim {
             Claim::Guarantee => {
                 let beyond = self.search(
@@ -182,7 +192,7 @@
                         let yields = if victim.account == own {
                             victim.spec.urgency < urgency
                         } else {
-                            needy && self.above_share(victim)
+                            needy && self.above_share(victim, fair[victim.account])
                         };
                         yields.then(|| loss(victim, now)).flatten()
                     },
@@ -193,7 +203,7 @@
                 let excess = self.headroom.excess(self.topology.total, self.most_headroom());
                 self.search(
                     seeker,
-                    |_| true,
+                    |wid| excess > 0 || self.topology.nodes[wid].over_reserve(reserve),
                     |wid, victim| {
                         let crowded = self.topology.nodes[wid].over_reserve(reserve);
                         let greedy = seeker.shape.accelerators > 0 && excess >= victim.spec.shape.total().max(1);
@@ -208,7 +218,7 @@
                 |_| true,
                 |_, victim| {
                     let resumes = victim.key.stop == Stop::Checkpoint;
-                    (victim.account != own && resumes && self.above_share(victim))
+                    (victim.account != own && resumes && self.above_share(victim, fair[victim.account]))
                         .then(|| loss(victim, now))
                         .flatten()
                 },
@@ -228,7 +238,7 @@
 
     /// Whether the account of a running job is above its share, and above its guarantees, even
     /// without the job.
-    fn above_share(&self, victim: &Placed) -> bool {
+    fn above_share(&self, victim: &Placed, fair: u64) -> bool {
         let owner = &self.accounts[victim.account];
         let (total, slots) = (self.topology.total, self.topology.slots);
         let weight = u64::from(owner.spec.weight.max(1));
@@ -236,6 +246,6 @@
         let used = owner.used.saturating_sub(victim.spec.shape.total());
         let tasks = owner.tasks.saturating_sub(victim.spec.shape.workers);
         let share = part(used, total).max(part(tasks, slots));
-        share >= self.fair_share(victim.account) && used >= self.guarantees.total(victim.account)
+        share >= fair && used >= self.guarantees.total(victim.account)
     }
 }
--- a/crates/pistachiostair/src/topology.rs
+++ b/crates/pistachiostair/src/topology.rs
@@ -17,6 +17,8 @@
     pub(crate) total: u32,
     /// Slots of live workers.
     pub(crate) slots: u32,
+    /// Workers on which long work fills reserved slots.
+    pub(crate) crowded: u32,
     names: BTreeMap<WorkerName, Wid>,
     vacant: Vec<Wid>,
 }
@@ -176,10 +178,13 @@
         if node.state != MemberState::Live || node.gone {
             return;
         }
+        let crowded = u32::from(node.over_reserve(self.reserve));
         if add {
+            self.crowded += crowded;
             self.total += node.info.accelerators;
             self.slots += node.info.slots;
         } else {
+            self.crowded -= crowded;
             self.total -= node.info.accelerators;
             self.slots -= node.info.slots;
         }
