Take the lease types from their module after the merge

Cause: the merge left two exports of the tenure types. Change: one export, and govern imports Lease from its module.

--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -15,6 +15,7 @@
 use crate::ids::{DaemonName, Incarnation, RegionName, Revision, Seq, Term, WorkerName};
 use crate::journal::journal_key;
 use crate::kernel::{Kernel, Service};
+use crate::lease::Lease;
 use crate::links::Links;
 use crate::logging;
 use crate::members::Members;
@@ -25,7 +26,7 @@
 use crate::snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 use crate::store::Store;
 use crate::supervise::Supervise;
-use crate::tenure::{Lease, Tenure, TenureAction, TenureEvent};
+use crate::tenure::{Tenure, TenureAction, TenureEvent};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// Time between two ticks.
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -134,7 +134,6 @@
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
 pub use tenure::{Tenure, TenureAction, TenureEvent};
-pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
 pub use traffic::Traffic;
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
