Do not requeue while a renewal may still wait to be sent

Cause: govern sends one batch at a time to a worker; a renewal queued behind others can leave more than 16 s after the scheduler gave it out, and would renew a task whose job was already queued again. Change: a silent worker's parts count as ended only once every batch with a lease was replied to or given up, or 60 s passed. Conclusion: the span counts from the last time at which a renewal can have left.

--- a/crates/pistachiostair/src/dispatch.rs
+++ b/crates/pistachiostair/src/dispatch.rs
@@ -101,6 +101,7 @@
         commands.extend(self.renewal(now, upstream));
         if commands.iter().any(starts_lease) {
             upstream.contact = now;
+            upstream.open += 1;
         }
         if !commands.is_empty() {
             let batch = CommandBatch {
--- a/crates/pistachiostair/src/gang.rs
+++ b/crates/pistachiostair/src/gang.rs
@@ -6,10 +6,12 @@
 use crate::ids::{Attempt, Incarnation, JobId, TaskId, WorkerName};
 use crate::journal::{Part, Record};
 use crate::planner::Change;
-use crate::reconcile::LAPSE;
 use crate::state::{Entry, Placement};
 use crate::worker::TaskState;
 
+/// Span after which a part on a silent worker is looked at again.
+const RECHECK: Millis = Millis(1_000);
+
 /// How a part ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PartEnd {
@@ -268,13 +270,14 @@
                 }
             }
             if part.end.is_none() && upstream.silent {
-                let lapsed = upstream.contact + LAPSE;
+                let lapsed = upstream.lapse();
                 // Nothing proves that a part which is not idempotent did not run on.
                 let provable = entry.spec.idempotent || (!single && never_released);
                 if provable && now >= lapsed {
                     part.end = Some(PartEnd::Vanished);
                 } else if provable {
-                    self.timers.insert((lapsed, entry.id));
+                    // A reply may bring the time forward.
+                    self.timers.insert((lapsed.min(now + RECHECK), entry.id));
                 }
             }
             if part.end.is_some() && run.counted {
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -17,7 +17,9 @@
 const UNHEARD: Millis = Millis(10_000);
 /// Span after the last possible renewal after which a task has stopped by itself: its lease and
 /// 1 s for a worker's clock that runs up to 5% slower.
-pub(crate) const LAPSE: Millis = Millis(LEASE.0 + 1_000);
+const LAPSE: Millis = Millis(LEASE.0 + 1_000);
+/// A batch without a reply counts as waiting to be sent for at most this long.
+const MAX_OPEN: Millis = Millis(60_000);
 /// Earlier incarnations remembered for each worker, whose late reports are ignored.
 const MAX_PAST: usize = 16;
 
@@ -45,6 +47,8 @@
     pub(crate) renewed: Option<Millis>,
     /// When a command that starts a lease or renews it can have reached it last.
     pub(crate) contact: Millis,
+    /// Batches with such commands that have no reply yet: they may still wait to be sent.
+    pub(crate) open: u32,
     pub(crate) alarm: Option<Millis>,
     told: Option<(WorkerInfo, MemberState)>,
 }
@@ -67,11 +71,18 @@
             sent: BTreeMap::new(),
             renewed: None,
             contact: heard,
+            open: 0,
             alarm: None,
             told: None,
         }
     }
 
+    /// When no task can still run without a further renewal; later if a batch waits to be sent.
+    pub(crate) fn lapse(&self) -> Millis {
+        let span = if self.open > 0 { MAX_OPEN } else { LAPSE };
+        self.contact + span
+    }
+
     /// Merges a report; false if it is older than what is known.
     fn merge(&mut self, changes: &Changes) -> bool {
         if self.past.contains(&changes.incarnation) {
@@ -272,14 +283,16 @@
         if batch.term != self.term {
             return;
         }
-        match reply {
-            // The commands may still arrive up to now.
-            None => {
-                let leases = batch.commands.iter().any(starts_lease);
-                if let Some(upstream) = self.workers.get_mut(worker).filter(|_| leases) {
-                    upstream.contact = upstream.contact.max(now);
-                }
+        let leases = batch.commands.iter().any(starts_lease);
+        if let Some(upstream) = self.workers.get_mut(worker).filter(|_| leases) {
+            upstream.open = upstream.open.saturating_sub(1);
+            // Without a reply the commands may still arrive up to now.
+            if reply.is_none() {
+                upstream.contact = upstream.contact.max(now);
             }
+        }
+        match reply {
+            None => {}
             Some(BatchReply::OldTerm { term }) => self.outdated |= term > self.term,
             Some(BatchReply::OtherIncarnation { .. }) => self.deny(batch),
             Some(BatchReply::Done { results }) => {
--- a/crates/pistachiostair/tests/scheduler_calls.rs
+++ b/crates/pistachiostair/tests/scheduler_calls.rs
@@ -19,6 +19,16 @@
     replies: Vec<(Token, Response)>,
     sent: Vec<CommandBatch>,
     writes: u32,
+    /// Batches wait to be sent: no reply comes.
+    hold_replies: bool,
+}
+
+fn lost(worker: pistachiostair::WorkerName, batch: CommandBatch) -> Event {
+    Event::Replied {
+        worker,
+        batch,
+        reply: None,
+    }
 }
 
 impl Desk {
@@ -38,6 +48,7 @@
             replies: Vec::new(),
             sent: Vec::new(),
             writes: 0,
+            hold_replies: false,
         };
         desk.elect(1);
         desk
@@ -69,7 +80,12 @@
                         }
                     }
                     Action::Reply { token, response } => self.replies.push((token, response)),
-                    Action::Send { batch, .. } => self.sent.push(batch),
+                    Action::Send { worker, batch } => {
+                        self.sent.push(batch.clone());
+                        if !self.hold_replies {
+                            actions.extend(self.scheduler.on(self.now, lost(worker, batch)));
+                        }
+                    }
                     Action::Write { .. } => self.writes += 1,
                     Action::StepDown | Action::Log(_) => {}
                 }
@@ -371,10 +387,14 @@
     assert_eq!((status.phase, status.ran), (phase, ran));
 }
 
-/// An idempotent job on a silent worker is not started again while the old run may go on.
-#[test]
-fn requeue_after_lease() {
+/// An idempotent job on a silent worker is not started again while the old run may go on, or while
+/// a command that renews its lease may still wait to be sent.
+#[rstest]
+#[case::replied(false, 9_000)]
+#[case::unsent(true, 50_000)]
+fn requeue_after_lease(#[case] hold_replies: bool, #[case] later: u64) {
     let mut desk = Desk::new();
+    desk.hold_replies = hold_replies;
     desk.report(1, 1, Vec::new());
     desk.job(submit("a", "a", &spec(true)));
     let task = desk.starts()[0];
@@ -391,7 +411,15 @@
         JobPhase::Queued,
         "requeued within the lease"
     );
-    desk.tick(9_000);
+    if hold_replies {
+        desk.tick(15_000);
+        assert_ne!(
+            desk.job(get("a")).status.phase,
+            JobPhase::Queued,
+            "requeued before the reply"
+        );
+    }
+    desk.tick(later);
     assert_eq!(desk.job(get("a")).status.phase, JobPhase::Queued);
 }
 
