--- a/crates/pistachiostair/src/commits.rs
+++ b/crates/pistachiostair/src/commits.rs
@@ -100,6 +100,13 @@
             _ => "failed",
         };
         self.log(what, job, workers, reason);
+        let deadline = self
+            .state
+            .job(job)
+            .and_then(|entry| Some(entry.wall + entry.spec.deadline?));
+        if let Some(at) = deadline {
+            self.deadlines.remove(&(at, job));
+        }
         self.closing.remove(&job);
         self.end(now, job);
         self.answer_cancels(job);
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -97,6 +97,7 @@
             self.incarnation = changes.incarnation;
             self.change = 0;
             self.full = false;
+            self.leaving = false;
             self.tasks.clear();
             self.sent.clear();
             self.renewed = None;
@@ -114,7 +115,7 @@
         }
         self.change = self.change.max(changes.change);
         self.info = Some(changes.info.clone());
-        self.leaving = changes.leaving || (self.leaving && self.full);
+        self.leaving |= changes.leaving;
         true
     }
 
