--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::{DaemonName, Incarnation, RegionName, Revision, Term, WorkerName};
 use crate::kernel::{Kernel, Service};
+use crate::lease::Lease;
 use crate::logging;
 use crate::members::Members;
 use crate::message::{Call, Failure, Leader, Response};
@@ -23,7 +24,7 @@
 use crate::scheduler::{Action, Event, Scheduler, Token};
 use crate::store::Store;
 use crate::takeover;
-use crate::tenure::{Lease, Tenure, TenureAction, TenureEvent};
+use crate::tenure::{Tenure, TenureAction, TenureEvent};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// Time between two ticks.
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -53,6 +53,7 @@
 mod interface;
 mod journal;
 mod kernel;
+mod lease;
 mod ledger;
 mod limits;
 mod links;
@@ -67,6 +68,7 @@
 mod peer_link;
 mod peer_tls;
 mod peers;
+mod place;
 mod planner;
 mod policy;
 mod reclaim;
@@ -82,6 +84,7 @@
 mod snapshot;
 mod state;
 mod store;
+mod submit;
 mod supervise;
 mod takeover;
 mod tenure;
@@ -111,6 +114,7 @@
 pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use journal::{Batch, Part, Record, journal_key, revision, term_key};
 pub use kernel::{Kernel, Service, Stop};
+pub use lease::{Lease, lease_key};
 pub use limits::{AccountLimits, Admission, MAX_ACCOUNTS, Permit, Refusal, RefusalReason};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
@@ -133,7 +137,7 @@
 pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
-pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
+pub use tenure::{Tenure, TenureAction, TenureEvent};
 pub use traffic::Traffic;
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
