Add the user documentation and an example of the settings

Cause: operators need settings, metrics, errors and words in one place. Change: glossary, operations, interface, README, settings.example.yaml. Tests check the example against the schema, and that each key and each metric is on the operations page.

--- a/crates/pistachiostair/src/metrics/tests.rs
+++ b/crates/pistachiostair/src/metrics/tests.rs
@@ -53,3 +53,25 @@
         assert!(text.lines().any(|found| found == line), "{line} is not in:\n{text}");
     }
 }
+
+// Alerts are written from the page; a metric that is renamed must be renamed there too.
+#[test]
+fn render_documented() {
+    let metrics = Metrics::new().unwrap();
+    metrics.count_request("list jobs", 200);
+    metrics.count_refusal(ErrorKind::Limited, Ran::No);
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operations.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let text = metrics.render();
+    let names: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE pistachiostair_")?.split(' ').next())
+        .collect();
+    assert!(names.len() >= 19, "{names:?}");
+    for name in names {
+        assert!(
+            page.contains(&format!("| `{name}` |")),
+            "{name} is not in docs/operations.md"
+        );
+    }
+}
--- a/crates/pistachiostair/src/settings/tests.rs
+++ b/crates/pistachiostair/src/settings/tests.rs
@@ -97,3 +97,51 @@
 fn check_no_mapping(#[case] text: &str) {
     assert!(!paths(text).is_empty());
 }
+
+// The example is what operators copy; it must stay valid and show every key.
+#[test]
+fn check_example() {
+    let root = base().join("../..");
+    let text = std::fs::read_to_string(root.join("settings.example.yaml")).unwrap();
+    let stored = std::env::temp_dir().join(format!("pistachiostair-settings-{}", std::process::id()));
+    std::fs::create_dir_all(stored.join("pki")).unwrap();
+    for name in ["ca.pem", "entry-1.pem", "entry-1.key"] {
+        std::fs::write(stored.join("pki").join(name), "").unwrap();
+    }
+    let checked = Settings::check(&text, &stored);
+    std::fs::remove_dir_all(&stored).unwrap();
+    let settings = checked.unwrap();
+    assert_eq!(settings.limits.http().body, HttpLimits::default().body);
+    assert_eq!(settings.limits.watches as u64, DEFAULT_WATCHES);
+    let operations = std::fs::read_to_string(root.join("docs/operations.md")).unwrap();
+    for key in [
+        "name",
+        "region",
+        "domain",
+        "api.listen",
+        "admin.listen",
+        "peers.listen",
+        "peers.advertise",
+        "peers.ca",
+        "peers.certificate",
+        "peers.key",
+        "platform.address",
+        "platform.timeout",
+        "seeds",
+        "drain",
+        "logging.format",
+        "logging.level",
+        "limits.connections",
+        "limits.head",
+        "limits.body",
+        "limits.watches",
+        "limits.age",
+    ] {
+        assert!(
+            operations.contains(&format!("| `{key}` |")),
+            "{key} is not in docs/operations.md"
+        );
+        let last = key.rsplit('.').next().unwrap();
+        assert!(text.contains(&format!("{last}:")), "{key} is not in the example");
+    }
+}
