Say whether a failed document may have been applied

Cause: apply gave one text for a refusal and for an unknown outcome. Change: the text follows the error's ran; the test of a stopped apply checks it.

--- a/crates/pstair/src/apply.rs
+++ b/crates/pstair/src/apply.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use pistachiostair::{
-    Account, Configuration, Error, ErrorKind, Guarantee, Job, Metadata, Result, Revision, join_findings,
+    Account, Configuration, Error, ErrorKind, Guarantee, Job, Metadata, Ran, Result, Revision, join_findings,
 };
 
 use crate::api::Stored;
@@ -23,10 +23,11 @@
     let documents = read_documents(file)?;
     for (at, document) in documents.iter().enumerate() {
         if let Err(error) = apply_one(client, printer, document, author).await {
-            eprintln!(
-                "pstair: {} was not applied, or its outcome is unknown",
-                document.title()
-            );
+            let outcome = match error.ran {
+                Ran::No => "was not applied",
+                Ran::Yes | Ran::Unknown => "may have been applied",
+            };
+            eprintln!("pstair: {} {outcome}", document.title());
             for left in &documents[at + 1..] {
                 eprintln!("pstair: {} was not sent", left.title());
             }
--- a/crates/pstair/tests/pstair/commands.rs
+++ b/crates/pstair/tests/pstair/commands.rs
@@ -123,6 +123,11 @@
     let output = pstair(&[server.address], &["apply", "-f", "-"], DOCUMENTS);
     assert_eq!(code(&output), 5);
     assert_eq!(stdout(&output), "account court created\n");
+    assert!(
+        stderr(&output).contains("job court/x was not applied"),
+        "{}",
+        stderr(&output)
+    );
     assert!(
         stderr(&output).contains("account last was not sent"),
         "{}",
