--- a/crates/standin/src/bin/standin-load.rs
+++ b/crates/standin/src/bin/standin-load.rs
@@ -36,9 +36,12 @@
     /// Daemons.
     #[arg(long, default_value_t = 3)]
     daemons: usize,
-    /// Workers, each a process.
+    /// Worker processes.
     #[arg(long, default_value_t = 8)]
     workers: usize,
+    /// Workers in each of these processes.
+    #[arg(long, default_value_t = 1)]
+    identities: usize,
     /// Slots of each worker.
     #[arg(long, default_value_t = 8)]
     slots: u32,
@@ -52,6 +55,7 @@
     let setup = Setup {
         daemons: args.daemons,
         workers: args.workers,
+        identities: args.identities,
         slots: args.slots,
         accelerators: args.accelerators,
         ..Setup::default()
--- a/crates/standin/src/launch.rs
+++ b/crates/standin/src/launch.rs
@@ -28,6 +28,8 @@
     pub daemons: usize,
     /// Worker processes.
     pub workers: usize,
+    /// Workers in each of these processes.
+    pub identities: usize,
     /// Slots of each worker.
     pub slots: u32,
     /// Accelerators of each worker.
@@ -45,6 +47,7 @@
         Self {
             daemons: 3,
             workers: 3,
+            identities: 1,
             slots: 8,
             accelerators: 8,
             drain: 500,
@@ -106,6 +109,10 @@
             "--log",
             &log,
         ];
+        let count = self.setup.identities.to_string();
+        if self.setup.identities > 1 {
+            args.extend(["--count", &count]);
+        }
         let platform = self.platform.address.clone();
         if !self.setup.worker_relays {
             args.extend(["--platform", &platform]);
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -137,7 +137,7 @@
         list.is_ok_and(|list| {
             list["items"]
                 .as_array()
-                .is_some_and(|items| items.len() == setup.workers)
+                .is_some_and(|items| items.len() == setup.workers * setup.identities)
         })
     })
 }
