--- a/crates/pistachiostair/src/api.rs
+++ b/crates/pistachiostair/src/api.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use crate::clock::Millis;
-use crate::config::Config;
+use crate::config::{Config, parse_document};
 use crate::edge::BoxFuture;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_server::{HttpBody, HttpReply, HttpRequest};
@@ -20,7 +20,6 @@
 use crate::members::Members;
 use crate::message::{Call, Failure, Response};
 use crate::metrics::Metrics;
-use crate::policy::PolicyState;
 use crate::resource::{AccountSpec, Guarantee, GuaranteeSpec, Metadata, Policy};
 use crate::route::{Route, parse_route};
 use crate::validate;
@@ -312,7 +311,7 @@
     async fn configuration_history(&self) -> Result<HttpReply> {
         let mut items = Vec::new();
         for row in self.config.history(HISTORY_LIMIT).await? {
-            let spec = PolicyState::parse(&row.document)?;
+            let spec = parse_document(&row.document)?;
             items.push(Configuration {
                 metadata: configuration_metadata(row.revision),
                 author: row.author,
--- a/crates/pistachiostair/src/store.rs
+++ b/crates/pistachiostair/src/store.rs
@@ -1,18 +1,19 @@
 //! Access to the platform over HTTP: table service, object store and list of VMs.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
 use crate::edge::{BoxFuture, Commit, Objects, Row, Table, Transaction, Vm, VmList};
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_client::{HttpAnswer, HttpCall, HttpClient};
 use crate::http_server::encode_percent;
 use crate::kernel::Service;
 use crate::metrics::Metrics;
+use crate::retry::{Breaker, Pass};
 
 /// Client of the platform's services.
 pub struct Store {
@@ -20,6 +21,8 @@
     address: String,
     timeout: Millis,
     metrics: Option<Arc<Metrics>>,
+    clock: Clock,
+    breaker: Mutex<Breaker>,
 }
 
 impl Service for Store {
@@ -34,6 +37,8 @@
             address: address.into(),
             timeout,
             metrics: None,
+            clock: Clock::start(),
+            breaker: Mutex::default(),
         }
     }
 
@@ -44,6 +49,24 @@
         self
     }
 
+    /// Refuses at once while the platform fails, so that callers learn early that nothing was sent.
+    fn admit(&self, step: &'static str) -> Result<Pass> {
+        let mut breaker = self.breaker.lock().expect("breaker lock");
+        breaker.admit(self.clock.now()).map_err(|wait| {
+            Error::msg(ErrorKind::Unavailable, step, "the platform fails at present")
+                .at(self.address.as_str())
+                .retry_after(wait.0)
+        })
+    }
+
+    fn settle(&self, pass: Pass, failed: bool) {
+        let mut breaker = self.breaker.lock().expect("breaker lock");
+        match failed {
+            true => breaker.failed(self.clock.now(), pass),
+            false => breaker.succeeded(pass),
+        }
+    }
+
     fn count(&self, method: &Method, rows: usize, failed: bool) {
         let Some(metrics) = &self.metrics else { return };
         match *method {
@@ -76,8 +99,10 @@
             body,
             timeout: self.timeout,
         };
+        let pass = self.admit(step)?;
         let result = self.client.send(&self.address, call).await;
         let failed = result.as_ref().map_or(true, |answer| answer.status.is_server_error());
+        self.settle(pass, failed);
         self.count(&method, rows, failed);
         let answer = result?;
         if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND {
@@ -134,7 +159,13 @@
             let body = serde_json::to_vec(transaction)
                 .map_err(|e| Error::new(ErrorKind::Internal, "encode transaction", e))?;
             let answer = self
-                .send("commit", Method::POST, "/v1/transactions", body.into())
+                .send_rows(
+                    "commit",
+                    Method::POST,
+                    "/v1/transactions",
+                    body.into(),
+                    transaction.writes.len(),
+                )
                 .await?;
             self.parse("commit", &answer.body)
         })
