--- a/crates/pistachiostair/src/compact.rs
+++ b/crates/pistachiostair/src/compact.rs
@@ -17,6 +17,8 @@
 const COMPACT_AFTER: u64 = 4;
 /// The most jobs that are moved for one gang.
 const MOVES: usize = 16;
+/// Reservations of an account at the same time.
+const RESERVATIONS: usize = 1;
 /// Grace for work that is moved.
 const GRACE: Millis = Millis(2_000);
 
@@ -46,13 +48,17 @@
         }
         let reserved = self.holds.iter().filter(|(_, hold)| !hold.reclaim);
         let holders: Vec<&JobId> = reserved.map(|(holder, _)| holder).collect();
-        let same = holders.iter().any(|holder| self.waiting[holder].account == account);
+        let own = holders
+            .iter()
+            .filter(|holder| self.waiting[holder].account == account)
+            .count();
         let taken: u32 = holders
             .iter()
             .map(|holder| self.waiting[holder].spec.shape.total())
             .sum();
-        let crowded = taken > 0 && taken + shape.total() > self.topology.total / 2;
-        if waited < patience || same || crowded {
+        let room = self.topology.total.saturating_sub(self.most_headroom());
+        let crowded = taken > 0 && taken + shape.total() > room;
+        if waited < patience || own >= RESERVATIONS || crowded {
             return;
         }
         // The longer a job has run, the longer it is likely to run on; declared run times are of no
@@ -60,7 +66,7 @@
         let remaining = |_: Wid, placed: &Placed| Some(placed.run(now).0 + 1);
         let seeker = Seeker { waits: true, ..seeker };
         if let Some(found) = self.search(&seeker, |_| true, remaining) {
-            self.hold(job, found.workers, "reserved after a long wait", false);
+            self.hold(now, job, found.workers, "reserved after a long wait", false);
         }
     }
 
@@ -76,7 +82,7 @@
         if found.victims.is_empty() || found.victims.len() > MOVES || !self.relocatable(&found, seeker.shape) {
             return false;
         }
-        self.stop_for(job, found, GRACE, "moved to make room for a gang");
+        self.stop_for(now, job, found, GRACE, "moved to make room for a gang");
         true
     }
 
--- a/crates/pistachiostair/src/decide.rs
+++ b/crates/pistachiostair/src/decide.rs
@@ -14,6 +14,9 @@
 /// take-over the workers report one by one; those that don't respond for 4 s count as down.
 const SETTLED: Millis = Millis(4_000);
 
+/// Span after which the place of a reservation is chosen anew.
+const RECONSIDER: Millis = Millis(10_000);
+
 impl Planner {
     /// Moves decisions that were taken earlier to the caller.
     pub(crate) fn drain_backlog(&mut self, decisions: &mut Vec<Decision>, limit: usize) {
@@ -56,7 +59,7 @@
             let Some(hold) = self.holds.get(&job) else {
                 continue;
             };
-            let (workers, kept, reclaim) = (hold.workers.clone(), hold.reason, hold.reclaim);
+            let (workers, kept, reclaim, since) = (hold.workers.clone(), hold.reason, hold.reclaim, hold.since);
             let waiting = &self.waiting[&job];
             let (account, shape, pinned) = (waiting.account, waiting.spec.shape, waiting.key.stop == Stop::Pinned);
             let kind = self.kind(account, &waiting.key);
@@ -75,6 +78,10 @@
             } else if let Some(workers) = self.seek(job, true) {
                 (workers, "free before the workers that were kept for it".to_owned())
             } else {
+                // A straggler may sit on the workers; the next search sees how long it has run.
+                if !reclaim && now.since(since) >= RECONSIDER {
+                    self.drop_hold(job);
+                }
                 continue;
             };
             decisions.extend(self.place(now, job, workers, reason));
--- a/crates/pistachiostair/src/ledger.rs
+++ b/crates/pistachiostair/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Book-keeping of what waits, what is placed and what is kept for whom.
 
 use crate::clock::Millis;
-use crate::fair::ClassKey;
+use crate::fair::{ClassKey, Stop};
 use crate::guarantee::Aid;
 use crate::ids::{JobId, WorkerName};
 use crate::node::Wid;
@@ -19,9 +19,7 @@
         }
         if self.topology.set(info, state) {
             self.grown = now;
-            let topology = &self.topology;
-            let waiting = &self.waiting;
-            let blame = &self.blame;
+            let (topology, waiting, blame) = (&self.topology, &self.waiting, &self.blame);
             self.doomed
                 .retain(|job| blame.condemns(*job) || !topology.holds(waiting[job].spec.shape));
         }
@@ -88,7 +86,7 @@
         let account = self.account(&spec.account);
         let workers: Vec<Wid> = workers.iter().map(|name| self.topology.ensure(name)).collect();
         let key = ClassKey::of(&spec, Millis::ZERO, &self.scheduling);
-        if key.stop == crate::fair::Stop::Pinned {
+        if key.stop == Stop::Pinned {
             self.guarantees
                 .pin(&mut self.topology, account, &workers, spec.shape.accelerators);
         }
@@ -335,7 +333,7 @@
     }
 
     /// Keeps workers for a waiting job: nothing else is placed on what it needs there.
-    pub(crate) fn hold(&mut self, job: JobId, workers: Vec<Wid>, reason: &'static str, reclaim: bool) {
+    pub(crate) fn hold(&mut self, now: Millis, job: JobId, workers: Vec<Wid>, reason: &'static str, reclaim: bool) {
         let Some(waiting) = self.waiting.get(&job) else {
             return;
         };
@@ -350,6 +348,7 @@
         let hold = Hold {
             workers,
             reason,
+            since: now,
             reclaim,
             long,
         };
--- a/crates/pistachiostair/src/planner.rs
+++ b/crates/pistachiostair/src/planner.rs
@@ -187,6 +187,7 @@
 pub(crate) struct Hold {
     pub(crate) workers: Vec<Wid>,
     pub(crate) reason: &'static str,
+    pub(crate) since: Millis,
     /// Whether running work is being stopped for it.
     pub(crate) reclaim: bool,
     /// Whether it counts as long work that waits.
--- a/crates/pistachiostair/src/reclaim.rs
+++ b/crates/pistachiostair/src/reclaim.rs
@@ -102,7 +102,7 @@
         if let Some(class) = self.accounts[account].classes.get_mut(key) {
             class.reclaimed = None;
         }
-        self.stop_for(job, found, grace, claim.reason());
+        self.stop_for(now, job, found, grace, claim.reason());
         true
     }
 
@@ -125,8 +125,8 @@
     }
 
     /// Keeps the workers for the job and has the others stopped.
-    pub(crate) fn stop_for(&mut self, job: JobId, found: Found, grace: Millis, reason: &'static str) {
-        self.hold(job, found.workers, reason, true);
+    pub(crate) fn stop_for(&mut self, now: Millis, job: JobId, found: Found, grace: Millis, reason: &'static str) {
+        self.hold(now, job, found.workers, reason, true);
         for victim in found.victims {
             self.mark_stopping(victim);
             self.backlog.push_back(Decision::Reclaim {
