Refuse early during an outage, and count a guarantee from its commit

Cause: seen by running pstair against the demo: during an outage of the store, submissions took 8 s to be refused, as if a new scheduler was to be expected; a new guarantee was not listed for up to a second; If-Match: 0 on a guarantee was unconditional, since 0 also stood for 'no condition'. Change: no further attempt while this daemon does not reach the table service either; the scheduler is told of a written guarantee at once; PutGuarantee carries the condition apart from the object. Conclusion: put_guarantee_exists guards the condition; the other two are looked at on real processes.

--- a/crates/pistachiostair/src/answers.rs
+++ b/crates/pistachiostair/src/answers.rs
@@ -178,10 +178,15 @@
         self.known.guarantees.values().map(view).collect()
     }
 
-    pub(crate) fn put_guarantee(&mut self, now: Millis, token: Token, mut guarantee: Guarantee) -> Result<(), Failure> {
+    pub(crate) fn put_guarantee(
+        &mut self,
+        now: Millis,
+        token: Token,
+        mut guarantee: Guarantee,
+        revision: Option<Revision>,
+    ) -> Result<(), Failure> {
         let name = guarantee.name();
-        let asked = guarantee.metadata.revision;
-        let version = self.admit_write(now, &name, (asked != Revision(0)).then_some(asked))?;
+        let version = self.admit_write(now, &name, revision)?;
         self.planner
             .check_guarantee(&guarantee)
             .map_err(|reason| refusal(ErrorKind::Impossible, reason))?;
--- a/crates/pistachiostair/src/api.rs
+++ b/crates/pistachiostair/src/api.rs
@@ -214,17 +214,16 @@
         self.account_spec(step, &document.spec.account).await?;
         let mut metadata = document.metadata;
         name.clone_into(&mut metadata.name);
-        metadata.revision = if_match(request)?.unwrap_or_default();
+        let revision = if_match(request)?;
         let region = document.spec.region.clone().unwrap_or_else(|| self.region_of(request));
         let guarantee = Guarantee {
             metadata,
             spec: document.spec,
             conditions: Vec::new(),
         };
-        let response = self
-            .links
-            .call(&region, &Call::PutGuarantee(Box::new(guarantee)), deadline)
-            .await?;
+        let guarantee = Box::new(guarantee);
+        let call = Call::PutGuarantee { guarantee, revision };
+        let response = self.links.call(&region, &call, deadline).await?;
         match response {
             Response::Guarantees { guarantees } if guarantees.len() == 1 => json_reply(StatusCode::OK, &guarantees[0]),
             _ => Err(unexpected(step)),
--- a/crates/pistachiostair/src/calls.rs
+++ b/crates/pistachiostair/src/calls.rs
@@ -212,7 +212,7 @@
                 Ok(())
             }
             Call::Drain { worker, drain } => self.drain(token, worker, drain),
-            Call::PutGuarantee(guarantee) => self.put_guarantee(now, token, *guarantee),
+            Call::PutGuarantee { guarantee, revision } => self.put_guarantee(now, token, *guarantee, revision),
             Call::DeleteGuarantee { name, revision } => self.delete_guarantee(now, token, &name, revision),
             Call::Guarantees => {
                 let guarantees = self.guarantee_views();
--- a/crates/pistachiostair/src/config.rs
+++ b/crates/pistachiostair/src/config.rs
@@ -26,7 +26,8 @@
 
 const HEAD_KEY: &str = "config/head";
 const ACCOUNT_PREFIX: &str = "account/";
-const GUARANTEE_PREFIX: &str = "guarantee/";
+/// Prefix of the rows of guarantees.
+pub(crate) const GUARANTEE_PREFIX: &str = "guarantee/";
 
 /// Time between two looks at the table service. A change must be in force everywhere within 4 s.
 const POLL_INTERVAL: Millis = Millis(1_000);
--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -9,10 +9,10 @@
 
 use crate::appender::AppendAction;
 use crate::clock::Millis;
-use crate::config::{CATALOG_KEY, Catalog, Config};
+use crate::config::{CATALOG_KEY, Catalog, Config, GUARANTEE_PREFIX};
 use crate::edge::{BoxFuture, Commit, Table, Transaction, Write};
 use crate::error::{Error, ErrorKind, Ran, Result};
-use crate::ids::{DaemonName, Incarnation, RegionName, Revision, Term, WorkerName};
+use crate::ids::{DaemonName, GuaranteeName, Incarnation, RegionName, Revision, Term, WorkerName};
 use crate::kernel::{Kernel, Service};
 use crate::lease::Lease;
 use crate::logging;
@@ -630,11 +630,27 @@
             value: Some(String::new()),
         });
         let Some(reply) = self.calls.remove(&token) else { return };
+        let name = transaction
+            .writes
+            .first()
+            .and_then(|write| write.key.strip_prefix(GUARANTEE_PREFIX));
+        let name = name.map(GuaranteeName::from);
+        let inbox = self.inbox.clone();
         let store = self.store.clone();
         let kernel = self.kernel.clone();
         self.kernel.spawn(async move {
             let response = match store.commit(&transaction).await {
                 Ok(Commit::Done { version }) => {
+                    let written = guarantee.clone().map(|mut written| {
+                        written.metadata.revision = Revision(version);
+                        written
+                    });
+                    if let Some(name) = name {
+                        // The scheduler must count it from now on, not from the next look at the catalog.
+                        let _ = inbox
+                            .send(Input::Event(Box::new(Event::Guarantee(name, written))))
+                            .await;
+                    }
                     if let Ok(config) = kernel.find::<Config>() {
                         config.reload_soon();
                     }
--- a/crates/pistachiostair/src/links.rs
+++ b/crates/pistachiostair/src/links.rs
@@ -5,6 +5,7 @@
 use futures_lite::future;
 
 use crate::clock::Millis;
+use crate::config::Config;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::govern::Govern;
 use crate::ids::{DaemonName, RegionName};
@@ -111,7 +112,10 @@
             // Only a request that reached a scheduler counts as load on it.
             let allowed =
                 error.ran == Ran::No || self.budget.lock().expect("budget lock").retry(self.kernel.clock.now());
-            if !passing || !allowed || self.kernel.clock.now() + pause >= deadline {
+            // While this daemon can't reach the table service either, no new scheduler is to be expected soon.
+            let outage =
+                error.ran == Ran::No && !self.kernel.find::<Config>().is_ok_and(|config| config.store_reached());
+            if !passing || outage || !allowed || self.kernel.clock.now() + pause >= deadline {
                 if passing && matches!(call, Call::Submit { .. }) && ran != Ran::No {
                     error.ran = ran;
                 }
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -202,7 +202,12 @@
             drain: bool,
         },
         /// Creates or replaces a guarantee, if it can be honoured together with all others.
-        PutGuarantee(Box<Guarantee>),
+        PutGuarantee {
+            /// The guarantee; its revision is not looked at.
+            guarantee: Box<Guarantee>,
+            /// Revision that it must have, 0 if it must not exist; any if absent.
+            revision: Option<Revision>,
+        },
         /// Deletes a guarantee.
         DeleteGuarantee {
             /// Name.
--- a/crates/pistachiostair/tests/life/faults.rs
+++ b/crates/pistachiostair/tests/life/faults.rs
@@ -251,7 +251,10 @@
                 "metadata": {"name": "g", "revision": 0},
                 "spec": {"account": "court", "shape": "1x1"},
             }));
-            let call = Call::PutGuarantee(Box::new(guarantee.expect("a valid guarantee")));
+            let call = Call::PutGuarantee {
+                guarantee: Box::new(guarantee.expect("a valid guarantee")),
+                revision: Some(Revision(0)),
+            };
             self.feed(leader, |d, now, out| d.call(now, Token(MAX_CLIENTS - 1), call, out));
         }
         for drain in [true, false] {
--- a/crates/pistachiostair/tests/scheduler_calls.rs
+++ b/crates/pistachiostair/tests/scheduler_calls.rs
@@ -2,8 +2,8 @@
 
 use pistachiostair::{
     Action, AppendAction, AppendEvent, Batch, Call, Changes, Command, CommandBatch, ErrorKind, Event, Failure,
-    Incarnation, Job, JobPhase, JobSpec, MemberState, Millis, Ran, Record, Response, Retention, Revision, Scheduler,
-    Seq, State, TaskId, TaskState, TaskView, Term, Token, WorkerInfo,
+    Guarantee, Incarnation, Job, JobPhase, JobSpec, MemberState, Millis, Ran, Record, Response, Retention, Revision,
+    Scheduler, Seq, State, TaskId, TaskState, TaskView, Term, Token, WorkerInfo,
 };
 use rstest::rstest;
 
@@ -510,7 +510,10 @@
     desk.report(1, 1, Vec::new());
     let put = |name: &str| {
         let text = serde_json::json!({"metadata": {"name": name}, "spec": {"account": "court", "shape": "1x8"}});
-        Call::PutGuarantee(Box::new(serde_json::from_value(text).expect("a valid guarantee")))
+        Call::PutGuarantee {
+            guarantee: Box::new(serde_json::from_value(text).expect("a valid guarantee")),
+            revision: None,
+        }
     };
     desk.ask(put("g"));
     let failure = desk.failure(put("h"));
@@ -520,6 +523,25 @@
     );
 }
 
+/// Guards against a create that overwrites what another operator created first.
+#[test]
+fn put_guarantee_exists() {
+    let mut desk = Desk::new();
+    desk.report(1, 1, Vec::new());
+    let text =
+        serde_json::json!({"metadata": {"name": "g", "revision": 7}, "spec": {"account": "court", "shape": "1x2"}});
+    let guarantee: Guarantee = serde_json::from_value(text).expect("a valid guarantee");
+    desk.on(Event::Guarantee("g".into(), Some(guarantee.clone())));
+    let failure = desk.failure(Call::PutGuarantee {
+        guarantee: Box::new(guarantee),
+        revision: Some(Revision(0)),
+    });
+    assert_eq!(
+        (failure.kind, failure.ran, desk.writes),
+        (ErrorKind::Conflict, Ran::No, 0)
+    );
+}
+
 /// A drained worker gets nothing new, also under the next scheduler.
 #[test]
 fn drain_through_takeover() {
