--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -9,12 +9,15 @@
 use bytes::Bytes;
 use futures_lite::future;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::http_lines::HttpLines;
+use crate::traffic::{CountedStream, Traffic};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -57,6 +60,7 @@
     pools: Arc<Mutex<BTreeMap<String, Pool>>>,
     limit: usize,
     max_body: usize,
+    traffic: Arc<Traffic>,
 }
 
 impl HttpClient {
@@ -67,9 +71,17 @@
             pools: Arc::default(),
             limit,
             max_body,
+            traffic: Arc::default(),
         }
     }
 
+    /// Counts the bytes of its connections in `traffic`.
+    #[must_use]
+    pub fn with_traffic(mut self, traffic: Arc<Traffic>) -> Self {
+        self.traffic = traffic;
+        self
+    }
+
     /// Sends a request to `peer`, an `ip:port`, and reads the whole response.
     ///
     /// # Errors
@@ -106,6 +118,28 @@
         }
     }
 
+    /// Sends a request on a connection of its own and returns once the head of the response is there;
+    /// the body is then read line by line. The call's timeout is for the head.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::send`].
+    pub async fn stream(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpLines> {
+        let attempt = async {
+            let (_, mut sender) = self.connect(peer).await?;
+            self.request(peer, &mut sender, &call).await
+        };
+        let lapsed = async {
+            Timer::after(call.timeout.duration()).await;
+            let message = format!("no response within {}", call.timeout);
+            Err(Error::msg(ErrorKind::Timeout, "http request", message)
+                .at(peer)
+                .ran(Ran::Unknown))
+        };
+        let response = future::or(attempt, lapsed).await?;
+        Ok(HttpLines::new(peer, response, self.max_body))
+    }
+
     /// Closes all idle connections to `peer`.
     pub fn forget(&self, peer: &str) {
         if let Some(pool) = self.pools.lock().expect("pool lock").get_mut(peer) {
@@ -159,7 +193,7 @@
             .await
             .map_err(|e| unavailable(e.into()))?;
         stream.set_nodelay(true).map_err(|e| unavailable(e.into()))?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http1::handshake(FuturesIo::new(CountedStream::new(stream, self.traffic.clone())))
             .await
             .map_err(|e| unavailable(e.into()))?;
         let epoch = guard.epoch;
@@ -196,19 +230,7 @@
         sender: &mut SendRequest<Full<Bytes>>,
         call: &HttpCall<'_>,
     ) -> Result<HttpAnswer> {
-        let invalid = |e: hyper::http::Error| Error::new(ErrorKind::Invalid, "build request", e).at(peer);
-        let mut builder = Request::builder()
-            .method(call.method.clone())
-            .uri(call.path)
-            .header("host", peer);
-        for (name, value) in call.headers {
-            builder = builder.header(*name, *value);
-        }
-        let request = builder.body(Full::new(call.body.clone())).map_err(invalid)?;
-        let response = sender.send_request(request).await.map_err(|e| {
-            let ran = if e.is_canceled() { Ran::No } else { Ran::Unknown };
-            Error::new(ErrorKind::Unavailable, "send request", e).at(peer).ran(ran)
-        })?;
+        let response = self.request(peer, sender, call).await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), self.max_body)
             .collect()
@@ -223,6 +245,27 @@
             body: body.to_bytes(),
         })
     }
+
+    async fn request(
+        &self,
+        peer: &str,
+        sender: &mut SendRequest<Full<Bytes>>,
+        call: &HttpCall<'_>,
+    ) -> Result<Response<Incoming>> {
+        let invalid = |e: hyper::http::Error| Error::new(ErrorKind::Invalid, "build request", e).at(peer);
+        let mut builder = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path)
+            .header("host", peer);
+        for (name, value) in call.headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(call.body.clone())).map_err(invalid)?;
+        sender.send_request(request).await.map_err(|e| {
+            let ran = if e.is_canceled() { Ran::No } else { Ran::Unknown };
+            Error::new(ErrorKind::Unavailable, "send request", e).at(peer).ran(ran)
+        })
+    }
 }
 
 /// A place among the open connections of a peer, given back when the connection ends.
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -20,43 +20,89 @@
 
 mod macros;
 
+mod active;
+mod answers;
+mod api;
+mod api_jobs;
+mod api_watch;
 mod appender;
+mod blame;
+mod calls;
 mod clock;
+mod commits;
+mod compact;
+mod config;
+mod daemon;
+mod decide;
+mod dispatch;
 mod edge;
 mod ejection;
 mod error;
+mod explain;
+mod fair;
+mod finish;
+mod fit;
+mod gang;
+mod govern;
+mod guarantee;
+mod headroom;
 mod http_client;
+mod http_lines;
 mod http_server;
 mod ids;
 mod interface;
+mod journal;
 mod kernel;
+mod lease;
+mod ledger;
 mod limits;
+mod links;
 mod logging;
+mod members;
 mod membership;
 mod message;
 mod metrics;
+mod node;
+mod orders;
 mod peer_frame;
 mod peer_link;
 mod peer_tls;
 mod peers;
+mod place;
 mod planner;
 mod policy;
+mod reclaim;
+mod reconcile;
 mod rendezvous;
 mod resource;
 mod retry;
+mod route;
 mod scheduler;
+mod search;
+mod serve;
 mod settings;
+mod snapshot;
+mod state;
 mod store;
+mod submit;
+mod supervise;
+mod takeover;
 mod tenure;
+mod topology;
+mod traffic;
 mod validate;
+mod views;
 mod worker;
 
-pub use appender::{AppendAction, AppendEvent};
+pub use active::Retention;
+pub use appender::{AppendAction, AppendEvent, Appender};
 pub use clock::{Clock, Millis};
+pub use daemon::{Addresses, Daemon};
 pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
 pub use ejection::Ejector;
 pub use error::{Error, ErrorKind, Ran, Result};
 pub use http_client::{HttpAnswer, HttpCall, HttpClient};
+pub use http_lines::HttpLines;
 pub use http_server::{
     HttpBody, HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer, decode_percent, encode_percent,
     parse_query,
@@ -66,11 +112,15 @@
     Revision, Seq, TaskId, Term, WorkerName,
 };
 pub use interface::{Configuration, Explanation, Listing, WatchLine};
+pub use journal::{Batch, Part, Record, journal_key, revision, term_key};
 pub use kernel::{Kernel, Service, Stop};
+pub use lease::{Lease, lease_key};
 pub use limits::{AccountLimits, Admission, MAX_ACCOUNTS, Permit, Refusal, RefusalReason};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
-pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use message::{
+    Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, View,
+};
 pub use metrics::{Metrics, ProcessUsage, process_usage};
 pub use peer_frame::decode_message;
 pub use peer_tls::PeerTls;
@@ -83,12 +133,15 @@
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
 };
 pub use retry::{Backoff, Breaker, BreakerState, Budget, Pass};
-pub use scheduler::{Action, Event, LogLine, Token};
+pub use scheduler::{Action, Event, LogLine, Scheduler, Token};
 pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
+pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
+pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
-pub use tenure::{TenureAction, TenureEvent};
+pub use tenure::{Tenure, TenureAction, TenureEvent};
+pub use traffic::Traffic;
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
-    join_findings, key_fault, name_fault, parse_json, parse_policy, parse_yaml,
+    join_findings, key_fault, locate_fault, name_fault, parse_json, parse_policy, parse_yaml,
 };
 pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- a/crates/standin/src/bin/standin-worker.rs
+++ b/crates/standin/src/bin/standin-worker.rs
@@ -1,10 +1,13 @@
 //! Serves one or more worker identities that pretend to run tasks.
 
+use std::fs::File;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
 
 use clap::Parser;
-use pistachiostair::WorkerInfo;
-use standin::{StandinWorker, run};
+use pistachiostair::{MemberState, WorkerInfo};
+use standin::{Listed, StandinWorker, new_client, run};
 
 /// Stand-in for a worker.
 #[derive(Parser)]
@@ -45,6 +48,9 @@
     /// Workers in a rack, if there are several identities.
     #[arg(long, default_value_t = 8)]
     per_rack: usize,
+    /// File that the log of all identities is appended to, as JSON lines.
+    #[arg(long)]
+    log: Option<PathBuf>,
     /// Threads.
     #[arg(long, default_value_t = 1)]
     threads: usize,
@@ -72,10 +78,21 @@
 fn main() -> anyhow::Result<()> {
     let args = Args::parse();
     run(args.threads, |executor| async move {
+        let open = |path: &PathBuf| File::options().create(true).append(true).open(path);
+        let log = args.log.as_ref().map(open).transpose()?;
+        let client = Arc::new(new_client(&executor));
+        let listed = args.platform.clone().map(|platform| Listed { client, platform });
+        let mut workers = Vec::new();
         for index in 0..args.count {
-            let worker = StandinWorker::new(&executor, args.info(index), args.platform.clone());
+            let log = log.as_ref().map(File::try_clone).transpose()?;
+            let worker = StandinWorker::new(args.info(index), listed.clone(), log);
             let address = worker.serve(&executor, args.listen).await?;
             println!("listening {address}");
+            workers.push(worker);
+        }
+        // One after the other, so that the platform gets one connection and not one for each.
+        for worker in &workers {
+            worker.enter_list(MemberState::Live).await;
         }
         std::future::pending().await
     })
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -1,5 +1,7 @@
 //! A worker that reports over HTTP and pretends to run tasks.
 
+use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -12,10 +14,8 @@
     Clock, CommandBatch, HttpReply, HttpRequest, Incarnation, MemberState, Millis, Stop, Vm, VmRole, WorkerInfo,
 };
 
-use crate::inventory::Inventory;
-use crate::server::{
-    Client, Fault, Mode, ask, new_client, reply_invalid, reply_json, reply_lost, reply_status, segments, serve,
-};
+use crate::inventory::{Inventory, LogEntry};
+use crate::server::{Client, Fault, Mode, ask, reply_invalid, reply_json, reply_lost, reply_status, segments, serve};
 
 /// Connections that a worker takes at once, as real ones do.
 const CONNECTIONS: usize = 60;
@@ -24,31 +24,40 @@
 /// Longest wait of a poll for changes.
 const MAX_WAIT: u64 = 60_000;
 
+/// How a worker enters the platform's list.
+#[derive(Clone)]
+pub struct Listed {
+    /// Client that all identities of the process share.
+    pub client: Arc<Client>,
+    /// Address of the platform.
+    pub platform: String,
+}
+
 /// One worker identity.
 pub struct StandinWorker {
     clock: Clock,
-    platform: Option<String>,
-    client: Client,
+    platform: Option<Listed>,
     inventory: Mutex<Inventory>,
     fault: Mutex<Fault>,
     /// Raised and replaced at each change.
     changed: Mutex<Stop>,
     address: OnceLock<SocketAddr>,
+    log: Option<File>,
 }
 
 impl StandinWorker {
-    /// A worker with a new incarnation that enters the list of the platform at `platform`, if given.
-    pub fn new(executor: &Arc<Executor<'static>>, info: WorkerInfo, platform: Option<String>) -> Arc<Self> {
+    /// A worker with a new incarnation. Its log is appended to `log`, so that it outlives the process.
+    pub fn new(info: WorkerInfo, platform: Option<Listed>, log: Option<File>) -> Arc<Self> {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = Incarnation(since.as_micros() as u64);
         Arc::new(Self {
             clock: Clock::start(),
             platform,
-            client: new_client(executor),
             inventory: Mutex::new(Inventory::new(info, incarnation, since.as_millis() as u64)),
             fault: Mutex::default(),
             changed: Mutex::new(Stop::new()),
             address: OnceLock::new(),
+            log,
         })
     }
 
@@ -71,10 +80,6 @@
         let _ = self.address.set(address);
         let worker = self.clone();
         executor.spawn(async move { worker.run_tasks().await }).detach();
-        let worker = self.clone();
-        executor
-            .spawn(async move { worker.enter_list(MemberState::Live).await })
-            .detach();
         Ok(address)
     }
 
@@ -94,8 +99,9 @@
         }
     }
 
-    async fn enter_list(&self, state: MemberState) {
-        let (Some(platform), Some(address)) = (&self.platform, self.address.get()) else {
+    /// Enters the platform's list, or changes the entry, and tries until that succeeds.
+    pub async fn enter_list(&self, state: MemberState) {
+        let (Some(listed), Some(address)) = (&self.platform, self.address.get()) else {
             return;
         };
         let info = self.inventory.lock().expect("inventory lock").info.clone();
@@ -106,7 +112,7 @@
             state,
             region: Some(info.region),
         };
-        while let Err(error) = ask::<()>(&self.client, platform, Method::POST, "/v1/vms", &vm).await {
+        while let Err(error) = ask::<()>(&listed.client, &listed.platform, Method::POST, "/v1/vms", &vm).await {
             eprintln!("worker {}: enter the platform's list: {error:#}", vm.name);
             Timer::after(REGISTER_PAUSE.duration()).await;
         }
@@ -116,15 +122,25 @@
     fn update<T>(&self, change: impl FnOnce(&mut Inventory, Millis) -> T) -> T {
         let mut inventory = self.inventory.lock().expect("inventory lock");
         let before = inventory.change();
+        let logged = inventory.log().len();
         let now = self.clock.now();
         inventory.advance(now);
         let result = change(&mut inventory, now);
+        self.append_log(&inventory.log()[logged..]);
         if inventory.change() != before {
             std::mem::take(&mut *self.changed.lock().expect("signal lock")).raise();
         }
         result
     }
 
+    fn append_log(&self, entries: &[LogEntry]) {
+        let Some(mut file) = self.log.as_ref() else { return };
+        for entry in entries {
+            let line = serde_json::to_string(entry).expect("a log entry is plain data") + "\n";
+            file.write_all(line.as_bytes()).expect("write the log file");
+        }
+    }
+
     fn change_signal(&self) -> Stop {
         self.changed.lock().expect("signal lock").clone()
     }
