--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -63,6 +63,7 @@
 mod message;
 mod metrics;
 mod node;
+mod orders;
 mod peer_frame;
 mod peer_link;
 mod peer_tls;
@@ -85,6 +86,7 @@
 mod store;
 mod submit;
 mod supervise;
+mod takeover;
 mod tenure;
 mod topology;
 mod traffic;
@@ -116,8 +118,11 @@
 pub use limits::{AccountLimits, Admission, MAX_ACCOUNTS, Permit, Refusal, RefusalReason};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
-pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use message::{
+    Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, View,
+};
 pub use metrics::{Metrics, ProcessUsage, process_usage};
+pub use peer_frame::decode_message;
 pub use peer_tls::PeerTls;
 pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
