--- a/crates/pistachiostair/src/planner.rs
+++ b/crates/pistachiostair/src/planner.rs
@@ -291,12 +291,14 @@
         if !self.topology.holds(shape) {
             return Err(format!("no hardware of this region can hold {shape}"));
         }
-        let mut trial = self.clone();
-        trial.guarantees.settle(&mut trial.topology);
-        let before = trial.guarantees.broken();
-        trial.apply(Millis::ZERO, Change::Guarantee(guarantee.clone()));
-        trial.guarantees.settle(&mut trial.topology);
-        let after = trial.guarantees.broken();
+        let account = self.names.get(&guarantee.spec.account).copied();
+        let account = account.unwrap_or(self.accounts.len());
+        let (mut guarantees, mut topology) = (self.guarantees.clone(), self.topology.clone());
+        guarantees.settle(&mut topology);
+        let before = guarantees.broken();
+        guarantees.set(&mut topology, guarantee.name(), account, guarantee.spec.clone());
+        guarantees.settle(&mut topology);
+        let after = guarantees.broken();
         if let Some((_, missing)) = after.get(&guarantee.name()) {
             let count = guarantee.spec.count;
             return Err(format!(
--- a/crates/pistachiostair/src/reclaim.rs
+++ b/crates/pistachiostair/src/reclaim.rs
@@ -12,8 +12,7 @@
 /// Grace where no guarantee states one.
 const GRACE: Millis = Millis(2_000);
 /// Searches that may fail at once, and the span in which one more is allowed. A search looks at
-/// every task, about 1 ms at full scale; this bounds the cost of searches that find nothing to 5%
-/// of a core.
+/// every task; without a limit every plan call of a full region searched.
 const SEARCHES: u32 = 8;
 const SEARCH_SPAN: Millis = Millis(20);
 /// Pause of a class between two searches that find nothing. It adds little to the grace.
