--- a/crates/pistachiostair/src/reclaim.rs
+++ b/crates/pistachiostair/src/reclaim.rs
@@ -15,8 +15,6 @@
 /// every task; without a limit every plan call of a full region searched.
 const SEARCHES: u32 = 8;
 const SEARCH_SPAN: Millis = Millis(20);
-/// Waiting jobs for which one plan call reclaims, so that a call stays short when many may.
-const RECLAIMS: u32 = 2;
 /// Pause of a class between two searches that find nothing. It adds little to the grace.
 const PAUSE: Millis = Millis(200);
 /// Jobs for which workers may be kept at the same time.
@@ -55,7 +53,6 @@
             self.searches = (u64::from(self.searches) + refill).min(SEARCHES.into()) as u32;
             self.refilled = now;
         }
-        let mut reclaims = RECLAIMS;
         for account in self.by_share() {
             let epoch = self.epoch;
             let heads = self.accounts[account].heads(|class| class.blocked == epoch);
@@ -67,10 +64,6 @@
                     continue;
                 }
                 if self.reclaim_for(now, account, &key, job) {
-                    reclaims -= 1;
-                    if reclaims == 0 {
-                        return;
-                    }
                     continue;
                 }
                 self.reserve_for(now, account, &key, job);
