--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -53,6 +53,7 @@
 mod interface;
 mod journal;
 mod kernel;
+mod lease;
 mod ledger;
 mod limits;
 mod links;
@@ -62,10 +63,12 @@
 mod message;
 mod metrics;
 mod node;
+mod orders;
 mod peer_frame;
 mod peer_link;
 mod peer_tls;
 mod peers;
+mod place;
 mod planner;
 mod policy;
 mod reclaim;
@@ -81,7 +84,9 @@
 mod snapshot;
 mod state;
 mod store;
+mod submit;
 mod supervise;
+mod takeover;
 mod tenure;
 mod topology;
 mod traffic;
@@ -109,11 +114,15 @@
 pub use interface::{Configuration, Explanation, Listing, WatchLine};
 pub use journal::{Batch, Part, Record, journal_key, revision, term_key};
 pub use kernel::{Kernel, Service, Stop};
+pub use lease::{Lease, lease_key};
 pub use limits::{AccountLimits, Admission, MAX_ACCOUNTS, Permit, Refusal, RefusalReason};
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
-pub use message::{Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Request, Response, View};
+pub use message::{
+    Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, View,
+};
 pub use metrics::{Metrics, ProcessUsage, process_usage};
+pub use peer_frame::decode_message;
 pub use peer_tls::PeerTls;
 pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
@@ -129,7 +138,7 @@
 pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
-pub use tenure::{Lease, Tenure, TenureAction, TenureEvent, lease_key};
+pub use tenure::{Tenure, TenureAction, TenureEvent};
 pub use traffic::Traffic;
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
--- a/crates/pistachiostair/src/peers.rs
+++ b/crates/pistachiostair/src/peers.rs
@@ -16,7 +16,7 @@
 use crate::ids::DaemonName;
 use crate::kernel::{Kernel, Service, Stop};
 use crate::message::{Envelope, Failure, MESSAGE_VERSION, Request, Response};
-use crate::peer_frame::{Held, RETRY, decode, encode, read_frame};
+use crate::peer_frame::{Held, RETRY, decode_message, encode, read_frame};
 use crate::peer_link::{Link, Slot};
 use crate::peer_tls::{KernelRuntime, PeerTls, SERVER_NAME, client_config, server_config};
 
@@ -118,6 +118,14 @@
         self.endpoint.open_connections()
     }
 
+    /// Bytes sent and received so far on the open connections to peers, with 28 bytes of IP and UDP headers
+    /// for each datagram.
+    pub fn traffic(&self) -> (u64, u64) {
+        let slots: Vec<Arc<Slot>> = self.slots.lock().expect("slots lock").values().cloned().collect();
+        let traffic = slots.iter().filter_map(|slot| slot.traffic());
+        traffic.fold((0, 0), |sum, link| (sum.0 + link.0, sum.1 + link.1))
+    }
+
     /// Sends a request to the daemon at `address`, an `ip:port`, and waits for its response. A response
     /// of [`Response::Failed`] is returned as `Ok`.
     ///
@@ -166,7 +174,7 @@
         send.write_all(frame).await.map_err(|e| broken(e.into()))?;
         let _ = send.finish();
         let body = read_frame(&mut recv, |_| Ok(())).await.map_err(|e| e.at(address))?;
-        decode(&body, "decode response").map_err(|e| e.at(address))
+        decode_message(&body).map_err(|e| e.at(address))
     }
 
     /// Opens a stream. A connection that turns out to be closed is replaced once.
@@ -297,7 +305,7 @@
         let body = within(TRANSFER_TIMEOUT, read_frame(recv, |length| held.take(length))).await;
         let late = || Error::msg(ErrorKind::Timeout, "read request", "the request did not arrive in time");
         let body = body.ok_or_else(late)??;
-        Ok((decode(&body, "decode request")?, held))
+        Ok((decode_message(&body)?, held))
     }
 
     async fn close(&self) {
--- a/crates/pistachiostair/src/reclaim.rs
+++ b/crates/pistachiostair/src/reclaim.rs
@@ -12,8 +12,7 @@
 /// Grace where no guarantee states one.
 const GRACE: Millis = Millis(2_000);
 /// Searches that may fail at once, and the span in which one more is allowed. A search looks at
-/// every task, about 1 ms at full scale; this bounds the cost of searches that find nothing to 5%
-/// of a core.
+/// every task; without a limit every plan call of a full region searched.
 const SEARCHES: u32 = 8;
 const SEARCH_SPAN: Millis = Millis(20);
 /// Pause of a class between two searches that find nothing. It adds little to the grace.
@@ -102,7 +101,7 @@
         if let Some(class) = self.accounts[account].classes.get_mut(key) {
             class.reclaimed = None;
         }
-        self.stop_for(job, found, grace, claim.reason());
+        self.stop_for(now, job, found, grace, claim.reason());
         true
     }
 
@@ -125,8 +124,8 @@
     }
 
     /// Keeps the workers for the job and has the others stopped.
-    pub(crate) fn stop_for(&mut self, job: JobId, found: Found, grace: Millis, reason: &'static str) {
-        self.hold(job, found.workers, reason, true);
+    pub(crate) fn stop_for(&mut self, now: Millis, job: JobId, found: Found, grace: Millis, reason: &'static str) {
+        self.hold(now, job, found.workers, reason, true);
         for victim in found.victims {
             self.mark_stopping(victim);
             self.backlog.push_back(Decision::Reclaim {
