Let the breaker learn of dropped probes; tell unknown outcomes of all changing calls

Cause: the process test store::outage found that the scheduler did not renew its lease for 29 to 48 s after an outage of 17 s. Lease rows were read two at a time; a half-open breaker refused one, the other was dropped, and with it the probe, so that the breaker stayed half-open until the probe's time-out, again and again. Ruled out: the tenure itself, which renews with the first answer. Change: a dropped request counts as abandoned and the next one is the probe; rows are read one after the other. A timed-out cancel, drain or guarantee write is 'ran: unknown' instead of 'no', also when a later attempt is refused; a conditional write is not sent again after an unknown outcome. Polls of workers wait 2 s instead of 1 s; a failed one is repeated without a wait.

--- a/crates/pistachiostair/src/api_jobs.rs
+++ b/crates/pistachiostair/src/api_jobs.rs
@@ -21,6 +21,9 @@
 /// Longest single wait at the scheduler; a longer one is asked for again.
 const WAIT_STEP: Millis = Millis(15_000);
 
+/// Time for the scheduler's answer to travel after the wait is over.
+const ANSWER_MARGIN: Millis = Millis(1_000);
+
 /// Most jobs in one page of a list.
 const PAGE: u32 = 500;
 
@@ -150,11 +153,13 @@
                 name: job.metadata.name.clone(),
                 wait: left.min(WAIT_STEP),
             };
-            let answer =
-                futures_lite::future::or(async { Some(self.links.call(region, &call, deadline).await) }, async {
+            let answer = futures_lite::future::or(
+                async { Some(self.links.call(region, &call, deadline + ANSWER_MARGIN).await) },
+                async {
                     stopping.wait().await;
                     None
-                });
+                },
+            );
             match answer.await {
                 Some(Ok(response)) => match one_job(response) {
                     Ok(newer) => job = newer,
--- a/crates/pistachiostair/src/config.rs
+++ b/crates/pistachiostair/src/config.rs
@@ -230,7 +230,8 @@
     }
 
     async fn refresh(&self) -> Result<()> {
-        let (head, catalog) = future::try_zip(self.store.get(HEAD_KEY), self.store.get(CATALOG_KEY)).await?;
+        let head = self.store.get(HEAD_KEY).await?;
+        let catalog = self.store.get(CATALOG_KEY).await?;
         if let Some(row) = head {
             let parsed = parse_row::<ConfigRow>("read configuration", &row)?;
             self.apply(parsed.revision, &parsed.document, "table service");
--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -163,7 +163,7 @@
             let error = Error::msg(ErrorKind::Unavailable, step, "this daemon is not the scheduler").retry_after(200);
             return failed(&error.at(self.me.as_str()));
         }
-        let submits = matches!(call, Call::Submit { .. });
+        let unsure = if changes(&call) { Ran::Unknown } else { Ran::No };
         let token = Token(self.tokens.fetch_add(1, Ordering::Relaxed));
         let (reply, response) = async_channel::bounded(1);
         if let Err(error) = self.inbox.try_send(Input::Call {
@@ -179,15 +179,13 @@
         };
         let lapsed = async {
             async_io::Timer::after(timeout.duration()).await;
-            let ran = if submits { Ran::Unknown } else { Ran::No };
-            failed(&Error::msg(ErrorKind::Timeout, step, format!("no response within {timeout}")).ran(ran))
+            failed(&Error::msg(ErrorKind::Timeout, step, format!("no response within {timeout}")).ran(unsure))
         };
         let answered = async {
             response.recv().await.unwrap_or_else(|_| {
-                let ran = if submits { Ran::Unknown } else { Ran::No };
                 failed(
                     &Error::msg(ErrorKind::Unavailable, step, "the scheduler changed")
-                        .ran(ran)
+                        .ran(unsure)
                         .retry_after(200),
                 )
             })
@@ -217,6 +215,23 @@
     }
 }
 
+/// Whether a call of unknown outcome may have had an effect.
+pub(crate) fn changes(call: &Call) -> bool {
+    match call {
+        Call::Submit { .. }
+        | Call::Cancel { .. }
+        | Call::Drain { .. }
+        | Call::PutGuarantee { .. }
+        | Call::DeleteGuarantee { .. } => true,
+        Call::Get { .. }
+        | Call::Wait { .. }
+        | Call::List { .. }
+        | Call::Explain { .. }
+        | Call::Workers
+        | Call::Guarantees => false,
+    }
+}
+
 fn failed(error: &Error) -> Response {
     Response::Failed(Failure::from(error))
 }
@@ -415,7 +430,8 @@
         let sent = self.now();
         let store = self.store.clone();
         self.reply_later(async move {
-            let rows = future::try_zip(store.get(&lease), store.get(&term)).await;
+            // One after the other: of two requests at once, a breaker that probes refuses one.
+            let rows = async { Ok::<_, Error>((store.get(&lease).await?, store.get(&term).await?)) }.await;
             Input::Tenure(match rows {
                 Ok((lease, term)) => TenureEvent::Read { sent, lease, term },
                 Err(_) => TenureEvent::Unread,
--- a/crates/pistachiostair/src/links.rs
+++ b/crates/pistachiostair/src/links.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::config::Config;
 use crate::error::{Error, ErrorKind, Ran, Result};
-use crate::govern::Govern;
+use crate::govern::{Govern, changes};
 use crate::ids::{DaemonName, RegionName};
 use crate::kernel::{Kernel, Service};
 use crate::members::Members;
@@ -80,8 +80,8 @@
 
     /// Sends a caller's request to a region's scheduler, again while that is safe and `deadline` has not passed.
     ///
-    /// Every [`Call`] may be sent again: reads change nothing, a submission carries its idempotency
-    /// key, and cancelling, draining and conditional writes have the same effect twice.
+    /// After an attempt of unknown outcome only a call is sent again that has the same effect and the
+    /// same answer twice: a conditional write would meet its own change as a conflict.
     pub(crate) async fn call(&self, region: &RegionName, call: &Call, deadline: Millis) -> Result<Response> {
         let mut ran = Ran::No;
         self.budget
@@ -115,8 +115,9 @@
             // While this daemon can't reach the table service either, no new scheduler is to be expected soon.
             let outage =
                 error.ran == Ran::No && !self.kernel.find::<Config>().is_ok_and(|config| config.store_reached());
-            if !passing || outage || !allowed || self.kernel.clock.now() + pause >= deadline {
-                if passing && matches!(call, Call::Submit { .. }) && ran != Ran::No {
+            let again = ran == Ran::No || is_repeatable(call);
+            if !passing || outage || !allowed || !again || self.kernel.clock.now() + pause >= deadline {
+                if changes(call) && ran != Ran::No {
                     error.ran = ran;
                 }
                 return Err(error);
@@ -134,6 +135,15 @@
     }
 }
 
+fn is_repeatable(call: &Call) -> bool {
+    match call {
+        Call::PutGuarantee { revision, .. } => revision.is_none(),
+        Call::Cancel { revision, .. } => revision.is_none(),
+        Call::DeleteGuarantee { .. } => false,
+        _ => true,
+    }
+}
+
 fn no_leader(region: &RegionName) -> Error {
     Error::msg(
         ErrorKind::Unavailable,
--- a/crates/pistachiostair/src/retry.rs
+++ b/crates/pistachiostair/src/retry.rs
@@ -197,6 +197,13 @@
         }
     }
 
+    /// Takes note of a request that was given up without an outcome: the next one is the probe.
+    pub fn abandoned(&mut self, now: Millis, pass: Pass) {
+        if pass.0 == self.epoch && matches!(self.state, BreakerState::HalfOpen { .. }) {
+            self.change(BreakerState::Open { until: now });
+        }
+    }
+
     /// The state.
     pub fn state(&self) -> BreakerState {
         self.state
--- a/crates/pistachiostair/src/store.rs
+++ b/crates/pistachiostair/src/store.rs
@@ -50,20 +50,19 @@
     }
 
     /// Refuses at once while the platform fails, so that callers learn early that nothing was sent.
-    fn admit(&self, step: &'static str) -> Result<Pass> {
+    fn admit(&self, step: &'static str) -> Result<Outcome<'_>> {
         let mut breaker = self.breaker.lock().expect("breaker lock");
-        breaker.admit(self.clock.now()).map_err(|wait| {
-            Error::msg(ErrorKind::Unavailable, step, "the platform fails at present")
-                .at(self.address.as_str())
-                .retry_after(wait.0)
-        })
-    }
-
-    fn settle(&self, pass: Pass, failed: bool) {
-        let mut breaker = self.breaker.lock().expect("breaker lock");
-        match failed {
-            true => breaker.failed(self.clock.now(), pass),
-            false => breaker.succeeded(pass),
+        match breaker.admit(self.clock.now()) {
+            Ok(pass) => Ok(Outcome {
+                store: self,
+                pass,
+                settled: false,
+            }),
+            Err(wait) => Err(
+                Error::msg(ErrorKind::Unavailable, step, "the platform fails at present")
+                    .at(self.address.as_str())
+                    .retry_after(wait.0),
+            ),
         }
     }
 
@@ -99,10 +98,10 @@
             body,
             timeout: self.timeout,
         };
-        let pass = self.admit(step)?;
+        let outcome = self.admit(step)?;
         let result = self.client.send(&self.address, call).await;
         let failed = result.as_ref().map_or(true, |answer| answer.status.is_server_error());
-        self.settle(pass, failed);
+        outcome.settle(failed);
         self.count(&method, rows, failed);
         let answer = result?;
         if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND {
@@ -205,3 +204,32 @@
         Box::pin(async move { Ok(self.get_json("list VMs", "/v1/vms").await?.unwrap_or_default()) })
     }
 }
+
+/// A request on its way, whose outcome the breaker must learn even if the request is dropped: a lost
+/// probe would keep the breaker half-open.
+struct Outcome<'a> {
+    store: &'a Store,
+    pass: Pass,
+    settled: bool,
+}
+
+impl Outcome<'_> {
+    fn settle(mut self, failed: bool) {
+        self.settled = true;
+        let mut breaker = self.store.breaker.lock().expect("breaker lock");
+        if failed {
+            breaker.failed(self.store.clock.now(), self.pass);
+        } else {
+            breaker.succeeded(self.pass);
+        }
+    }
+}
+
+impl Drop for Outcome<'_> {
+    fn drop(&mut self) {
+        if !self.settled {
+            let mut breaker = self.store.breaker.lock().expect("breaker lock");
+            breaker.abandoned(self.store.clock.now(), self.pass);
+        }
+    }
+}
--- a/crates/pistachiostair/src/supervise.rs
+++ b/crates/pistachiostair/src/supervise.rs
@@ -15,11 +15,13 @@
 use crate::message::{Leader, Request, Response};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
-/// How long a worker may hold a request for changes.
-const POLL_WAIT: Millis = Millis(1_000);
+/// How long a worker may hold a request for changes. An answer takes about 450 bytes even without
+/// changes, so that a shorter wait costs more of the control plane's bytes.
+const POLL_WAIT: Millis = Millis(2_000);
 
-/// Longest time for an answer to a request for changes.
-const POLL_TIMEOUT: Millis = Millis(2_500);
+/// Time beyond the wait within which the answer must be there. After a failure the worker is asked
+/// without a wait, so that silence shows after about 4 s.
+const POLL_MARGIN: Millis = Millis(1_000);
 
 /// Longest time for an answer to commands.
 const COMMAND_TIMEOUT: Millis = Millis(2_000);
@@ -166,20 +168,21 @@
                 incarnation: None,
                 leader: None,
                 leaving: false,
+                failing: false,
                 heard: Millis::ZERO,
             };
             futures_lite::future::or(watch.run(), async move { stop.wait().await }).await;
         });
     }
 
-    async fn poll(&self, address: &str, after: u64) -> Result<Changes> {
-        let path = format!("/v1/changes?after={after}&wait={}", POLL_WAIT.0);
+    async fn poll(&self, address: &str, after: u64, wait: Millis) -> Result<Changes> {
+        let path = format!("/v1/changes?after={after}&wait={wait}", wait = wait.0);
         let call = HttpCall {
             method: Method::GET,
             path: &path,
             headers: &[],
             body: Bytes::new(),
-            timeout: POLL_TIMEOUT,
+            timeout: wait + POLL_MARGIN,
         };
         let answer = self.client.send(address, call).await?;
         if !answer.status.is_success() {
@@ -200,6 +203,8 @@
     incarnation: Option<Incarnation>,
     leader: Option<Leader>,
     leaving: bool,
+    /// Whether the last poll failed.
+    failing: bool,
     heard: Millis,
 }
 
@@ -208,7 +213,8 @@
         self.heard = self.supervisor.kernel.clock.now();
         loop {
             self.follow_leader();
-            match self.supervisor.poll(&self.address, self.after).await {
+            let wait = if self.failing { Millis::ZERO } else { POLL_WAIT };
+            match self.supervisor.poll(&self.address, self.after, wait).await {
                 Ok(changes) => self.take(changes).await,
                 Err(error) => self.silent(&error).await,
             }
@@ -227,6 +233,7 @@
 
     async fn take(&mut self, changes: Changes) {
         self.heard = self.supervisor.kernel.clock.now();
+        self.failing = false;
         let restarted = self
             .incarnation
             .is_some_and(|incarnation| incarnation != changes.incarnation);
@@ -259,6 +266,7 @@
     }
 
     async fn silent(&mut self, error: &Error) {
+        self.failing = true;
         let silence = self.supervisor.kernel.clock.now().since(self.heard);
         slog::debug!(self.supervisor.log, "poll failed"; "worker" => %self.worker, "error" => %error);
         if silence >= SILENCE {
--- a/crates/pistachiostair/tests/life/check.rs
+++ b/crates/pistachiostair/tests/life/check.rs
@@ -139,9 +139,6 @@
 /// A start command can wait in the socket of a frozen worker until it wakes, after the job was queued
 /// again. The first exchange with the scheduler then stops that run, which must be within `OVERLAP`.
 fn check_alternate(world: &World, runs: &[Run], wrong: &mut Vec<String>) {
-    if world.split {
-        return;
-    }
     for (index, run) in runs.iter().enumerate() {
         for other in &runs[index + 1..] {
             let older = if run.task.attempt < other.task.attempt {
--- a/crates/pistachiostair/tests/retry.rs
+++ b/crates/pistachiostair/tests/retry.rs
@@ -116,6 +116,19 @@
     assert_eq!(spans, [1_000, 2_000, 2_000, 2_000, 2_000, 2_000]);
 }
 
+/// Guards against a breaker that stays half-open because the probe was dropped: after an outage of
+/// 17 s the scheduler did not renew its lease for another 48 s.
+#[test]
+fn breaker_abandoned_probe() {
+    let mut breaker = Breaker::new();
+    let until = open(&mut breaker);
+    let probe = breaker.admit(until).unwrap();
+    breaker.abandoned(until, probe);
+    let next = breaker.admit(until).unwrap();
+    breaker.succeeded(next);
+    assert_eq!(breaker.state(), BreakerState::Closed);
+}
+
 /// Guards against late outcomes of requests from before the breaker opened, taken for the probe's.
 #[test]
 fn breaker_late_outcome() {
