--- a/crates/pistachiostair/src/config.rs
+++ b/crates/pistachiostair/src/config.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
-use crate::edge::{Check, Commit, Row, Table, Transaction, Write};
+use crate::edge::{Check, Row, Table, Transaction, Write};
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::{AccountName, DaemonName, GuaranteeName, Revision};
 use crate::kernel::{Kernel, Service};
@@ -18,6 +18,7 @@
 use crate::policy::PolicyState;
 use crate::record;
 use crate::resource::{Account, AccountSpec, Guarantee, Metadata, Policy};
+use crate::rows::{Overwritten, commit_known, encode, parse_row, scan_all};
 use crate::store::Store;
 use crate::validate;
 
@@ -35,15 +36,6 @@
 /// Longest time for a peer to take a pushed revision.
 const PUSH_TIMEOUT: Millis = Millis(1_500);
 
-/// Rows read at once.
-const SCAN_LIMIT: usize = 500;
-
-/// Tries to learn the outcome of a write whose answer was lost.
-const READ_BACK_TRIES: u32 = 5;
-
-/// Pause between two such tries.
-const READ_BACK_PAUSE: Millis = Millis(200);
-
 record! {
     /// Row of the newest configuration, and of each one in the history.
     pub(crate) struct ConfigRow {
@@ -349,8 +341,7 @@
                 },
             ],
         };
-        self.commit_known("set configuration", &transaction, Overwritten::Never)
-            .await?;
+        commit_known(&self.store, "set configuration", &transaction, Overwritten::Never).await?;
         self.apply(row.revision, document, "operator");
         self.push(row.revision, document);
         Ok(row.revision)
@@ -465,65 +456,10 @@
                 },
             ],
         };
-        let version = self.commit_known(step, &transaction, Overwritten::Possibly).await?;
+        let version = commit_known(&self.store, step, &transaction, Overwritten::Possibly).await?;
         self.reload_soon();
         Ok(version)
     }
-
-    /// Commits a transaction; a lost answer is resolved by reading back the row of its first check and first write.
-    async fn commit_known(
-        &self,
-        step: &'static str,
-        transaction: &Transaction,
-        overwritten: Overwritten,
-    ) -> Result<u64> {
-        let (Some(check), Some(write)) = (transaction.checks.first(), transaction.writes.first()) else {
-            return Err(Error::msg(
-                ErrorKind::Internal,
-                step,
-                "a transaction needs a check and a write",
-            ));
-        };
-        let conflict = || Error::msg(ErrorKind::Conflict, step, "someone else changed it").at(check.key.as_str());
-        let unknown = |source: anyhow::Error| {
-            Error::new(ErrorKind::Unavailable, step, source)
-                .at(check.key.as_str())
-                .ran(Ran::Unknown)
-                .retry_after(1_000)
-        };
-        let mut lost = None;
-        for _ in 0..READ_BACK_TRIES {
-            match self.store.commit(transaction).await {
-                Ok(Commit::Done { version }) => return Ok(version),
-                Ok(Commit::Conflict { .. }) if lost.is_none() => return Err(conflict()),
-                Ok(Commit::Conflict { .. }) => {}
-                Err(error) => lost = Some(error.source),
-            }
-            Timer::after(READ_BACK_PAUSE.duration()).await;
-            let Ok(row) = self.store.get(&check.key).await else {
-                continue;
-            };
-            let version = row.as_ref().map_or(0, |row| row.version);
-            if version == check.version {
-                continue;
-            }
-            if row.map(|row| row.value) == write.value {
-                return Ok(version);
-            }
-            return Err(match overwritten {
-                Overwritten::Never => conflict(),
-                Overwritten::Possibly => unknown(anyhow::anyhow!("the answer was lost and another change followed")),
-            });
-        }
-        Err(unknown(lost.unwrap_or_else(|| anyhow::anyhow!("no answer"))))
-    }
-}
-
-/// Whether a row may have been overwritten after a write of unknown outcome.
-#[derive(Clone, Copy)]
-enum Overwritten {
-    Never,
-    Possibly,
 }
 
 /// Parses and checks a configuration.
@@ -545,30 +481,8 @@
     format!("{ACCOUNT_PREFIX}{name}")
 }
 
-fn encode<T: Serialize>(step: &'static str, value: &T) -> Result<String> {
-    serde_json::to_string(value).map_err(|e| Error::new(ErrorKind::Internal, step, e))
-}
-
-fn parse_row<T: serde::de::DeserializeOwned>(step: &'static str, row: &Row) -> Result<T> {
-    serde_json::from_str(&row.value).map_err(|e| Error::new(ErrorKind::Internal, step, e).at(row.key.as_str()))
-}
-
 fn parse_account(row: &Row) -> Result<Account> {
     let mut account: Account = parse_row("read account", row)?;
     account.metadata.revision = Revision(row.version);
     Ok(account)
 }
-
-/// Reads all rows with a prefix, page by page.
-async fn scan_all(store: &Store, prefix: &str) -> Result<Vec<Row>> {
-    let mut rows: Vec<Row> = Vec::new();
-    loop {
-        let after = rows.last().map_or(String::new(), |row| row.key.clone());
-        let page = store.scan(prefix, &after, SCAN_LIMIT).await?;
-        let full = page.len() == SCAN_LIMIT;
-        rows.extend(page);
-        if !full {
-            return Ok(rows);
-        }
-    }
-}
--- /dev/null
+++ b/crates/pistachiostair/src/govern_feed.rs
@@ -0,0 +1,88 @@
+//! What the scheduler is told about accounts, guarantees, the configuration and the platform's list.
+
+use std::collections::BTreeSet;
+
+use crate::config::{Catalog, Config};
+use crate::govern_actor::Actor;
+use crate::ids::{Revision, WorkerName};
+use crate::members::Members;
+use crate::resource::MemberState;
+use crate::scheduler::Event;
+
+/// What the scheduler was last told about accounts, guarantees, policy and the platform's list.
+#[derive(Default)]
+pub(crate) struct Known {
+    pub(crate) catalog: Catalog,
+    pub(crate) policy: Option<Revision>,
+    pub(crate) listed: BTreeSet<WorkerName>,
+    pub(crate) leaving: BTreeSet<WorkerName>,
+}
+
+impl Actor {
+    /// Tells the scheduler what changed in the catalog, the policy and the platform's list.
+    pub(crate) fn refresh(&mut self) {
+        if self.shared.lock().expect("leader lock").term.is_none() {
+            return;
+        }
+        if let Ok(config) = self.kernel.find::<Config>() {
+            self.refresh_catalog(&config);
+        }
+        if let Ok(members) = self.kernel.find::<Members>() {
+            self.refresh_list(&members);
+        }
+    }
+
+    fn refresh_catalog(&mut self, config: &Config) {
+        if self.known.policy != Some(config.revision()) {
+            let (revision, policy) = config.policy();
+            self.known.policy = Some(revision);
+            self.event(Event::Policy(policy));
+        }
+        let Some(catalog) = config.catalog_newer(self.known.catalog.revision) else {
+            return;
+        };
+        let old = std::mem::replace(&mut self.known.catalog, catalog.clone());
+        for (name, account) in &catalog.accounts {
+            if old.accounts.get(name) != Some(account) {
+                self.event(Event::Account(name.clone(), Some(account.spec.clone())));
+            }
+        }
+        for name in old.accounts.keys().filter(|name| !catalog.accounts.contains_key(name)) {
+            self.event(Event::Account(name.clone(), None));
+        }
+        for (name, guarantee) in &catalog.guarantees {
+            if old.guarantees.get(name) != Some(guarantee) {
+                self.event(Event::Guarantee(name.clone(), Some(guarantee.clone())));
+            }
+        }
+        for name in old
+            .guarantees
+            .keys()
+            .filter(|name| !catalog.guarantees.contains_key(name))
+        {
+            self.event(Event::Guarantee(name.clone(), None));
+        }
+    }
+
+    fn refresh_list(&mut self, members: &Members) {
+        let Some(workers) = members.listed_workers() else {
+            return;
+        };
+        let listed: BTreeSet<WorkerName> = workers.keys().cloned().collect();
+        let leaving: BTreeSet<WorkerName> = workers
+            .iter()
+            .filter(|(_, vm)| vm.state == MemberState::Leaving)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let gone: Vec<WorkerName> = self.known.listed.difference(&listed).cloned().collect();
+        let left: Vec<WorkerName> = leaving.difference(&self.known.leaving).cloned().collect();
+        self.known.listed = listed;
+        self.known.leaving = leaving;
+        for worker in gone {
+            self.event(Event::WorkerGone(worker));
+        }
+        for worker in left {
+            self.event(Event::Leaving(worker));
+        }
+    }
+}
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -44,6 +44,8 @@
 mod fit;
 mod gang;
 mod govern;
+mod govern_actor;
+mod govern_feed;
 mod guarantee;
 mod headroom;
 mod http_client;
@@ -77,6 +79,7 @@
 mod resource;
 mod retry;
 mod route;
+mod rows;
 mod scheduler;
 mod search;
 mod serve;
@@ -127,7 +130,7 @@
 pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
 pub use planner::{Change, Decision, End, Figures, Planner};
 pub use policy::{MAX_DOCUMENT, PolicySpread, PolicyState};
-pub use rendezvous::{owner, share};
+pub use rendezvous::{worker_owner, worker_share};
 pub use resource::{
     Account, AccountSpec, Condition, Guarantee, GuaranteeSpec, Job, JobPhase, JobSpec, JobStatus, Limits, Member,
     MemberState, Metadata, Policy, Scheduling, Shape, Size, Urgency, Worker, WorkerInfo,
--- a/crates/pistachiostair/src/members.rs
+++ b/crates/pistachiostair/src/members.rs
@@ -136,7 +136,7 @@
 
     /// The daemon that supervises a worker.
     pub(crate) fn supervisor(&self, worker: &WorkerName) -> Option<DaemonName> {
-        rendezvous::owner(worker.as_str(), Some(&self.region), &self.own_daemons()).cloned()
+        rendezvous::worker_owner(worker.as_str(), Some(&self.region), &self.own_daemons()).cloned()
     }
 
     /// Answers a heartbeat.
@@ -370,7 +370,7 @@
         let me = self.membership.lock().expect("membership lock").me().name.clone();
         let daemons = self.own_daemons();
         let workers: Vec<Vm> = view.workers.into_iter().filter(|vm| self.is_own(vm)).collect();
-        let share = rendezvous::share(&me, &daemons, &workers);
+        let share = rendezvous::worker_share(&me, &daemons, &workers);
         let addresses: BTreeMap<&str, &str> = workers
             .iter()
             .map(|vm| (vm.name.as_str(), vm.address.as_str()))
--- a/crates/pistachiostair/src/rendezvous.rs
+++ b/crates/pistachiostair/src/rendezvous.rs
@@ -7,7 +7,7 @@
 
 /// Name of the daemon that supervises `worker`: one of the live daemons, and one in the worker's region
 /// if there is any. All daemons with the same view get the same answer.
-pub fn owner<'a>(worker: &str, region: Option<&RegionName>, daemons: &'a [Member]) -> Option<&'a DaemonName> {
+pub fn worker_owner<'a>(worker: &str, region: Option<&RegionName>, daemons: &'a [Member]) -> Option<&'a DaemonName> {
     let live = daemons.iter().filter(|daemon| daemon.state == MemberState::Live);
     let best = live.max_by_key(|daemon| {
         let local = Some(&daemon.region) == region;
@@ -17,12 +17,12 @@
 }
 
 /// The workers of the platform's list that `me` supervises; dead ones are nobody's.
-pub fn share(me: &DaemonName, daemons: &[Member], workers: &[Vm]) -> Vec<WorkerName> {
+pub fn worker_share(me: &DaemonName, daemons: &[Member], workers: &[Vm]) -> Vec<WorkerName> {
     let present = |vm: &&Vm| vm.role == VmRole::Worker && vm.state != MemberState::Dead;
     workers
         .iter()
         .filter(present)
-        .filter(|vm| owner(&vm.name, vm.region.as_ref(), daemons) == Some(me))
+        .filter(|vm| worker_owner(&vm.name, vm.region.as_ref(), daemons) == Some(me))
         .map(|vm| WorkerName::from(vm.name.as_str()))
         .collect()
 }
--- a/crates/pistachiostair/tests/rendezvous.rs
+++ b/crates/pistachiostair/tests/rendezvous.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use pistachiostair::{
-    DaemonName, DomainName, Incarnation, Member, MemberState, RegionName, Revision, Vm, VmRole, owner, share,
+    DaemonName, DomainName, Incarnation, Member, MemberState, RegionName, Revision, Vm, VmRole, worker_owner,
+    worker_share,
 };
 
 fn daemon(number: usize, region: &str, state: MemberState) -> Member {
@@ -25,7 +26,7 @@
 }
 
 fn owners(daemons: &[Member]) -> Vec<DaemonName> {
-    let owner = |number| owner(&format!("w{number}"), None, daemons).unwrap().clone();
+    let owner = |number| worker_owner(&format!("w{number}"), None, daemons).unwrap().clone();
     (0..1_000).map(owner).collect()
 }
 
@@ -61,7 +62,7 @@
 #[test]
 fn owner_fixed_values() {
     let all = daemons(9);
-    let owners = ["w1", "w2", "rack-7/worker-3"].map(|worker| owner(worker, None, &all).unwrap().to_string());
+    let owners = ["w1", "w2", "rack-7/worker-3"].map(|worker| worker_owner(worker, None, &all).unwrap().to_string());
     // Computed with a separate implementation in Python.
     assert_eq!(owners, ["d7", "d5", "d7"]);
 }
@@ -78,12 +79,15 @@
     ];
     let fi = RegionName::from("fi");
     for number in 0..50 {
-        assert_eq!(owner(&format!("w{number}"), Some(&fi), &all).unwrap().as_str(), "d2");
+        assert_eq!(
+            worker_owner(&format!("w{number}"), Some(&fi), &all).unwrap().as_str(),
+            "d2"
+        );
     }
     all[2].state = MemberState::Dead;
-    let other = owner("w1", Some(&fi), &all).unwrap();
+    let other = worker_owner("w1", Some(&fi), &all).unwrap();
     assert!(["d3", "d4"].contains(&other.as_str()));
-    assert_eq!(owner("w1", Some(&fi), &all[..3]), None);
+    assert_eq!(worker_owner("w1", Some(&fi), &all[..3]), None);
 }
 
 /// Guards against workers with two supervisors or none, in every order of the list.
@@ -105,7 +109,7 @@
     let mut seen = Vec::new();
     for number in 0..5 {
         all.rotate_left(1);
-        seen.extend(share(&DaemonName::from(format!("d{number}")), &all, &workers));
+        seen.extend(worker_share(&DaemonName::from(format!("d{number}")), &all, &workers));
     }
     let found = seen.len();
     seen.sort();
