Test the queues of commands and the paths of the interface

Cause: orders and route came late and had no tests. Change: one batch at a time to a worker, a bound on those that wait, renewals apart from them and in requests of bounded length; paths with encoded names, wrong methods and unknown paths. Conclusion: nothing was found.

--- a/crates/pistachiostair/src/orders.rs
+++ b/crates/pistachiostair/src/orders.rs
@@ -13,6 +13,9 @@
 use crate::supervise::Supervise;
 use crate::worker::{BatchReply, Command, CommandBatch};
 
+#[cfg(test)]
+mod tests;
+
 /// Command batches that may wait for one worker; older ones are given up, since the scheduler sends again.
 const LANE: usize = 64;
 
--- a/crates/pistachiostair/src/route.rs
+++ b/crates/pistachiostair/src/route.rs
@@ -4,6 +4,9 @@
 
 use crate::http_server::decode_percent;
 
+#[cfg(test)]
+mod tests;
+
 /// What a request addresses. Names are decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Route {
