--- a/crates/pistachiostair/src/config.rs
+++ b/crates/pistachiostair/src/config.rs
@@ -15,6 +15,7 @@
 use crate::links::Links;
 use crate::members::Members;
 use crate::message::{Request, Response};
+use crate::metrics::Metrics;
 use crate::policy::PolicyState;
 use crate::record;
 use crate::resource::{Account, AccountSpec, Guarantee, Metadata, Policy};
@@ -181,6 +182,9 @@
         let mut shared = self.shared.lock().expect("config lock");
         match shared.policy.apply(revision, document) {
             Ok(true) => {
+                if let Ok(metrics) = self.kernel.find::<Metrics>() {
+                    metrics.policy.set(revision.0 as i64);
+                }
                 slog::info!(self.log, "applied"; "revision" => revision.0, "source" => source);
             }
             Ok(false) => {}
