--- a/crates/standin/tests/processes/crash.rs
+++ b/crates/standin/tests/processes/crash.rs
@@ -116,6 +116,61 @@
     assert!(unknown > 0, "no order was hit");
 }
 
+/// Guards against work that is lost or repeated, and urgent work that starts late, when a failure
+/// domain with the scheduler, a third of the daemons and half of the workers goes at once.
+#[test]
+fn kill_domain() {
+    let mut ready = Ready::start(Setup {
+        daemons: 6,
+        workers: 8,
+        ..Setup::default()
+    });
+    let repeatable = |order: Order| order.with("idempotent", true);
+    let mut tasks = ready.settle(orders("once", 12, "1x1", 5_000));
+    tasks.extend(ready.settle(orders("again", 24, "1x1", 5_000).into_iter().map(repeatable).collect()));
+    ready.await_run("once-11");
+    ready.await_run("again-23");
+    // The domain of the scheduler's daemon, or if that has no workers the first one.
+    let leader = ready.leader().expect("leader");
+    let domain = if leader % 3 < 2 { leader % 3 } else { 0 };
+    let (daemons, workers) = ([domain, domain + 3], domain * 4..domain * 4 + 4);
+    for daemon in daemons {
+        ready.bench.daemon_process(daemon).kill().expect("kill");
+        ready.set_entry(daemon, false);
+    }
+    let lost: BTreeSet<WorkerName> = workers
+        .clone()
+        .map(|index| format!("w{index}").as_str().into())
+        .collect();
+    for worker in workers {
+        ready.bench.worker_process(worker).kill().expect("kill");
+    }
+    let killed = wall();
+    let urgent = Order::new(ACCOUNT, "urgent", "1x1", 100).with("urgency", "urgent");
+    tasks.extend(ready.settle(vec![urgent]));
+    pause(1_000);
+    for worker in &lost {
+        ready.unlist_vm(worker.as_str()).expect("list");
+    }
+    let settled = ready.verify(tasks);
+    let log = ready.log().expect("log");
+    for settled in &settled {
+        let phase = settled.job.as_ref().map(|job| job.status.phase);
+        let hit = lost.contains(&runs_of(&log, &settled.order.name)[0].worker);
+        let expected = match !settled.order.is_idempotent() && hit {
+            true => JobPhase::Unknown,
+            false => JobPhase::Succeeded,
+        };
+        assert_eq!(phase, Some(expected), "{settled:?}");
+    }
+    let begun = runs_of(&log, "urgent")[0].wall;
+    assert!(
+        begun < killed + URGENT_START,
+        "urgent work started {} ms after the loss",
+        begun - killed
+    );
+}
+
 /// Guards against a paused scheduler that acts with an old term when it wakes up.
 #[test]
 fn pause_scheduler() {
