--- a/crates/pistachiostair/src/api_watch.rs
+++ b/crates/pistachiostair/src/api_watch.rs
@@ -12,7 +12,7 @@
 use serde_json::Value;
 
 use crate::api::Api;
-use crate::clock::Millis;
+use crate::clock::{Millis, within};
 use crate::error::{Error, ErrorKind, Result};
 use crate::http_server::{HttpBody, HttpReply, HttpRequest};
 use crate::ids::Revision;
@@ -268,12 +268,7 @@
             return false;
         };
         text.push(b'\n');
-        let send = async { self.sender.send(text.into()).await.is_ok() };
-        let lapsed = async {
-            Timer::after(SEND_TIMEOUT.duration()).await;
-            false
-        };
-        futures_lite::future::or(send, lapsed).await
+        matches!(within(SEND_TIMEOUT, self.sender.send(text.into())).await, Some(Ok(())))
     }
 }
 
--- a/crates/pistachiostair/src/clock.rs
+++ b/crates/pistachiostair/src/clock.rs
@@ -4,6 +4,9 @@
 use std::ops::{Add, AddAssign, Sub};
 use std::time::{Duration, Instant};
 
+use async_io::Timer;
+use futures_lite::future;
+
 /// A point in time or a span, in milliseconds. Points count from the start of the process's
 /// monotonic clock, so that points of two processes are never compared.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
@@ -76,3 +79,12 @@
         Millis(self.start.elapsed().as_millis() as u64)
     }
 }
+
+/// Output of a future, or nothing if it takes longer than `timeout`; the future is dropped then.
+pub(crate) async fn within<T>(timeout: Millis, work: impl Future<Output = T>) -> Option<T> {
+    future::or(async { Some(work.await) }, async {
+        Timer::after(timeout.duration()).await;
+        None
+    })
+    .await
+}
--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -10,7 +10,7 @@
 use hyper::StatusCode;
 
 use crate::api::{Api, error_reply};
-use crate::clock::Millis;
+use crate::clock::{Millis, within};
 use crate::config::Config;
 use crate::error::{Error, ErrorKind, Result};
 use crate::govern::{Govern, new_incarnation};
@@ -159,11 +159,7 @@
         while self.open.load(Ordering::Relaxed) > 0 && self.kernel.clock.now() < deadline {
             Timer::after(Millis(20).duration()).await;
         }
-        let ended = self.kernel.stop();
-        let lapsed = async {
-            Timer::after(END_TIMEOUT.duration()).await;
-        };
-        futures_lite::future::or(ended, lapsed).await;
+        let _ = within(END_TIMEOUT, self.kernel.stop()).await;
         slog::info!(self.log, "stopped");
     }
 }
--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -5,9 +5,8 @@
 use std::sync::{Arc, Mutex};
 
 use async_channel::{Sender, TrySendError};
-use futures_lite::future;
 
-use crate::clock::Millis;
+use crate::clock::{Millis, within};
 use crate::edge::BoxFuture;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::govern_actor::Actor;
@@ -121,13 +120,7 @@
     pub(crate) async fn resign(&self) {
         let (sender, receiver) = async_channel::bounded(1);
         if self.inbox.send(Input::Resign(sender)).await.is_ok() {
-            let lapsed = async {
-                async_io::Timer::after(RESIGN_TIMEOUT.duration()).await;
-            };
-            let resigned = async {
-                let _ = receiver.recv().await;
-            };
-            future::or(resigned, lapsed).await;
+            let _ = within(RESIGN_TIMEOUT, receiver.recv()).await;
         }
     }
 
@@ -165,20 +158,12 @@
             inbox: &self.inbox,
             token,
         };
-        let lapsed = async {
-            async_io::Timer::after(timeout.duration()).await;
-            failed(&Error::msg(ErrorKind::Timeout, step, format!("no response within {timeout}")).ran(unsure))
+        let error = match within(timeout, response.recv()).await {
+            Some(Ok(response)) => return response,
+            Some(Err(_)) => Error::msg(ErrorKind::Unavailable, step, "the scheduler changed").retry_after(200),
+            None => Error::msg(ErrorKind::Timeout, step, format!("no response within {timeout}")),
         };
-        let answered = async {
-            response.recv().await.unwrap_or_else(|_| {
-                failed(
-                    &Error::msg(ErrorKind::Unavailable, step, "the scheduler changed")
-                        .ran(unsure)
-                        .retry_after(200),
-                )
-            })
-        };
-        future::or(answered, lapsed).await
+        failed(&error.ran(unsure))
     }
 
     /// Takes news of a worker.
--- a/crates/pistachiostair/src/peers.rs
+++ b/crates/pistachiostair/src/peers.rs
@@ -10,7 +10,7 @@
 use futures_lite::future;
 use quinn::{ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
 
-use crate::clock::Millis;
+use crate::clock::{Millis, within};
 use crate::edge::BoxFuture;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::DaemonName;
@@ -366,14 +366,6 @@
     Error::new(kind, step, error)
 }
 
-async fn within<T>(timeout: Millis, work: impl Future<Output = T>) -> Option<T> {
-    future::or(async { Some(work.await) }, async {
-        Timer::after(timeout.duration()).await;
-        None
-    })
-    .await
-}
-
 /// What a call has done so far, for the time when it is cut off.
 #[derive(Default)]
 struct Track {
