Requeue work whose start command was never sent

Cause: an order that must run once, placed on a worker that had died a moment before, stayed of unknown outcome until the platform's list dropped the worker, although its connection was refused and nothing can have run. The reply to the commands did not tell "not sent" from "reply lost".

Change: BatchReply::Undelivered where the error says ran: no (no address, no connection, refused connection). It counts as a denied start, as after a restart of the worker. A part without any start under way ends as unsent once its worker is silent (4 s). An unexpected response of a peer now counts as unknown; it had counted as not sent.

Conclusion: a connection that goes silent still gives unknown, as it must; only a proof that nothing left counts.

--- a/crates/pistachiostair/src/gang.rs
+++ b/crates/pistachiostair/src/gang.rs
@@ -269,6 +269,9 @@
                     part.answer.clone_from(&view.answer);
                 }
             }
+            if part.end.is_none() && upstream.silent && part.unsent() {
+                part.end = Some(PartEnd::Unsent);
+            }
             if part.end.is_none() && upstream.silent {
                 let lapsed = upstream.lapse();
                 // Nothing proves that a part which is not idempotent did not run on.
--- a/crates/pistachiostair/src/orders.rs
+++ b/crates/pistachiostair/src/orders.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::clock::Millis;
-use crate::error::{Error, ErrorKind, Result};
+use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::{DaemonName, Term, WorkerName};
 use crate::kernel::Kernel;
 use crate::links::Links;
@@ -114,6 +114,10 @@
 ) -> Option<BatchReply> {
     match send_batch(kernel, worker, batch).await {
         Ok(reply) => Some(reply),
+        Err(error) if error.ran == Ran::No => {
+            slog::info!(log, "commands not sent"; "worker" => %worker, "error" => %error);
+            Some(BatchReply::Undelivered)
+        }
         Err(error) => {
             slog::info!(log, "commands lost"; "worker" => %worker, "error" => %error);
             None
@@ -227,7 +231,9 @@
     {
         Response::Command(reply) => Ok(reply),
         Response::Failed(failure) => Err(failure.into_error("send commands", worker.as_str())),
-        _ => Err(Error::msg(ErrorKind::Internal, "send commands", "unexpected response").at(supervisor.as_str())),
+        _ => Err(Error::msg(ErrorKind::Internal, "send commands", "unexpected response")
+            .at(supervisor.as_str())
+            .ran(Ran::Unknown)),
     }
 }
 
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -307,7 +307,7 @@
             // The commands are sent again; what expired had no effect.
             None | Some(BatchReply::Expired) => {}
             Some(BatchReply::OldTerm { term }) => self.outdated |= term > self.term,
-            Some(BatchReply::OtherIncarnation { .. }) => self.deny(batch),
+            Some(BatchReply::OtherIncarnation { .. } | BatchReply::Undelivered) => self.deny(batch),
             Some(BatchReply::Done { results }) => {
                 for (command, result) in batch.commands.iter().zip(results) {
                     self.result(worker, command, result);
--- a/crates/pistachiostair/src/worker.rs
+++ b/crates/pistachiostair/src/worker.rs
@@ -101,6 +101,9 @@
             /// The newer term.
             term: Term,
         },
+        /// Nothing was carried out: no byte of the batch was sent to the worker. Comes from the daemons on
+        /// the path, never from a worker.
+        Undelivered,
         /// Nothing was carried out: the worker was restarted.
         OtherIncarnation {
             /// The worker's incarnation.
--- a/crates/pistachiostair/tests/scheduler_calls.rs
+++ b/crates/pistachiostair/tests/scheduler_calls.rs
@@ -1,9 +1,9 @@
 //! Calls about jobs, straight at the scheduler. Each test names the wrong answer that it guards against.
 
 use pistachiostair::{
-    Action, AppendAction, AppendEvent, Batch, Call, Changes, Command, CommandBatch, ErrorKind, Event, Failure,
-    Guarantee, Incarnation, Job, JobPhase, JobSpec, MemberState, Millis, Ran, Record, Response, Retention, Revision,
-    Scheduler, Seq, State, TaskId, TaskState, TaskView, Term, Token, WorkerInfo,
+    Action, AppendAction, AppendEvent, Batch, BatchReply, Call, Changes, Command, CommandBatch, ErrorKind, Event,
+    Failure, Guarantee, Incarnation, Job, JobPhase, JobSpec, MemberState, Millis, Ran, Record, Response, Retention,
+    Revision, Scheduler, Seq, State, TaskId, TaskState, TaskView, Term, Token, WorkerInfo,
 };
 use rstest::rstest;
 
@@ -21,14 +21,8 @@
     writes: u32,
     /// Batches wait to be sent: no reply comes.
     hold_replies: bool,
-}
-
-fn lost(worker: pistachiostair::WorkerName, batch: CommandBatch) -> Event {
-    Event::Replied {
-        worker,
-        batch,
-        reply: None,
-    }
+    /// Reply to all batches; none if it is lost.
+    reply: Option<BatchReply>,
 }
 
 impl Desk {
@@ -49,6 +43,7 @@
             sent: Vec::new(),
             writes: 0,
             hold_replies: false,
+            reply: None,
         };
         desk.elect(1);
         desk
@@ -83,7 +78,9 @@
                     Action::Send { worker, batch } => {
                         self.sent.push(batch.clone());
                         if !self.hold_replies {
-                            actions.extend(self.scheduler.on(self.now, lost(worker, batch)));
+                            let reply = self.reply.clone();
+                            let replied = Event::Replied { worker, batch, reply };
+                            actions.extend(self.scheduler.on(self.now, replied));
                         }
                     }
                     Action::Write { .. } => self.writes += 1,
@@ -438,6 +435,29 @@
     assert_eq!(desk.starts(), [], "started on a leaving worker");
 }
 
+/// Guards against a job of unknown outcome where no start ever left for its worker, and against a
+/// second start where one may have.
+#[rstest]
+#[case::undelivered(Some(BatchReply::Undelivered), JobPhase::Queued)]
+#[case::lost(None, JobPhase::Unknown)]
+fn requeue_undelivered(#[case] reply: Option<BatchReply>, #[case] phase: JobPhase) {
+    let mut desk = Desk::new();
+    desk.report(1, 1, Vec::new());
+    desk.list(&[("w0", MemberState::Live)]);
+    let lost = reply.is_none();
+    desk.reply = reply;
+    desk.job(submit("a", "a", &spec(false)));
+    assert_eq!(desk.starts().len(), 1);
+    let (worker, changes) = ("w0".into(), None);
+    desk.on(Event::Report { worker, changes });
+    desk.tick(5_000);
+    if lost {
+        assert_eq!(desk.job(get("a")).status.ran, Ran::Unknown);
+        desk.list(&[]);
+    }
+    assert_eq!(desk.job(get("a")).status.phase, phase);
+}
+
 /// An idempotent job on a silent worker is not started again while the old run may go on, or while
 /// a command that renews its lease may still wait to be sent.
 #[rstest]
--- a/crates/standin/tests/processes/crash.rs
+++ b/crates/standin/tests/processes/crash.rs
@@ -178,6 +178,21 @@
     );
 }
 
+/// Guards against orders of unknown outcome that were placed on a worker which had died just before: its
+/// refused connections prove that nothing ran there.
+#[test]
+fn submit_after_kill() {
+    let mut ready = Ready::start(Setup {
+        workers: 2,
+        ..Setup::default()
+    });
+    ready.bench.worker_process(0).kill().expect("kill");
+    pause(100);
+    // Half of them fit on the other worker; the platform's list goes on showing the dead one.
+    let tasks = ready.settle(orders("once", 12, "1x1", 200));
+    all_succeeded(&ready.verify(tasks));
+}
+
 /// Guards against a paused scheduler that acts with an old term when it wakes up.
 #[test]
 fn pause_scheduler() {
