Test bad workers, cancellations and operators on processes

Cause: quarantine, waves of cancellations and races on client accounts were proved on the pure modules only.

Change: three process tests. With a worker that fails everything, 48 later jobs succeed and at most one of them probes that worker. 200 waiting jobs are cancelled at once, none runs, each caller is told, and urgent work meanwhile starts within 9.4 s. Six operators change one account with the same revision at different daemons: one succeeds.

--- a/crates/standin/tests/processes/main.rs
+++ b/crates/standin/tests/processes/main.rs
@@ -5,5 +5,6 @@
 mod crash;
 mod network;
 mod operation;
+mod pressure;
 mod store;
 mod support;
