Refuse calls to an unknown region at once

Found by running pstair by hand.

Change: a region of which no daemon was ever heard is refused with `ran: no` and a retry time of 2 s; a daemon that has just started may not know all regions yet. Regions that are cut off stay known and are handled as before.

--- a/crates/pistachiostair/src/links.rs
+++ b/crates/pistachiostair/src/links.rs
@@ -21,6 +21,10 @@
 /// Longest time for one attempt before the scheduler is looked up again.
 const ATTEMPT_TIMEOUT: Millis = Millis(3_000);
 
+/// After this many milliseconds a daemon that has just started knows all regions. The caller is told
+/// at once, since the name is more likely wrong.
+const UNKNOWN_REGION_RETRY: u64 = 2_000;
+
 /// Answers requests of this daemon to itself, without a link.
 pub(crate) type Dispatch = Arc<dyn Fn(DaemonName, Request, Millis) -> future::Boxed<Response> + Send + Sync>;
 
@@ -83,6 +87,12 @@
     /// After an attempt of unknown outcome only a call is sent again that has the same effect and the
     /// same answer twice: a conditional write would meet its own change as a conflict.
     pub(crate) async fn call(&self, region: &RegionName, call: &Call, deadline: Millis) -> Result<Response> {
+        if !self.kernel.find::<Members>()?.has_daemons(region) {
+            let message = "no daemon of this region is known here";
+            return Err(Error::msg(ErrorKind::Unavailable, "find region", message)
+                .at(region.as_str())
+                .retry_after(UNKNOWN_REGION_RETRY));
+        }
         let mut ran = Ran::No;
         self.budget
             .lock()
--- a/crates/pistachiostair/src/members.rs
+++ b/crates/pistachiostair/src/members.rs
@@ -158,6 +158,12 @@
         live.iter().filter(|member| member.region == self.region).count()
     }
 
+    /// Whether a daemon of a region is or was heard, this one included.
+    pub(crate) fn has_daemons(&self, region: &RegionName) -> bool {
+        let membership = self.membership.lock().expect("membership lock");
+        !membership.region_daemons(region).is_empty()
+    }
+
     fn own_daemons(&self) -> Vec<Member> {
         let membership = self.membership.lock().expect("membership lock");
         membership.region_daemons(&self.region)
--- a/crates/standin/tests/processes/operation.rs
+++ b/crates/standin/tests/processes/operation.rs
@@ -4,10 +4,10 @@
 
 use async_io::Timer;
 use hyper::Method;
-use pistachiostair::Millis;
+use pistachiostair::{Millis, Ran};
 use rstest::rstest;
 use serde_json::{Value, json};
-use standin::{LogKind, Order, Settled, Setup, runs_of};
+use standin::{LogKind, Order, Settled, Setup, Told, runs_of};
 
 use crate::support::{ACCOUNT, LIMIT, Ready, SOON, all_succeeded, orders, pause, wall};
 
@@ -238,3 +238,21 @@
     }
     assert!(accepted.is_empty(), "accepted and not in the history: {accepted:?}");
 }
+
+/// Guards against callers that wait for the whole of their time because of a misspelt region.
+#[test]
+fn call_unknown_region() {
+    let ready = Ready::start(Setup::default());
+    let asked = Instant::now();
+    let order = Order::new(ACCOUNT, "order", "1x1", 100).with("region", "nowhere");
+    let refused = ready.block(ready.caller.submit(0, &order, LIMIT));
+    let Told::Failed(status, failure) = refused else {
+        panic!("expected a refusal, got {refused:?}");
+    };
+    assert_eq!((status.as_u16(), failure.ran), (503, Ran::No));
+    assert!(failure.message.contains("nowhere"), "{}", failure.message);
+    let list = ready.block(ready.caller.read(1, "/v1/jobs?region=nowhere"));
+    assert!(list.is_err(), "{list:?}");
+    let took = asked.elapsed();
+    assert!(took < Duration::from_secs(2), "the two answers took {took:?}");
+}
