Keep the labels of accounts; split the configuration and the interface

The labels of a client account were taken and dropped, and metadata of accounts and guarantees was not checked beyond the name.

Metadata is checked as a whole, and stored with the account.

Before: a label of 5,000 bytes was answered 200 and lost (change_account_at_once fails with the new checks).

--- /dev/null
+++ b/crates/pistachiostair/src/accounts.rs
@@ -0,0 +1,111 @@
+//! Client accounts: one row each in the table service, written on condition that nobody was first.
+
+use crate::config::{CATALOG_KEY, Config};
+use crate::edge::{Check, Row, Table, Transaction, Write};
+use crate::error::{Error, ErrorKind, Ran, Result};
+use crate::ids::{AccountName, Revision};
+use crate::resource::Account;
+use crate::rows::{Overwritten, commit_known, encode, parse_row};
+
+/// Prefix of the rows of accounts.
+pub(crate) const ACCOUNT_PREFIX: &str = "account/";
+
+impl Config {
+    /// A client account; one that this daemon has not heard of yet is looked up in the table service.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if it is not known here and the table service can't be reached.
+    pub(crate) async fn find_account(&self, name: &AccountName) -> Result<Option<Account>> {
+        let known = self.known_account(name);
+        if known.is_some() {
+            return Ok(known);
+        }
+        let row = self.store.get(&account_key(name)).await?;
+        row.map(|row| parse_account(&row)).transpose()
+    }
+
+    /// Creates or replaces a client account.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if the revision is not `expected` or another operator was first.
+    pub(crate) async fn put_account(&self, mut account: Account, expected: Option<Revision>) -> Result<Account> {
+        let step = "put account";
+        let name = AccountName::from(account.metadata.name.as_str());
+        let version = self.expect_version(step, &name, expected).await?;
+        let write = Write {
+            key: account_key(&name),
+            value: Some(encode(step, &account)?),
+        };
+        let version = self.write_account(step, &name, version, write).await?;
+        account.metadata.revision = Revision(version);
+        Ok(account)
+    }
+
+    /// Deletes a client account; its waiting jobs stay.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound`, or `Conflict` if the revision is not `expected` or another operator was first.
+    pub(crate) async fn delete_account(&self, name: &AccountName, expected: Option<Revision>) -> Result<()> {
+        let step = "delete account";
+        let version = self.expect_version(step, name, expected).await?;
+        if version == 0 {
+            return Err(Error::msg(
+                ErrorKind::NotFound,
+                step,
+                format!("account {name:?} does not exist"),
+            ));
+        }
+        let write = Write {
+            key: account_key(name),
+            value: None,
+        };
+        self.write_account(step, name, version, write).await.map(drop)
+    }
+
+    async fn expect_version(&self, step: &'static str, name: &AccountName, expected: Option<Revision>) -> Result<u64> {
+        let row = self
+            .store
+            .get(&account_key(name))
+            .await
+            .map_err(|e| e.ran(Ran::No).retry_after(1_000))?;
+        let version = row.map_or(0, |row| row.version);
+        if expected.is_some_and(|expected| expected.0 != version) {
+            let message = format!("account {name:?} is at revision {version}");
+            return Err(Error::msg(ErrorKind::Conflict, step, message));
+        }
+        Ok(version)
+    }
+
+    async fn write_account(&self, step: &'static str, name: &AccountName, version: u64, write: Write) -> Result<u64> {
+        let transaction = Transaction {
+            checks: vec![Check {
+                key: account_key(name),
+                version,
+            }],
+            writes: vec![
+                write,
+                Write {
+                    key: CATALOG_KEY.to_owned(),
+                    value: Some(String::new()),
+                },
+            ],
+        };
+        let version = commit_known(&self.store, step, &transaction, Overwritten::Possibly).await?;
+        self.reload_soon();
+        Ok(version)
+    }
+}
+
+fn account_key(name: &AccountName) -> String {
+    format!("{ACCOUNT_PREFIX}{name}")
+}
+
+/// Reads an account's row; its revision is the row's version.
+pub(crate) fn parse_account(row: &Row) -> Result<Account> {
+    let mut account: Account = parse_row("read account", row)?;
+    account.metadata.revision = Revision(row.version);
+    Ok(account)
+}
--- a/crates/pistachiostair/src/api.rs
+++ b/crates/pistachiostair/src/api.rs
@@ -20,7 +20,7 @@
 use crate::members::Members;
 use crate::message::{Call, Failure, Response};
 use crate::metrics::Metrics;
-use crate::resource::{AccountSpec, Guarantee, GuaranteeSpec, Metadata, Policy};
+use crate::resource::{AccountSpec, Metadata, Policy};
 use crate::route::{Route, parse_route};
 use crate::validate;
 
@@ -69,10 +69,10 @@
 /// A document with metadata and spec, as callers send it.
 #[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
-struct Document<S> {
+pub(crate) struct Document<S> {
     #[serde(default)]
-    metadata: Metadata,
-    spec: S,
+    pub(crate) metadata: Metadata,
+    pub(crate) spec: S,
 }
 
 impl Api {
@@ -166,86 +166,6 @@
         })
     }
 
-    fn list_accounts(&self) -> Result<HttpReply> {
-        let catalog = self.config.catalog();
-        let accounts: Vec<_> = catalog.accounts.into_values().collect();
-        list_reply(accounts, Revision(catalog.revision))
-    }
-
-    async fn get_account(&self, name: &str) -> Result<HttpReply> {
-        let account = self.config.find_account(&AccountName::from(name)).await?;
-        json_reply(StatusCode::OK, &account.ok_or_else(|| not_found("get account", name))?)
-    }
-
-    async fn put_account(&self, name: &str, request: &HttpRequest) -> Result<HttpReply> {
-        let document: Document<AccountSpec> = parse_body("put account", request)?;
-        check_name("put account", name, &document.metadata)?;
-        refuse_findings("put account", validate::check_account(&document.spec))?;
-        let account = self
-            .config
-            .put_account(&AccountName::from(name), document.spec, if_match(request)?)
-            .await?;
-        json_reply(StatusCode::OK, &account)
-    }
-
-    async fn delete_account(&self, name: &str, request: &HttpRequest) -> Result<HttpReply> {
-        self.config
-            .delete_account(&AccountName::from(name), if_match(request)?)
-            .await?;
-        Ok(no_content())
-    }
-
-    async fn list_guarantees(&self, request: &HttpRequest, deadline: Millis) -> Result<HttpReply> {
-        let guarantees = self.guarantees(request, &Call::Guarantees, deadline).await?;
-        list_reply(guarantees, self.config.catalog_revision())
-    }
-
-    async fn get_guarantee(&self, name: &str, request: &HttpRequest, deadline: Millis) -> Result<HttpReply> {
-        let guarantees = self.guarantees(request, &Call::Guarantees, deadline).await?;
-        let found = guarantees.iter().find(|guarantee| guarantee.metadata.name == name);
-        json_reply(StatusCode::OK, found.ok_or_else(|| not_found("get guarantee", name))?)
-    }
-
-    async fn put_guarantee(&self, name: &str, request: &HttpRequest, deadline: Millis) -> Result<HttpReply> {
-        let step = "put guarantee";
-        let document: Document<GuaranteeSpec> = parse_body(step, request)?;
-        check_name(step, name, &document.metadata)?;
-        refuse_findings(step, validate::check_guarantee(&document.spec))?;
-        self.account_spec(step, &document.spec.account).await?;
-        let mut metadata = document.metadata;
-        name.clone_into(&mut metadata.name);
-        let revision = if_match(request)?;
-        let region = document.spec.region.clone().unwrap_or_else(|| self.region_of(request));
-        let guarantee = Guarantee {
-            metadata,
-            spec: document.spec,
-            conditions: Vec::new(),
-        };
-        let guarantee = Box::new(guarantee);
-        let call = Call::PutGuarantee { guarantee, revision };
-        let response = self.links.call(&region, &call, deadline).await?;
-        match response {
-            Response::Guarantees { guarantees } if guarantees.len() == 1 => json_reply(StatusCode::OK, &guarantees[0]),
-            _ => Err(unexpected(step)),
-        }
-    }
-
-    async fn delete_guarantee(&self, name: String, request: &HttpRequest, deadline: Millis) -> Result<HttpReply> {
-        let call = Call::DeleteGuarantee {
-            name,
-            revision: if_match(request)?,
-        };
-        self.guarantees(request, &call, deadline).await?;
-        Ok(no_content())
-    }
-
-    async fn guarantees(&self, request: &HttpRequest, call: &Call, deadline: Millis) -> Result<Vec<Guarantee>> {
-        match self.call(request, call, deadline).await? {
-            Response::Guarantees { guarantees } => Ok(guarantees),
-            _ => Err(unexpected("read guarantees")),
-        }
-    }
-
     pub(crate) async fn workers(
         &self,
         request: &HttpRequest,
@@ -342,7 +262,7 @@
     }
 }
 
-fn no_content() -> HttpReply {
+pub(crate) fn no_content() -> HttpReply {
     HttpReply {
         status: StatusCode::NO_CONTENT,
         headers: Vec::new(),
@@ -402,17 +322,6 @@
     text.parse().map(|number| Some(Millis(number))).map_err(invalid)
 }
 
-fn check_name(step: &'static str, name: &str, metadata: &Metadata) -> Result<()> {
-    if let Some(fault) = validate::name_fault(name) {
-        return Err(Error::msg(ErrorKind::Invalid, step, format!("name {name:?} {fault}")));
-    }
-    if !metadata.name.is_empty() && metadata.name != name {
-        let reason = format!("metadata.name: {:?} differs from {name:?} in the path", metadata.name);
-        return Err(Error::msg(ErrorKind::Invalid, step, reason));
-    }
-    Ok(())
-}
-
 /// Turns findings into one error that names each field and reason.
 pub(crate) fn refuse_findings(step: &'static str, findings: Vec<validate::Finding>) -> Result<()> {
     if findings.is_empty() {
--- a/crates/pistachiostair/src/config.rs
+++ b/crates/pistachiostair/src/config.rs
@@ -7,8 +7,9 @@
 use futures_lite::future;
 use serde::{Deserialize, Serialize};
 
+use crate::accounts::{ACCOUNT_PREFIX, parse_account};
 use crate::clock::Millis;
-use crate::edge::{Check, Row, Table, Transaction, Write};
+use crate::edge::{Check, Table, Transaction, Write};
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::{AccountName, DaemonName, GuaranteeName, Revision};
 use crate::kernel::{Kernel, Service};
@@ -18,7 +19,7 @@
 use crate::metrics::Metrics;
 use crate::policy::PolicyState;
 use crate::record;
-use crate::resource::{Account, AccountSpec, Guarantee, Metadata, Policy};
+use crate::resource::{Account, Guarantee, Metadata, Policy};
 use crate::rows::{Overwritten, commit_known, encode, parse_row, scan_all};
 use crate::store::Store;
 use crate::validate;
@@ -27,7 +28,6 @@
 pub(crate) const CATALOG_KEY: &str = "catalog";
 
 const HEAD_KEY: &str = "config/head";
-const ACCOUNT_PREFIX: &str = "account/";
 /// Prefix of the rows of guarantees.
 pub(crate) const GUARANTEE_PREFIX: &str = "guarantee/";
 
@@ -75,7 +75,7 @@
 /// The configuration's service.
 pub(crate) struct Config {
     kernel: Arc<Kernel>,
-    store: Arc<Store>,
+    pub(crate) store: Arc<Store>,
     me: DaemonName,
     log: slog::Logger,
     shared: Mutex<Shared>,
@@ -155,25 +155,10 @@
         self.shared.lock().expect("config lock").catalog.clone()
     }
 
-    /// A client account; one that this daemon has not heard of yet is looked up in the table service.
-    ///
-    /// # Errors
-    ///
-    /// `Unavailable` if it is not known here and the table service can't be reached.
-    pub(crate) async fn find_account(&self, name: &AccountName) -> Result<Option<Account>> {
-        let known = self
-            .shared
-            .lock()
-            .expect("config lock")
-            .catalog
-            .accounts
-            .get(name)
-            .cloned();
-        if known.is_some() {
-            return Ok(known);
-        }
-        let row = self.store.get(&account_key(name)).await?;
-        row.map(|row| parse_account(&row)).transpose()
+    /// A client account of the catalog.
+    pub(crate) fn known_account(&self, name: &AccountName) -> Option<Account> {
+        let shared = self.shared.lock().expect("config lock");
+        shared.catalog.accounts.get(name).cloned()
     }
 
     /// Looks at the table service without waiting for the next interval.
@@ -386,88 +371,6 @@
         }
         Ok(parsed)
     }
-
-    /// Creates or replaces a client account.
-    ///
-    /// # Errors
-    ///
-    /// `Conflict` if the revision is not `expected` or another operator was first.
-    pub(crate) async fn put_account(
-        &self,
-        name: &AccountName,
-        spec: AccountSpec,
-        expected: Option<Revision>,
-    ) -> Result<Account> {
-        let step = "put account";
-        let version = self.expect_version(step, name, expected).await?;
-        let metadata = Metadata {
-            name: name.to_string(),
-            ..Metadata::default()
-        };
-        let mut account = Account { metadata, spec };
-        let write = Write {
-            key: account_key(name),
-            value: Some(encode(step, &account)?),
-        };
-        let version = self.write_account(step, name, version, write).await?;
-        account.metadata.revision = Revision(version);
-        Ok(account)
-    }
-
-    /// Deletes a client account; its waiting jobs stay.
-    ///
-    /// # Errors
-    ///
-    /// `NotFound`, or `Conflict` if the revision is not `expected` or another operator was first.
-    pub(crate) async fn delete_account(&self, name: &AccountName, expected: Option<Revision>) -> Result<()> {
-        let step = "delete account";
-        let version = self.expect_version(step, name, expected).await?;
-        if version == 0 {
-            return Err(Error::msg(
-                ErrorKind::NotFound,
-                step,
-                format!("account {name:?} does not exist"),
-            ));
-        }
-        let write = Write {
-            key: account_key(name),
-            value: None,
-        };
-        self.write_account(step, name, version, write).await.map(drop)
-    }
-
-    async fn expect_version(&self, step: &'static str, name: &AccountName, expected: Option<Revision>) -> Result<u64> {
-        let row = self
-            .store
-            .get(&account_key(name))
-            .await
-            .map_err(|e| e.ran(Ran::No).retry_after(1_000))?;
-        let version = row.map_or(0, |row| row.version);
-        if expected.is_some_and(|expected| expected.0 != version) {
-            let message = format!("account {name:?} is at revision {version}");
-            return Err(Error::msg(ErrorKind::Conflict, step, message));
-        }
-        Ok(version)
-    }
-
-    async fn write_account(&self, step: &'static str, name: &AccountName, version: u64, write: Write) -> Result<u64> {
-        let transaction = Transaction {
-            checks: vec![Check {
-                key: account_key(name),
-                version,
-            }],
-            writes: vec![
-                write,
-                Write {
-                    key: CATALOG_KEY.to_owned(),
-                    value: Some(String::new()),
-                },
-            ],
-        };
-        let version = commit_known(&self.store, step, &transaction, Overwritten::Possibly).await?;
-        self.reload_soon();
-        Ok(version)
-    }
 }
 
 /// Parses and checks a configuration.
@@ -484,13 +387,3 @@
         )
     })
 }
-
-fn account_key(name: &AccountName) -> String {
-    format!("{ACCOUNT_PREFIX}{name}")
-}
-
-fn parse_account(row: &Row) -> Result<Account> {
-    let mut account: Account = parse_row("read account", row)?;
-    account.metadata.revision = Revision(row.version);
-    Ok(account)
-}
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -20,10 +20,12 @@
 
 mod macros;
 
+mod accounts;
 mod active;
 mod answers;
 mod api;
 mod api_jobs;
+mod api_objects;
 mod api_watch;
 mod appender;
 mod blame;
--- a/crates/standin/tests/processes/pressure.rs
+++ b/crates/standin/tests/processes/pressure.rs
@@ -93,12 +93,18 @@
     all_succeeded(&ready.verify(long));
 }
 
-/// Guards against operators who overwrite each other's change of a client account without noticing.
+/// Guards against operators who overwrite each other's change of a client account without noticing, and
+/// against labels that are taken and then dropped.
 #[test]
 fn change_account_at_once() {
     const OPERATORS: usize = 6;
     let ready = Ready::start(Setup::default());
     let path = format!("/v1/accounts/{ACCOUNT}");
+    let long = json!({"metadata": {"labels": {"team": "x".repeat(5_000)}}, "spec": {}}).to_string();
+    let told = ready.block(ready.caller.send(0, Method::PUT, &path, &[], &long, Millis(5_000)));
+    let (status, text) = told.expect("response");
+    assert_eq!(status.as_u16(), 400, "{text}");
+    assert!(text.contains("metadata.labels.team"), "{text}");
     for round in 0..5 {
         pause(100);
         let account = ready.block(ready.caller.read(round, &path)).expect("account");
@@ -107,7 +113,11 @@
             .map(|operator| {
                 let (caller, path, revision) = (ready.caller.clone(), path.clone(), revision.clone());
                 let weight = 10 + round * OPERATORS + operator;
-                let body = json!({"metadata": {"name": ACCOUNT}, "spec": {"weight": weight}}).to_string();
+                let body = json!({
+                    "metadata": {"name": ACCOUNT, "labels": {"weight": weight.to_string()}},
+                    "spec": {"weight": weight},
+                });
+                let body = body.to_string();
                 let headers = [("if-match", revision)];
                 ready.spawn(async move {
                     let headers = headers.each_ref().map(|(name, value)| (*name, value.as_str()));
@@ -128,7 +138,10 @@
         assert_eq!((won.len(), refused), (1, OPERATORS - 1), "{told:?}");
         let holds = || {
             let read = ready.block(ready.caller.read(round + 1, &path));
-            read.is_ok_and(|account: Value| account["spec"]["weight"] == won[0])
+            read.is_ok_and(|account: Value| {
+                let label = &account["metadata"]["labels"]["weight"];
+                account["spec"]["weight"] == won[0] && *label == won[0].to_string()
+            })
         };
         ready
             .await_that("the change that won is shown", crate::support::SOON, holds)
