--- a/crates/standin/tests/processes/pressure.rs
+++ b/crates/standin/tests/processes/pressure.rs
@@ -140,7 +140,7 @@
             let read = ready.block(ready.caller.read(round + 1, &path));
             read.is_ok_and(|account: Value| {
                 let label = &account["metadata"]["labels"]["weight"];
-                account["spec"]["weight"] == won[0] && *label == won[0].to_string()
+                account["spec"]["weight"] == won[0] && label.as_str() == Some(won[0].to_string().as_str())
             })
         };
         ready
