Start a new term after a step-down

Two faults follow. A worker that saw a newer term makes each reading end in the next step-down, so that the region stops for good. A late Committed of the first writer has the same effect. Change: a scheduler that served resigns and is a candidate again, after a poll's pause and once no request of the old candidacy is outstanding, so that an answer to a release is not taken for that of a claim. The read-back compares the whole batch instead of the write id. Tests: compare_same_term and outdated_term fail without the change (the order of outdated_term had not ended after 45 s); with it, outdated_term takes 9.6 s for three elections. restart_late_answer and the restart in hold_alone guard the new candidacy.

--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -309,7 +309,7 @@
             return Vec::new();
         };
         match value {
-            Some(text) if Batch::parse(&text).is_ok_and(|batch| batch.write == flight.batch.write) => self.settle(),
+            Some(text) if Batch::parse(&text).is_ok_and(|batch| batch == flight.batch) => self.settle(),
             None if flight.doubtful => self.step(Step::CommitAt(now + RETRY)),
             _ => self.lost = true,
         }
--- a/crates/pistachiostair/src/govern_actor.rs
+++ b/crates/pistachiostair/src/govern_actor.rs
@@ -156,7 +156,7 @@
             TenureAction::Elected { term, fence } => {
                 slog::info!(self.log, "elected"; "region" => %self.region, "term" => term.0);
                 self.elected = Some((term, fence));
-                self.load(term, fence);
+                self.load(term, fence, Millis::ZERO);
             }
             TenureAction::Held(held) => {
                 slog::info!(self.log, "tenure changed"; "region" => %self.region, "held" => held);
@@ -168,8 +168,11 @@
             }
             TenureAction::Resigned => {
                 self.depose();
-                if let Some(done) = self.resigning.take() {
-                    let _ = done.try_send(());
+                match self.resigning.take() {
+                    Some(done) => {
+                        let _ = done.try_send(());
+                    }
+                    None => self.tenure.restart(self.now()),
                 }
             }
         }
@@ -184,15 +187,15 @@
         self.headers.clear();
     }
 
-    /// The scheduler gave up: its journal was written by someone else, or could not be folded. If
-    /// the lease turns out to be held still, the journal is read again.
+    /// The scheduler gave up. A journal that could not be folded is read again under the same term, since
+    /// nothing was written yet. After that, only a new term is safe: a second writer in one term can take a
+    /// late transaction of the first for its own, and a worker that saw a newer term refuses this one.
     fn step_down(&mut self) {
-        self.shared.lock().expect("leader lock").term = None;
-        self.orders = Orders::default();
-        self.headers.clear();
-        self.tenure(TenureEvent::Conflict);
-        if let Some((term, fence)) = self.elected {
-            self.load(term, fence);
+        let serving = self.shared.lock().expect("leader lock").term.is_some();
+        match self.elected {
+            Some((term, fence)) if !serving => self.load(term, fence, LOAD_PAUSE),
+            Some(_) => self.tenure(TenureEvent::Resign),
+            None => {}
         }
     }
 
@@ -221,16 +224,11 @@
         });
     }
 
-    /// Reads the snapshot and the journal behind it, again until that succeeds.
-    fn load(&self, term: Term, fence: u64) {
+    /// Reads the snapshot and the journal behind it after a pause, again until that succeeds.
+    fn load(&self, term: Term, fence: u64, mut pause: Millis) {
         let store = self.store.clone();
         let region = self.region.clone();
         let log = self.log.clone();
-        let mut pause = if self.scheduler.figures().is_some() {
-            LOAD_PAUSE
-        } else {
-            Millis::ZERO
-        };
         self.reply_later(async move {
             loop {
                 async_io::Timer::after(pause.duration()).await;
--- a/crates/pistachiostair/src/tenure.rs
+++ b/crates/pistachiostair/src/tenure.rs
@@ -152,6 +152,16 @@
         }
     }
 
+    /// Makes it a candidate again after [`TenureAction::Resigned`], after a pause in which others may claim
+    /// the lease. A request on its way is awaited first, so that its answer is not taken for that of a claim.
+    pub fn restart(&mut self, now: Millis) {
+        self.mode = Mode::Candidate;
+        self.resign = false;
+        self.sent.clear();
+        self.seen = None;
+        self.next = now + POLL;
+    }
+
     /// Whether this daemon may act as the scheduler at `now`.
     pub fn held(&self, now: Millis) -> bool {
         self.held && now < self.until
--- a/crates/pistachiostair/tests/appender.rs
+++ b/crates/pistachiostair/tests/appender.rs
@@ -211,6 +211,29 @@
     write(2_800, vec![1], true).expect("a journal that a takeover can read");
 }
 
+/// A second writer in one term, with the same write ids, must not take a late row of the first for its own.
+#[test]
+fn compare_same_term() {
+    let (mut store, fence) = Store::new(vec![1]);
+    let mut writer = |name: &str| {
+        let mut writer = Appender::new("fi".into(), Term(1), fence, Seq(0), Seq(0));
+        let worker = WorkerName::from(name);
+        writer.push([Record::Drained { worker, drain: true }]);
+        let actions = writer.poll(Millis(0), Millis(0));
+        let events: Vec<AppendEvent> = actions.into_iter().filter_map(|action| store.act(action)).collect();
+        (writer, events)
+    };
+    let (_, first) = writer("w1");
+    let (mut second, events) = writer("w2");
+    assert_eq!(first, [AppendEvent::Committed(Seq(1))]);
+    assert_eq!(events, [AppendEvent::Conflict(Seq(1))]);
+    for action in second.on(Millis(10), AppendEvent::Conflict(Seq(1))) {
+        let row = store.act(action).expect("a row");
+        second.on(Millis(20), row);
+    }
+    assert_eq!((second.committed(), second.lost()), (None, true));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 50, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/pistachiostair/tests/tenure.rs
+++ b/crates/pistachiostair/tests/tenure.rs
@@ -32,6 +32,8 @@
     next: u64,
     delays: Vec<u64>,
     resigned: Vec<bool>,
+    /// Becomes a candidate again after it resigned.
+    again: bool,
 }
 
 impl Region {
@@ -59,6 +61,7 @@
             next: 0,
             delays,
             resigned: vec![false; count],
+            again: false,
         }
     }
 
@@ -79,6 +82,7 @@
                 TenureAction::Elected { term, .. } => self.terms.push(term),
                 TenureAction::Held(held) => self.held[index] = held,
                 TenureAction::Deposed => self.held[index] = false,
+                TenureAction::Resigned if self.again => self.tenures[index].restart(clock),
                 TenureAction::Resigned => self.resigned[index] = true,
                 action => {
                     let delay = self.delay();
@@ -205,6 +209,39 @@
     assert_eq!(region.terms, [Term(1)]);
 }
 
+/// The answer of a release that comes after a restart must not be taken for that of the next claim.
+#[test]
+fn restart_late_answer() {
+    let mut tenure = Tenure::new("fi".into(), "d0".into(), Incarnation(1), "10.0.0.1:1");
+    let sent = Millis(0);
+    let committed = |version| TenureEvent::Committed { sent, version };
+    let free = TenureEvent::Read {
+        sent,
+        lease: None,
+        term: None,
+    };
+    tenure.on(Millis(0), TenureEvent::Tick);
+    tenure.on(Millis(10), free.clone());
+    assert!(tenure.on(Millis(20), committed(1)).contains(&TenureAction::Held(true)));
+    tenure.on(Millis(100), TenureEvent::Resign);
+    assert_eq!(tenure.on(Millis(9_000), TenureEvent::Tick), [TenureAction::Resigned]);
+    tenure.restart(Millis(9_000));
+    assert_eq!(
+        tenure.on(Millis(9_600), TenureEvent::Tick),
+        [],
+        "a request beside another one"
+    );
+    let late = tenure.on(Millis(9_700), committed(2));
+    assert!(matches!(late[..], [TenureAction::Read { .. }]), "{late:?}");
+    let claim = tenure.on(Millis(9_710), free);
+    assert!(matches!(claim[..], [TenureAction::Commit(_)]), "{claim:?}");
+    assert!(
+        tenure
+            .on(Millis(9_720), committed(3))
+            .contains(&TenureAction::Held(true))
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -212,8 +249,10 @@
     fn hold_alone(
         delays in prop::collection::vec(prop_oneof![4 => 1_u64..20, 1 => 20_u64..3_000], 1..40),
         faults in prop::collection::vec((0_u8..4, 0_usize..3, 100_u64..8_000, 100_u64..9_000), 0..12),
+        again: bool,
     ) {
         let mut region = Region::new(3, delays);
+        region.again = again;
         for (kind, index, span, pause) in faults {
             match kind {
                 0 => region.paused[index] = region.now + span,
--- a/crates/standin/tests/processes/crash.rs
+++ b/crates/standin/tests/processes/crash.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use pistachiostair::{JobPhase, MemberState, WorkerName};
+use hyper::Method;
+use pistachiostair::{BatchReply, CommandBatch, Incarnation, JobPhase, MemberState, Row, Term, WorkerName};
 use rstest::rstest;
 use serde_json::json;
-use standin::{LogEntry, LogKind, Order, Setup, runs_of};
+use standin::{LogEntry, LogKind, Order, Setup, ask, new_client, runs_of};
 
 use crate::support::{ACCOUNT, Ready, SOON, all_succeeded, orders, pause, wall};
 
@@ -242,3 +243,45 @@
         .await_that("three members are live", SOON, || live() == 3)
         .expect("members");
 }
+
+/// Guards against a region that stays in a term which a worker refuses: its scheduler has to give the
+/// lease back, so that the next one has a higher term.
+#[test]
+fn outdated_term() {
+    let ready = Ready::start(Setup::default());
+    let client = new_client(&ready.executor());
+    let row = ready
+        .block(ask::<Row>(
+            &client,
+            ready.platform(),
+            Method::GET,
+            "/v1/rows/term%2Ffi",
+            &(),
+        ))
+        .expect("term row");
+    let term = |row: &Row| row.value.parse::<u64>().expect("a term");
+    let newer = CommandBatch {
+        term: Term(term(&row) + 3),
+        incarnation: Incarnation(0),
+        expires: None,
+        commands: Vec::new(),
+    };
+    let worker = ready.worker(0);
+    let reply = ready
+        .block(ask::<BatchReply>(&client, worker, Method::POST, "/v1/commands", &newer))
+        .expect("reply");
+    assert!(matches!(reply, BatchReply::OtherIncarnation { .. }), "{reply:?}");
+    // Enough that some must run on that worker.
+    let tasks = ready.settle(orders("order", 24, "1x1", 500));
+    all_succeeded(&ready.verify(tasks));
+    let row = ready
+        .block(ask::<Row>(
+            &client,
+            ready.platform(),
+            Method::GET,
+            "/v1/rows/term%2Ffi",
+            &(),
+        ))
+        .expect("term row");
+    assert!(term(&row) >= newer.term.0, "still in term {}", row.value);
+}
