--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -13,6 +13,7 @@
 use crate::reconcile::Upstream;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
 use crate::scheduler::{Action, Event, LogLine};
+use crate::snapshot::SnapshotLimits;
 use crate::state::{Entry, State};
 
 /// Decisions taken from the planner before the next batch is written.
@@ -95,7 +96,7 @@
         now: Millis,
         wall: Millis,
         region: RegionName,
-        retention: Retention,
+        (retention, limits): (Retention, SnapshotLimits),
         (term, fence): (Term, u64),
         snapshot: Option<&[u8]>,
         rows: &[(Seq, String)],
@@ -113,7 +114,7 @@
         // The clock of the region never goes back, whatever this daemon's clock says.
         let wall = wall.max(state.wall);
         let mut core = Self {
-            appender: Appender::new(region.clone(), term, fence, state.seq, covered),
+            appender: Appender::new(region.clone(), term, fence, state.seq, covered).with_snapshots(limits),
             region,
             retention,
             term,
--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -6,7 +6,7 @@
 use crate::edge::{Check, Row, Transaction, Write};
 use crate::ids::{RegionName, Seq, Term};
 use crate::journal::{Batch, MAX_BATCH, Record, journal_key, term_key};
-use crate::snapshot::Snapshots;
+use crate::snapshot::{SnapshotLimits, Snapshots};
 use crate::state::State;
 
 /// What the store must do for the journal.
@@ -156,6 +156,13 @@
         }
     }
 
+    /// Changes when a snapshot is due.
+    #[must_use]
+    pub fn with_snapshots(mut self, limits: SnapshotLimits) -> Self {
+        self.snapshots.limits = limits;
+        self
+    }
+
     /// Queues records for the next batch.
     pub fn push(&mut self, records: impl IntoIterator<Item = Record>) {
         self.queue.extend(records);
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -138,7 +138,7 @@
 pub use retry::{Backoff, Breaker, BreakerState, Budget, Pass};
 pub use scheduler::{Action, Event, LogLine, Scheduler, Token};
 pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
-pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
+pub use snapshot::{SnapshotLimits, SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
 pub use tenure::{Tenure, TenureAction, TenureEvent};
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::message::{Call, Failure, Response};
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
+use crate::snapshot::SnapshotLimits;
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 number_id! {
@@ -143,6 +144,7 @@
 pub struct Scheduler {
     region: RegionName,
     retention: Retention,
+    snapshots: SnapshotLimits,
     known: Known,
     active: Option<Box<Active>>,
 }
@@ -153,6 +155,7 @@
         Self {
             region,
             retention: Retention::default(),
+            snapshots: SnapshotLimits::default(),
             known: Known {
                 accounts: BTreeMap::new(),
                 guarantees: BTreeMap::new(),
@@ -169,6 +172,13 @@
         self
     }
 
+    /// Changes when a snapshot of the state is due.
+    #[must_use]
+    pub fn with_snapshots(mut self, limits: SnapshotLimits) -> Self {
+        self.snapshots = limits;
+        self
+    }
+
     /// Takes note of an event and returns what must be done.
     pub fn on(&mut self, now: Millis, event: Event) -> Vec<Action> {
         self.remember(&event);
@@ -185,7 +195,7 @@
                     now,
                     wall,
                     self.region.clone(),
-                    self.retention,
+                    (self.retention, self.snapshots),
                     (term, fence),
                     snapshot.as_deref(),
                     &rows,
--- a/crates/pistachiostair/src/snapshot.rs
+++ b/crates/pistachiostair/src/snapshot.rs
@@ -8,15 +8,26 @@
 use crate::record;
 use crate::state::State;
 
-/// Journal rows after which a snapshot is due, unless they are small in comparison with it.
-const SNAPSHOT_ROWS: u64 = 500;
-/// Journal rows after which a snapshot is due in any case: bounds the scan of a takeover.
-const MAX_ROWS: u64 = 5_000;
 /// Rows deleted in one transaction.
 const DELETE_ROWS: u64 = 100;
 /// Pause after a failure.
 const PAUSE: Millis = Millis(1_000);
 
+/// When a snapshot is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SnapshotLimits {
+    /// Journal rows after which it is due, unless they are small in comparison with the last one.
+    pub rows: u64,
+    /// Journal rows after which it is due in any case: bounds the scan of a takeover.
+    pub most: u64,
+}
+
+impl Default for SnapshotLimits {
+    fn default() -> Self {
+        Self { rows: 500, most: 5_000 }
+    }
+}
+
 record! {
     /// A snapshot in the object store.
     pub struct SnapshotRef {
@@ -54,6 +65,17 @@
     pub fn parse(text: &str) -> Option<Self> {
         serde_json::from_str(text).ok()
     }
+
+    /// The snapshots that a takeover may start from, in order of preference.
+    pub fn named(&self) -> impl Iterator<Item = &SnapshotRef> {
+        std::iter::once(&self.current).chain(&self.previous)
+    }
+
+    /// Whether the journal still has all its rows, so that a takeover needs no snapshot: rows are
+    /// deleted only once an older snapshot covers them.
+    pub fn has_whole_journal(&self) -> bool {
+        self.previous.is_none()
+    }
 }
 
 /// Key of the row that names a region's snapshots.
@@ -68,8 +90,12 @@
     Asked,
     Putting(SnapshotRef),
     Reading(SnapshotRef),
+    /// The new snapshot is whole; the one before is read.
+    Checking(SnapshotRef, SnapshotRow),
     Naming(SnapshotRow),
-    Deleting { upto: u64 },
+    Deleting {
+        upto: u64,
+    },
 }
 
 /// The writer of snapshots, used by the appender.
@@ -78,6 +104,7 @@
     region: RegionName,
     term: Term,
     fence: u64,
+    pub(crate) limits: SnapshotLimits,
     step: Step,
     pause: Millis,
     version: u64,
@@ -94,6 +121,7 @@
             region,
             term,
             fence,
+            limits: SnapshotLimits::default(),
             step: Step::Idle,
             pause: Millis::ZERO,
             version: 0,
@@ -128,7 +156,7 @@
 
     fn due(&self, state: &State) -> bool {
         let rows = state.seq.0.saturating_sub(self.covered.0);
-        rows >= MAX_ROWS || (rows >= SNAPSHOT_ROWS && self.bytes >= self.size / 2)
+        rows >= self.limits.most || (rows >= self.limits.rows && self.bytes >= self.size / 2)
     }
 
     fn write(&mut self, state: &State) -> Vec<AppendAction> {
@@ -155,6 +183,11 @@
             (Step::Reading(made), AppendEvent::SnapshotRead { key, body }) if made.key == key => {
                 self.compare(now, made, body)
             }
+            (Step::Checking(made, old), AppendEvent::SnapshotRead { key, body }) if old.current.key == key => {
+                let whole = body.is_some_and(|body| old.current.matches(&body));
+                let previous = if whole { Some(old.current) } else { old.previous };
+                self.name(made, previous, old.first)
+            }
             (Step::Naming(row), AppendEvent::Maintained(true)) => self.adopt(row),
             (Step::Deleting { upto }, AppendEvent::Maintained(true)) => self.delete(upto + 1),
             (Step::Naming(_) | Step::Deleting { .. }, AppendEvent::Maintained(false)) => self.fail(now),
@@ -194,10 +227,23 @@
         if !body.is_some_and(|body| made.matches(&body)) {
             return self.fail(now);
         }
+        match self.named.clone() {
+            Some(old) => {
+                let key = old.current.key.clone();
+                self.step = Step::Checking(made, old);
+                vec![AppendAction::ReadSnapshot { key }]
+            }
+            None => self.name(made, None, Seq(1)),
+        }
+    }
+
+    /// Names the new snapshot. A damaged one never becomes the previous one: the journal rows that
+    /// it covers would be deleted, and damage to the new one would then lose them.
+    fn name(&mut self, current: SnapshotRef, previous: Option<SnapshotRef>, first: Seq) -> Vec<AppendAction> {
         let row = SnapshotRow {
-            current: made,
-            previous: self.named.as_ref().map(|named| named.current.clone()),
-            first: self.named.as_ref().map_or(Seq(1), |named| named.first),
+            current,
+            previous,
+            first,
         };
         let key = snapshot_key(&self.region);
         let mut transaction = fenced(&self.region, self.fence);
@@ -217,10 +263,12 @@
         self.covered = row.current.seq;
         self.bytes = 0;
         let first = row.first.0;
-        let obsolete = self.named.replace(row).and_then(|old| old.previous);
-        let mut actions: Vec<AppendAction> = obsolete
-            .map(|old| AppendAction::DeleteObject { key: old.key })
-            .into_iter()
+        let old = self.named.replace(row.clone());
+        let mut actions: Vec<AppendAction> = old
+            .iter()
+            .flat_map(SnapshotRow::named)
+            .filter(|old| row.named().all(|named| named.key != old.key))
+            .map(|old| AppendAction::DeleteObject { key: old.key.clone() })
             .collect();
         actions.extend(self.delete(first));
         actions
--- a/crates/pistachiostair/src/takeover.rs
+++ b/crates/pistachiostair/src/takeover.rs
@@ -5,7 +5,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{RegionName, Seq};
 use crate::journal::journal_key;
-use crate::snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
+use crate::snapshot::{SnapshotRow, snapshot_key};
 use crate::store::Store;
 
 /// Rows read at once.
@@ -83,15 +83,18 @@
     }
 }
 
-/// Reads the newest snapshot whose content agrees with its checksum, and its journal position.
+/// Reads the newest snapshot whose content agrees with its checksum, and its journal position; none if
+/// the journal alone is enough.
 async fn load_snapshot(store: &Store, value: &str) -> Result<(Option<Vec<u8>>, Seq)> {
     let step = "read snapshot";
     let row = SnapshotRow::parse(value).ok_or_else(|| Error::msg(ErrorKind::Internal, step, "bad row"))?;
-    let named: Vec<SnapshotRef> = std::iter::once(row.current).chain(row.previous).collect();
-    for snapshot in &named {
+    for snapshot in row.named() {
         if let Some(body) = store.read(&snapshot.key).await?.filter(|body| snapshot.matches(body)) {
             return Ok((Some(body), snapshot.seq));
         }
     }
+    if row.has_whole_journal() {
+        return Ok((None, Seq(0)));
+    }
     Err(Error::msg(ErrorKind::Internal, step, "no named snapshot is whole"))
 }
--- a/crates/pistachiostair/tests/checker.rs
+++ b/crates/pistachiostair/tests/checker.rs
@@ -9,12 +9,15 @@
 use rstest::rstest;
 
 fn violations(step: Step, fault: Fault, switches: Switches, apart: bool) -> Vec<String> {
-    let mut world = World::new(1);
+    violations_in(World::new(1), step, &[fault], switches, apart)
+}
+
+fn violations_in(mut world: World, step: Step, faults: &[Fault], switches: Switches, apart: bool) -> Vec<String> {
     world.switches = switches;
     world.add_client("order", spec("order", "1x1", 3_000, false, false), false, 6_000);
     world.add_client("gang", spec("gang", "3x2", 30_000, false, false), false, 6_000);
     world.add_client("plain", spec("plain", "1x0", 9_000, false, false), false, 6_000);
-    world.armed.push((step, vec![fault]));
+    world.armed.push((step, faults.to_vec()));
     if apart {
         world.run(Millis(12_000));
         // One worker of the gang can't be reached, neither for renewals nor for stops.
@@ -44,6 +47,27 @@
     assert!(wrong.is_empty(), "with the mechanism in place: {wrong:#?}");
 }
 
+/// A takeover from a snapshot that is damaged or missing.
+#[rstest]
+#[case::checksum(Fault::SnapshotDamaged, Switches { no_checksum: true, ..Switches::default() }, "damaged snapshot")]
+#[case::previous(Fault::SnapshotMissing, Switches { no_previous: true, ..Switches::default() }, "was not told")]
+#[case::load(Fault::SnapshotMissing, Switches { no_journal: true, ..Switches::default() }, "another state")]
+fn object_to_snapshot(#[case] fault: Fault, #[case] switches: Switches, #[case] text: &str) {
+    let faults = [fault, Fault::SchedulerDies];
+    let world = || {
+        let mut world = World::new(1);
+        world.snapshot_often();
+        world
+    };
+    let wrong = violations_in(world(), Step::Record, &faults, switches, false);
+    assert!(
+        wrong.iter().any(|line| line.contains(text)),
+        "no objection with {text:?}: {wrong:#?}"
+    );
+    let wrong = violations_in(world(), Step::Record, &faults, Switches::default(), false);
+    assert!(wrong.is_empty(), "with the mechanism in place: {wrong:#?}");
+}
+
 /// A part that can't be reached goes on only until its lease ends.
 #[test]
 fn object_to_lease() {
--- a/crates/pistachiostair/tests/fault_matrix.rs
+++ b/crates/pistachiostair/tests/fault_matrix.rs
@@ -8,6 +8,49 @@
 use pistachiostair::Millis;
 use rstest::rstest;
 
+/// One test for each step and each of the given faults.
+macro_rules! at_each_step {
+    ($(#[$doc:meta])* $name:ident, $param:ident, $check:path, $($fault:ident),+ $(,)?) => {
+        $(#[$doc])*
+        #[rstest]
+        fn $name(
+            #[values(
+                Step::Admit,
+                Step::Persist,
+                Step::Acknowledge,
+                Step::Queue,
+                Step::Place,
+                Step::Hold,
+                Step::Commit,
+                Step::Start,
+                Step::Run,
+                Step::Checkpoint,
+                Step::Reclaim,
+                Step::Finish,
+                Step::Record,
+                Step::Answer,
+                Step::Forget
+            )]
+            step: Step,
+            #[values($(Fault::$fault),+)] $param: Fault,
+        ) {
+            $check(step, $param);
+        }
+    };
+}
+
+/// One test for each step and each fault of `Fault::ALL`, and for the faults that are given in addition.
+macro_rules! every_fault {
+    ($(#[$doc:meta])* $name:ident, $param:ident, $check:path $(, $fault:ident)*) => {
+        at_each_step!(
+            $(#[$doc])* $name, $param, $check, SchedulerDies, SchedulerPaused, SupervisorDies, WorkerRestarts, WorkerGone,
+            WorkerFreezes, WorkerFails, MessageLost, MessageDoubled, MessageLate, MessageOvertaken, StoreDown,
+            StoreSlow, StoreAnswerLost, StoreLate, Cancelled, OperatorCompetes, ConfigurationChanges, DomainCut,
+            GracefulStop, EntryDies $(, $fault)*
+        );
+    };
+}
+
 /// Jobs of all kinds: one that may run once, a gang that may run once and outlasts a lease, an
 /// idempotent gang that is reclaimed, and an idempotent job.
 fn populate(world: &mut World) {
@@ -17,8 +60,8 @@
     world.add_client("plain", spec("plain", "1x0", 12_000, true, false), false, 6_000);
 }
 
-fn strike(step: Step, faults: &[Fault]) {
-    let mut world = World::new(1);
+/// Runs until all is over, and returns the world for further questions.
+fn strike_in(mut world: World, step: Step, faults: &[Fault]) -> World {
     populate(&mut world);
     world.armed.push((step, faults.to_vec()));
     world.settle(Millis(150_000));
@@ -29,104 +72,72 @@
     );
     let wrong = check::violations(&world);
     assert!(wrong.is_empty(), "{step:?} {faults:?}: {wrong:#?}");
+    world
 }
 
-#[rstest]
-fn strike_single(
-    #[values(
-        Step::Admit,
-        Step::Persist,
-        Step::Acknowledge,
-        Step::Queue,
-        Step::Place,
-        Step::Hold,
-        Step::Commit,
-        Step::Start,
-        Step::Run,
-        Step::Checkpoint,
-        Step::Reclaim,
-        Step::Finish,
-        Step::Record,
-        Step::Answer,
-        Step::Forget
-    )]
-    step: Step,
-    #[values(
-        Fault::SchedulerDies,
-        Fault::SchedulerPaused,
-        Fault::SupervisorDies,
-        Fault::WorkerRestarts,
-        Fault::WorkerGone,
-        Fault::WorkerFreezes,
-        Fault::WorkerFails,
-        Fault::MessageLost,
-        Fault::MessageDoubled,
-        Fault::MessageLate,
-        Fault::MessageOvertaken,
-        Fault::StoreDown,
-        Fault::StoreSlow,
-        Fault::StoreAnswerLost,
-        Fault::StoreLate,
-        Fault::Cancelled,
-        Fault::OperatorCompetes,
-        Fault::ConfigurationChanges,
-        Fault::DomainCut,
-        Fault::GracefulStop,
-        Fault::EntryDies
-    )]
-    fault: Fault,
-) {
-    strike(step, &[fault]);
+fn strike_one(step: Step, fault: Fault) {
+    strike_in(World::new(1), step, &[fault]);
 }
 
-/// Every pair of faults at one step, and the same fault twice.
-#[rstest]
-fn strike_pair(
-    #[values(
-        Step::Admit,
-        Step::Persist,
-        Step::Acknowledge,
-        Step::Queue,
-        Step::Place,
-        Step::Hold,
-        Step::Commit,
-        Step::Start,
-        Step::Run,
-        Step::Checkpoint,
-        Step::Reclaim,
-        Step::Finish,
-        Step::Record,
-        Step::Answer,
-        Step::Forget
-    )]
-    step: Step,
-    #[values(
-        Fault::SchedulerDies,
-        Fault::SchedulerPaused,
-        Fault::SupervisorDies,
-        Fault::WorkerRestarts,
-        Fault::WorkerGone,
-        Fault::WorkerFreezes,
-        Fault::WorkerFails,
-        Fault::MessageLost,
-        Fault::MessageDoubled,
-        Fault::MessageLate,
-        Fault::MessageOvertaken,
-        Fault::StoreDown,
-        Fault::StoreSlow,
-        Fault::StoreAnswerLost,
-        Fault::StoreLate,
-        Fault::Cancelled,
-        Fault::OperatorCompetes,
-        Fault::ConfigurationChanges,
-        Fault::DomainCut,
-        Fault::GracefulStop,
-        Fault::EntryDies
-    )]
-    first: Fault,
-) {
+every_fault!(strike_single, fault, strike_one);
+
+fn strike_two(step: Step, first: Fault) {
     let start = Fault::ALL.iter().position(|fault| *fault == first).unwrap_or(0);
     for second in &Fault::ALL[start..] {
-        strike(step, &[first, *second]);
+        strike_in(World::new(1), step, &[first, *second]);
+    }
+}
+
+every_fault!(
+    /// Every pair of faults at one step, and the same fault twice.
+    strike_pair,
+    first,
+    strike_two
+);
+
+fn with_snapshots() -> World {
+    let mut world = World::new(1);
+    world.snapshot_often();
+    world
+}
+
+/// Snapshots are written and journal rows deleted in every cell, and a scheduler that ends after the
+/// first snapshot is followed by one that starts from it.
+fn strike_snapshot_one(step: Step, fault: Fault) {
+    let world = strike_in(with_snapshots(), step, &[fault]);
+    assert!(world.snapshots > 1, "{} snapshots", world.snapshots);
+    assert!(world.deleted > 0, "no row was deleted");
+    let late = !matches!(step, Step::Admit | Step::Persist | Step::Acknowledge | Step::Queue);
+    if fault == Fault::SchedulerDies && late {
+        assert!(world.resumed > 0, "no takeover from a snapshot");
     }
 }
+
+every_fault!(
+    /// Guards against a takeover that loses or repeats what a snapshot covers.
+    strike_snapshot,
+    fault,
+    strike_snapshot_one,
+    SnapshotDamaged,
+    SnapshotMissing
+);
+
+fn strike_snapshot_two(step: Step, first: Fault) {
+    for second in Fault::ALL.into_iter().chain(Fault::SNAPSHOT) {
+        strike_in(with_snapshots(), step, &[first, second]);
+    }
+}
+
+at_each_step!(
+    /// Pairs with faults of the store and with the scheduler's death while snapshots are written.
+    strike_snapshot_pair,
+    first,
+    strike_snapshot_two,
+    SchedulerDies,
+    StoreDown,
+    StoreSlow,
+    StoreAnswerLost,
+    StoreLate,
+    SnapshotDamaged,
+    SnapshotMissing,
+);
--- a/crates/pistachiostair/tests/fault_sequences.rs
+++ b/crates/pistachiostair/tests/fault_sequences.rs
@@ -8,14 +8,24 @@
 use pistachiostair::Millis;
 use proptest::prelude::*;
 
-fn run(seed: u64, faults: &[(u64, usize)]) -> Vec<String> {
+fn run(world: World, faults: &[(u64, usize)]) -> Vec<String> {
+    let known = |(at, fault): &(u64, usize)| (*at, Fault::ALL[*fault]);
+    run_in(world, &faults.iter().map(known).collect::<Vec<_>>())
+}
+
+fn with_snapshots(seed: u64) -> World {
     let mut world = World::new(seed);
+    world.snapshot_often();
+    world
+}
+
+fn run_in(mut world: World, faults: &[(u64, Fault)]) -> Vec<String> {
     world.add_client("order", spec("order", "1x1", 3_000, false, false), false, 6_000);
     world.add_client("gang", spec("gang", "3x2", 18_000, false, false), false, 6_000);
     world.add_client("batch", spec("batch", "2x2", 6_000, true, true), false, 6_000);
     world.add_client("plain", spec("plain", "1x0", 12_000, true, false), false, 6_000);
     for (index, (at, fault)) in faults.iter().enumerate() {
-        world.after(*at, Delivery::Inject(Fault::ALL[*fault]));
+        world.after(*at, Delivery::Inject(*fault));
         let key = format!("late-{index}");
         let late = spec(&key, "1x1", 1_000, index % 2 == 0, false);
         world.add_client(&key, late, false, at + 200);
@@ -34,14 +44,17 @@
         (0, Fault::WorkerFails),
         (38_192, Fault::WorkerFreezes),
     ];
-    let index = |fault: Fault| {
-        Fault::ALL
-            .iter()
-            .position(|known| *known == fault)
-            .expect("a listed fault")
-    };
-    let faults = faults.map(|(at, fault)| (at, index(fault)));
-    let wrong = run(0, &faults);
+    let wrong = run_in(World::new(0), &faults);
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Guards against a damaged snapshot that is kept as the older one: the next damage would leave none
+/// that is whole, with journal rows already deleted.
+#[test]
+fn strike_sequence_damaged_again() {
+    let mut faults: Vec<(u64, Fault)> = (0..20).map(|i| (8_000 + i * 700, Fault::SnapshotDamaged)).collect();
+    faults.push((22_000, Fault::SchedulerDies));
+    let wrong = run_in(with_snapshots(0), &faults);
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
@@ -53,8 +66,24 @@
         seed in any::<u64>(),
         faults in prop::collection::vec((0_u64..45_000, 0..Fault::ALL.len()), 1..9),
     ) {
-        let wrong = run(seed, &faults);
+        let wrong = run(World::new(seed), &faults);
         let named: Vec<(u64, Fault)> = faults.iter().map(|(at, fault)| (*at, Fault::ALL[*fault])).collect();
         prop_assert!(wrong.is_empty(), "seed {seed}, {named:?}: {wrong:#?}");
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, max_shrink_iters: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The same while snapshots are written after every few rows, and some of them spoil.
+    #[test]
+    fn strike_sequence_snapshot(
+        seed in any::<u64>(),
+        faults in prop::collection::vec((0_u64..45_000, 0..Fault::ALL.len() + Fault::SNAPSHOT.len()), 1..9),
+    ) {
+        let known = |index: usize| Fault::ALL.into_iter().chain(Fault::SNAPSHOT).nth(index).expect("a listed fault");
+        let faults: Vec<(u64, Fault)> = faults.into_iter().map(|(at, fault)| (at, known(fault))).collect();
+        let wrong = run_in(with_snapshots(seed), &faults);
+        prop_assert!(wrong.is_empty(), "seed {seed}, {faults:?}: {wrong:#?}");
+    }
+}
--- a/crates/pistachiostair/tests/life/check.rs
+++ b/crates/pistachiostair/tests/life/check.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pistachiostair::{
-    Batch, Command, CommandBatch, JobId, JobPhase, Millis, Ran, Record, TaskId, TaskState, Transaction,
+    Batch, Command, CommandBatch, JobId, JobPhase, Millis, Ran, Record, Seq, State, TaskId, TaskState, Transaction,
 };
 use standin::{LogEntry, LogKind};
 
@@ -45,21 +45,50 @@
                     .push(format!("term {term} was written after {:?}", world.terms.last()));
             }
             world.terms.push(term);
+        } else if write.key.starts_with("snapshot/") {
+            world.snapshots += 1;
+        } else if write.key.starts_with("journal/") && write.value.is_none() {
+            world.deleted += 1;
         } else if write.key.starts_with("journal/")
             && let Ok(batch) = Batch::parse(value)
-            && world.terms.last() != Some(&batch.term)
         {
-            let text = format!(
-                "row {} of term {} after {:?}",
-                write.key,
-                batch.term,
-                world.terms.last()
-            );
-            world.wrong.push(text);
+            if world.terms.last() != Some(&batch.term) {
+                let last = world.terms.last();
+                let text = format!("row {} of term {} after {last:?}", write.key, batch.term);
+                world.wrong.push(text);
+            }
+            let seq = write.key.rsplit('/').next().and_then(|seq| seq.parse().ok());
+            let row = (world.now, value.to_owned());
+            world.history.insert(Seq(seq.unwrap_or(0)), row);
         }
     }
 }
 
+/// A takeover reads what all committed rows amount to.
+pub fn check_load(world: &mut World, snapshot: Option<&[u8]>, rows: &[(Seq, String)]) {
+    let mut whole = State::default();
+    for (seq, (_, text)) in &world.history {
+        fold(&mut whole, *seq, text);
+    }
+    let read = snapshot.map_or_else(|| Ok(State::default()), State::decode);
+    let Ok(mut read) = read else {
+        return world.wrong.push("a takeover read a damaged snapshot".to_owned());
+    };
+    for (seq, text) in rows {
+        fold(&mut read, *seq, text);
+    }
+    if read != whole {
+        let text = format!("a takeover read row {} of {} or another state", read.seq, whole.seq);
+        world.wrong.push(text);
+    }
+}
+
+fn fold(state: &mut State, seq: Seq, text: &str) {
+    if let Ok(batch) = Batch::parse(text) {
+        state.fold_batch(seq, &batch);
+    }
+}
+
 /// Everything that ran, and what started without running.
 pub fn logs(world: &World) -> Vec<(Vec<LogEntry>, Millis)> {
     world
@@ -255,8 +284,8 @@
 }
 
 fn records(world: &World) -> Vec<Record> {
-    let rows = world.rows("journal/fi/");
-    let batches = rows.iter().filter_map(|row| Batch::parse(&row.value).ok());
+    let rows = world.history.values();
+    let batches = rows.filter_map(|(_, text)| Batch::parse(text).ok());
     batches.flat_map(|batch| batch.records).collect()
 }
 
--- a/crates/pistachiostair/tests/life/daemon.rs
+++ b/crates/pistachiostair/tests/life/daemon.rs
@@ -5,7 +5,8 @@
 use pistachiostair::{
     Action, AppendAction, AppendEvent, BatchReply, Call, Changes, Command, CommandBatch, Commit, Decision, Event,
     Failure, Guarantee, Incarnation, MemberState, Millis, Ran, Record, Response, Retention, Row, Scheduler, Seq,
-    SnapshotRow, State, Tenure, TenureAction, TenureEvent, Term, Token, Transaction, WorkerName, snapshot_key,
+    SnapshotLimits, SnapshotRow, State, Tenure, TenureAction, TenureEvent, Term, Token, Transaction, WorkerName,
+    snapshot_key,
 };
 
 use super::faults::Step;
@@ -38,7 +39,10 @@
     pub fn writes(&self) -> bool {
         match self {
             Self::Tenure { .. } | Self::Load { .. } => false,
-            Self::Append(action) => matches!(action, AppendAction::Commit { .. } | AppendAction::Maintain { .. }),
+            Self::Append(action) => matches!(
+                action,
+                AppendAction::Commit { .. } | AppendAction::Maintain { .. } | AppendAction::PutSnapshot { .. }
+            ),
             Self::Claim { .. } | Self::Write { .. } => true,
         }
     }
@@ -116,6 +120,7 @@
     pub elected: Option<Term>,
     pub terms: Vec<Term>,
     pub retention: Retention,
+    pub snapshots: SnapshotLimits,
     /// The platform's list as last told to the scheduler in this term.
     listed: Option<Listed>,
 }
@@ -125,7 +130,6 @@
 
 impl Daemon {
     pub fn new(index: usize) -> Self {
-        let retention = Retention::default();
         Self {
             index,
             life: 1,
@@ -133,15 +137,28 @@
             stopping: false,
             paused: None,
             tenure: tenure(index, 1),
-            scheduler: Scheduler::new(REGION.into()).with_retention(retention),
+            scheduler: Scheduler::new(REGION.into()),
             leads: None,
             elected: None,
             terms: Vec::new(),
-            retention,
+            retention: Retention::default(),
+            snapshots: SnapshotLimits::default(),
             listed: None,
         }
     }
 
+    /// Has it start with other limits.
+    pub fn limit(&mut self, retention: Retention, snapshots: SnapshotLimits) {
+        self.retention = retention;
+        self.snapshots = snapshots;
+        self.scheduler = self.new_scheduler();
+    }
+
+    fn new_scheduler(&self) -> Scheduler {
+        let scheduler = Scheduler::new(REGION.into()).with_retention(self.retention);
+        scheduler.with_snapshots(self.snapshots)
+    }
+
     /// Replaces the process.
     pub fn restart(&mut self) {
         self.life += 1;
@@ -149,7 +166,7 @@
         self.stopping = false;
         self.paused = None;
         self.tenure = tenure(self.index, self.life);
-        self.scheduler = Scheduler::new(REGION.into()).with_retention(self.retention);
+        self.scheduler = self.new_scheduler();
         self.leads = None;
         self.elected = None;
     }
@@ -389,13 +406,26 @@
         }
     }
 
-    fn load(&self, term: Term, fence: u64) -> StoreEvent {
-        let row = self.tables.get(&snapshot_key(&REGION.into()));
-        let named = row.and_then(|row| SnapshotRow::parse(&row.value));
-        let snapshot = named.and_then(|named| {
-            let body = self.objects.get(&named.current.key).cloned();
-            body.filter(|body| named.current.matches(body))
-        });
+    /// The row that names the snapshots.
+    pub fn named(&self) -> Option<SnapshotRow> {
+        let row = self.tables.get(&snapshot_key(&REGION.into()))?;
+        SnapshotRow::parse(&row.value)
+    }
+
+    fn load(&mut self, term: Term, fence: u64) -> StoreEvent {
+        let mut snapshot = None;
+        if let Some(named) = self.named() {
+            let count = if self.switches.no_previous { 1 } else { 2 };
+            snapshot = named.named().take(count).find_map(|known| {
+                let body = self.objects.get(&known.key).cloned();
+                body.filter(|body| self.switches.no_checksum || known.matches(body))
+            });
+            if snapshot.is_none() && !named.has_whole_journal() {
+                // As at a takeover of the service, nothing is led without a whole snapshot.
+                return StoreEvent::Unloaded { term, fence };
+            }
+            self.resumed += u64::from(snapshot.is_some());
+        }
         let covered = snapshot
             .as_deref()
             .and_then(|body| State::decode(body).ok())
@@ -405,11 +435,12 @@
         } else {
             self.rows("journal/fi/")
         };
-        let rows = rows
+        let rows: Vec<(Seq, String)> = rows
             .iter()
             .filter_map(|row: &Row| Some((Seq(row.key.rsplit('/').next()?.parse().ok()?), row.value.clone())))
             .filter(|(seq, _)| *seq > covered)
             .collect();
+        super::check::check_load(self, snapshot.as_deref(), &rows);
         StoreEvent::Loaded {
             term,
             fence,
--- a/crates/pistachiostair/tests/life/faults.rs
+++ b/crates/pistachiostair/tests/life/faults.rs
@@ -47,9 +47,12 @@
     DomainCut,
     GracefulStop,
     EntryDies,
+    SnapshotDamaged,
+    SnapshotMissing,
 }
 
 impl Fault {
+    /// Faults that have an effect whatever the schedulers' limits.
     pub const ALL: [Self; 21] = [
         Self::SchedulerDies,
         Self::SchedulerPaused,
@@ -73,6 +76,9 @@
         Self::GracefulStop,
         Self::EntryDies,
     ];
+
+    /// Faults that need snapshots.
+    pub const SNAPSHOT: [Self; 2] = [Self::SnapshotDamaged, Self::SnapshotMissing];
 }
 
 /// Faults in force, each until the time given.
@@ -210,6 +216,8 @@
                 self.after(2_000, Delivery::Heal(fault, leader));
             }
             Fault::EntryDies => self.abandon(leader),
+            Fault::SnapshotDamaged => self.spoil_snapshot(|body| body.truncate(body.len() / 2)),
+            Fault::SnapshotMissing => self.lose_snapshot(),
         }
     }
 
@@ -227,6 +235,21 @@
         }
     }
 
+    /// The newest snapshot is not what was written.
+    fn spoil_snapshot(&mut self, spoil: impl Fn(&mut Vec<u8>)) {
+        let key = self.named().map(|named| named.current.key);
+        if let Some(body) = key.and_then(|key| self.objects.get_mut(&key)) {
+            spoil(body);
+        }
+    }
+
+    /// The newest snapshot can't be found.
+    fn lose_snapshot(&mut self) {
+        if let Some(named) = self.named() {
+            self.objects.remove(&named.current.key);
+        }
+    }
+
     fn cancel_all(&mut self) {
         let Some(leader) = self.leader() else {
             return;
--- a/crates/pistachiostair/tests/life/world.rs
+++ b/crates/pistachiostair/tests/life/world.rs
@@ -4,7 +4,8 @@
 
 use pistachiostair::{
     BatchReply, Call, Changes, CommandBatch, Commit, Decision, Failure, Incarnation, Job, JobId, JobPhase, JobSpec,
-    MemberState, Millis, Policy, Ran, Response, Row, TenureEvent, Term, Token, Transaction, WorkerInfo, WorkerName,
+    MemberState, Millis, Policy, Ran, Response, Retention, Row, Seq, SnapshotLimits, TenureEvent, Term, Token,
+    Transaction, WorkerInfo, WorkerName,
 };
 use standin::{Inventory, LogEntry, Tables};
 
@@ -38,6 +39,10 @@
     pub no_once: bool,
     /// Releases are sent with the start.
     pub no_hold: bool,
+    /// A takeover does not fall back to the older snapshot.
+    pub no_previous: bool,
+    /// A takeover does not compare a snapshot with its checksum.
+    pub no_checksum: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -159,6 +164,12 @@
     pub terms: Vec<Term>,
     pub reclaimed: bool,
     pub acked_at: Option<Millis>,
+    /// All journal rows that were committed, and when, also those deleted since.
+    pub history: BTreeMap<Seq, (Millis, String)>,
+    /// Snapshots that were named, journal rows that were deleted, and takeovers from a snapshot.
+    pub snapshots: u64,
+    pub deleted: u64,
+    pub resumed: u64,
     next_token: u64,
     order: Vec<Token>,
 }
@@ -197,6 +208,10 @@
             terms: Vec::new(),
             reclaimed: false,
             acked_at: None,
+            history: BTreeMap::new(),
+            snapshots: 0,
+            deleted: 0,
+            resumed: 0,
             next_token: 0,
             order: Vec::new(),
         };
@@ -205,6 +220,18 @@
         world
     }
 
+    /// Has every daemon start with other limits.
+    pub fn limit(&mut self, retention: Retention, snapshots: SnapshotLimits) {
+        for daemon in &mut self.daemons {
+            daemon.limit(retention, snapshots);
+        }
+    }
+
+    /// Has schedulers write snapshots after every few rows.
+    pub fn snapshot_often(&mut self) {
+        self.limit(Retention::default(), SnapshotLimits { rows: 2, most: 3 });
+    }
+
     pub fn random(&mut self, below: u64) -> u64 {
         self.seed = self
             .seed
