--- a/crates/pistachiostair/tests/checker.rs
+++ b/crates/pistachiostair/tests/checker.rs
@@ -3,9 +3,9 @@
 
 mod life;
 
-use life::world::spec;
+use life::world::{long, spec};
 use life::{Fault, Step, Switches, World, check};
-use pistachiostair::Millis;
+use pistachiostair::{Millis, Retention, SnapshotLimits};
 use rstest::rstest;
 
 fn violations(step: Step, fault: Fault, switches: Switches, apart: bool) -> Vec<String> {
@@ -68,6 +68,36 @@
     assert!(wrong.is_empty(), "with the mechanism in place: {wrong:#?}");
 }
 
+/// Long answers, and jobs that are forgotten while their callers still submit them again.
+#[rstest]
+#[case::whole(Switches { cut_answers: true, ..Switches::default() }, 40_000, "is not whole")]
+#[case::keys(Switches { no_keys: true, ..Switches::default() }, 40_000, "while job 1 was kept")]
+#[case::kept(Switches::default(), 1_000, "was forgotten early")]
+fn object_to_retention(#[case] switches: Switches, #[case] kept: u64, #[case] text: &str) {
+    let run = |switches: Switches, kept: u64| {
+        let mut world = World::new(1);
+        let retention = Retention {
+            span: Millis(kept),
+            ..Retention::default()
+        };
+        world.limit(retention, SnapshotLimits::default());
+        world.retention = Some(Millis(40_000));
+        world.switches = switches;
+        let order = long(spec("order", "1x1", 3_000, false, false));
+        world.add_client("order", order, false, 6_000);
+        world.armed.push((Step::Answer, vec![Fault::SchedulerDies]));
+        world.settle(Millis(100_000));
+        check::violations(&world)
+    };
+    let wrong = run(switches, kept);
+    assert!(
+        wrong.iter().any(|line| line.contains(text)),
+        "no objection with {text:?}: {wrong:#?}"
+    );
+    let wrong = run(Switches::default(), 40_000);
+    assert!(wrong.is_empty(), "with the mechanism in place: {wrong:#?}");
+}
+
 /// A part that can't be reached goes on only until its lease ends.
 #[test]
 fn object_to_lease() {
