Count the bytes of the control plane by kind

Cause: the total shows that the limit of 27 KB/s is missed, but not by what. Change: /metrics has control_kind_bytes_total by kind of message, workers and platform; standin-capacity prints bytes a second by kind.

--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -80,7 +80,7 @@
         kernel.register(Arc::new(Metrics::new()?))?;
         let metrics = kernel.find::<Metrics>()?;
         let platform = HttpClient::new(executor.clone(), STORE_CONNECTIONS, STORE_BODY);
-        let platform = Arc::new(platform.with_traffic(metrics.traffic.clone()));
+        let platform = Arc::new(platform.with_traffic(metrics.traffic.clone(), "platform"));
         kernel.register(Arc::new(
             Store::new(
                 platform,
@@ -234,7 +234,7 @@
     Config::start(kernel, settings.name.clone(), component_logger(log, Component::Policy))?;
     let traffic = kernel.find::<Metrics>()?.traffic.clone();
     let workers = HttpClient::new(executor.clone(), WORKER_CONNECTIONS, WORKER_BODY);
-    let workers = Arc::new(workers.with_traffic(traffic));
+    let workers = Arc::new(workers.with_traffic(traffic, "workers"));
     let region = settings.region.clone();
     let supervise = Supervise::new(
         kernel.clone(),
--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -17,7 +17,7 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_lines::HttpLines;
-use crate::traffic::{CountedStream, Traffic};
+use crate::traffic::{CountedStream, Counts, Traffic};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -61,6 +61,7 @@
     limit: usize,
     max_body: usize,
     traffic: Arc<Traffic>,
+    kind: Arc<Counts>,
 }
 
 impl HttpClient {
@@ -72,12 +73,14 @@
             limit,
             max_body,
             traffic: Arc::default(),
+            kind: Arc::default(),
         }
     }
 
-    /// Counts the bytes of its connections in `traffic`.
+    /// Counts the bytes of its connections in `traffic`, under `kind`.
     #[must_use]
-    pub fn with_traffic(mut self, traffic: Arc<Traffic>) -> Self {
+    pub fn with_traffic(mut self, traffic: Arc<Traffic>, kind: &'static str) -> Self {
+        self.kind = traffic.kind(kind);
         self.traffic = traffic;
         self
     }
@@ -193,7 +196,8 @@
             .await
             .map_err(|e| unavailable(e.into()))?;
         stream.set_nodelay(true).map_err(|e| unavailable(e.into()))?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(CountedStream::new(stream, self.traffic.clone())))
+        let stream = CountedStream::new(stream, self.traffic.clone(), self.kind.clone());
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(|e| unavailable(e.into()))?;
         let epoch = guard.epoch;
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -95,6 +95,23 @@
     }
 }
 
+impl Request {
+    /// Name of the kind, for metrics.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Command { .. } => "command",
+            Self::Report { .. } => "report",
+            Self::Alive { .. } => "alive",
+            Self::Listed { .. } => "listed",
+            Self::Renew { .. } => "renew",
+            Self::Call { .. } => "call",
+            Self::Policy { .. } => "policy",
+            Self::GetPolicy => "getPolicy",
+        }
+    }
+}
+
 record! {
     /// Renewal of the leases on one worker. Sent many at a time, so its fields have short names on the wire.
     pub struct Renewal {
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -57,6 +57,7 @@
     /// Bytes between this daemon and other daemons, workers and the platform.
     pub traffic: Arc<Traffic>,
     control: IntCounterVec,
+    kinds: IntCounterVec,
     cpu: Gauge,
     memory: IntGauge,
 }
@@ -96,6 +97,11 @@
             policy: with.gauge("policy_revision", "Revision of the configuration in force.")?,
             tenure: with.gauge("scheduler_term", "Term of the scheduler here; 0 if it runs elsewhere.")?,
             control: with.vec("control_bytes_total", "Bytes of the control plane.", &["direction"])?,
+            kinds: with.vec(
+                "control_kind_bytes_total",
+                "Bytes of the control plane by kind, without those of QUIC, UDP and IP.",
+                &["kind", "direction"],
+            )?,
             cpu: with.float("process_cpu_seconds_total", "Processor time of the process.")?,
             memory: with.gauge("process_resident_bytes", "Resident memory of the process.")?,
             traffic: Arc::default(),
@@ -132,6 +138,12 @@
             let counter = self.control.with_label_values(&[direction]);
             counter.inc_by(total.saturating_sub(counter.get()));
         }
+        for (kind, sent, received) in self.traffic.kinds() {
+            for (direction, total) in [("sent", sent), ("received", received)] {
+                let counter = self.kinds.with_label_values(&[kind, direction]);
+                counter.inc_by(total.saturating_sub(counter.get()));
+            }
+        }
         let usage = process_usage();
         self.cpu.set(usage.cpu);
         self.memory.set(usage.resident as i64);
--- a/crates/pistachiostair/src/peer_frame.rs
+++ b/crates/pistachiostair/src/peer_frame.rs
@@ -15,20 +15,22 @@
 const MAX_DEPTH: usize = 64;
 /// Bytes of all requests held at once, so that large messages of many peers stay within the daemon's 256 MB.
 const MAX_HELD: usize = 64 * 1024 * 1024;
+/// Bytes of the length before a message.
+pub(crate) const LENGTH_BYTES: usize = 4;
 /// Retry time in milliseconds told with a refusal.
 pub(crate) const RETRY: u64 = 100;
 
 pub(crate) fn encode<T: Serialize>(message: &T, step: &'static str) -> Result<Vec<u8>> {
-    let mut frame = vec![0; 4];
+    let mut frame = vec![0; LENGTH_BYTES];
     let mut serializer = rmp_serde::Serializer::new(&mut frame).with_struct_map();
     message
         .serialize(&mut serializer)
         .map_err(|e| Error::new(ErrorKind::Internal, step, e))?;
-    let length = frame.len() - 4;
+    let length = frame.len() - LENGTH_BYTES;
     if length > MAX_MESSAGE {
         return Err(too_long(step, length));
     }
-    frame[..4].copy_from_slice(&(length as u32).to_be_bytes());
+    frame[..LENGTH_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
     Ok(frame)
 }
 
@@ -51,7 +53,7 @@
 /// Reads a message after `admit` accepted its length.
 pub(crate) async fn read_frame(recv: &mut RecvStream, mut admit: impl FnMut(usize) -> Result<()>) -> Result<Vec<u8>> {
     let broken = |e| Error::new(ErrorKind::Unavailable, "read message", anyhow::Error::new(e));
-    let mut length = [0; 4];
+    let mut length = [0; LENGTH_BYTES];
     recv.read_exact(&mut length).await.map_err(broken)?;
     let length = u32::from_be_bytes(length) as usize;
     if length > MAX_MESSAGE {
@@ -77,6 +79,11 @@
         }
     }
 
+    /// Bytes taken so far.
+    pub(crate) fn length(&self) -> usize {
+        self.length
+    }
+
     pub(crate) fn take(&mut self, length: usize) -> Result<()> {
         self.length += length;
         if self.total.fetch_add(length, Ordering::Relaxed) + length > MAX_HELD {
--- a/crates/pistachiostair/src/peers.rs
+++ b/crates/pistachiostair/src/peers.rs
@@ -16,9 +16,11 @@
 use crate::ids::DaemonName;
 use crate::kernel::{Kernel, Service, Stop};
 use crate::message::{Envelope, Failure, MESSAGE_VERSION, Request, Response};
-use crate::peer_frame::{Held, RETRY, decode_message, encode, read_frame};
+use crate::metrics::Metrics;
+use crate::peer_frame::{Held, LENGTH_BYTES, RETRY, decode_message, encode, read_frame};
 use crate::peer_link::{Link, Slot};
 use crate::peer_tls::{KernelRuntime, PeerTls, SERVER_NAME, client_config, server_config};
+use crate::traffic::{Counts, Traffic};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -63,6 +65,7 @@
     running: Arc<AtomicUsize>,
     held: Arc<AtomicUsize>,
     closing: Stop,
+    traffic: Arc<Traffic>,
 }
 
 impl Service for Peers {
@@ -88,6 +91,8 @@
         let socket = std::net::UdpSocket::bind(settings.listen).map_err(unusable)?;
         let runtime = Arc::new(KernelRuntime::new(Arc::downgrade(kernel)));
         let endpoint = Endpoint::new(Default::default(), Some(server), socket, runtime).map_err(unusable)?;
+        let metrics = kernel.find::<Metrics>();
+        let traffic = metrics.map(|metrics| metrics.traffic.clone()).unwrap_or_default();
         let peers = Arc::new(Self {
             settings,
             handler,
@@ -98,6 +103,7 @@
             running: Arc::default(),
             held: Arc::default(),
             closing: Stop::new(),
+            traffic,
         });
         kernel.spawn(peers.clone().accept());
         Ok(peers)
@@ -145,9 +151,10 @@
             request,
         };
         let frame = encode(&envelope, "encode request").map_err(|e| e.at(address))?;
+        let counts = self.traffic.kind(envelope.request.kind());
         let _running = Count::enter(&self.running);
         let track = Track::default();
-        let result = within(timeout, self.attempt(address, &frame, &track)).await;
+        let result = within(timeout, self.attempt(address, &frame, &track, &counts)).await;
         let ran = if track.sent.load(Ordering::Relaxed) {
             Ran::Unknown
         } else {
@@ -167,13 +174,15 @@
         }
     }
 
-    async fn attempt(&self, address: &str, frame: &[u8], track: &Track) -> Result<Response> {
+    async fn attempt(&self, address: &str, frame: &[u8], track: &Track, counts: &Counts) -> Result<Response> {
         let broken = |e: anyhow::Error| Error::new(ErrorKind::Unavailable, "call peer", e).at(address);
         let (mut send, mut recv) = self.open(address, track).await?;
         track.sent.store(true, Ordering::Relaxed);
         send.write_all(frame).await.map_err(|e| broken(e.into()))?;
         let _ = send.finish();
+        counts.add_sent(frame.len() as u64);
         let body = read_frame(&mut recv, |_| Ok(())).await.map_err(|e| e.at(address))?;
+        counts.add_received((body.len() + LENGTH_BYTES) as u64);
         decode_message(&body).map_err(|e| e.at(address))
     }
 
@@ -271,7 +280,7 @@
         let running = Count::enter(&self.running);
         let gone = send.stopped();
         let respond = async {
-            let refuse = |error: Error| Some(Response::Failed(Failure::from(&error)));
+            let refuse = |error: Error| Some((Response::Failed(Failure::from(&error)), None));
             if self.closing.is_raised() {
                 return refuse(Error::msg(
                     ErrorKind::Unavailable,
@@ -284,7 +293,11 @@
                 return refuse(error.retry_after(RETRY));
             }
             match self.read(&mut recv).await {
-                Ok((envelope, _held)) => Some((self.handler)(envelope).await),
+                Ok((envelope, held)) => {
+                    let counts = self.traffic.kind(envelope.request.kind());
+                    counts.add_received((held.length() + LENGTH_BYTES) as u64);
+                    Some(((self.handler)(envelope).await, Some(counts)))
+                }
                 Err(error) => {
                     let _ = recv.stop(VarInt::from_u32(1));
                     refuse(error)
@@ -295,8 +308,8 @@
             let _ = gone.await;
             None
         };
-        if let Some(response) = future::or(respond, abandoned).await {
-            within(TRANSFER_TIMEOUT, write(&mut send, &response)).await;
+        if let Some((response, counts)) = future::or(respond, abandoned).await {
+            within(TRANSFER_TIMEOUT, write(&mut send, &response, counts.as_deref())).await;
         }
     }
 
@@ -338,12 +351,15 @@
     Ok(connection)
 }
 
-async fn write(send: &mut SendStream, response: &Response) {
+async fn write(send: &mut SendStream, response: &Response, counts: Option<&Counts>) {
     let frame = encode(response, "encode response").or_else(|error| {
         let failure = Failure::from(&error.ran(Ran::Unknown));
         encode(&Response::Failed(failure), "encode response")
     });
     let Ok(frame) = frame else { return };
+    if let Some(counts) = counts {
+        counts.add_sent(frame.len() as u64);
+    }
     // An error means that the peer no longer waits, or that the connection broke, which it sees itself.
     if send.write_all(&frame).await.is_ok() && send.finish().is_ok() {
         let _ = send.stopped().await;
--- a/crates/pistachiostair/src/traffic.rs
+++ b/crates/pistachiostair/src/traffic.rs
@@ -1,10 +1,11 @@
 //! Counts the bytes of the control plane at its sockets: links between daemons, workers and platform.
 
+use std::collections::BTreeMap;
 use std::io::{self, IoSliceMut};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -14,11 +15,32 @@
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const DATAGRAM_HEAD: u64 = 28;
 
+/// Bytes sent and received of one kind.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl Counts {
+    pub(crate) fn add_sent(&self, bytes: u64) {
+        self.sent.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    pub(crate) fn add_received(&self, bytes: u64) {
+        self.received.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
 /// Bytes sent and received. TCP counts payload only.
+///
+/// They are also counted by kind: the peer of an HTTP client, or the kind of a message between daemons. A message
+/// counts with its length prefix; what QUIC, UDP and IP add is only in the total.
 #[derive(Debug, Default)]
 pub struct Traffic {
     sent: AtomicU64,
     received: AtomicU64,
+    kinds: Mutex<BTreeMap<&'static str, Arc<Counts>>>,
 }
 
 impl Traffic {
@@ -32,6 +54,21 @@
         self.received.load(Ordering::Relaxed)
     }
 
+    /// Bytes sent and received of each kind so far.
+    pub fn kinds(&self) -> Vec<(&'static str, u64, u64)> {
+        let kinds = self.kinds.lock().expect("kinds lock");
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        kinds
+            .iter()
+            .map(|(kind, counts)| (*kind, read(&counts.sent), read(&counts.received)))
+            .collect()
+    }
+
+    /// Counters of one kind. Kinds are fixed words, so that the number of series stays bounded.
+    pub(crate) fn kind(&self, kind: &'static str) -> Arc<Counts> {
+        self.kinds.lock().expect("kinds lock").entry(kind).or_default().clone()
+    }
+
     pub(crate) fn add_sent(&self, bytes: u64) {
         self.sent.fetch_add(bytes, Ordering::Relaxed);
     }
@@ -46,11 +83,12 @@
 pub(crate) struct CountedStream<S> {
     stream: S,
     traffic: Arc<Traffic>,
+    kind: Arc<Counts>,
 }
 
 impl<S> CountedStream<S> {
-    pub(crate) fn new(stream: S, traffic: Arc<Traffic>) -> Self {
-        Self { stream, traffic }
+    pub(crate) fn new(stream: S, traffic: Arc<Traffic>, kind: Arc<Counts>) -> Self {
+        Self { stream, traffic, kind }
     }
 }
 
@@ -59,6 +97,7 @@
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         if let Poll::Ready(Ok(count)) = &poll {
             self.traffic.add_received(*count as u64);
+            self.kind.add_received(*count as u64);
         }
         poll
     }
@@ -69,6 +108,7 @@
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = &poll {
             self.traffic.add_sent(*count as u64);
+            self.kind.add_sent(*count as u64);
         }
         poll
     }
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -1,5 +1,6 @@
 //! Measures what a daemon spends on control with a number of workers and running tasks.
 
+use std::collections::BTreeMap;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,13 +29,15 @@
 const SETTLE: Duration = Duration::from_secs(5);
 
 /// What one daemon spent.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Usage {
     cpu: f64,
     memory: f64,
     sent: f64,
     received: f64,
     term: f64,
+    /// Bytes by label of the kind and direction.
+    kinds: BTreeMap<String, f64>,
 }
 
 /// Starts `daemons` and `workers` identities in one process, runs tasks on them, and prints what
@@ -81,6 +84,9 @@
     let others: Vec<usize> = (0..daemons).filter(|index| *index != leader).collect();
     let mut text = line("scheduler", &[leader]);
     text += &line("others, mean", &others);
+    for (label, indexes) in [("scheduler", vec![leader]), ("others, mean", others)] {
+        text += &kind_lines(label, &indexes, &before, &after, seconds);
+    }
     text += &format!(
         "table service: {:.1} reads/s, {:.1} row writes/s for all daemons\n",
         (store.reads - counts.reads) as f64 / seconds,
@@ -89,6 +95,23 @@
     Ok(text)
 }
 
+/// Bytes a second by kind, largest first.
+fn kind_lines(label: &str, indexes: &[usize], before: &[Usage], after: &[Usage], seconds: f64) -> String {
+    let mut rates: BTreeMap<&str, f64> = BTreeMap::new();
+    for index in indexes {
+        for (kind, total) in &after[*index].kinds {
+            let earlier = before[*index].kinds.get(kind).copied().unwrap_or_default();
+            *rates.entry(kind).or_default() += (total - earlier) / seconds / indexes.len() as f64;
+        }
+    }
+    let mut rates: Vec<(&str, f64)> = rates.into_iter().filter(|(_, rate)| *rate >= 1.0).collect();
+    rates.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let lines = rates
+        .iter()
+        .map(|(kind, rate)| format!("  {label}: {kind} {rate:.0} B/s\n"));
+    lines.collect()
+}
+
 /// The header of the table that [`measure_capacity`] prints rows of.
 pub const CAPACITY_HEADER: &str = "| workers | tasks | daemon | CPU, % of a core | memory, MiB | sent, KB/s | received, KB/s |\n\
      | --- | --- | --- | --- | --- | --- | --- |";
@@ -171,7 +194,14 @@
             .parse()
             .context("not a number")
     };
+    let kinds = text.lines().filter_map(|line| {
+        let (kind, total) = line
+            .strip_prefix("pistachiostair_control_kind_bytes_total")?
+            .rsplit_once(' ')?;
+        Some((kind.to_owned(), total.parse().ok()?))
+    });
     Ok(Usage {
+        kinds: kinds.collect(),
         cpu: value("pistachiostair_process_cpu_seconds_total ")?,
         memory: value("pistachiostair_process_resident_bytes ")?,
         sent: value("pistachiostair_control_bytes_total{direction=\"sent\"} ")?,
