Answer a poll of an unchanged worker without a body

Change: the poll names the incarnation that the supervisor knows; a worker of that incarnation without a later change answers with status 204 and its clock in the header worker-clock. The worker may still answer with the whole body.

--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
 use crate::clock::Millis;
@@ -42,6 +42,8 @@
 pub struct HttpAnswer {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -235,17 +237,15 @@
         call: &HttpCall<'_>,
     ) -> Result<HttpAnswer> {
         let response = self.request(peer, sender, call).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.max_body)
-            .collect()
-            .await
-            .map_err(|e| {
-                Error::msg(ErrorKind::Unavailable, "read response", e)
-                    .at(peer)
-                    .ran(Ran::Unknown)
-            })?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, self.max_body).collect().await.map_err(|e| {
+            Error::msg(ErrorKind::Unavailable, "read response", e)
+                .at(peer)
+                .ran(Ran::Unknown)
+        })?;
         Ok(HttpAnswer {
-            status,
+            status: head.status,
+            headers: head.headers,
             body: body.to_bytes(),
         })
     }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -147,4 +147,4 @@
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
     join_findings, key_fault, locate_fault, name_fault, parse_json, parse_policy, parse_yaml,
 };
-pub use worker::{BatchReply, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
+pub use worker::{BatchReply, CLOCK_HEADER, Changes, Command, CommandBatch, CommandResult, Start, TaskState, TaskView};
--- a/crates/pistachiostair/src/supervise.rs
+++ b/crates/pistachiostair/src/supervise.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use hyper::Method;
+use hyper::{HeaderMap, Method, StatusCode};
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
@@ -13,9 +13,12 @@
 use crate::kernel::{Kernel, Service, Stop};
 use crate::links::Links;
 use crate::message::{Leader, Request, Response};
-use crate::worker::{BatchReply, Changes, CommandBatch};
+use crate::worker::{BatchReply, CLOCK_HEADER, Changes, CommandBatch};
 
-/// How long a worker may hold a request for changes. An answer takes about 450 bytes even without
+#[cfg(test)]
+mod tests;
+
+/// How long a worker may hold a request for changes. Each poll takes about 100 bytes in each direction even without
 /// changes, so that a shorter wait costs more of the control plane's bytes.
 const POLL_WAIT: Millis = Millis(2_000);
 
@@ -177,8 +180,11 @@
         });
     }
 
-    async fn poll(&self, address: &str, after: u64, wait: Millis) -> Result<Changes> {
-        let path = format!("/v1/changes?after={after}&wait={wait}", wait = wait.0);
+    async fn poll(&self, address: &str, known: Option<Incarnation>, after: u64, wait: Millis) -> Result<Polled> {
+        let mut path = format!("/v1/changes?after={after}&wait={wait}", wait = wait.0);
+        if let Some(incarnation) = known.filter(|_| after != 0) {
+            path += &format!("&incarnation={incarnation}");
+        }
         let call = HttpCall {
             method: Method::GET,
             path: &path,
@@ -187,15 +193,32 @@
             timeout: wait + POLL_MARGIN,
         };
         let answer = self.client.send(address, call).await?;
-        if !answer.status.is_success() {
+        if answer.status == StatusCode::NO_CONTENT && after != 0 {
+            return Ok(Polled::Unchanged(read_clock(&answer.headers)));
+        }
+        if answer.status != StatusCode::OK {
             let message = format!("the worker answered {}", answer.status);
             return Err(Error::msg(ErrorKind::Unavailable, "poll worker", message).at(address));
         }
         serde_json::from_slice(&answer.body)
+            .map(Polled::Changes)
             .map_err(|e| Error::new(ErrorKind::Unavailable, "poll worker", e).at(address))
     }
 }
 
+/// A worker's answer to a poll.
+enum Polled {
+    /// It has the incarnation and the newest change that the poll named.
+    Unchanged(Option<Millis>),
+    /// Anything else.
+    Changes(Changes),
+}
+
+/// The worker's clock in the header of an answer without a body.
+fn read_clock(headers: &HeaderMap) -> Option<Millis> {
+    headers.get(CLOCK_HEADER)?.to_str().ok()?.parse().ok().map(Millis)
+}
+
 /// The watch over one worker.
 struct Watch {
     supervisor: Arc<Supervise>,
@@ -216,8 +239,13 @@
         loop {
             self.follow_leader();
             let wait = if self.failing { Millis::ZERO } else { POLL_WAIT };
-            match self.supervisor.poll(&self.address, self.after, wait).await {
-                Ok(changes) => self.take(changes).await,
+            let polled = self
+                .supervisor
+                .poll(&self.address, self.incarnation, self.after, wait)
+                .await;
+            match polled {
+                Ok(Polled::Unchanged(clock)) => self.unchanged(clock),
+                Ok(Polled::Changes(changes)) => self.take(changes).await,
                 Err(error) => self.silent(&error).await,
             }
         }
@@ -233,9 +261,20 @@
         }
     }
 
-    async fn take(&mut self, changes: Changes) {
+    /// The answer came, and the scheduler knows all that it could contain.
+    fn unchanged(&mut self, clock: Option<Millis>) {
+        self.answered();
+        let mut alive = self.supervisor.alive.lock().expect("alive lock");
+        alive.insert(self.worker.clone(), clock);
+    }
+
+    fn answered(&mut self) {
         self.heard = self.supervisor.kernel.clock.now();
         self.failing = false;
+    }
+
+    async fn take(&mut self, changes: Changes) {
+        self.answered();
         let restarted = self
             .incarnation
             .is_some_and(|incarnation| incarnation != changes.incarnation);
@@ -249,11 +288,7 @@
             || !changes.tasks.is_empty()
             || changes.change != self.after;
         if !news {
-            self.supervisor
-                .alive
-                .lock()
-                .expect("alive lock")
-                .insert(self.worker.clone(), changes.clock);
+            self.unchanged(changes.clock);
             return;
         }
         let change = changes.change;
--- a/crates/pistachiostair/src/worker.rs
+++ b/crates/pistachiostair/src/worker.rs
@@ -2,13 +2,18 @@
 //!
 //! `POST /v1/commands` takes a [`CommandBatch`] and returns a [`BatchReply`].
 //! `GET /v1/changes?after=N&wait=MS` returns [`Changes`] and holds the request until there is a
-//! change after `N` or `wait` milliseconds passed.
+//! change after `N` or `wait` milliseconds passed. With `incarnation=I` as well, a worker of that incarnation whose
+//! newest change is `N`, other than 0, answers with status 204 and its clock in the header [`CLOCK_HEADER`]. A worker
+//! that does not know the parameter answers with `Changes`.
 
 use crate::clock::Millis;
 use crate::ids::{Incarnation, TaskId, Term};
 use crate::resource::{Size, WorkerInfo};
 use crate::{closed_set, record};
 
+/// Header of an answer without changes: the worker's own clock in milliseconds.
+pub const CLOCK_HEADER: &str = "worker-clock";
+
 record! {
     /// Commands to a worker under one term. A worker refuses a batch of an older term whole.
     pub struct CommandBatch {
@@ -187,7 +192,7 @@
         pub incarnation: Incarnation,
         /// Newest term that it has seen.
         pub term: Term,
-        /// Whether it is leaving.
+        /// Whether it is leaving. That counts as a change.
         pub leaving: bool,
         /// Number of the newest change contained here.
         pub change: u64,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -11,7 +11,8 @@
 use futures_lite::future;
 use hyper::{Method, StatusCode};
 use pistachiostair::{
-    Clock, CommandBatch, HttpReply, HttpRequest, Incarnation, MemberState, Millis, Stop, Vm, VmRole, WorkerInfo,
+    CLOCK_HEADER, Clock, CommandBatch, HttpReply, HttpRequest, Incarnation, MemberState, Millis, Stop, Vm, VmRole,
+    WorkerInfo,
 };
 
 use crate::inventory::{Inventory, LogEntry};
@@ -184,16 +185,22 @@
             Some(digits) => digits.parse::<u64>().map_err(|e| format!("{name} {digits:?}: {e}")),
             None => Ok(0),
         };
-        let (after, wait) = match (number("after"), number("wait")) {
-            (Ok(after), Ok(wait)) => (after, Millis(wait.min(MAX_WAIT))),
-            (Err(reason), _) | (_, Err(reason)) => return reply_invalid(reason),
+        let (after, wait, known) = match (number("after"), number("wait"), number("incarnation")) {
+            (Ok(after), Ok(wait), Ok(known)) => (after, Millis(wait.min(MAX_WAIT)), Incarnation(known)),
+            (Err(reason), _, _) | (_, Err(reason), _) | (_, _, Err(reason)) => return reply_invalid(reason),
         };
         let until = self.clock.now() + wait;
         loop {
             let changed = self.change_signal();
             let (newest, now) = self.update(|inventory, now| (inventory.change(), now));
             if newest != after || now >= until {
-                return self.update(|inventory, now| reply_json(&inventory.changes(now, after)));
+                return self.update(|inventory, now| {
+                    let changes = inventory.changes(now, after);
+                    if changes.incarnation == known && changes.change == after && !changes.full {
+                        return reply_unchanged(now);
+                    }
+                    reply_json(&changes)
+                });
             }
             let lapsed = async {
                 Timer::after(until.since(now).duration()).await;
@@ -217,3 +224,11 @@
         reply_status(StatusCode::OK)
     }
 }
+
+/// The answer to a poll that knows all.
+fn reply_unchanged(now: Millis) -> HttpReply {
+    HttpReply {
+        headers: vec![(CLOCK_HEADER, now.0.to_string())],
+        ..HttpReply::text(StatusCode::NO_CONTENT, "")
+    }
+}
