Shorten the frequent messages between daemons

Cause: after polls, replies to renewals (3.5 KB/s at the scheduler's daemon) and heartbeats (3.0 KB/s each way) carried mostly field names and equal replies. Change: Envelope, Heartbeat, Leader and the members in heartbeats have short names on the wire; the answer to renewals names only those that were not carried out. Daemons of the former format can't read these messages; nothing was released with it. The resource API shows members under their full names as before.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -84,6 +84,7 @@
 mod search;
 mod serve;
 mod settings;
+mod short_member;
 mod snapshot;
 mod state;
 mod store;
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -10,6 +10,7 @@
 use crate::ids::{DaemonName, Incarnation, RegionName, Revision, TaskId, Term, WorkerName};
 use crate::record;
 use crate::resource::{Guarantee, Job, JobSpec, Member, Worker};
+use crate::short_member;
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// Version of the messages, sent in each envelope.
@@ -19,15 +20,19 @@
 pub const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 
 record! {
-    /// A request with what every message carries.
+    /// A request with what every message carries, under short names on the wire.
     pub struct Envelope {
         /// Version of the sender's messages.
+        #[serde(rename = "v")]
         pub version: u16,
         /// Sender.
+        #[serde(rename = "f")]
         pub from: DaemonName,
         /// Span in milliseconds within which the sender waits for the response.
+        #[serde(rename = "t")]
         pub timeout: Millis,
         /// The request.
+        #[serde(rename = "r")]
         pub request: Request,
     }
 }
@@ -134,13 +139,16 @@
 }
 
 record! {
-    /// A heartbeat.
+    /// A heartbeat. Sent to each daemon once a second, so its fields have short names on the wire.
     pub struct Heartbeat {
         /// The sender.
+        #[serde(rename = "m", with = "short_member::one")]
         pub member: Member,
         /// Schedulers of regions that it knows.
+        #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
         pub leaders: Vec<Leader>,
         /// Other daemons that it knows.
+        #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty", with = "short_member::many")]
         pub known: Vec<Member>,
     }
 }
@@ -149,10 +157,13 @@
     /// Scheduler of a region.
     pub struct Leader {
         /// The region.
+        #[serde(rename = "r")]
         pub region: RegionName,
         /// Its daemon.
+        #[serde(rename = "d")]
         pub daemon: DaemonName,
         /// Its term.
+        #[serde(rename = "t")]
         pub term: Term,
     }
 }
@@ -249,10 +260,11 @@
         Heartbeat(Box<Heartbeat>),
         /// Answer to commands.
         Command(BatchReply),
-        /// Answer to renewals, in their order; nothing for a worker that did not answer.
+        /// Answer to renewals. Those that are not named were carried out, as nearly all are.
         Renewed {
-            /// One reply for each worker.
-            replies: Vec<Option<BatchReply>>,
+            /// Place in the request and reply; no reply from a worker that did not answer.
+            #[serde(rename = "x")]
+            others: Vec<(u32, Option<BatchReply>)>,
         },
         /// Jobs; one for submit, get, wait and cancel.
         Jobs {
--- a/crates/pistachiostair/src/metrics/tests.rs
+++ b/crates/pistachiostair/src/metrics/tests.rs
@@ -60,6 +60,7 @@
     let metrics = Metrics::new().unwrap();
     metrics.count_request("list jobs", 200);
     metrics.count_refusal(ErrorKind::Limited, Ran::No);
+    metrics.traffic.kind("call").add_sent(1);
     let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operations.md");
     let page = std::fs::read_to_string(page).unwrap();
     let text = metrics.render();
@@ -67,7 +68,7 @@
         .lines()
         .filter_map(|line| line.strip_prefix("# TYPE pistachiostair_")?.split(' ').next())
         .collect();
-    assert!(names.len() >= 19, "{names:?}");
+    assert!(names.len() >= 20, "{names:?}");
     for name in names {
         assert!(
             page.contains(&format!("| `{name}` |")),
--- a/crates/pistachiostair/src/orders.rs
+++ b/crates/pistachiostair/src/orders.rs
@@ -11,7 +11,7 @@
 use crate::members::Members;
 use crate::message::{Failure, Renewal, Request, Response};
 use crate::supervise::Supervise;
-use crate::worker::{BatchReply, Command, CommandBatch};
+use crate::worker::{BatchReply, Command, CommandBatch, CommandResult};
 
 #[cfg(test)]
 mod tests;
@@ -171,7 +171,7 @@
         .to_daemon(supervisor, request, COMMAND_TIMEOUT)
         .await?
     {
-        Response::Renewed { replies } => Ok(replies),
+        Response::Renewed { others } => Ok(all_replies(others, due.len())),
         Response::Failed(failure) => Err(failure.into_error(step, supervisor.as_str())),
         _ => Err(Error::msg(ErrorKind::Internal, step, "unexpected response").at(supervisor.as_str())),
     }
@@ -202,7 +202,33 @@
     while let Ok((index, reply)) = receiver.recv().await {
         replies[index] = Some(reply);
     }
-    Response::Renewed { replies }
+    Response::Renewed {
+        others: other_replies(replies),
+    }
+}
+
+/// Reply of a worker that renewed all that it was asked to.
+fn renewed() -> Option<BatchReply> {
+    Some(BatchReply::Done {
+        results: vec![CommandResult::Ok],
+    })
+}
+
+/// The replies that don't say that the renewal was carried out, with their places.
+fn other_replies(replies: Vec<Option<BatchReply>>) -> Vec<(u32, Option<BatchReply>)> {
+    let placed = (0..).zip(replies);
+    placed.filter(|(_, reply)| *reply != renewed()).collect()
+}
+
+/// All of `count` replies. Places beyond them are ignored.
+fn all_replies(others: Vec<(u32, Option<BatchReply>)>, count: usize) -> Vec<Option<BatchReply>> {
+    let mut replies = vec![renewed(); count];
+    for (place, reply) in others {
+        if let Some(slot) = replies.get_mut(place as usize) {
+            *slot = reply;
+        }
+    }
+    replies
 }
 
 /// Sends commands to a worker through the daemon that supervises it.
--- a/crates/pistachiostair/src/orders/tests.rs
+++ b/crates/pistachiostair/src/orders/tests.rs
@@ -67,3 +67,14 @@
     assert_eq!(sizes, [(None, RENEWALS), (None, 5), (Some("d1".into()), 5)]);
     assert!(orders.take_renewals(|_| None).is_empty());
 }
+
+/// Guards against a lost or refused renewal that the scheduler takes for one that was carried out.
+#[test]
+fn all_replies_lost_and_refused() {
+    let refused = Some(BatchReply::OldTerm { term: Term(7) });
+    let replies = vec![renewed(), None, renewed(), refused.clone(), Some(BatchReply::Expired)];
+    let others = other_replies(replies.clone());
+    assert_eq!(others.len(), 3);
+    assert_eq!(all_replies(others, replies.len()), replies);
+    assert_eq!(all_replies(vec![(9, None), (0, refused.clone())], 1), [refused]);
+}
