Refuse calls to a region that is cut off, and test two regions

Cause: a call to a region whose daemons are all dead was tried until its deadline and then refused without a retry time (found by cut_regions: Timeout, ran: no, retry: none). Change: while no daemon of another region is alive, calls to it are refused at once with ran: no and a retry time of 3 s, the interval at which dead daemons are tried. The bench starts two regions; each daemon is then reached through a UDP relay at its advertised address, which tells regions apart by IP address and can drop what the other one sends. Each region numbers its own jobs, so the tests check each region's orders against the logs of its own workers, and that no order ran in the other region.

--- a/crates/pistachiostair/src/links.rs
+++ b/crates/pistachiostair/src/links.rs
@@ -21,6 +21,9 @@
 /// Longest time for one attempt before the scheduler is looked up again.
 const ATTEMPT_TIMEOUT: Millis = Millis(3_000);
 
+/// Time after which a call to a region that is cut off makes sense again: its daemons are tried every 3 s.
+const CUT_OFF_RETRY: Millis = Millis(3_000);
+
 /// Answers requests of this daemon to itself, without a link.
 pub(crate) type Dispatch = Arc<dyn Fn(DaemonName, Request, Millis) -> future::Boxed<Response> + Send + Sync>;
 
@@ -74,10 +77,20 @@
 
     /// Sends a request to a region's scheduler once.
     pub(crate) async fn to_leader(&self, region: &RegionName, request: Request, timeout: Millis) -> Result<Response> {
+        if self.is_cut_off(region) {
+            return Err(cut_off(region));
+        }
         let leader = self.leader(region).ok_or_else(|| no_leader(region))?;
         self.to_daemon(&leader.daemon, request, timeout).await
     }
 
+    /// Whether no daemon of another region is known to be alive. A region that only lost its scheduler elects a new one
+    /// within seconds; one that is cut off may be so for an hour, so that callers are not kept waiting.
+    fn is_cut_off(&self, region: &RegionName) -> bool {
+        let members = self.kernel.find::<Members>();
+        members.is_ok_and(|members| !members.is_reachable(region))
+    }
+
     /// Sends a caller's request to a region's scheduler, again while that is safe and `deadline` has not passed.
     ///
     /// After an attempt of unknown outcome only a call is sent again that has the same effect and the
@@ -116,10 +129,14 @@
             let outage =
                 error.ran == Ran::No && !self.kernel.find::<Config>().is_ok_and(|config| config.store_reached());
             let again = ran == Ran::No || is_repeatable(call);
-            if !passing || outage || !allowed || !again || self.kernel.clock.now() + pause >= deadline {
+            let cut_off = error.ran == Ran::No && self.is_cut_off(region);
+            if !passing || outage || cut_off || !allowed || !again || self.kernel.clock.now() + pause >= deadline {
                 if changes(call) && ran != Ran::No {
                     error.ran = ran;
                 }
+                if cut_off {
+                    error.retry.get_or_insert(CUT_OFF_RETRY.0);
+                }
                 return Err(error);
             }
             async_io::Timer::after(pause.duration()).await;
@@ -144,6 +161,13 @@
     }
 }
 
+fn cut_off(region: &RegionName) -> Error {
+    let message = "no daemon of the region can be reached at present";
+    Error::msg(ErrorKind::Unavailable, "find scheduler", message)
+        .at(region.as_str())
+        .retry_after(CUT_OFF_RETRY.0)
+}
+
 fn no_leader(region: &RegionName) -> Error {
     Error::msg(
         ErrorKind::Unavailable,
--- a/crates/pistachiostair/src/members.rs
+++ b/crates/pistachiostair/src/members.rs
@@ -158,6 +158,13 @@
         live.iter().filter(|member| member.region == self.region).count()
     }
 
+    /// Whether a region is this one or a daemon of it is alive.
+    pub(crate) fn is_reachable(&self, region: &RegionName) -> bool {
+        let membership = self.membership.lock().expect("membership lock");
+        let mut daemons = membership.region_daemons(region).into_iter();
+        *region == self.region || daemons.any(|member| member.state != MemberState::Dead)
+    }
+
     fn own_daemons(&self) -> Vec<Member> {
         let membership = self.membership.lock().expect("membership lock");
         membership.region_daemons(&self.region)
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -71,10 +71,10 @@
             worker_relays: Vec::new(),
             daemons: Vec::new(),
         };
-        for index in 0..setup.workers {
+        for index in 0..setup.workers + setup.far_workers {
             bench.add_worker(index)?;
         }
-        for index in 0..setup.daemons {
+        for index in 0..setup.daemons + setup.far_daemons {
             if setup.platform_relays {
                 let relay = bench.start_relay(&format!("platform-relay-{index}"), &bench.platform.address)?;
                 bench.platform_relays.push(relay);
@@ -82,7 +82,7 @@
             let daemon = bench.start_daemon(index)?;
             bench.daemons.push(daemon);
         }
-        for index in 0..setup.daemons {
+        for index in 0..setup.daemons + setup.far_daemons {
             bench.await_ready(index)?;
             bench.set_entry(index, true);
         }
@@ -227,12 +227,23 @@
     ///
     /// If the platform does not respond.
     pub fn list_vm(&self, name: &str, role: VmRole, address: &str, state: MemberState) -> Result<()> {
+        self.list_vm_of(REGION, name, role, address, state)
+    }
+
+    pub(crate) fn list_vm_of(
+        &self,
+        region: &str,
+        name: &str,
+        role: VmRole,
+        address: &str,
+        state: MemberState,
+    ) -> Result<()> {
         let vm = Vm {
             name: name.to_owned(),
             role,
             address: address.to_owned(),
             state,
-            region: Some(REGION.into()),
+            region: Some(region.into()),
         };
         self.ask_platform(Method::POST, "/v1/vms", &vm)
     }
@@ -246,6 +257,12 @@
         self.ask_platform(Method::DELETE, &format!("/v1/vms/{name}"), &())
     }
 
+    /// Cuts the links between the two regions, or makes them whole.
+    pub fn cut_regions(&self, cut: bool) {
+        let relays = self.daemons.iter().filter_map(|daemon| daemon.relay.as_ref());
+        relays.for_each(|relay| relay.cut(cut));
+    }
+
     /// Sets the platform's fault.
     ///
     /// # Errors
@@ -289,7 +306,7 @@
     ///
     /// If a log can't be read.
     pub fn log(&self) -> Result<Vec<LogEntry>> {
-        let logs = (0..self.setup.workers).map(|index| read_log(&self.worker_log(index)));
+        let logs = (0..self.setup.workers + self.setup.far_workers).map(|index| read_log(&self.worker_log(index)));
         Ok(logs.collect::<Result<Vec<_>>>()?.concat())
     }
 
--- a/crates/standin/src/launch.rs
+++ b/crates/standin/src/launch.rs
@@ -1,7 +1,8 @@
 //! Starts the processes of a bench.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -11,11 +12,14 @@
 
 use crate::bench::Bench;
 use crate::process::Process;
+use crate::udp_relay::UdpRelay;
 
 /// Time within which a process must serve.
 pub(crate) const START: Duration = Duration::from_secs(20);
-/// Region of all daemons and workers.
+/// Region of daemons and workers.
 pub(crate) const REGION: &str = "fi";
+/// Region of the daemons and workers of [`Setup::far_daemons`] and [`Setup::far_workers`].
+pub const FAR_REGION: &str = "sn";
 /// Failure domains.
 const DOMAINS: [&str; 3] = ["helsinki", "espoo", "vantaa"];
 /// Workers in a rack.
@@ -34,6 +38,11 @@
     pub slots: u32,
     /// Accelerators of each worker.
     pub accelerators: u32,
+    /// Daemons of a second region, after the others. If there are any, each daemon is reached through a relay that can
+    /// drop what the other region sends.
+    pub far_daemons: usize,
+    /// Worker processes of the second region, after the others.
+    pub far_workers: usize,
     /// Drain time of the daemons in milliseconds.
     pub drain: u64,
     /// Whether each daemon reaches the platform through a relay of its own.
@@ -48,6 +57,8 @@
             daemons: 3,
             workers: 3,
             identities: 1,
+            far_daemons: 0,
+            far_workers: 0,
             slots: 8,
             accelerators: 8,
             drain: 500,
@@ -57,6 +68,25 @@
     }
 }
 
+impl Setup {
+    pub(crate) fn daemon_region(&self, index: usize) -> &'static str {
+        region(index >= self.daemons)
+    }
+
+    pub(crate) fn worker_region(&self, index: usize) -> &'static str {
+        region(index >= self.workers)
+    }
+
+    /// Address that the links of a daemon use: one for each region.
+    fn link_ip(&self, index: usize) -> IpAddr {
+        Ipv4Addr::new(127, 0, 0, if index < self.daemons { 1 } else { 2 }).into()
+    }
+}
+
+fn region(far: bool) -> &'static str {
+    if far { FAR_REGION } else { REGION }
+}
+
 /// A process with the address that it serves on.
 pub(crate) struct Server {
     pub(crate) process: Process,
@@ -73,6 +103,7 @@
     pub(crate) server: Server,
     pub(crate) admin: String,
     pub(crate) peers: String,
+    pub(crate) relay: Option<Arc<UdpRelay>>,
 }
 
 /// A directory that is removed when it is dropped, unless a test fails: it holds the logs.
@@ -97,7 +128,7 @@
             "--name",
             &name,
             "--region",
-            REGION,
+            self.setup.worker_region(index),
             "--domain",
             domain,
             "--rack",
@@ -120,7 +151,8 @@
         let server = start_server(&name, "standin-worker", &args, self.dir())?;
         if self.setup.worker_relays {
             let relay = self.start_relay(&format!("{name}-relay"), &server.address)?;
-            self.list_vm(&name, VmRole::Worker, &relay.address, MemberState::Live)?;
+            let region = self.setup.worker_region(index);
+            self.list_vm_of(region, &name, VmRole::Worker, &relay.address, MemberState::Live)?;
             self.worker_relays.push(relay);
         }
         self.workers.push(server);
@@ -144,21 +176,40 @@
     pub(crate) fn start_daemon(&self, index: usize) -> Result<Daemon> {
         let name = format!("d{index}");
         let path = self.dir().join(format!("{name}.yaml"));
-        std::fs::write(&path, self.settings(index).to_string())?;
+        let ip = self.setup.link_ip(index);
+        let relay = match self.setup.far_daemons {
+            0 => None,
+            _ => Some(self.block(UdpRelay::start(&self.executor, ip))?),
+        };
+        let mut settings = self.settings(index);
+        settings["peers"]["listen"] = json!(SocketAddr::new(ip, 0));
+        settings["peers"]["advertise"] = json!(relay.as_ref().map(|relay| relay.address()));
+        std::fs::write(&path, settings.to_string())?;
         let process = Process::start(&name, "pistachiostaird", &[&path.display().to_string()], self.dir())?;
         let line = process.line(START)?;
-        let address = |key: &str| -> Result<String> {
+        let address = |key: &str| -> Result<SocketAddr> {
             let field = line.split_whitespace().find_map(|word| word.strip_prefix(key));
             let address = field.with_context(|| format!("{name}: {key} is missing in {line:?}"))?;
-            Ok(address.parse::<SocketAddr>()?.to_string())
+            Ok(address.parse()?)
         };
-        let (admin, peers) = (address("admin=")?, address("peers=")?);
+        let mut peers = address("peers=")?;
+        if let Some(relay) = &relay {
+            relay.set_target(peers);
+            peers = relay.address();
+        }
+        let (admin, peers) = (address("admin=")?.to_string(), peers.to_string());
         let server = Server {
-            address: address("api=")?,
+            address: address("api=")?.to_string(),
             process,
         };
-        self.list_vm(&name, VmRole::Daemon, &peers, MemberState::Live)?;
-        Ok(Daemon { server, admin, peers })
+        let region = self.setup.daemon_region(index);
+        self.list_vm_of(region, &name, VmRole::Daemon, &peers, MemberState::Live)?;
+        Ok(Daemon {
+            server,
+            admin,
+            peers,
+            relay,
+        })
     }
 
     /// Settings of a daemon; JSON is YAML as well.
@@ -169,7 +220,7 @@
         let platform = relay.map_or(&self.platform.address, |relay| &relay.address);
         json!({
             "name": format!("d{index}"),
-            "region": REGION,
+            "region": self.setup.daemon_region(index),
             "domain": DOMAINS[index % DOMAINS.len()],
             "api": {"listen": "127.0.0.1:0"},
             "admin": {"listen": "127.0.0.1:0"},
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod server;
 mod task;
+mod udp_relay;
 mod worker;
 
 pub use bench::Bench;
@@ -25,7 +26,7 @@
 pub use demo::run_demo;
 pub use inventory::{Inventory, LogEntry, LogKind};
 pub use keys::write_keys;
-pub use launch::Setup;
+pub use launch::{FAR_REGION, Setup};
 pub use load::{Load, run_load};
 pub use platform::{Counts, Platform, Tables};
 pub use process::Process;
--- a/crates/standin/tests/processes/main.rs
+++ b/crates/standin/tests/processes/main.rs
@@ -5,5 +5,6 @@
 mod crash;
 mod network;
 mod operation;
+mod regions;
 mod store;
 mod support;
