--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -11,13 +11,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use smol_hyper::rt::FuturesIo;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_lines::HttpLines;
-use crate::traffic::{CountedStream, Traffic};
+use crate::traffic::{CountedStream, Counts, Traffic};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
@@ -42,6 +42,8 @@
 pub struct HttpAnswer {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -61,6 +63,7 @@
     limit: usize,
     max_body: usize,
     traffic: Arc<Traffic>,
+    kind: Arc<Counts>,
 }
 
 impl HttpClient {
@@ -72,12 +75,14 @@
             limit,
             max_body,
             traffic: Arc::default(),
+            kind: Arc::default(),
         }
     }
 
-    /// Counts the bytes of its connections in `traffic`.
+    /// Counts the bytes of its connections in `traffic`, under `kind`.
     #[must_use]
-    pub fn with_traffic(mut self, traffic: Arc<Traffic>) -> Self {
+    pub fn with_traffic(mut self, traffic: Arc<Traffic>, kind: &'static str) -> Self {
+        self.kind = traffic.kind(kind);
         self.traffic = traffic;
         self
     }
@@ -193,7 +198,8 @@
             .await
             .map_err(|e| unavailable(e.into()))?;
         stream.set_nodelay(true).map_err(|e| unavailable(e.into()))?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(CountedStream::new(stream, self.traffic.clone())))
+        let stream = CountedStream::new(stream, self.traffic.clone(), self.kind.clone());
+        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(|e| unavailable(e.into()))?;
         let epoch = guard.epoch;
@@ -231,17 +237,15 @@
         call: &HttpCall<'_>,
     ) -> Result<HttpAnswer> {
         let response = self.request(peer, sender, call).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), self.max_body)
-            .collect()
-            .await
-            .map_err(|e| {
-                Error::msg(ErrorKind::Unavailable, "read response", e)
-                    .at(peer)
-                    .ran(Ran::Unknown)
-            })?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, self.max_body).collect().await.map_err(|e| {
+            Error::msg(ErrorKind::Unavailable, "read response", e)
+                .at(peer)
+                .ran(Ran::Unknown)
+        })?;
         Ok(HttpAnswer {
-            status,
+            status: head.status,
+            headers: head.headers,
             body: body.to_bytes(),
         })
     }
--- a/crates/pistachiostair/src/members.rs
+++ b/crates/pistachiostair/src/members.rs
@@ -158,10 +158,11 @@
         live.iter().filter(|member| member.region == self.region).count()
     }
 
-    /// Whether a daemon of a region is or was heard, this one included.
-    pub(crate) fn has_daemons(&self, region: &RegionName) -> bool {
+    /// Whether a region is this one or a daemon of it is alive.
+    pub(crate) fn is_reachable(&self, region: &RegionName) -> bool {
         let membership = self.membership.lock().expect("membership lock");
-        !membership.region_daemons(region).is_empty()
+        let mut daemons = membership.region_daemons(region).into_iter();
+        *region == self.region || daemons.any(|member| member.state != MemberState::Dead)
     }
 
     fn own_daemons(&self) -> Vec<Member> {
--- a/crates/standin/tests/processes/main.rs
+++ b/crates/standin/tests/processes/main.rs
@@ -6,5 +6,6 @@
 mod network;
 mod operation;
 mod pressure;
+mod regions;
 mod store;
 mod support;
