Eject workers that fail requests from the placement of new work

Cause: the outlier ejection was tested but nothing used it. A worker that answered some requests and failed others kept getting work, since each answer reset the rule of silence.

Change: each supervisor tallies the outcomes of its polls and commands and adds those of workers with recent failures to its `Alive` message. The scheduler ejects, since it alone sees all workers, which the cap needs. An ejected worker takes no new parts; parts that it did not take are withdrawn, while renewals, stops and forgets go on. After the span, empty command batches probe it, and three successes in a row readmit it. Silent workers are no candidates, and failures of a silence are not told, so that dead workers don't use up the cap. Log lines `ejected` and `readmitted`, metric `ejections_total`, field `ejected` of a worker.

The other process tests were not run for this commit.

--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -5,10 +5,12 @@
 use crate::appender::{AppendAction, Appender};
 use crate::calls::Calls;
 use crate::clock::Millis;
+use crate::ejection::Ejector;
 use crate::error::{Error, ErrorKind, Result};
 use crate::gang::Run;
 use crate::ids::{AccountName, GuaranteeName, JobId, RegionName, Seq, Term, WorkerName};
 use crate::journal::{Batch, Record};
+use crate::outlier::Probe;
 use crate::planner::{Change, Figures, Planner};
 use crate::reconcile::Upstream;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
@@ -73,6 +75,9 @@
     /// Ended jobs whose removal is not committed yet.
     pub(crate) forgetting: BTreeSet<JobId>,
     pub(crate) workers: BTreeMap<WorkerName, Upstream>,
+    /// Workers that fail requests, and their last probes.
+    pub(crate) ejector: Ejector<WorkerName>,
+    pub(crate) probes: BTreeMap<WorkerName, Probe>,
     /// The platform's list; none before it is known in this term.
     pub(crate) listed: Option<BTreeMap<WorkerName, MemberState>>,
     pub(crate) calls: Calls,
@@ -132,6 +137,8 @@
             storing: BTreeMap::new(),
             forgetting: BTreeSet::new(),
             workers: BTreeMap::new(),
+            ejector: Ejector::probing(),
+            probes: BTreeMap::new(),
             listed: None,
             calls: Calls::new(state.last),
             deadlines: BTreeSet::new(),
@@ -242,7 +249,11 @@
             Event::Call { token, call } => self.call(now, token, call),
             Event::Abandoned { token } => self.calls.abandon(token),
             Event::Report { worker, changes } => self.report(now, worker, changes),
-            Event::Replied { worker, batch, reply } => self.replied(now, &worker, &batch, reply),
+            Event::Outcomes { worker, outcomes } => self.outcomes(now, &worker, &outcomes),
+            Event::Replied { worker, batch, reply } => {
+                self.probed(now, &worker, &batch, reply.as_ref());
+                self.replied(now, &worker, &batch, reply);
+            }
             Event::Listed(workers) => self.take_list(now, workers),
             Event::Account(name, spec) => {
                 match spec {
@@ -313,6 +324,7 @@
             self.review.insert(job);
         }
         self.watch_workers(now);
+        self.probe_ejected(now);
         self.expire_calls(now);
         self.retire();
     }
--- a/crates/pistachiostair/src/dispatch.rs
+++ b/crates/pistachiostair/src/dispatch.rs
@@ -28,6 +28,13 @@
     Forget,
 }
 
+impl Upstream {
+    /// Point on the worker's clock after which it refuses a batch that is sent now.
+    fn expiry(&self, now: Millis) -> Option<Millis> {
+        self.clock.map(|(clock, heard)| clock + now.since(heard) + VALIDITY)
+    }
+}
+
 impl Active {
     /// Sends a worker what it lacks, unless the same was sent just before.
     pub(crate) fn dispatch(&mut self, now: Millis, worker: &WorkerName) {
@@ -110,7 +117,7 @@
             let batch = CommandBatch {
                 term: self.term,
                 incarnation: upstream.incarnation,
-                expires: upstream.clock.map(|(clock, heard)| clock + now.since(heard) + VALIDITY),
+                expires: upstream.expiry(now),
                 commands,
             };
             let worker = worker.clone();
@@ -119,6 +126,21 @@
         self.set_alarm(worker, upstream, waits.then_some(now + RESEND));
     }
 
+    /// Sends a batch without commands: it shows whether commands reach the worker, and changes nothing there.
+    pub(crate) fn send_probe(&mut self, now: Millis, worker: &WorkerName) {
+        let Some(upstream) = self.workers.get(worker) else {
+            return;
+        };
+        let batch = CommandBatch {
+            term: self.term,
+            incarnation: upstream.incarnation,
+            expires: upstream.expiry(now),
+            commands: Vec::new(),
+        };
+        let worker = worker.clone();
+        self.actions.push(Action::Send { worker, batch });
+    }
+
     fn set_alarm(&mut self, worker: &WorkerName, upstream: &mut Upstream, resend: Option<Millis>) {
         let renew = upstream.renewed.map(|at| at + RENEW);
         let next = resend.into_iter().chain(renew).min();
--- a/crates/pistachiostair/src/ejection.rs
+++ b/crates/pistachiostair/src/ejection.rs
@@ -1,4 +1,13 @@
 //! Ejection of upstreams that fail more than the others, for a time that grows, and never of more than a third.
+//!
+//! The supervisors observe, the scheduler decides. A supervisor sees the outcome of each request to its share of the
+//! workers (`tally`), but its share is a handful of workers, of which a third can be none, and it may belong to
+//! another daemon a second later. The scheduler places the work and knows every worker of the region, so that the cap
+//! holds for the whole region. A new scheduler starts without ejections and learns of outliers from new outcomes.
+//!
+//! An ejected worker gets no new work; renewals, stops and checkpoints of its running work go on. After the span, empty
+//! command batches probe it; it is readmitted after several successes in a row. A silent worker is not ejected: the
+//! rule of silence covers it, and it must not use up the cap.
 
 use std::collections::BTreeMap;
 
@@ -20,8 +29,10 @@
 const FORGIVENESS: Millis = Millis(300_000);
 /// One of this many upstreams may be ejected at once. If more fail, the cause is hardly the upstreams.
 const EJECTED_PART: usize = 3;
+/// Successful probes in a row that readmit an upstream. One that fails most requests passes a single probe too often.
+const PROBES: u32 = 3;
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Health {
     consecutive: u32,
     /// Start of the window, requests and failures in it.
@@ -30,18 +41,23 @@
     /// End of the current or last ejection.
     until: Option<Millis>,
     probation: bool,
+    /// Whether it stays ejected until it passes its probes, and how many it passed.
+    held: bool,
+    passed: u32,
 }
 
 /// Ejects outliers among upstreams with keys of type `K`.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Ejector<K> {
     upstreams: BTreeMap<K, Health>,
+    probing: bool,
 }
 
 impl<K> Default for Ejector<K> {
     fn default() -> Self {
         Self {
             upstreams: BTreeMap::new(),
+            probing: false,
         }
     }
 }
@@ -52,6 +68,14 @@
         Self::default()
     }
 
+    /// An ejector whose upstreams return only after successful probes.
+    pub fn probing() -> Self {
+        Self {
+            probing: true,
+            ..Self::default()
+        }
+    }
+
     /// Sets the upstreams. Those that stay keep their history.
     pub fn set(&mut self, upstreams: impl IntoIterator<Item = K>) {
         let mut old = std::mem::take(&mut self.upstreams);
@@ -74,7 +98,33 @@
         if success || !room || !health.is_outlier() {
             return None;
         }
-        Some(health.eject(now))
+        Some(health.eject(now, self.probing))
+    }
+
+    /// Whether an upstream is ejected until it passes its probes.
+    pub(crate) fn holds(&self, upstream: &K) -> bool {
+        self.upstreams.get(upstream).is_some_and(|health| health.held)
+    }
+
+    /// Ejected upstreams whose span is over and that wait for a probe.
+    pub fn due(&self, now: Millis) -> Vec<&K> {
+        let due = |health: &Health| health.held && health.until.is_none_or(|until| now >= until);
+        let due = self.upstreams.iter().filter(|(_, health)| due(health));
+        due.map(|(key, _)| key).collect()
+    }
+
+    /// Counts the outcome of a probe. Returns whether it readmits the upstream; a failed one ejects it for longer.
+    pub fn probe(&mut self, now: Millis, upstream: &K, success: bool) -> bool {
+        let Some(health) = self.upstreams.get_mut(upstream).filter(|health| health.held) else {
+            return false;
+        };
+        if !success {
+            health.eject(now, true);
+            return false;
+        }
+        health.passed += 1;
+        health.held = health.passed < PROBES;
+        !health.held
     }
 
     /// Whether an upstream is ejected.
@@ -93,7 +143,7 @@
 
 impl Health {
     fn is_ejected(&self, now: Millis) -> bool {
-        self.until.is_some_and(|until| now < until)
+        self.held || self.until.is_some_and(|until| now < until)
     }
 
     fn count(&mut self, now: Millis, success: bool) {
@@ -116,7 +166,7 @@
         self.consecutive >= limit || (requests >= MIN_REQUESTS && failures * 100 >= requests * FAILURE_PERCENT)
     }
 
-    fn eject(&mut self, now: Millis) -> Millis {
+    fn eject(&mut self, now: Millis, held: bool) -> Millis {
         if self.until.is_some_and(|until| now.since(until) >= FORGIVENESS) {
             self.ejections = 0;
         }
@@ -129,6 +179,8 @@
             ejections: (self.ejections + 1).min(32),
             until: Some(until),
             probation: true,
+            held,
+            passed: 0,
         };
         until
     }
--- a/crates/pistachiostair/src/finish.rs
+++ b/crates/pistachiostair/src/finish.rs
@@ -75,7 +75,7 @@
             }
             (None, Some(Why::Lost(reason))) => reason.clone(),
             (None, Some(Why::Reclaimed)) => "reclaimed".to_owned(),
-            (None, _) => "its worker is leaving".to_owned(),
+            (None, _) => "its worker is leaving or ejected".to_owned(),
         };
         if !entry.spec.idempotent && run.ran() != Ran::No && !resumable(entry, run) {
             let vanished = run.parts.iter().any(|part| part.end == Some(PartEnd::Vanished));
--- a/crates/pistachiostair/src/gang.rs
+++ b/crates/pistachiostair/src/gang.rs
@@ -29,7 +29,7 @@
     Cancelled,
     Expired,
     Reclaimed,
-    /// A worker that is leaving takes no new part.
+    /// A worker that is leaving or ejected takes no new part.
     Withdrawn,
     Lost(String),
 }
@@ -219,7 +219,7 @@
     fn advance(&mut self, now: Millis, entry: &Entry, run: &mut Run) {
         self.observe(now, entry, run);
         if run.halt.is_none()
-            && let Some(why) = self.must_halt(entry, run)
+            && let Some(why) = self.must_halt(now, entry, run)
         {
             self.halt(run, Halt { why, until: None });
         }
@@ -287,7 +287,7 @@
         }
     }
 
-    fn must_halt(&self, entry: &Entry, run: &Run) -> Option<Why> {
+    fn must_halt(&self, now: Millis, entry: &Entry, run: &Run) -> Option<Why> {
         if entry.cancelling {
             return Some(Why::Cancelled);
         }
@@ -306,7 +306,8 @@
                 return Some(Why::Lost(format!("{} does not respond", part.worker)));
             }
             let startable = part.unsent() || entry.spec.idempotent || !run.released;
-            if upstream.leaving && upstream.full && part.seen.is_none() && startable {
+            let closed = upstream.leaving || self.ejector.is_ejected(now, &part.worker);
+            if closed && upstream.full && part.seen.is_none() && startable {
                 return Some(Why::Withdrawn);
             }
         }
--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -40,7 +40,10 @@
         term: Term,
         loaded: Box<Event>,
     },
-    Alive(Vec<(WorkerName, Option<Millis>)>),
+    Alive {
+        workers: Vec<(WorkerName, Option<Millis>)>,
+        outcomes: Vec<(WorkerName, Vec<bool>)>,
+    },
     Sent {
         worker: WorkerName,
         batch: CommandBatch,
@@ -171,9 +174,13 @@
         self.take(Input::Event(Box::new(Event::Report { worker, changes })))
     }
 
-    /// Takes note of workers that answered without changes.
-    pub(crate) fn alive(&self, workers: Vec<(WorkerName, Option<Millis>)>) -> Response {
-        self.take(Input::Alive(workers))
+    /// Takes note of workers that answered without changes, and of the outcomes of requests to workers.
+    pub(crate) fn alive(
+        &self,
+        workers: Vec<(WorkerName, Option<Millis>)>,
+        outcomes: Vec<(WorkerName, Vec<bool>)>,
+    ) -> Response {
+        self.take(Input::Alive { workers, outcomes })
     }
 
     fn take(&self, input: Input) -> Response {
--- a/crates/pistachiostair/src/govern_actor.rs
+++ b/crates/pistachiostair/src/govern_actor.rs
@@ -115,7 +115,12 @@
                 self.event(Event::Call { token, call: *call });
             }
             Input::Loaded { term, loaded } => self.loaded(term, *loaded),
-            Input::Alive(workers) => self.alive(workers),
+            Input::Alive { workers, outcomes } => {
+                self.alive(workers);
+                for (worker, outcomes) in outcomes {
+                    self.event(Event::Outcomes { worker, outcomes });
+                }
+            }
             Input::Sent { worker, batch, reply } => {
                 self.event(Event::Replied {
                     worker: worker.clone(),
@@ -331,6 +336,7 @@
         match what {
             "placed" => self.metrics.placements.inc(),
             "reclaiming" => self.metrics.reclaims.inc(),
+            "ejected" => self.metrics.ejections.inc(),
             _ => {}
         }
     }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -66,6 +66,7 @@
 mod metrics;
 mod node;
 mod orders;
+mod outlier;
 mod peer_frame;
 mod peer_link;
 mod peer_tls;
@@ -90,6 +91,7 @@
 mod submit;
 mod supervise;
 mod takeover;
+mod tally;
 mod tenure;
 mod topology;
 mod traffic;
@@ -141,6 +143,7 @@
 pub use snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
 pub use store::Store;
+pub use tally::{Asked, Tally};
 pub use tenure::{Tenure, TenureAction, TenureEvent};
 pub use traffic::Traffic;
 pub use validate::{
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -59,6 +59,9 @@
             region: RegionName,
             /// The workers, each with its own clock when it answered.
             workers: Vec<(WorkerName, Option<Millis>)>,
+            /// Outcomes of the requests to workers that had failures lately, oldest first; true for a success.
+            #[serde(default, skip_serializing_if = "Vec::is_empty")]
+            outcomes: Vec<(WorkerName, Vec<bool>)>,
         },
         /// The sender read the platform's list: what changed there since it last knew it.
         Listed {
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -28,6 +28,8 @@
     pub placements: IntCounter,
     /// Jobs stopped to give capacity back.
     pub reclaims: IntCounter,
+    /// Workers ejected by this daemon's scheduler.
+    pub ejections: IntCounter,
     /// Jobs that wait in the region.
     pub queue: IntGauge,
     /// Accelerators in use in the region.
@@ -79,6 +81,7 @@
             refusals: with.vec("refusals_total", "Refused requests by kind and ran.", &["kind", "ran"])?,
             placements: with.counter("placements_total", "Jobs placed.")?,
             reclaims: with.counter("reclaims_total", "Jobs stopped to give capacity back.")?,
+            ejections: with.counter("ejections_total", "Workers ejected because they fail requests.")?,
             queue: with.gauge("queue_jobs", "Jobs that wait in the region.")?,
             used: with.gauge("accelerators_used", "Accelerators in use in the region.")?,
             free: with.gauge("accelerators_free", "Free accelerators of live workers.")?,
--- a/crates/pistachiostair/src/orders.rs
+++ b/crates/pistachiostair/src/orders.rs
@@ -242,7 +242,7 @@
             )
             .at(worker.as_str())
         })?;
-        kernel.find::<Supervise>()?.command(&address, batch).await
+        kernel.find::<Supervise>()?.command(worker, &address, batch).await
     };
     match passed.await {
         Ok(reply) => Response::Command(reply),
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -228,7 +228,7 @@
     /// Tells the planner about a worker, if that changed. A worker with parts of attempts that the
     /// planner does not count yet takes nothing new.
     pub(crate) fn sync_worker(&mut self, now: Millis, worker: &WorkerName) {
-        let drained = self.state.drained.contains(worker);
+        let drained = self.state.drained.contains(worker) || self.ejector.is_ejected(now, worker);
         let Some(upstream) = self.workers.get(worker) else {
             return;
         };
--- a/crates/pistachiostair/src/resource.rs
+++ b/crates/pistachiostair/src/resource.rs
@@ -391,6 +391,9 @@
         pub state: MemberState,
         /// Whether it is quarantined after failures of several jobs.
         pub quarantined: bool,
+        /// Whether it is ejected since it fails requests.
+        #[serde(default)]
+        pub ejected: bool,
         /// Tasks on it.
         pub tasks: u32,
         /// Accelerators in use.
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -60,6 +60,13 @@
         /// The changes, or nothing if it does not answer.
         changes: Option<Changes>,
     },
+    /// Outcomes of a supervisor's requests to a worker, oldest first; true for a success.
+    Outcomes {
+        /// The worker.
+        worker: WorkerName,
+        /// The outcomes.
+        outcomes: Vec<bool>,
+    },
     /// Answer to commands.
     Replied {
         /// The worker.
--- a/crates/pistachiostair/src/serve.rs
+++ b/crates/pistachiostair/src/serve.rs
@@ -52,9 +52,10 @@
         Request::Alive {
             region: wanted,
             workers,
+            outcomes,
         } => {
             own(&wanted)?;
-            Ok(kernel.find::<Govern>()?.alive(workers))
+            Ok(kernel.find::<Govern>()?.alive(workers, outcomes))
         }
         Request::Listed { changed, removed } => {
             kernel.find::<Members>()?.take_list(from.clone(), changed, &removed);
--- a/crates/pistachiostair/src/supervise.rs
+++ b/crates/pistachiostair/src/supervise.rs
@@ -13,6 +13,7 @@
 use crate::kernel::{Kernel, Service, Stop};
 use crate::links::Links;
 use crate::message::{Leader, Request, Response};
+use crate::tally::{Asked, Tally};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// How long a worker may hold a request for changes. An answer takes about 450 bytes even without
@@ -52,6 +53,7 @@
     watched: Mutex<BTreeMap<WorkerName, Watched>>,
     /// Workers that answered without changes since the last report, each with its clock.
     alive: Mutex<BTreeMap<WorkerName, Option<Millis>>>,
+    tallies: Mutex<BTreeMap<WorkerName, Tally>>,
 }
 
 impl Service for Supervise {
@@ -78,12 +80,16 @@
             log,
             watched: Mutex::default(),
             alive: Mutex::default(),
+            tallies: Mutex::default(),
         })
     }
 
     /// Starts and ends watches so that exactly these workers, with their addresses, are watched.
     pub(crate) fn set_share(&self, share: &[(WorkerName, String)]) {
         let wanted: BTreeMap<&WorkerName, &String> = share.iter().map(|(name, address)| (name, address)).collect();
+        let mut tallies = self.tallies.lock().expect("tallies lock");
+        tallies.retain(|name, _| wanted.contains_key(name));
+        drop(tallies);
         let mut watched = self.watched.lock().expect("watched lock");
         watched.retain(|name, entry| {
             let keep = wanted.get(name).is_some_and(|address| **address == entry.address);
@@ -114,7 +120,13 @@
     /// # Errors
     ///
     /// With `ran: unknown` if the commands may have arrived.
-    pub(crate) async fn command(&self, address: &str, batch: &CommandBatch) -> Result<BatchReply> {
+    pub(crate) async fn command(&self, worker: &WorkerName, address: &str, batch: &CommandBatch) -> Result<BatchReply> {
+        let reply = self.send_commands(address, batch).await;
+        self.count(worker, Asked::Commands, &reply);
+        reply
+    }
+
+    async fn send_commands(&self, address: &str, batch: &CommandBatch) -> Result<BatchReply> {
         let body = serde_json::to_vec(batch).map_err(|e| Error::new(ErrorKind::Internal, "encode commands", e))?;
         let call = HttpCall {
             method: Method::POST,
@@ -137,7 +149,29 @@
         })
     }
 
-    /// Tells the scheduler, once each interval, which workers answered without changes.
+    /// Counts the outcome of a request. Errors of this daemon itself say nothing about the worker.
+    fn count<T>(&self, worker: &WorkerName, asked: Asked, result: &Result<T>) {
+        let success = match result {
+            Ok(_) => true,
+            Err(error) if matches!(error.kind, ErrorKind::Unavailable | ErrorKind::Timeout) => false,
+            Err(_) => return,
+        };
+        let mut tallies = self.tallies.lock().expect("tallies lock");
+        let tally = tallies.entry(worker.clone()).or_default();
+        tally.count(self.kernel.clock.now(), asked, success);
+    }
+
+    /// Takes the outcomes of the requests to workers that had failures lately.
+    fn take_outcomes(&self) -> Vec<(WorkerName, Vec<bool>)> {
+        let now = self.kernel.clock.now();
+        let mut tallies = self.tallies.lock().expect("tallies lock");
+        let taken = tallies
+            .iter_mut()
+            .map(|(worker, tally)| (worker.clone(), tally.take(now)));
+        taken.filter(|(_, outcomes)| !outcomes.is_empty()).collect()
+    }
+
+    /// Tells the scheduler, once each interval, which workers answered without changes, and which failed requests.
     pub(crate) async fn report_alive(self: Arc<Self>) {
         loop {
             async_io::Timer::after(ALIVE_INTERVAL.duration()).await;
@@ -145,13 +179,15 @@
                 std::mem::take(&mut *self.alive.lock().expect("alive lock"))
                     .into_iter()
                     .collect();
-            if workers.is_empty() {
+            let outcomes = self.take_outcomes();
+            if workers.is_empty() && outcomes.is_empty() {
                 continue;
             }
             let Ok(links) = self.kernel.find::<Links>() else { return };
             let request = Request::Alive {
                 region: self.region.clone(),
                 workers,
+                outcomes,
             };
             if let Err(error) = links.to_leader(&self.region, request, REPORT_TIMEOUT).await {
                 slog::debug!(self.log, "report failed"; "error" => %error);
@@ -216,7 +252,9 @@
         loop {
             self.follow_leader();
             let wait = if self.failing { Millis::ZERO } else { POLL_WAIT };
-            match self.supervisor.poll(&self.address, self.after, wait).await {
+            let polled = self.supervisor.poll(&self.address, self.after, wait).await;
+            self.supervisor.count(&self.worker, Asked::Changes, &polled);
+            match polled {
                 Ok(changes) => self.take(changes).await,
                 Err(error) => self.silent(&error).await,
             }
@@ -240,6 +278,10 @@
             .incarnation
             .is_some_and(|incarnation| incarnation != changes.incarnation);
         self.incarnation = Some(changes.incarnation);
+        if restarted {
+            let mut tallies = self.supervisor.tallies.lock().expect("tallies lock");
+            tallies.remove(&self.worker);
+        }
         if restarted && !changes.full {
             self.after = 0;
             return;
--- a/crates/pistachiostair/src/views.rs
+++ b/crates/pistachiostair/src/views.rs
@@ -86,6 +86,7 @@
                     info,
                     state,
                     quarantined: quarantined.contains(name),
+                    ejected: self.ejector.holds(name),
                     tasks: upstream.parts.len() as u32,
                     used,
                 })
--- a/crates/pstair/src/describe.rs
+++ b/crates/pstair/src/describe.rs
@@ -95,6 +95,7 @@
             ("Rack", info.rack.to_string()),
             ("State", word(&self.state)),
             ("Quarantined", yes(self.quarantined)),
+            ("Ejected", yes(self.ejected)),
             ("Tasks", format!("{} of {} slots", self.tasks, info.slots)),
             ("Accelerators", format!("{} of {} in use", self.used, info.accelerators)),
             ("Millicores", info.millicores.to_string()),
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -25,7 +25,7 @@
     /// No fault.
     #[default]
     None,
-    /// Platform: refuses with 503 before anything takes effect.
+    /// Refuses with 503 before anything takes effect.
     Down,
     /// Delays each request before it takes effect.
     Slow,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -152,6 +152,7 @@
         let mode = if path[0] == "control" { Mode::None } else { fault.draw() };
         match mode {
             Mode::Freeze => return std::future::pending().await,
+            Mode::Down => return reply_status(StatusCode::SERVICE_UNAVAILABLE),
             Mode::Slow => {
                 Timer::after(Millis(fault.millis).duration()).await;
             }
--- a/crates/standin/tests/processes/main.rs
+++ b/crates/standin/tests/processes/main.rs
@@ -3,6 +3,7 @@
 //! Verdicts come from what callers were told and from the workers' logs.
 
 mod crash;
+mod ejection;
 mod network;
 mod operation;
 mod store;
