Test links that lose datagrams, and a daemon cut off while the configuration changes

Cause: no process test covered loss on the links between daemons, nor a daemon without the store and without its peers during changes of the configuration.

Change: `standin-udp-relay` loses, delays, duplicates and cuts datagrams. The bench puts one before each daemon's links on request. A link binds a port of its own for each connection, so that a relay tells daemons apart by their host: with relays, each daemon's links use their own loopback host.

Tests: `lossy_links` (5% loss, 3 to 8 ms, 2% duplicates; 150 orders) guards against flapping members and lost or doubled orders. `cut_during_changes` guards against an old configuration shown as new, an accepted change, a step back, and `ready` before the newest revision is in force; it must be there within 4 s after the cut. `pass_datagrams` tests the relay.

--- a/crates/pistachiostair/tests/outlier.rs
+++ b/crates/pistachiostair/tests/outlier.rs
@@ -12,7 +12,8 @@
     now: Millis,
     jobs: u64,
     sent: Vec<(WorkerName, CommandBatch)>,
-    logged: Vec<&'static str>,
+    /// What was logged, and about which workers.
+    logged: Vec<(&'static str, Vec<WorkerName>)>,
 }
 
 impl Region {
@@ -46,7 +47,7 @@
                 match action {
                     Action::Append(AppendAction::Commit { seq, .. }) => events.push(stored(seq)),
                     Action::Send { worker, batch } => self.sent.push((worker, batch)),
-                    Action::Log(line) => self.logged.push(line.what),
+                    Action::Log(line) => self.logged.push((line.what, line.workers)),
                     _ => {}
                 }
             }
@@ -115,6 +116,10 @@
         }
     }
 
+    fn count(&self, what: &str) -> usize {
+        self.logged.iter().filter(|(logged, _)| *logged == what).count()
+    }
+
     fn starts(&self, worker: &str) -> Vec<TaskId> {
         let batches = self.sent.iter().filter(|(name, _)| name.as_str() == worker);
         let commands = batches.flat_map(|(_, batch)| &batch.commands);
@@ -168,7 +173,7 @@
     region.sent.clear();
     region.outcomes(0, &[false; 5]);
     region.outcomes(1, &[false; 5]);
-    assert_eq!(region.logged.iter().filter(|what| **what == "ejected").count(), 1);
+    assert_eq!(region.count("ejected"), 1);
     region.submit(4);
     assert_eq!(region.starts("w0"), [], "an ejected worker gets work");
     let stops = |command: &Command| matches!(command, Command::Stop { task } if *task != tasks[0]);
@@ -181,6 +186,13 @@
         region.tick(900);
         region.report_all(&tasks);
     }
+    // What it did not take is withdrawn by now, so that it has free slots.
+    assert_eq!(region.starts("w0"), [], "an ejected worker gets work");
+    let placed = region.logged.iter().rev().take_while(|(what, _)| *what != "ejected");
+    let placed: Vec<_> = placed
+        .filter(|(what, workers)| *what == "placed" && workers.contains(&"w0".into()))
+        .collect();
+    assert!(placed.is_empty(), "work is placed on an ejected worker: {placed:?}");
     let renews = |command: &Command| matches!(command, Command::Renew { except, .. } if !except.contains(&tasks[0]));
     let renewed = region.sent.iter().flat_map(|(_, batch)| &batch.commands).any(renews);
     assert!(renewed, "running work is not renewed");
@@ -193,7 +205,7 @@
         probes += region.reply_probes(done());
     }
     assert_eq!(probes, 3);
-    assert_eq!(region.logged.iter().filter(|what| **what == "readmitted").count(), 1);
+    assert_eq!(region.count("readmitted"), 1);
     region.submit(4);
     assert!(!region.starts("w0").is_empty(), "no work after the return");
 }
@@ -211,7 +223,7 @@
             changes: None,
         });
     }
-    assert_eq!(region.logged.iter().filter(|what| **what == "ejected").count(), 1);
+    assert_eq!(region.count("ejected"), 1);
     region.report(2, Vec::new());
     region.on(Event::Report {
         worker: "w3".into(),
@@ -219,5 +231,5 @@
     });
     region.report(3, Vec::new());
     region.outcomes(1, &[false; 5]);
-    assert_eq!(region.logged.iter().filter(|what| **what == "ejected").count(), 2);
+    assert_eq!(region.count("ejected"), 2);
 }
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -8,14 +8,14 @@
 use anyhow::{Context, Result};
 use async_executor::{Executor, Task};
 use hyper::Method;
-use pistachiostair::{HttpClient, MemberState, Millis, Row, Vm, VmRole};
+use pistachiostair::{HttpAnswer, HttpCall, HttpClient, MemberState, Millis, Row, Vm, VmRole};
 use serde_json::Value;
 
 use crate::caller::Caller;
 use crate::check::read_log;
 use crate::inventory::LogEntry;
 use crate::keys::write_keys;
-use crate::launch::{Daemon, REGION, Relayed, START, Scratch, Server, Setup, new_dir, start_server};
+use crate::launch::{Daemon, REGION, Relayed, START, Scratch, Server, Setup, link_host, new_dir, start_server};
 use crate::platform::Counts;
 use crate::process::{Process, end_on_signal};
 use crate::server::ask;
@@ -274,6 +274,43 @@
         self.control(&self.platform_relays[daemon], order)
     }
 
+    /// Cuts the links between a daemon and all others; all of them need relays.
+    ///
+    /// # Errors
+    ///
+    /// If there is no relay, or one does not respond.
+    pub fn cut_links(&self, daemon: usize) -> Result<()> {
+        let block = format!("block/{}", link_host(daemon));
+        self.each_link(|index| if index == daemon { "cut" } else { &block })
+    }
+
+    /// Restores all links between daemons.
+    ///
+    /// # Errors
+    ///
+    /// If there is no relay, or one does not respond.
+    pub fn open_links(&self) -> Result<()> {
+        self.each_link(|_| "open")
+    }
+
+    fn each_link<'a>(&self, order: impl Fn(usize) -> &'a str) -> Result<()> {
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            let relay = daemon.relay.as_ref().context("links without relays")?;
+            self.control(relay, order(index))?;
+        }
+        Ok(())
+    }
+
+    /// Body of a path on a daemon's admin address, whatever the status.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon does not respond.
+    pub fn read_admin(&self, daemon: usize, path: &str) -> Result<String> {
+        let answer = self.block(get(&self.client, self.admin(daemon), path))?;
+        Ok(String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
     /// Sends `silence`, `cut` or `open` to the relay before a worker.
     ///
     /// # Errors
@@ -326,12 +363,16 @@
 }
 
 async fn get_status(client: &HttpClient, peer: &str, path: &str) -> Option<u16> {
-    let call = pistachiostair::HttpCall {
+    get(client, peer, path).await.ok().map(|answer| answer.status.as_u16())
+}
+
+async fn get(client: &HttpClient, peer: &str, path: &str) -> pistachiostair::Result<HttpAnswer> {
+    let call = HttpCall {
         method: Method::GET,
         path,
         headers: &[],
         body: Default::default(),
         timeout: Millis(1_000),
     };
-    client.send(peer, call).await.ok().map(|answer| answer.status.as_u16())
+    client.send(peer, call).await
 }
--- a/crates/standin/src/launch.rs
+++ b/crates/standin/src/launch.rs
@@ -1,6 +1,6 @@
 //! Starts the processes of a bench.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -11,6 +11,7 @@
 
 use crate::bench::Bench;
 use crate::process::Process;
+use crate::udp_relay::Impairment;
 
 /// Time within which a process must serve.
 pub(crate) const START: Duration = Duration::from_secs(20);
@@ -40,6 +41,8 @@
     pub platform_relays: bool,
     /// Whether daemons reach each worker through a relay of its own.
     pub worker_relays: bool,
+    /// What the links to each daemon go through, if through a relay of its own.
+    pub peer_relays: Option<Impairment>,
 }
 
 impl Default for Setup {
@@ -53,6 +56,7 @@
             drain: 500,
             platform_relays: false,
             worker_relays: false,
+            peer_relays: None,
         }
     }
 }
@@ -72,7 +76,9 @@
 pub(crate) struct Daemon {
     pub(crate) server: Server,
     pub(crate) admin: String,
+    /// Address that other daemons use for links, that of the relay if there is one.
     pub(crate) peers: String,
+    pub(crate) relay: Option<Relayed>,
 }
 
 /// A directory that is removed when it is dropped, unless a test fails: it holds the logs.
@@ -141,10 +147,37 @@
         })
     }
 
+    /// Starts the relay before a daemon's links. Its target is set once the daemon has bound its own address.
+    fn start_peer_relay(&self, index: usize, impairment: Impairment) -> Result<Relayed> {
+        let values = [
+            ("--loss", impairment.loss.to_string()),
+            ("--duplicates", impairment.duplicates.to_string()),
+            ("--least", impairment.delay.0.to_string()),
+            ("--largest", impairment.delay.1.to_string()),
+            ("--seed", (impairment.seed + index as u64).to_string()),
+        ];
+        let args: Vec<&str> = values
+            .iter()
+            .flat_map(|(name, value)| [*name, value.as_str()])
+            .collect();
+        let name = format!("peer-relay-{index}");
+        let Server { process, address } = start_server(&name, "standin-udp-relay", &args, self.dir())?;
+        let control = process.value("control ", START)?;
+        Ok(Relayed {
+            process,
+            address,
+            control,
+        })
+    }
+
     pub(crate) fn start_daemon(&self, index: usize) -> Result<Daemon> {
+        let impairment = self.setup.peer_relays;
+        let relay = impairment.map(|impairment| self.start_peer_relay(index, impairment));
+        let relay = relay.transpose()?;
         let name = format!("d{index}");
         let path = self.dir().join(format!("{name}.yaml"));
-        std::fs::write(&path, self.settings(index).to_string())?;
+        let advertised = relay.as_ref().map(|relay| relay.address.as_str());
+        std::fs::write(&path, self.settings(index, advertised).to_string())?;
         let process = Process::start(&name, "pistachiostaird", &[&path.display().to_string()], self.dir())?;
         let line = process.line(START)?;
         let address = |key: &str| -> Result<String> {
@@ -152,22 +185,34 @@
             let address = field.with_context(|| format!("{name}: {key} is missing in {line:?}"))?;
             Ok(address.parse::<SocketAddr>()?.to_string())
         };
-        let (admin, peers) = (address("admin=")?, address("peers=")?);
+        let (admin, bound) = (address("admin=")?, address("peers=")?);
+        let peers = match &relay {
+            Some(relay) => {
+                self.control(relay, &format!("target/{bound}"))?;
+                relay.address.clone()
+            }
+            None => bound,
+        };
         let server = Server {
             address: address("api=")?,
             process,
         };
         self.list_vm(&name, VmRole::Daemon, &peers, MemberState::Live)?;
-        Ok(Daemon { server, admin, peers })
+        Ok(Daemon {
+            server,
+            admin,
+            peers,
+            relay,
+        })
     }
 
     /// Settings of a daemon; JSON is YAML as well.
-    fn settings(&self, index: usize) -> Value {
+    fn settings(&self, index: usize, advertised: Option<&str>) -> Value {
         let others = self.daemons.iter().enumerate().filter(|(other, _)| *other != index);
         let seeds: Vec<&str> = others.map(|(_, daemon)| daemon.peers.as_str()).collect();
         let relay = self.platform_relays.get(index);
         let platform = relay.map_or(&self.platform.address, |relay| &relay.address);
-        json!({
+        let mut settings = json!({
             "name": format!("d{index}"),
             "region": REGION,
             "domain": DOMAINS[index % DOMAINS.len()],
@@ -183,10 +228,20 @@
             "seeds": seeds,
             "drain": self.setup.drain,
             "logging": {"format": "json", "level": "debug"},
-        })
+        });
+        if let Some(address) = advertised {
+            settings["peers"]["advertise"] = address.into();
+            settings["peers"]["listen"] = format!("{}:0", link_host(index)).into();
+        }
+        settings
     }
 }
 
+/// Loopback host of a daemon's links, so that a relay can tell one daemon's datagrams from another's.
+pub(crate) fn link_host(daemon: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1, 1 + daemon as u8)
+}
+
 fn worker_name(index: usize) -> String {
     format!("w{index}")
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 mod relay;
 mod server;
 mod task;
+mod udp_relay;
 mod worker;
 
 pub use bench::Bench;
@@ -31,4 +32,5 @@
 pub use process::Process;
 pub use relay::Relay;
 pub use server::{Client, Fault, Mode, ask, new_client, run, serve};
+pub use udp_relay::{Impairment, UdpRelay};
 pub use worker::{Listed, StandinWorker};
--- a/crates/standin/tests/processes/main.rs
+++ b/crates/standin/tests/processes/main.rs
@@ -4,6 +4,7 @@
 
 mod crash;
 mod ejection;
+mod links;
 mod network;
 mod operation;
 mod store;
