--- a/crates/standin/src/launch.rs
+++ b/crates/standin/src/launch.rs
@@ -1,8 +1,7 @@
 //! Starts the processes of a bench.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -12,7 +11,7 @@
 
 use crate::bench::Bench;
 use crate::process::Process;
-use crate::udp_relay::UdpRelay;
+use crate::udp_relay::Impairment;
 
 /// Time within which a process must serve.
 pub(crate) const START: Duration = Duration::from_secs(20);
@@ -38,8 +37,7 @@
     pub slots: u32,
     /// Accelerators of each worker.
     pub accelerators: u32,
-    /// Daemons of a second region, after the others. If there are any, each daemon is reached through a relay that can
-    /// drop what the other region sends.
+    /// Daemons of a second region, after the others. If there are any, each daemon is reached through a relay.
     pub far_daemons: usize,
     /// Worker processes of the second region, after the others.
     pub far_workers: usize,
@@ -49,6 +47,8 @@
     pub platform_relays: bool,
     /// Whether daemons reach each worker through a relay of its own.
     pub worker_relays: bool,
+    /// What the links to each daemon go through, if through a relay of its own.
+    pub peer_relays: Option<Impairment>,
 }
 
 impl Default for Setup {
@@ -64,6 +64,7 @@
             drain: 500,
             platform_relays: false,
             worker_relays: false,
+            peer_relays: None,
         }
     }
 }
@@ -77,9 +78,10 @@
         region(index >= self.workers)
     }
 
-    /// Address that the links of a daemon use: one for each region.
-    fn link_ip(&self, index: usize) -> IpAddr {
-        Ipv4Addr::new(127, 0, 0, if index < self.daemons { 1 } else { 2 }).into()
+    /// What the links to each daemon go through. Between regions there is always a relay that can be cut.
+    fn link_relays(&self) -> Option<Impairment> {
+        let between = (self.far_daemons > 0).then(Impairment::default);
+        self.peer_relays.or(between)
     }
 }
 
@@ -102,8 +104,9 @@
 pub(crate) struct Daemon {
     pub(crate) server: Server,
     pub(crate) admin: String,
+    /// Address that other daemons use for links, that of the relay if there is one.
     pub(crate) peers: String,
-    pub(crate) relay: Option<Arc<UdpRelay>>,
+    pub(crate) relay: Option<Relayed>,
 }
 
 /// A directory that is removed when it is dropped, unless a test fails: it holds the logs.
@@ -173,33 +176,54 @@
         })
     }
 
+    /// Starts the relay before a daemon's links. Its target is set once the daemon has bound its own address.
+    fn start_peer_relay(&self, index: usize, impairment: Impairment) -> Result<Relayed> {
+        let values = [
+            ("--loss", impairment.loss.to_string()),
+            ("--duplicates", impairment.duplicates.to_string()),
+            ("--least", impairment.delay.0.to_string()),
+            ("--largest", impairment.delay.1.to_string()),
+            ("--seed", (impairment.seed + index as u64).to_string()),
+        ];
+        let args: Vec<&str> = values
+            .iter()
+            .flat_map(|(name, value)| [*name, value.as_str()])
+            .collect();
+        let name = format!("peer-relay-{index}");
+        let Server { process, address } = start_server(&name, "standin-udp-relay", &args, self.dir())?;
+        let control = process.value("control ", START)?;
+        Ok(Relayed {
+            process,
+            address,
+            control,
+        })
+    }
+
     pub(crate) fn start_daemon(&self, index: usize) -> Result<Daemon> {
+        let impairment = self.setup.link_relays();
+        let relay = impairment.map(|impairment| self.start_peer_relay(index, impairment));
+        let relay = relay.transpose()?;
         let name = format!("d{index}");
         let path = self.dir().join(format!("{name}.yaml"));
-        let ip = self.setup.link_ip(index);
-        let relay = match self.setup.far_daemons {
-            0 => None,
-            _ => Some(self.block(UdpRelay::start(&self.executor, ip))?),
-        };
-        let mut settings = self.settings(index);
-        settings["peers"]["listen"] = json!(SocketAddr::new(ip, 0));
-        settings["peers"]["advertise"] = json!(relay.as_ref().map(|relay| relay.address()));
-        std::fs::write(&path, settings.to_string())?;
+        let advertised = relay.as_ref().map(|relay| relay.address.as_str());
+        std::fs::write(&path, self.settings(index, advertised).to_string())?;
         let process = Process::start(&name, "pistachiostaird", &[&path.display().to_string()], self.dir())?;
         let line = process.line(START)?;
-        let address = |key: &str| -> Result<SocketAddr> {
+        let address = |key: &str| -> Result<String> {
             let field = line.split_whitespace().find_map(|word| word.strip_prefix(key));
             let address = field.with_context(|| format!("{name}: {key} is missing in {line:?}"))?;
-            Ok(address.parse()?)
+            Ok(address.parse::<SocketAddr>()?.to_string())
+        };
+        let (admin, bound) = (address("admin=")?, address("peers=")?);
+        let peers = match &relay {
+            Some(relay) => {
+                self.control(relay, &format!("target/{bound}"))?;
+                relay.address.clone()
+            }
+            None => bound,
         };
-        let mut peers = address("peers=")?;
-        if let Some(relay) = &relay {
-            relay.set_target(peers);
-            peers = relay.address();
-        }
-        let (admin, peers) = (address("admin=")?.to_string(), peers.to_string());
         let server = Server {
-            address: address("api=")?.to_string(),
+            address: address("api=")?,
             process,
         };
         let region = self.setup.daemon_region(index);
@@ -213,12 +237,12 @@
     }
 
     /// Settings of a daemon; JSON is YAML as well.
-    fn settings(&self, index: usize) -> Value {
+    fn settings(&self, index: usize, advertised: Option<&str>) -> Value {
         let others = self.daemons.iter().enumerate().filter(|(other, _)| *other != index);
         let seeds: Vec<&str> = others.map(|(_, daemon)| daemon.peers.as_str()).collect();
         let relay = self.platform_relays.get(index);
         let platform = relay.map_or(&self.platform.address, |relay| &relay.address);
-        json!({
+        let mut settings = json!({
             "name": format!("d{index}"),
             "region": self.setup.daemon_region(index),
             "domain": DOMAINS[index % DOMAINS.len()],
@@ -234,10 +258,20 @@
             "seeds": seeds,
             "drain": self.setup.drain,
             "logging": {"format": "json", "level": "debug"},
-        })
+        });
+        if let Some(address) = advertised {
+            settings["peers"]["advertise"] = address.into();
+            settings["peers"]["listen"] = format!("{}:0", link_host(index)).into();
+        }
+        settings
     }
 }
 
+/// Loopback host of a daemon's links, so that a relay can tell one daemon's datagrams from another's.
+pub(crate) fn link_host(daemon: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1, 1 + daemon as u8)
+}
+
 fn worker_name(index: usize) -> String {
     format!("w{index}")
 }
--- a/crates/standin/tests/processes/main.rs
+++ b/crates/standin/tests/processes/main.rs
@@ -3,6 +3,8 @@
 //! Verdicts come from what callers were told and from the workers' logs.
 
 mod crash;
+mod ejection;
+mod links;
 mod network;
 mod operation;
 mod pressure;
--- a/crates/standin/tests/processes/regions.rs
+++ b/crates/standin/tests/processes/regions.rs
@@ -102,7 +102,7 @@
 #[test]
 fn cut_regions() {
     let ready = two_regions();
-    ready.cut_regions(true);
+    ready.cut_regions().expect("cut");
     // Until the cut is detected, a call on an open connection has an unknown outcome.
     let dead = || {
         let list = ready.block(ready.caller.read(0, "/v1/members"));
@@ -134,7 +134,7 @@
     let log = ready.log().expect("log");
     assert!(runs_of(&log, "refused").is_empty(), "the refused job ran");
 
-    ready.cut_regions(false);
+    ready.open_links().expect("open");
     await_far(&ready);
     all_succeeded(&[submit(&ready, 0, far("again"))]);
 }
