Learn a missed configuration from the peers while the store is away

Cause: a daemon that lost the store and a pushed revision stayed behind until the store came back, although the heartbeats told it that others were ahead.

Change: while the table service is not reached, a ready daemon asks those live daemons whose heartbeats show a newer revision. Only a higher revision applies, as before.

Conclusion: without the store and without any link a daemon can only say that it may be behind, which it does.

--- a/crates/pistachiostair/src/config.rs
+++ b/crates/pistachiostair/src/config.rs
@@ -210,8 +210,15 @@
         if first {
             slog::warn!(self.log, "table service not reached"; "error" => %error);
         }
-        if !self.is_ready() && self.ask_peers().await {
-            self.shared.lock().expect("config lock").ready = true;
+        let Ok(members) = self.kernel.find::<Members>() else {
+            return;
+        };
+        if !self.is_ready() {
+            let heard = self.ask_peers(members.other_daemons()).await;
+            self.shared.lock().expect("config lock").ready |= heard;
+        } else {
+            // A push may have been lost; the heartbeats tell who has a newer revision.
+            self.ask_peers(members.daemons_ahead(self.revision())).await;
         }
     }
 
@@ -259,12 +266,13 @@
         Ok(catalog)
     }
 
-    async fn ask_peers(&self) -> bool {
-        let (Ok(links), Ok(members)) = (self.kernel.find::<Links>(), self.kernel.find::<Members>()) else {
+    /// Asks daemons for the configuration in force there; whether one has any.
+    async fn ask_peers(&self, daemons: Vec<DaemonName>) -> bool {
+        let Ok(links) = self.kernel.find::<Links>() else {
             return false;
         };
         let mut heard = false;
-        for daemon in members.other_daemons() {
+        for daemon in daemons {
             let answer = links.to_daemon(&daemon, Request::GetPolicy, PUSH_TIMEOUT).await;
             if let Ok(Response::Policy { revision, document }) = answer
                 && revision > Revision(0)
--- a/crates/pistachiostair/src/members.rs
+++ b/crates/pistachiostair/src/members.rs
@@ -10,7 +10,7 @@
 use crate::edge::{BoxFuture, Vm, VmList, VmRole};
 use crate::error::Result;
 use crate::govern::Govern;
-use crate::ids::{DaemonName, RegionName, WorkerName};
+use crate::ids::{DaemonName, RegionName, Revision, WorkerName};
 use crate::kernel::{Kernel, Service};
 use crate::links::Links;
 use crate::membership::{MemberAction, MemberEvent, Membership};
@@ -115,6 +115,15 @@
             .collect()
     }
 
+    /// Live daemons in which a newer configuration is in force.
+    pub(crate) fn daemons_ahead(&self, revision: Revision) -> Vec<DaemonName> {
+        let membership = self.membership.lock().expect("membership lock");
+        let live = membership.daemons(MemberState::Live).into_iter();
+        live.filter(|member| member.policy > revision)
+            .map(|member| member.name.clone())
+            .collect()
+    }
+
     /// Workers of this region in the platform's list, or nothing before it was read.
     pub(crate) fn listed_workers(&self) -> Option<BTreeMap<WorkerName, Vm>> {
         self.list.lock().expect("list lock").own?;
--- a/crates/standin/tests/processes/links.rs
+++ b/crates/standin/tests/processes/links.rs
@@ -193,3 +193,26 @@
     all_succeeded(&ready.verify(ready.settle(orders("after", 6, "1x1", 100))));
     assert!(everywhere(newest), "not everywhere");
 }
+
+/// Guards against a daemon that lost the store and a push, and stays behind until the store is back although
+/// the others could tell it the configuration.
+#[test]
+fn catch_up_without_store() {
+    let ready = Ready::start(Setup {
+        platform_relays: true,
+        peer_relays: Some(Impairment::default()),
+        ..Setup::default()
+    });
+    let leader = ready.leader().expect("leader");
+    let cut = (leader + 1) % 3;
+    ready.platform_relay(cut, "cut").expect("cut");
+    ready.cut_links(cut).expect("cut");
+    let revision = change(&ready, leader, 30_000);
+    pause(3_000);
+    assert_ne!(in_force(&ready, cut).0, revision, "it was not cut off");
+    ready.open_links().expect("open");
+    let holds = || in_force(&ready, cut) == (revision, 30_000);
+    ready
+        .await_that("the daemon learns the change from the others", SOON, holds)
+        .expect("in force");
+}
