Bring the samples of messages to the short names

Cause: the samples in tests/samples still had the former field names and did not decode, so envelope_bytes and response_bytes failed after the frequent messages were shortened. Change: the samples have the names that are on the wire now, and one of an answer to renewals is added. Conclusion: bytes (8 tests) and bytes_memory pass.

--- a/crates/pistachiostair/tests/samples/mod.rs
+++ b/crates/pistachiostair/tests/samples/mod.rs
@@ -15,8 +15,7 @@
 }
 
 fn member(name: &str) -> Value {
-    json!({"name": name, "incarnation": 7, "address": "10.0.0.1:7000", "region": "fi", "domain": "espoo",
-        "state": "live", "policy": 3})
+    json!({"n": name, "i": 7, "a": "10.0.0.1:7000", "r": "fi", "d": "espoo", "s": "live", "p": 3})
 }
 
 pub(crate) fn inventory() -> Value {
@@ -28,12 +27,12 @@
 }
 
 pub(crate) fn envelopes() -> Vec<Vec<u8>> {
-    let leader = json!({"region": "fi", "daemon": "d1", "term": 4});
+    let leader = json!({"r": "fi", "d": "d1", "t": 4});
     let start = json!({"start": {"task": {"job": 4, "attempt": 1, "part": 0}, "held": true, "lease": 15000,
         "accelerators": 4, "size": {}, "payload": null, "runtime": null, "progress": 0}});
     let batch = json!({"term": 3, "incarnation": 5, "commands": [start]});
     let requests = [
-        json!({"heartbeat": {"member": member("d1"), "leaders": [leader], "known": [member("d2")]}}),
+        json!({"heartbeat": {"m": member("d1"), "l": [leader], "k": [member("d2")]}}),
         json!({"command": {"worker": "w1", "batch": batch}}),
         json!({"report": {"region": "fi", "worker": "w1", "changes": inventory()}}),
         json!({"call": {"region": "fi", "call": {"submit": {"name": "j", "key": "k", "spec": spec()}}}}),
@@ -41,7 +40,7 @@
         json!({"policy": {"revision": 4, "document": "limits: {}"}}),
         json!("getPolicy"),
     ];
-    let envelope = |request| json!({"version": 1, "from": "d1", "timeout": 1000, "request": request});
+    let envelope = |request| json!({"v": 1, "f": "d1", "t": 1000, "r": request});
     let envelopes = named(&requests.map(envelope));
     // A sample that does not decode would test nothing.
     for bytes in &envelopes {
@@ -56,8 +55,9 @@
     let job = json!({"metadata": {"name": "j", "revision": 4, "labels": {"a": "b"}}, "spec": spec(), "status": status});
     let responses = named(&[
         json!("ack"),
-        json!({"heartbeat": {"member": member("d1"), "leaders": [], "known": []}}),
+        json!({"heartbeat": {"m": member("d1"), "l": [], "k": []}}),
         json!({"command": {"done": {"results": ["ok", {"refused": {"reason": "full"}}]}}}),
+        json!({"renewed": {"x": [[1, null], [4, {"oldTerm": {"term": 5}}]]}}),
         json!({"jobs": {"jobs": [job], "revision": 4, "created": true}}),
         json!({"explained": {"lines": ["waits"]}}),
         json!({"policy": {"revision": 4, "document": "limits: {}"}}),
