Read the platform's list of VMs with an entity tag

Change: the client sends If-None-Match with the tag of its last list and takes status 304 as the same list. A platform that gives no tag is read as before. The stand-in for the platform gives a hash of the list as its tag. That the real platform gives entity tags is an assumption.

--- a/crates/pistachiostair/src/store.rs
+++ b/crates/pistachiostair/src/store.rs
@@ -23,6 +23,8 @@
     metrics: Option<Arc<Metrics>>,
     clock: Clock,
     breaker: Mutex<Breaker>,
+    /// The last list of VMs with its entity tag. Most reads find it unchanged, and it takes about 100 bytes for a VM.
+    listed: Mutex<Option<(String, Vec<Vm>)>>,
 }
 
 impl Service for Store {
@@ -39,6 +41,7 @@
             metrics: None,
             clock: Clock::start(),
             breaker: Mutex::default(),
+            listed: Mutex::default(),
         }
     }
 
@@ -79,7 +82,7 @@
     }
 
     async fn send(&self, step: &'static str, method: Method, path: &str, body: Bytes) -> Result<HttpAnswer> {
-        self.send_rows(step, method, path, body, 1).await
+        self.send_rows(step, method, path, &[], body, 1).await
     }
 
     /// Sends a request that writes `rows` rows or one object, or reads.
@@ -88,13 +91,14 @@
         step: &'static str,
         method: Method,
         path: &str,
+        headers: &[(&str, &str)],
         body: Bytes,
         rows: usize,
     ) -> Result<HttpAnswer> {
         let call = HttpCall {
             method: method.clone(),
             path,
-            headers: &[],
+            headers,
             body,
             timeout: self.timeout,
         };
@@ -104,7 +108,8 @@
         outcome.settle(failed);
         self.count(&method, rows, failed);
         let answer = result?;
-        if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND {
+        let unchanged = answer.status == StatusCode::NOT_MODIFIED && !headers.is_empty();
+        if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND || unchanged {
             return Ok(answer);
         }
         // An error status does not tell whether a write took effect.
@@ -125,6 +130,26 @@
         self.parse(step, &answer.body).map(Some)
     }
 
+    /// Reads the list of VMs, without its entries if the platform gives entity tags and nothing changed.
+    async fn read_list(&self) -> Result<Vec<Vm>> {
+        let step = "list VMs";
+        let known = self.listed.lock().expect("listed lock").clone();
+        let headers: Vec<(&str, &str)> = known.iter().map(|(tag, _)| ("if-none-match", tag.as_str())).collect();
+        let answer = self
+            .send_rows(step, Method::GET, "/v1/vms", &headers, Bytes::new(), 1)
+            .await?;
+        match (answer.status, known) {
+            (StatusCode::NOT_MODIFIED, Some((_, vms))) => Ok(vms),
+            (StatusCode::NOT_FOUND, _) => Ok(Vec::new()),
+            _ => {
+                let vms: Vec<Vm> = self.parse(step, &answer.body)?;
+                let tag = answer.headers.get("etag").and_then(|tag| tag.to_str().ok());
+                *self.listed.lock().expect("listed lock") = tag.map(|tag| (tag.to_owned(), vms.clone()));
+                Ok(vms)
+            }
+        }
+    }
+
     fn parse<T: DeserializeOwned>(&self, step: &'static str, body: &[u8]) -> Result<T> {
         serde_json::from_slice(body).map_err(|e| {
             Error::new(ErrorKind::Unavailable, step, e)
@@ -162,6 +187,7 @@
                     "commit",
                     Method::POST,
                     "/v1/transactions",
+                    &[],
                     body.into(),
                     transaction.writes.len(),
                 )
@@ -201,7 +227,7 @@
 
 impl VmList for Store {
     fn list(&self) -> BoxFuture<'_, Result<Vec<Vm>>> {
-        Box::pin(async move { Ok(self.get_json("list VMs", "/v1/vms").await?.unwrap_or_default()) })
+        Box::pin(self.read_list())
     }
 }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,6 +1,7 @@
 //! The platform: table service, object store and list of VMs, in memory.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
@@ -177,7 +178,7 @@
                 Err(error) => reply_invalid(error),
             },
             (_, ["v1", "objects", key]) => self.object(request, key),
-            (&Method::GET, ["v1", "vms"]) => reply_json(&self.list()),
+            (&Method::GET, ["v1", "vms"]) => self.reply_list(request),
             (&Method::POST, ["v1", "vms"]) => match serde_json::from_slice::<Vm>(&request.body) {
                 Ok(vm) => self.change_list(vm.name.clone(), Some(vm)),
                 Err(error) => reply_invalid(error),
@@ -255,6 +256,20 @@
         reply_status(StatusCode::OK)
     }
 
+    /// The list with an entity tag, or status 304 if the request names this tag.
+    fn reply_list(&self, request: &HttpRequest) -> HttpReply {
+        let body = serde_json::to_vec(&self.list()).expect("the list is plain data");
+        let mut hasher = DefaultHasher::new();
+        body.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        let mut reply = match request.headers.get("if-none-match") == Some(&tag) {
+            true => reply_status(StatusCode::NOT_MODIFIED),
+            false => HttpReply::json(StatusCode::OK, body),
+        };
+        reply.headers.push(("etag", tag));
+        reply
+    }
+
     /// The list as it was before the lag.
     fn list(&self) -> Vec<Vm> {
         let now = self.clock.now();
