Read messages under their former long field names too

Cause: answer_unknown_fields, which guards against daemons of two releases that can't talk to each other, failed after the envelope's fields were shortened: a message of the former format was no longer read. Change: each shortened field has its long name as an alias. The test is unchanged. Daemons of the former release still can't read messages with short names, so a rolling update is not covered; the answer to renewals has no former form.

--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between daemons: MessagePack with named fields over QUIC streams.
 //!
-//! Unknown fields are ignored, so that daemons of two releases work side by side.
+//! Unknown fields are ignored, so that daemons of two releases work side by side. Fields with short names are also read
+//! under their former long ones.
 
 use serde::{Deserialize, Serialize};
 
@@ -23,16 +24,16 @@
     /// A request with what every message carries, under short names on the wire.
     pub struct Envelope {
         /// Version of the sender's messages.
-        #[serde(rename = "v")]
+        #[serde(rename = "v", alias = "version")]
         pub version: u16,
         /// Sender.
-        #[serde(rename = "f")]
+        #[serde(rename = "f", alias = "from")]
         pub from: DaemonName,
         /// Span in milliseconds within which the sender waits for the response.
-        #[serde(rename = "t")]
+        #[serde(rename = "t", alias = "timeout")]
         pub timeout: Millis,
         /// The request.
-        #[serde(rename = "r")]
+        #[serde(rename = "r", alias = "request")]
         pub request: Request,
     }
 }
@@ -142,13 +143,13 @@
     /// A heartbeat. Sent to each daemon once a second, so its fields have short names on the wire.
     pub struct Heartbeat {
         /// The sender.
-        #[serde(rename = "m", with = "short_member::one")]
+        #[serde(rename = "m", alias = "member", with = "short_member::one")]
         pub member: Member,
         /// Schedulers of regions that it knows.
-        #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+        #[serde(rename = "l", alias = "leaders", default, skip_serializing_if = "Vec::is_empty")]
         pub leaders: Vec<Leader>,
         /// Other daemons that it knows.
-        #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty", with = "short_member::many")]
+        #[serde(rename = "k", alias = "known", default, skip_serializing_if = "Vec::is_empty", with = "short_member::many")]
         pub known: Vec<Member>,
     }
 }
@@ -157,13 +158,13 @@
     /// Scheduler of a region.
     pub struct Leader {
         /// The region.
-        #[serde(rename = "r")]
+        #[serde(rename = "r", alias = "region")]
         pub region: RegionName,
         /// Its daemon.
-        #[serde(rename = "d")]
+        #[serde(rename = "d", alias = "daemon")]
         pub daemon: DaemonName,
         /// Its term.
-        #[serde(rename = "t")]
+        #[serde(rename = "t", alias = "term")]
         pub term: Term,
     }
 }
--- a/crates/pistachiostair/src/short_member.rs
+++ b/crates/pistachiostair/src/short_member.rs
@@ -7,19 +7,19 @@
 
 #[derive(Serialize, Deserialize)]
 struct ShortMember {
-    #[serde(rename = "n")]
+    #[serde(rename = "n", alias = "name")]
     name: DaemonName,
-    #[serde(rename = "i")]
+    #[serde(rename = "i", alias = "incarnation")]
     incarnation: Incarnation,
-    #[serde(rename = "a")]
+    #[serde(rename = "a", alias = "address")]
     address: String,
-    #[serde(rename = "r")]
+    #[serde(rename = "r", alias = "region")]
     region: RegionName,
-    #[serde(rename = "d")]
+    #[serde(rename = "d", alias = "domain")]
     domain: DomainName,
-    #[serde(rename = "s")]
+    #[serde(rename = "s", alias = "state")]
     state: MemberState,
-    #[serde(rename = "p")]
+    #[serde(rename = "p", alias = "policy")]
     policy: Revision,
 }
 
