--- a/crates/pistachiostair/tests/checker.rs
+++ b/crates/pistachiostair/tests/checker.rs
@@ -113,3 +113,50 @@
     let wrong = violations(Step::Run, Fault::EntryDies, Switches::default(), true);
     assert!(wrong.is_empty(), "with the mechanism in place: {wrong:#?}");
 }
+
+/// A lease that lasts longer on a slow clock than the margin allows: the job runs elsewhere by then.
+#[test]
+fn object_to_slow_clock() {
+    let run = |rate: u64| {
+        let mut world = World::new(1);
+        world.set_clocks(0);
+        world.workers.iter_mut().for_each(|worker| worker.rate = rate);
+        world.add_client("gang", spec("gang", "3x2", 30_000, true, false), false, 6_000);
+        world.run(Millis(12_000));
+        world.faults.apart = Millis(60_000);
+        world.faults.apart_worker = 2;
+        world.settle(Millis(150_000));
+        check::violations(&world)
+    };
+    let wrong = run(60);
+    assert!(
+        wrong.iter().any(|line| line.contains("two runs at a time")),
+        "no objection: {wrong:#?}"
+    );
+    let wrong = run(95);
+    assert!(wrong.is_empty(), "within the margin: {wrong:#?}");
+}
+
+/// A job that expires early since the next scheduler's wall clock is further ahead than allowed.
+#[test]
+fn object_to_deadline() {
+    let run = |ahead: u64| {
+        let mut world = World::new(1);
+        world.set_clocks(ahead.cast_signed());
+        let mut dated = spec("dated", "1x0", 20_000, false, false);
+        dated.deadline = Some(check::DISAGREE + Millis(180_000));
+        // The region has no workers, so that the job waits for the next scheduler.
+        world.workers.iter_mut().for_each(|worker| worker.gone = true);
+        world.add_client("dated", dated, false, 6_000);
+        world.armed.push((Step::Acknowledge, vec![Fault::SchedulerDies]));
+        world.run(Millis(60_000));
+        let wrong = check::violations(&world);
+        wrong
+            .into_iter()
+            .filter(|line| line.contains("expired after"))
+            .collect::<Vec<_>>()
+    };
+    assert!(!run(2 * check::DISAGREE.0).is_empty(), "no objection");
+    let wrong = run(check::DISAGREE.0);
+    assert!(wrong.is_empty(), "within what is allowed: {wrong:#?}");
+}
