Hold back late reports of an earlier incarnation

Cause: a scheduler that had only seen the newer incarnation of a worker took a late report of the earlier one for a restart. The newer one then counted as past, all its reports were ignored for the rest of the term, and a job placed on it never ended.

The fault ReportLate is injected with every other fault.

--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -22,6 +22,8 @@
 const MAX_OPEN: Millis = Millis(60_000);
 /// Earlier incarnations remembered for each worker, whose late reports are ignored.
 const MAX_PAST: usize = 16;
+/// Reports of a lower incarnation that are held back for each worker.
+const MAX_LATE: usize = 64;
 
 /// A worker.
 #[derive(Clone, Debug)]
@@ -29,6 +31,8 @@
     pub(crate) info: Option<WorkerInfo>,
     pub(crate) incarnation: Incarnation,
     past: Vec<Incarnation>,
+    /// Reports that were taken for late ones of a lower incarnation, until that is certain.
+    late: Vec<Changes>,
     /// Newest change seen.
     pub(crate) change: u64,
     /// Whether its whole inventory was reported in this term.
@@ -61,6 +65,7 @@
             info: None,
             incarnation: Incarnation(0),
             past: Vec::new(),
+            late: Vec::new(),
             change: 0,
             full: false,
             leaving: false,
@@ -87,10 +92,18 @@
     }
 
     /// Merges a report; false if it is older than what is known.
-    fn merge(&mut self, changes: &Changes) -> bool {
+    fn merge(&mut self, now: Millis, changes: &Changes) -> bool {
+        // A lower incarnation is a late report while the worker still reports a higher one, even if this
+        // term never saw the lower one. After that the worker's clock, from which incarnations are
+        // usually made, may have been set back.
+        let late = changes.incarnation < self.incarnation && now.since(self.heard) < LAPSE;
         if self.past.contains(&changes.incarnation) {
             return false;
         }
+        if late {
+            self.hold_back(changes);
+            return false;
+        }
         if self.incarnation != changes.incarnation {
             if self.full {
                 self.past.push(self.incarnation);
@@ -104,7 +117,27 @@
             self.tasks.clear();
             self.sent.clear();
             self.renewed = None;
+            for held in std::mem::take(&mut self.late) {
+                if held.incarnation == self.incarnation {
+                    self.take_tasks(&held);
+                }
+            }
+        }
+        self.take_tasks(changes);
+        true
+    }
+
+    /// Keeps a report, since its supervisor does not send its content again.
+    fn hold_back(&mut self, changes: &Changes) {
+        if changes.full || self.late.len() == MAX_LATE {
+            self.late.clear();
+        }
+        if changes.full || !changes.tasks.is_empty() {
+            self.late.push(changes.clone());
         }
+    }
+
+    fn take_tasks(&mut self, changes: &Changes) {
         if changes.full && (changes.change >= self.change || !self.full) {
             self.tasks = changes.tasks.iter().map(|view| (view.task, view.clone())).collect();
             self.full = true;
@@ -119,7 +152,6 @@
         self.change = self.change.max(changes.change);
         self.info = Some(changes.info.clone());
         self.leaving |= changes.leaving;
-        true
     }
 
     fn state(&self, drained: bool, settled: bool) -> MemberState {
@@ -154,7 +186,7 @@
         }
         let leaving = self.listed_state(&worker) == Some(MemberState::Leaving);
         let upstream = self.upstream(&worker, now);
-        if !upstream.merge(&changes) {
+        if !upstream.merge(now, &changes) {
             return;
         }
         upstream.leaving |= leaving;
--- a/crates/pistachiostair/tests/fault_matrix.rs
+++ b/crates/pistachiostair/tests/fault_matrix.rs
@@ -232,3 +232,18 @@
     SchedulerDies,
     WorkerFreezes,
 );
+
+fn strike_report_two(step: Step, first: Fault) {
+    for second in Fault::ALL {
+        strike_in(World::new(1), step, &[first, second]);
+    }
+}
+
+at_each_step!(
+    /// Guards against a late report of an earlier incarnation that a scheduler which never saw that
+    /// incarnation takes for the newest.
+    strike_report,
+    first,
+    strike_report_two,
+    ReportLate,
+);
--- a/crates/pistachiostair/tests/fault_sequences.rs
+++ b/crates/pistachiostair/tests/fault_sequences.rs
@@ -5,8 +5,9 @@
 
 use life::world::{Delivery, spec};
 use life::{Fault, World, check};
-use pistachiostair::Millis;
+use pistachiostair::{Incarnation, Millis};
 use proptest::prelude::*;
+use standin::Inventory;
 
 fn run(world: World, faults: &[(u64, usize)]) -> Vec<String> {
     let known = |(at, fault): &(u64, usize)| (*at, Fault::ALL[*fault]);
@@ -58,6 +59,36 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against a part that goes on without its gang after two cuts; found by `strike_sequence`.
+#[test]
+fn strike_sequence_cut_twice() {
+    let faults = [
+        (8_104, Fault::DomainCut),
+        (15_407, Fault::DomainCut),
+        (7_801, Fault::WorkerRestarts),
+    ];
+    let wrong = run_in(World::new(0), &faults);
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Guards against a worker that is ignored for good since its clock was set back, so that its new
+/// incarnation is lower than the one before.
+#[test]
+fn strike_sequence_clock_back() {
+    let mut world = World::new(0);
+    world.run(Millis(12_000));
+    let now = world.now;
+    let worker = &mut world.workers[0];
+    worker.kill(now);
+    worker.incarnation = 0;
+    worker.inventory = Inventory::new(worker.info.clone(), Incarnation(0), 0);
+    worker.alive = true;
+    world.add_client("gang", spec("gang", "4x1", 3_000, false, false), false, 1_000);
+    world.settle(Millis(60_000));
+    let wrong = check::violations(&world);
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, max_shrink_iters: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/pistachiostair/tests/life/faults.rs
+++ b/crates/pistachiostair/tests/life/faults.rs
@@ -49,6 +49,7 @@
     EntryDies,
     SnapshotDamaged,
     SnapshotMissing,
+    ReportLate,
 }
 
 impl Fault {
@@ -220,6 +221,7 @@
             Fault::EntryDies => self.abandon(leader),
             Fault::SnapshotDamaged => self.spoil_snapshot(|body| body.truncate(body.len() / 2)),
             Fault::SnapshotMissing => self.lose_snapshot(),
+            Fault::ReportLate => self.delay_report(),
         }
     }
 
@@ -252,6 +254,18 @@
         }
     }
 
+    /// `w0` restarts, and its last report arrives several times at whoever is the scheduler by then.
+    fn delay_report(&mut self) {
+        let worker = &mut self.workers[0];
+        let name = worker.info.name.clone();
+        let clock = worker.clock(self.now);
+        let changes = worker.inventory.changes(clock, 0);
+        for span in [3_000, 6_000, 9_000, 14_000, 20_000] {
+            self.after(span, Delivery::Stale(name.clone(), changes.clone()));
+        }
+        self.inject(Fault::WorkerRestarts);
+    }
+
     fn cancel_all(&mut self) {
         let Some(leader) = self.leader() else {
             return;
