--- a/crates/pistachiostair/tests/life/faults.rs
+++ b/crates/pistachiostair/tests/life/faults.rs
@@ -49,6 +49,7 @@
     EntryDies,
     SnapshotDamaged,
     SnapshotMissing,
+    ReportLate,
 }
 
 impl Fault {
@@ -153,8 +154,10 @@
             self.reach(Step::Queue);
         }
         let logs = || self.workers.iter().flat_map(|worker| worker.inventory.log());
-        let gang_runs = logs().any(|entry| entry.kind == standin::LogKind::Begin && entry.task.part > 0);
-        let ended = logs().any(|entry| entry.kind == standin::LogKind::End);
+        let seen = |step: Step| self.reached.contains(&step);
+        let gang_runs =
+            !seen(Step::Run) && logs().any(|entry| entry.kind == standin::LogKind::Begin && entry.task.part > 0);
+        let ended = !seen(Step::Finish) && logs().any(|entry| entry.kind == standin::LogKind::End);
         if gang_runs {
             self.reach(Step::Run);
         }
@@ -218,6 +221,7 @@
             Fault::EntryDies => self.abandon(leader),
             Fault::SnapshotDamaged => self.spoil_snapshot(|body| body.truncate(body.len() / 2)),
             Fault::SnapshotMissing => self.lose_snapshot(),
+            Fault::ReportLate => self.delay_report(),
         }
     }
 
@@ -250,6 +254,18 @@
         }
     }
 
+    /// `w0` restarts, and its last report arrives several times at whoever is the scheduler by then.
+    fn delay_report(&mut self) {
+        let worker = &mut self.workers[0];
+        let name = worker.info.name.clone();
+        let clock = worker.clock(self.now);
+        let changes = worker.inventory.changes(clock, 0);
+        for span in [3_000, 6_000, 9_000, 14_000, 20_000] {
+            self.after(span, Delivery::Stale(name.clone(), changes.clone()));
+        }
+        self.inject(Fault::WorkerRestarts);
+    }
+
     fn cancel_all(&mut self) {
         let Some(leader) = self.leader() else {
             return;
