Move a reservation without giving its workers back in between

Each time the workers that had drained went to other work in the same plan call, also to work that can't be stopped. Change: the new place is searched and kept at once.

--- a/crates/pistachiostair/src/compact.rs
+++ b/crates/pistachiostair/src/compact.rs
@@ -61,11 +61,35 @@
         if waited < patience || own >= RESERVATIONS || crowded {
             return;
         }
-        // The longer a job has run, the longer it is likely to run on; declared run times are of no
-        // use here.
-        let remaining = |_: Wid, placed: &Placed| Some(placed.run(now).0 + 1);
         let seeker = Seeker { waits: true, ..seeker };
-        if let Some(found) = self.search(&seeker, |_| true, remaining) {
+        if let Some(found) = self.least_remaining(now, &seeker) {
+            self.hold(now, job, found.workers, "reserved after a long wait", false);
+        }
+    }
+
+    /// The workers that are likely to become free first. The longer a job has run, the longer it is
+    /// likely to run on; declared run times are of no use here.
+    fn least_remaining(&self, now: Millis, seeker: &Seeker) -> Option<Found> {
+        self.search(seeker, |_| true, |_, placed| Some(placed.run(now).0 + 1))
+    }
+
+    /// Chooses the place of a reservation anew, for what is in its way may be a straggler. What is
+    /// kept goes over to the new place at once: in between, other work would fill the workers that
+    /// have become free.
+    pub(crate) fn move_reservation(&mut self, now: Millis, job: JobId) {
+        self.drop_hold(job);
+        let Some(waiting) = self.waiting.get(&job) else {
+            return;
+        };
+        let (account, key, shape) = (waiting.account, waiting.key, waiting.spec.shape);
+        let kind = self.kind(account, &key);
+        let seeker = Seeker {
+            account,
+            shape,
+            kind,
+            waits: true,
+        };
+        if let Some(found) = self.least_remaining(now, &seeker) {
             self.hold(now, job, found.workers, "reserved after a long wait", false);
         }
     }
--- a/crates/pistachiostair/src/decide.rs
+++ b/crates/pistachiostair/src/decide.rs
@@ -78,9 +78,8 @@
             } else if let Some(workers) = self.seek(job, true) {
                 (workers, "free before the workers that were kept for it".to_owned())
             } else {
-                // A straggler may sit on the workers; the next search sees how long it has run.
                 if !reclaim && now.since(since) >= RECONSIDER {
-                    self.drop_hold(job);
+                    self.move_reservation(now, job);
                 }
                 continue;
             };
