Stop what is left on reserved workers once all of it gives way

Cause: in the trace a drained rack waited for 130 s for three checkpointable jobs. Change: the place of a reservation is chosen by work that does not give way; once only checkpointable work of the gang's account or of accounts above their share is left there, it is stopped.

--- a/crates/pistachiostair/src/compact.rs
+++ b/crates/pistachiostair/src/compact.rs
@@ -1,5 +1,7 @@
 //! Room for large gangs: moving checkpointable work away, and reservations.
 
+use std::collections::BTreeSet;
+
 use crate::clock::Millis;
 use crate::fair::{ClassKey, Stop};
 use crate::guarantee::Aid;
@@ -68,9 +70,77 @@
     }
 
     /// The workers that are likely to become free first. The longer a job has run, the longer it is
-    /// likely to run on; declared run times are of no use here.
+    /// likely to run on; declared run times are of no use here. Work that gives way is no obstacle.
     fn least_remaining(&self, now: Millis, seeker: &Seeker) -> Option<Found> {
-        self.search(seeker, |_| true, |_, placed| Some(placed.run(now).0 + 1))
+        let fair = self.fair_shares();
+        self.search(
+            seeker,
+            |_| true,
+            |_, placed| {
+                Some(match self.yields(placed, seeker.account, &fair) {
+                    true => loss(placed, now).unwrap_or(0),
+                    false => placed.run(now).0 + 1,
+                })
+            },
+        )
+    }
+
+    /// Whether running work gives way to a gang with a reservation: it resumes where it was, and it
+    /// belongs to the gang's account or to one above its share.
+    fn yields(&self, placed: &Placed, account: Aid, fair: &[u64]) -> bool {
+        let greedy = || self.above_share(placed, fair[placed.account]);
+        placed.key.stop == Stop::Checkpoint && (placed.account == account || greedy())
+    }
+
+    /// Stops what is left on the workers of a reservation once all of it gives way. Earlier, the
+    /// workers would only wait for the rest.
+    pub(crate) fn clear_reservation(&mut self, now: Millis, job: JobId) -> bool {
+        let (Some(hold), Some(waiting)) = (self.holds.get(&job), self.waiting.get(&job)) else {
+            return false;
+        };
+        let (account, shape, workers) = (waiting.account, waiting.spec.shape, hold.workers.clone());
+        let fair = self.fair_shares();
+        let mut victims = BTreeSet::new();
+        for wid in &workers {
+            let node = &self.topology.nodes[*wid];
+            if node.idle() >= shape.accelerators && node.idle_slots() > 0 {
+                continue;
+            }
+            for victim in &node.jobs {
+                let placed = &self.placed[victim];
+                if !placed.parts().any(|(_, on)| on == *wid)
+                    || placed.spec.shape.accelerators == 0 && node.idle_slots() > 0
+                {
+                    continue;
+                }
+                if placed.stopping || placed.spec.shape.total() > shape.total() || !self.yields(placed, account, &fair)
+                {
+                    return false;
+                }
+                victims.insert(*victim);
+            }
+        }
+        let freed: u32 = victims
+            .iter()
+            .map(|victim| &self.placed[victim])
+            .map(|p| p.spec.shape.total())
+            .sum();
+        let more = shape.total().saturating_sub(freed);
+        let kind = Kind {
+            long: hold.long,
+            pinned: false,
+        };
+        if victims.is_empty() || kind.long && !self.headroom.admits(more, self.topology.total, self.most_headroom()) {
+            return false;
+        }
+        self.drop_hold(job);
+        let found = Found {
+            workers,
+            victims,
+            cost: 0,
+        };
+        self.stop_for(now, job, found, GRACE, "reserved, the rest gives way");
+        true
     }
 
     /// Chooses the place of a reservation anew, for what is in its way may be a straggler. What is
--- a/crates/pistachiostair/src/decide.rs
+++ b/crates/pistachiostair/src/decide.rs
@@ -78,6 +78,9 @@
             } else if let Some(workers) = self.seek(job, true) {
                 (workers, "free before the workers that were kept for it".to_owned())
             } else {
+                if !reclaim && self.clear_reservation(now, job) {
+                    continue;
+                }
                 if !reclaim && now.since(since) >= RECONSIDER {
                     self.move_reservation(now, job);
                 }
--- a/crates/pistachiostair/src/reclaim.rs
+++ b/crates/pistachiostair/src/reclaim.rs
@@ -155,9 +155,7 @@
 
     fn search_claim(&self, now: Millis, seeker: &Seeker, claim: Claim, urgency: Urgency) -> Option<Found> {
         let own = seeker.account;
-        let fair: Vec<u64> = (0..self.accounts.len())
-            .map(|account| self.fair_share(account))
-            .collect();
+        let fair = self.fair_shares();
         match claim {
             Claim::Guarantee => {
                 let beyond = self.search(
@@ -235,9 +233,16 @@
         1_000_000 / weights.max(1)
     }
 
+    /// [`Self::fair_share`] of every account.
+    pub(crate) fn fair_shares(&self) -> Vec<u64> {
+        (0..self.accounts.len())
+            .map(|account| self.fair_share(account))
+            .collect()
+    }
+
     /// Whether the account of a running job is above its share, and above its guarantees, even
     /// without the job.
-    fn above_share(&self, victim: &Placed, fair: u64) -> bool {
+    pub(crate) fn above_share(&self, victim: &Placed, fair: u64) -> bool {
         let owner = &self.accounts[victim.account];
         let (total, slots) = (self.topology.total, self.topology.slots);
         let weight = u64::from(owner.spec.weight.max(1));
--- a/crates/pistachiostair/src/search.rs
+++ b/crates/pistachiostair/src/search.rs
@@ -19,7 +19,7 @@
 pub(crate) struct Found {
     pub(crate) workers: Vec<Wid>,
     pub(crate) victims: BTreeSet<JobId>,
-    cost: u64,
+    pub(crate) cost: u64,
 }
 
 /// A waiting job that looks for workers.
