Lend reserved workers to short work that can be stopped

Cause: what is reserved for a gang stands idle while the rest drains, and short work, also urgent and guaranteed, waits. Change: short work that can be stopped may use reserved slots and accelerators. It is stopped with the grace time once nothing else is in the way of the gang.

--- a/crates/pistachiostair/src/compact.rs
+++ b/crates/pistachiostair/src/compact.rs
@@ -85,11 +85,16 @@
         )
     }
 
-    /// Whether running work gives way to a gang with a reservation: it resumes where it was, and it
-    /// belongs to the gang's account or to one above its share.
+    /// Whether running work gives way to a gang with a reservation: short work that can be stopped,
+    /// since it may use what is reserved, and work that resumes where it was if it belongs to the
+    /// gang's account or to one above its share.
     fn yields(&self, placed: &Placed, account: Aid, fair: &[u64]) -> bool {
         let greedy = || self.above_share(placed, fair[placed.account]);
-        placed.key.stop == Stop::Checkpoint && (placed.account == account || greedy())
+        match placed.key.stop {
+            Stop::Checkpoint => !placed.long || placed.account == account || greedy(),
+            Stop::Restart => !placed.long,
+            Stop::Pinned => false,
+        }
     }
 
     /// Stops what is left on the workers of a reservation once all of it gives way. Earlier, the
--- a/crates/pistachiostair/src/ledger.rs
+++ b/crates/pistachiostair/src/ledger.rs
@@ -344,7 +344,7 @@
         if long {
             self.headroom.hold(shape.total(), true);
         }
-        self.claim(&workers, shape, true);
+        self.claim(&workers, shape, !reclaim, true);
         let hold = Hold {
             workers,
             reason,
@@ -366,7 +366,7 @@
             if hold.long {
                 self.headroom.hold(shape.total(), false);
             }
-            self.claim(&hold.workers, shape, false);
+            self.claim(&hold.workers, shape, !hold.reclaim, false);
         }
         self.next_epoch();
         true
@@ -383,15 +383,15 @@
         }
     }
 
-    fn claim(&mut self, workers: &[Wid], shape: Shape, add: bool) {
+    fn claim(&mut self, workers: &[Wid], shape: Shape, reserve: bool, add: bool) {
+        let step = |count: &mut u32, by: u32| *count = if add { *count + by } else { *count - by };
         for wid in workers {
             self.topology.update(*wid, |node| {
-                if add {
-                    node.claimed += shape.accelerators;
-                    node.claimed_slots += 1;
-                } else {
-                    node.claimed -= shape.accelerators;
-                    node.claimed_slots -= 1;
+                step(&mut node.claimed, shape.accelerators);
+                step(&mut node.claimed_slots, 1);
+                if reserve {
+                    step(&mut node.reserved, shape.accelerators);
+                    step(&mut node.reserved_slots, 1);
                 }
             });
         }
--- a/crates/pistachiostair/src/node.rs
+++ b/crates/pistachiostair/src/node.rs
@@ -35,6 +35,11 @@
         Self { long, pinned }
     }
 
+    /// Whether it may use what is reserved for a gang: short work that can be stopped for it.
+    const fn borrows(self) -> bool {
+        !self.long && !self.pinned
+    }
+
     fn index(self) -> usize {
         usize::from(self.long) + 2 * usize::from(self.pinned)
     }
@@ -54,6 +59,9 @@
     /// Promised to jobs that wait for the worker to become free.
     pub(crate) claimed: u32,
     pub(crate) claimed_slots: u32,
+    /// The part of it that is reserved for gangs, and that short work may use meanwhile.
+    pub(crate) reserved: u32,
+    pub(crate) reserved_slots: u32,
     /// Held by jobs that are being stopped.
     pub(crate) stopping: u32,
     pub(crate) stopping_slots: u32,
@@ -83,6 +91,8 @@
             long: 0,
             claimed: 0,
             claimed_slots: 0,
+            reserved: 0,
+            reserved_slots: 0,
             stopping: 0,
             stopping_slots: 0,
             committed: 0,
@@ -155,7 +165,12 @@
         if !self.usable() || self.overloaded() {
             return 0;
         }
-        let mut slots = self.slots();
+        let mut slots = if kind.borrows() {
+            self.idle_slots()
+                .saturating_sub(self.claimed_slots - self.reserved_slots)
+        } else {
+            self.slots()
+        };
         if kind.long {
             slots = slots.min(self.long_limit(reserve).saturating_sub(self.long));
         }
@@ -173,6 +188,8 @@
         let open = self.info.accelerators.saturating_sub(self.committed);
         let free = if kind.pinned {
             self.free().min(open)
+        } else if kind.borrows() {
+            self.idle().saturating_sub(self.claimed - self.reserved)
         } else {
             self.free()
         };
--- a/crates/pistachiostair/tests/planner/queueing.rs
+++ b/crates/pistachiostair/tests/planner/queueing.rs
@@ -276,3 +276,73 @@
     let decisions = world.plan();
     assert!(matches!(&decisions[..], [Decision::Place { job: placed, .. }] if *placed == job));
 }
+
+/// A rack of four full workers of accounts a and c, and a gang of b that waits for two of them.
+fn reserved(first: JobSpec, rest: JobSpec) -> (World, Vec<JobId>, JobId) {
+    let mut world = World::new(1, 1, 4, 8, 8);
+    let mut running = vec![start(&mut world, first)];
+    running.extend((0..3).map(|_| start(&mut world, rest.clone())));
+    let gang = world.queue(pinned("b", "2x8"));
+    world.later(10_000);
+    let lines = world.planner.explain(gang);
+    assert!(lines[0].starts_with("reserved after a long wait"), "{lines:?}");
+    (world, running, gang)
+}
+
+/// Guards against workers that drained for a gang and are lost to other work when the place of the
+/// reservation is chosen anew.
+#[test]
+fn plan_reservation_moved() {
+    let (mut world, running, gang) = reserved(pinned("a", "1x8"), pinned("a", "1x8"));
+    let other = world.queue(pinned("c", "1x8"));
+    world.later(5_000);
+    world.end(running[0], End::Succeeded);
+    world.later(5_000);
+    world.later(10_000);
+    assert!(world.queued.contains_key(&other), "the drained worker stays reserved");
+    world.end(running[1], End::Succeeded);
+    world.plan();
+    world.later(10_000);
+    assert!(world.placed.contains_key(&gang), "two workers are free");
+}
+
+/// Guards against a gang that waits for the end of work that could be stopped for it.
+#[test]
+fn plan_reservation_cleared() {
+    let long = JobSpec {
+        runtime: Some(Millis(60_000)),
+        ..checkpointable("b", "1x8")
+    };
+    let (mut world, running, gang) = reserved(long, pinned("a", "1x8"));
+    assert!(world.reclaimed.is_empty(), "a worker beside it is not free yet");
+    world.end(running[1], End::Succeeded);
+    world.plan();
+    assert_eq!(world.reclaimed.keys().collect::<Vec<_>>(), [&running[0]]);
+    world.end(running[0], End::Stopped);
+    world.plan();
+    assert!(world.placed.contains_key(&gang));
+}
+
+/// Guards against reserved workers that stand idle while short work waits, and against short work
+/// there that holds up the gang.
+#[test]
+fn plan_reservation_lent() {
+    let (mut world, running, gang) = reserved(pinned("a", "1x8"), pinned("a", "1x8"));
+    world.end(running[0], End::Succeeded);
+    let short = |job: JobSpec| JobSpec {
+        runtime: Some(Millis(100)),
+        ..job
+    };
+    let fixed = world.queue(short(pinned("c", "1x1")));
+    let lent = start(&mut world, short(spec("c", "1x1")));
+    assert!(
+        world.queued.contains_key(&fixed),
+        "work that can't be stopped would delay the gang"
+    );
+    world.end(running[1], End::Succeeded);
+    world.plan();
+    assert!(world.reclaimed.contains_key(&lent), "only work that gives way is left");
+    world.end(lent, End::Stopped);
+    world.plan();
+    assert!(world.placed.contains_key(&gang));
+}
