Leave lent accelerators out of the largest free gang

Change: the largest gang is counted over accelerators that are neither used nor kept. Conclusion: the figure is within 0 and 1 by its definition.

--- a/crates/pistachiostair/src/fit.rs
+++ b/crates/pistachiostair/src/fit.rs
@@ -145,10 +145,11 @@
 
     /// The largest number of adjacent free accelerators that one gang can get.
     pub(crate) fn largest(&self) -> u32 {
-        let any = Kind::new(false, false);
         let sizes = (1..=Shape::MAX_ACCELERATORS).take_while(|size| self.widest(*size) > 0);
         let gangs = sizes.map(|size| {
-            let counts = self.counts(|rack| rack.count(any, size));
+            // Room that short work may borrow from a reservation is not free to a gang.
+            let fits = |wid: &&Wid| self.nodes[**wid].unclaimed() >= size;
+            let counts = self.counts(|rack| rack.members.iter().filter(fits).count() as u32);
             let mut parts = counts.iter().copied().max().unwrap_or(0);
             let longest = self.longest(&counts);
             if longest > self.widest(size) {
--- a/crates/pistachiostair/src/node.rs
+++ b/crates/pistachiostair/src/node.rs
@@ -156,6 +156,14 @@
         self.info.slots.saturating_sub(self.tasks + self.claimed_slots)
     }
 
+    /// Accelerators that are neither used nor kept for a job, 0 if it takes no new work.
+    pub(crate) fn unclaimed(&self) -> u32 {
+        match self.usable() && !self.overloaded() && self.slots() > 0 {
+            true => self.free(),
+            false => 0,
+        }
+    }
+
     fn overloaded(&self) -> bool {
         self.info.memory > 0 && self.memory >= self.info.memory
     }
