Renew a gang's leases only as far as its other parts were heard

The trace shows that the scheduler of term 2 renewed part 2 for 15 s as soon as its worker reported, with part 0's worker restarted and not heard in that term. The same gap stands within a term: until a dead worker is noticed (4 s) the others are renewed, and if the stop can't reach them either, they run up to 19 s alone.

Change: a renewal or release ends one lease after the last report of each worker of the gang; before all of them have reported in a term nothing of the gang is renewed, and that is tried again after 1 s. Renewals of one request may have a shorter lease each.

Conclusion: the rule now rests on evidence instead of on the stop arriving. Its price: a gang whose worker is not heard by the next scheduler within the rest of the lease (5 s or more) stops.

--- a/crates/pistachiostair/src/dispatch.rs
+++ b/crates/pistachiostair/src/dispatch.rs
@@ -107,7 +107,7 @@
         for (task, kind) in &due {
             upstream.sent.insert(*task, (*kind, now));
         }
-        let mut commands = self.commands(&due);
+        let mut commands = self.commands(now, &due);
         commands.extend(self.renewal(now, upstream));
         if commands.iter().any(starts_lease) {
             upstream.contact = now;
@@ -153,7 +153,7 @@
         upstream.alarm = next;
     }
 
-    fn commands(&mut self, due: &[(TaskId, Kind)]) -> Vec<Command> {
+    fn commands(&mut self, now: Millis, due: &[(TaskId, Kind)]) -> Vec<Command> {
         let of = |kind: Kind| due.iter().filter(move |(_, k)| *k == kind).map(|(task, _)| *task);
         let mut commands: Vec<Command> = of(Kind::Stop).map(|task| Command::Stop { task }).collect();
         commands.extend(of(Kind::Checkpoint).map(|task| Command::Checkpoint { task }));
@@ -166,10 +166,8 @@
         }
         let release: Vec<TaskId> = of(Kind::Release).collect();
         if !release.is_empty() {
-            commands.push(Command::Release {
-                tasks: release,
-                lease: LEASE,
-            });
+            let lease = self.gang_lease(now, &release);
+            commands.push(Command::Release { tasks: release, lease });
         }
         commands
     }
@@ -195,31 +193,59 @@
     /// The renewal of a worker's leases, if it is due. Parts that must end are left out, so that
     /// they stop by themselves even if no stop reaches them.
     fn renewal(&self, now: Millis, upstream: &mut Upstream) -> Option<Command> {
-        let mut open = upstream.tasks.values().filter(|view| !view.state.is_final()).peekable();
-        open.peek()?;
+        let open: Vec<TaskId> = upstream
+            .tasks
+            .values()
+            .filter(|view| !view.state.is_final())
+            .map(|view| view.task)
+            .collect();
         let due = upstream.renewed.is_none_or(|at| now.since(at) >= RENEW);
-        if upstream.silent || !due {
+        if open.is_empty() || upstream.silent || !due {
             return None;
         }
-        let except = open
-            .filter(|view| !self.keeps(upstream, view.task))
-            .map(|view| view.task)
-            .collect();
-        upstream.renewed = Some(now);
+        let (kept, except): (Vec<TaskId>, Vec<TaskId>) = open.into_iter().partition(|task| self.keeps(upstream, *task));
+        // A gang whose other workers have not reported yet in this term waits for them, not for the next renewal.
+        let waits = except.iter().any(|task| !self.is_confirmed(*task));
+        let next = if waits { RESEND } else { RENEW };
+        upstream.renewed = Some(Millis((now + next).0.saturating_sub(RENEW.0)));
         Some(Command::Renew {
             seen: upstream.change,
             except,
-            lease: LEASE,
+            lease: self.gang_lease(now, &kept),
         })
     }
 
+    /// The lease of tasks: it ends one whole lease after each worker of their gangs was last heard, so that no part
+    /// runs longer than that without the others, although the loss of a worker is only noticed after some seconds.
+    fn gang_lease(&self, now: Millis, tasks: &[TaskId]) -> Millis {
+        let gangs = tasks
+            .iter()
+            .filter_map(|task| self.runs.get(&task.job))
+            .filter(|run| run.parts.len() > 1);
+        let parts = gangs.flat_map(|run| &run.parts).filter(|part| part.end.is_none());
+        let heard = parts.filter_map(|part| self.workers.get(&part.worker).map(|upstream| upstream.heard));
+        let age = heard.min().map_or(Millis::ZERO, |heard| now.since(heard));
+        Millis(LEASE.0.saturating_sub(age.0))
+    }
+
     fn keeps(&self, upstream: &Upstream, task: TaskId) -> bool {
         let Some(run) = self.runs.get(&task.job).filter(|_| upstream.parts.contains(&task)) else {
             return false;
         };
-        match &run.halt {
+        let goes_on = match &run.halt {
             None => true,
             Some(halt) => halt.why == Why::Reclaimed && halt.until.is_some(),
-        }
+        };
+        goes_on && self.is_confirmed(task)
+    }
+
+    /// Whether all workers of the task's gang have reported in this term. Before that, nothing shows that the whole
+    /// gang runs, and no lease is renewed. The worker that is being dispatched is not among `workers`.
+    fn is_confirmed(&self, task: TaskId) -> bool {
+        let Some(run) = self.runs.get(&task.job) else {
+            return true;
+        };
+        let mut open = run.parts.iter().filter(|part| part.end.is_none());
+        open.all(|part| self.workers.get(&part.worker).is_none_or(|upstream| upstream.full))
     }
 }
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -136,6 +136,9 @@
         /// Point on the worker's clock after which it refuses.
         #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
         pub expires: Option<Millis>,
+        /// New lease in milliseconds, where it is shorter than that of the request.
+        #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+        pub lease: Option<Millis>,
         /// Tasks that are not renewed.
         #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
         pub except: Vec<TaskId>,
--- a/crates/pistachiostair/src/orders.rs
+++ b/crates/pistachiostair/src/orders.rs
@@ -154,31 +154,41 @@
     let step = "send renewals";
     let supervisor =
         supervisor.ok_or_else(|| Error::msg(ErrorKind::Unavailable, step, "no live daemon of the region"))?;
+    let (term, lease, renewals) = to_renewals(due);
+    let request = Request::Renew { term, lease, renewals };
+    match kernel
+        .find::<Links>()?
+        .to_daemon(supervisor, request, COMMAND_TIMEOUT)
+        .await?
+    {
+        Response::Renewed { others } => Ok(all_replies(others, due.len())),
+        Response::Failed(failure) => Err(failure.into_error(step, supervisor.as_str())),
+        _ => Err(Error::msg(ErrorKind::Internal, step, "unexpected response").at(supervisor.as_str())),
+    }
+}
+
+/// The renewals of one request with their term and their longest lease.
+fn to_renewals(due: &[Due]) -> (Term, Millis, Vec<Renewal>) {
     let mut span = (Term::default(), Millis::ZERO);
     let mut renewals = Vec::with_capacity(due.len());
     for (worker, batch) in due {
         if let [Command::Renew { seen, except, lease }] = &batch.commands[..] {
-            span = (batch.term, *lease);
+            span = (batch.term, span.1.max(*lease));
             renewals.push(Renewal {
                 worker: worker.clone(),
                 incarnation: batch.incarnation,
                 seen: *seen,
                 expires: batch.expires,
+                lease: Some(*lease),
                 except: except.clone(),
             });
         }
     }
-    let (term, lease) = span;
-    let request = Request::Renew { term, lease, renewals };
-    match kernel
-        .find::<Links>()?
-        .to_daemon(supervisor, request, COMMAND_TIMEOUT)
-        .await?
-    {
-        Response::Renewed { others } => Ok(all_replies(others, due.len())),
-        Response::Failed(failure) => Err(failure.into_error(step, supervisor.as_str())),
-        _ => Err(Error::msg(ErrorKind::Internal, step, "unexpected response").at(supervisor.as_str())),
+    let (term, longest) = span;
+    for renewal in &mut renewals {
+        renewal.lease = renewal.lease.filter(|lease| *lease < longest);
     }
+    (term, longest, renewals)
 }
 
 /// Passes renewals on to the workers, all at once, as their supervisor.
@@ -190,6 +200,7 @@
         let sender = sender.clone();
         kernel.spawn_until_stop(async move {
             let (seen, except) = (renewal.seen, renewal.except);
+            let lease = renewal.lease.unwrap_or(lease);
             let commands = vec![Command::Renew { seen, except, lease }];
             let batch = CommandBatch {
                 term,
--- a/crates/pistachiostair/src/orders/tests.rs
+++ b/crates/pistachiostair/src/orders/tests.rs
@@ -78,3 +78,18 @@
     assert_eq!(all_replies(others, replies.len()), replies);
     assert_eq!(all_replies(vec![(9, None), (0, refused.clone())], 1), [refused]);
 }
+
+/// Guards against a worker of an incomplete gang that gets the longer lease of the others in its request.
+#[test]
+fn to_renewals_shorter_lease() {
+    let short = batch(vec![Command::Renew {
+        seen: 1,
+        except: Vec::new(),
+        lease: Millis(11_000),
+    }]);
+    let due = [(WorkerName::from("w1"), renew(1)), (WorkerName::from("w2"), short)];
+    let (term, lease, renewals) = to_renewals(&due);
+    assert_eq!((term, lease), (Term(1), Millis(15_000)));
+    let leases: Vec<Option<Millis>> = renewals.iter().map(|renewal| renewal.lease).collect();
+    assert_eq!(leases, [None, Some(Millis(11_000))]);
+}
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -40,7 +40,7 @@
     pub(crate) leaving: bool,
     pub(crate) gone: bool,
     pub(crate) silent: bool,
-    heard: Millis,
+    pub(crate) heard: Millis,
     /// Its own clock, and when that was reported.
     pub(crate) clock: Option<(Millis, Millis)>,
     unanswered: bool,
--- a/crates/pistachiostair/tests/fault_sequences.rs
+++ b/crates/pistachiostair/tests/fault_sequences.rs
@@ -71,6 +71,27 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against a part that runs on alone for longer than its lease: one worker of the gang dies, and another
+/// can't be reached any more just before that is noticed, so that no stop arrives.
+#[test]
+fn strike_sequence_unstopped_part() {
+    for span in (0..5_000).step_by(500) {
+        let mut world = World::new(0);
+        world.add_client("gang", spec("gang", "4x1", 60_000, false, false), false, 8_000);
+        world.run(Millis(14_000 + span));
+        let now = world.now;
+        world.workers[0].kill(now);
+        world.run(now + Millis(3_800));
+        world.faults.apart = now + Millis(60_000);
+        world.faults.apart_worker = 2;
+        let lost = world.workers[0].info.name.clone();
+        world.listed.remove(&lost);
+        world.settle(Millis(120_000));
+        let wrong = check::violations(&world);
+        assert!(wrong.is_empty(), "killed after {now}: {wrong:#?}");
+    }
+}
+
 /// Guards against a worker that is ignored for good since its clock was set back, so that its new
 /// incarnation is lower than the one before.
 #[test]
--- a/crates/standin/tests/processes/crash.rs
+++ b/crates/standin/tests/processes/crash.rs
@@ -179,6 +179,25 @@
     );
 }
 
+/// Guards against a running gang that loses its leases in a takeover: the next scheduler renews them only
+/// once all its workers have reported, some of which lost their supervisor too.
+#[test]
+fn kill_scheduler_running_gang() {
+    let mut ready = Ready::start(Setup {
+        workers: 4,
+        ..Setup::default()
+    });
+    // Longer than a lease and a takeover.
+    let tasks = ready.settle(orders("gang", 2, "4x2", 22_000));
+    ready.await_run("gang-0");
+    ready.await_run("gang-1");
+    pause(1_000);
+    let leader = ready.leader().expect("leader");
+    ready.bench.daemon_process(leader).kill().expect("kill");
+    ready.set_entry(leader, false);
+    all_succeeded(&ready.verify(tasks));
+}
+
 /// Guards against orders of unknown outcome that were placed on a worker which had died just before: its
 /// refused connections prove that nothing ran there.
 #[test]
