--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -61,6 +61,7 @@
 mod ledger;
 mod limits;
 mod links;
+mod listed;
 mod logging;
 mod members;
 mod membership;
--- /dev/null
+++ b/crates/pistachiostair/src/listed.rs
@@ -0,0 +1,73 @@
+//! Workers as the platform's list shows them.
+
+use std::collections::BTreeMap;
+
+use crate::active::Active;
+use crate::clock::Millis;
+use crate::ids::{JobId, WorkerName};
+use crate::planner::Change;
+use crate::reconcile::LAPSE;
+use crate::resource::MemberState;
+
+impl Active {
+    /// Takes in the platform's list.
+    pub(crate) fn take_list(&mut self, now: Millis, workers: BTreeMap<WorkerName, MemberState>) {
+        let old = self.listed.replace(workers).unwrap_or_default();
+        let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
+        for worker in &names {
+            let was_listed = old.contains_key(worker);
+            match self.listed_state(worker) {
+                None if was_listed => self.gone(now, worker),
+                Some(MemberState::Leaving) => self.leaving(now, worker),
+                _ => {}
+            }
+        }
+    }
+
+    pub(crate) fn listed_state(&self, worker: &WorkerName) -> Option<MemberState> {
+        self.listed.as_ref()?.get(worker).copied()
+    }
+
+    /// Finds workers that are neither listed nor heard. The list may have dropped them before this
+    /// term began, or have never shown them; none of their tasks has a lease by now.
+    pub(crate) fn find_unlisted(&self, now: Millis) -> Vec<WorkerName> {
+        let Some(listed) = &self.listed else {
+            return Vec::new();
+        };
+        self.workers
+            .iter()
+            .filter(|(name, upstream)| upstream.silent && !upstream.gone && !listed.contains_key(*name))
+            .filter(|(_, upstream)| now.since(upstream.heard) >= LAPSE)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// The platform's list no longer contains the worker.
+    pub(crate) fn gone(&mut self, now: Millis, worker: &WorkerName) {
+        let Some(upstream) = self.workers.get_mut(worker) else {
+            return;
+        };
+        upstream.gone = true;
+        upstream.silent = true;
+        upstream.told = None;
+        let jobs: Vec<JobId> = upstream.parts.iter().map(|task| task.job).collect();
+        self.review.extend(jobs);
+        self.touched.insert(worker.clone());
+        self.planner.apply(now, Change::WorkerGone(worker.clone()));
+        self.replan = true;
+    }
+
+    /// The platform's list marks the worker as leaving.
+    fn leaving(&mut self, now: Millis, worker: &WorkerName) {
+        let Some(upstream) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if upstream.leaving {
+            return;
+        }
+        upstream.leaving = true;
+        let jobs: Vec<JobId> = upstream.parts.iter().map(|task| task.job).collect();
+        self.review.extend(jobs);
+        self.sync_worker(now, worker);
+    }
+}
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -17,7 +17,7 @@
 const UNHEARD: Millis = Millis(10_000);
 /// Span after the last possible renewal after which a task has stopped by itself: its lease and
 /// 1 s for a worker's clock that runs up to 5% slower.
-const LAPSE: Millis = Millis(LEASE.0 + 1_000);
+pub(crate) const LAPSE: Millis = Millis(LEASE.0 + 1_000);
 /// A batch without a reply counts as waiting to be sent for at most this long.
 const MAX_OPEN: Millis = Millis(60_000);
 /// Earlier incarnations remembered for each worker, whose late reports are ignored.
@@ -56,7 +56,7 @@
     /// Batches with such commands that have no reply yet: they may still wait to be sent.
     pub(crate) open: u32,
     pub(crate) alarm: Option<Millis>,
-    told: Option<(WorkerInfo, MemberState)>,
+    pub(crate) told: Option<(WorkerInfo, MemberState)>,
 }
 
 impl Upstream {
@@ -388,67 +388,6 @@
             _ => {}
         }
     }
-
-    /// Takes in the platform's list.
-    pub(crate) fn take_list(&mut self, now: Millis, workers: BTreeMap<WorkerName, MemberState>) {
-        let old = self.listed.replace(workers).unwrap_or_default();
-        let names: Vec<WorkerName> = self.workers.keys().cloned().collect();
-        for worker in &names {
-            let was_listed = old.contains_key(worker);
-            match self.listed_state(worker) {
-                None if was_listed => self.gone(now, worker),
-                Some(MemberState::Leaving) => self.leaving(now, worker),
-                _ => {}
-            }
-        }
-    }
-
-    fn listed_state(&self, worker: &WorkerName) -> Option<MemberState> {
-        self.listed.as_ref()?.get(worker).copied()
-    }
-
-    /// Finds workers that are neither listed nor heard. The list may have dropped them before this
-    /// term began, or have never shown them; none of their tasks has a lease by now.
-    fn find_unlisted(&self, now: Millis) -> Vec<WorkerName> {
-        let Some(listed) = &self.listed else {
-            return Vec::new();
-        };
-        self.workers
-            .iter()
-            .filter(|(name, upstream)| upstream.silent && !upstream.gone && !listed.contains_key(*name))
-            .filter(|(_, upstream)| now.since(upstream.heard) >= LAPSE)
-            .map(|(name, _)| name.clone())
-            .collect()
-    }
-
-    /// The platform's list no longer contains the worker.
-    fn gone(&mut self, now: Millis, worker: &WorkerName) {
-        let Some(upstream) = self.workers.get_mut(worker) else {
-            return;
-        };
-        upstream.gone = true;
-        upstream.silent = true;
-        upstream.told = None;
-        let jobs: Vec<JobId> = upstream.parts.iter().map(|task| task.job).collect();
-        self.review.extend(jobs);
-        self.touched.insert(worker.clone());
-        self.planner.apply(now, Change::WorkerGone(worker.clone()));
-        self.replan = true;
-    }
-
-    /// The platform's list marks the worker as leaving.
-    fn leaving(&mut self, now: Millis, worker: &WorkerName) {
-        let Some(upstream) = self.workers.get_mut(worker) else {
-            return;
-        };
-        if upstream.leaving {
-            return;
-        }
-        upstream.leaving = true;
-        let jobs: Vec<JobId> = upstream.parts.iter().map(|task| task.job).collect();
-        self.review.extend(jobs);
-        self.sync_worker(now, worker);
-    }
 }
 
 /// Whether the command starts a lease or renews it.
