Look at the workers of a gang once a second instead of for each renewal

Change: the run keeps when its workers were last heard, for 1 s. An older look only shortens a lease.

--- a/crates/pistachiostair/src/dispatch.rs
+++ b/crates/pistachiostair/src/dispatch.rs
@@ -18,6 +18,9 @@
 /// Span after which a command is sent again if the inventory does not agree yet.
 const RESEND: Millis = Millis(1_000);
 
+/// Span for which a look at the workers of a gang stands. An older look only shortens a lease.
+const LOOK: Millis = Millis(1_000);
+
 /// Kind of a command for one task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -107,7 +110,7 @@
         for (task, kind) in &due {
             upstream.sent.insert(*task, (*kind, now));
         }
-        let mut commands = self.commands(now, &due);
+        let mut commands = self.commands(now, upstream, &due);
         commands.extend(self.renewal(now, upstream));
         if commands.iter().any(starts_lease) {
             upstream.contact = now;
@@ -153,7 +156,7 @@
         upstream.alarm = next;
     }
 
-    fn commands(&mut self, now: Millis, due: &[(TaskId, Kind)]) -> Vec<Command> {
+    fn commands(&mut self, now: Millis, upstream: &Upstream, due: &[(TaskId, Kind)]) -> Vec<Command> {
         let of = |kind: Kind| due.iter().filter(move |(_, k)| *k == kind).map(|(task, _)| *task);
         let mut commands: Vec<Command> = of(Kind::Stop).map(|task| Command::Stop { task }).collect();
         commands.extend(of(Kind::Checkpoint).map(|task| Command::Checkpoint { task }));
@@ -166,6 +169,7 @@
         }
         let release: Vec<TaskId> = of(Kind::Release).collect();
         if !release.is_empty() {
+            self.look_at_gangs(now, upstream, &release);
             let lease = self.gang_lease(now, &release);
             commands.push(Command::Release { tasks: release, lease });
         }
@@ -192,7 +196,7 @@
 
     /// The renewal of a worker's leases, if it is due. Parts that must end are left out, so that
     /// they stop by themselves even if no stop reaches them.
-    fn renewal(&self, now: Millis, upstream: &mut Upstream) -> Option<Command> {
+    fn renewal(&mut self, now: Millis, upstream: &mut Upstream) -> Option<Command> {
         let open: Vec<TaskId> = upstream
             .tasks
             .values()
@@ -203,6 +207,7 @@
         if open.is_empty() || upstream.silent || !due {
             return None;
         }
+        self.look_at_gangs(now, upstream, &open);
         let (kept, except): (Vec<TaskId>, Vec<TaskId>) = open.into_iter().partition(|task| self.keeps(upstream, *task));
         // A gang whose other workers have not reported yet in this term waits for them, not for the next renewal.
         let waits = except.iter().any(|task| !self.is_confirmed(*task));
@@ -215,17 +220,33 @@
         })
     }
 
+    /// Notes when the workers of the tasks' gangs were last heard, unless that was done just before: a gang of 128 has
+    /// as many renewals in 5 s. The worker that is being dispatched is not among `workers`.
+    fn look_at_gangs(&mut self, now: Millis, upstream: &Upstream, tasks: &[TaskId]) {
+        for task in tasks {
+            let Some(run) = self.runs.get_mut(&task.job).filter(|run| run.parts.len() > 1) else {
+                continue;
+            };
+            if run.looked.is_some_and(|at| now.since(at) < LOOK) {
+                continue;
+            }
+            let open = run.parts.iter().filter(|part| part.end.is_none());
+            let mut reports = open.map(|part| {
+                let worker = self.workers.get(&part.worker).unwrap_or(upstream);
+                worker.full.then_some(worker.heard)
+            });
+            run.heard = reports.try_fold(now, |oldest, heard| Some(oldest.min(heard?)));
+            run.looked = Some(now);
+        }
+    }
+
     /// The lease of tasks: it ends one whole lease after each worker of their gangs was last heard, so that no part
     /// runs longer than that without the others, although the loss of a worker is only noticed after some seconds.
     fn gang_lease(&self, now: Millis, tasks: &[TaskId]) -> Millis {
-        let gangs = tasks
-            .iter()
-            .filter_map(|task| self.runs.get(&task.job))
-            .filter(|run| run.parts.len() > 1);
-        let parts = gangs.flat_map(|run| &run.parts).filter(|part| part.end.is_none());
-        let heard = parts.filter_map(|part| self.workers.get(&part.worker).map(|upstream| upstream.heard));
-        let age = heard.min().map_or(Millis::ZERO, |heard| now.since(heard));
-        Millis(LEASE.0.saturating_sub(age.0))
+        let runs = tasks.iter().filter_map(|task| self.runs.get(&task.job));
+        let gangs = runs.filter(|run| run.parts.len() > 1);
+        let age = gangs.filter_map(|run| run.heard).map(|heard| now.since(heard)).max();
+        Millis(LEASE.0.saturating_sub(age.unwrap_or_default().0))
     }
 
     fn keeps(&self, upstream: &Upstream, task: TaskId) -> bool {
@@ -240,12 +261,9 @@
     }
 
     /// Whether all workers of the task's gang have reported in this term. Before that, nothing shows that the whole
-    /// gang runs, and no lease is renewed. The worker that is being dispatched is not among `workers`.
+    /// gang runs, and no lease is renewed.
     fn is_confirmed(&self, task: TaskId) -> bool {
-        let Some(run) = self.runs.get(&task.job) else {
-            return true;
-        };
-        let mut open = run.parts.iter().filter(|part| part.end.is_none());
-        open.all(|part| self.workers.get(&part.worker).is_none_or(|upstream| upstream.full))
+        let run = self.runs.get(&task.job);
+        run.is_none_or(|run| run.parts.len() == 1 || run.heard.is_some())
     }
 }
--- a/crates/pistachiostair/src/gang.rs
+++ b/crates/pistachiostair/src/gang.rs
@@ -80,6 +80,10 @@
     /// Whether the planner counts it.
     pub(crate) counted: bool,
     pub(crate) running: Option<Millis>,
+    /// When the workers of its open parts were looked at last, and the oldest of their last reports; none if one has
+    /// not reported in this term.
+    pub(crate) looked: Option<Millis>,
+    pub(crate) heard: Option<Millis>,
 }
 
 impl Run {
@@ -110,6 +114,8 @@
             closed: false,
             counted: true,
             running: None,
+            looked: None,
+            heard: None,
         }
     }
 
