Bound and record the recovery after an outage

Cause: the time until work is done again after an outage of the platform was asked for and not recorded. Change: the process test `outage` prints it and fails above 9.4 s, the time in which urgent work starts.

--- a/crates/standin/tests/processes/store.rs
+++ b/crates/standin/tests/processes/store.rs
@@ -10,6 +10,8 @@
 
 /// Length of the outage: four leases of a task, so that work that is not renewed ends.
 const OUTAGE: Millis = Millis(60_000);
+/// Time after the outage within which work is done again: that in which urgent work starts.
+const RECOVERY: Millis = Millis(9_400);
 /// Time after which the scheduler's lease has ended, so that it accepts nothing.
 const NOTICED: u64 = 5_000;
 /// Time within which a submission that can't be stored is refused.
@@ -61,7 +63,15 @@
     std::thread::sleep(until.saturating_duration_since(Instant::now()));
     ready.fault_platform(&json!({"mode": "none"})).expect("fault");
     tasks.extend(ready.settle(orders("after", 6, "1x1", 100)));
-    all_succeeded(&ready.verify(tasks));
+    let settled = ready.verify(tasks);
+    all_succeeded(&settled);
+    let after = settled.iter().filter(|settled| settled.order.name.starts_with("after"));
+    let recovery = after
+        .map(|settled| settled.took)
+        .max()
+        .expect("orders after the outage");
+    println!("recovery took {recovery}");
+    assert!(recovery < RECOVERY, "work is done again {recovery} after the outage");
     let log = ready.log().expect("log");
     for order in refused {
         assert!(
