Remove repeated code and copies found in a last read

A renewal collected a worker's tasks before it looked whether one is due, at each dispatch; the supervisor of a worker was looked up on a copy of all members, for each command and each renewal, and so was whether a region can be reached; two conversions between Member and its short form repeated all fields; and some logic stood twice.

Change: renewal looks at the time first. worker_owner takes borrowed members from any iterator, and region_daemons lends them. ShortMember is a remote derive of serde. JobDocument was the Document of api.rs; the state of a worker, the part of a task, the silence of a worker, the number of live daemons of a region and the check of urgent work have one place each.

Conclusion: left: the ejector's candidates are set anew for each worker with failures and in each tick while one is ejected; admission limits are set anew for each submission; the store's stand-in answers append actions in two tests.

--- a/crates/pistachiostair/src/api_jobs.rs
+++ b/crates/pistachiostair/src/api_jobs.rs
@@ -3,7 +3,7 @@
 use hyper::StatusCode;
 
 use crate::api::{
-    Api, MAX_WAIT, if_match, json_reply, list_reply, millis_param, parse_body, refuse_findings, unexpected,
+    Api, Document, MAX_WAIT, if_match, json_reply, list_reply, millis_param, parse_body, refuse_findings, unexpected,
 };
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Result};
@@ -12,7 +12,7 @@
 use crate::interface::Explanation;
 use crate::limits::AccountLimits;
 use crate::message::{Call, Failure, Response};
-use crate::resource::{AccountSpec, Job, JobSpec, Metadata};
+use crate::resource::{AccountSpec, Job, JobSpec};
 use crate::validate;
 
 /// Longest time for a submission without `wait`, including a change of the region's scheduler.
@@ -27,14 +27,6 @@
 /// Most jobs in one page of a list.
 const PAGE: u32 = 500;
 
-#[derive(serde::Deserialize)]
-#[serde(deny_unknown_fields)]
-struct JobDocument {
-    #[serde(default)]
-    metadata: Metadata,
-    spec: JobSpec,
-}
-
 impl Api {
     pub(crate) async fn list_jobs(&self, request: &HttpRequest, deadline: Millis) -> Result<HttpReply> {
         let account = request.query.get("account").cloned();
@@ -57,7 +49,7 @@
 
     pub(crate) async fn create_job(&self, request: &HttpRequest) -> Result<HttpReply> {
         let step = "create job";
-        let document: JobDocument = parse_body(step, request)?;
+        let document: Document<JobSpec> = parse_body(step, request)?;
         let mut findings = validate::check_job_metadata(&document.metadata);
         findings.extend(validate::check_job(&document.spec));
         if !document.metadata.labels.is_empty() {
--- a/crates/pistachiostair/src/dispatch.rs
+++ b/crates/pistachiostair/src/dispatch.rs
@@ -197,14 +197,13 @@
     /// The renewal of a worker's leases, if it is due. Parts that must end are left out, so that
     /// they stop by themselves even if no stop reaches them.
     fn renewal(&mut self, now: Millis, upstream: &mut Upstream) -> Option<Command> {
-        let open: Vec<TaskId> = upstream
-            .tasks
-            .values()
-            .filter(|view| !view.state.is_final())
-            .map(|view| view.task)
-            .collect();
         let due = upstream.renewed.is_none_or(|at| now.since(at) >= RENEW);
-        if open.is_empty() || upstream.silent || !due {
+        if upstream.silent || !due {
+            return None;
+        }
+        let open = upstream.tasks.values().filter(|view| !view.state.is_final());
+        let open: Vec<TaskId> = open.map(|view| view.task).collect();
+        if open.is_empty() {
             return None;
         }
         self.look_at_gangs(now, upstream, &open);
--- a/crates/pistachiostair/src/members.rs
+++ b/crates/pistachiostair/src/members.rs
@@ -139,7 +139,9 @@
 
     /// The daemon that supervises a worker.
     pub(crate) fn supervisor(&self, worker: &WorkerName) -> Option<DaemonName> {
-        rendezvous::worker_owner(worker.as_str(), Some(&self.region), &self.own_daemons()).cloned()
+        let membership = self.membership.lock().expect("membership lock");
+        let daemons = membership.region_daemons(&self.region);
+        rendezvous::worker_owner(worker.as_str(), Some(&self.region), daemons).cloned()
     }
 
     /// Answers a heartbeat.
@@ -162,21 +164,19 @@
 
     /// Number of live daemons of this region.
     pub(crate) fn region_daemons(&self) -> usize {
-        let membership = self.membership.lock().expect("membership lock");
-        let live = membership.daemons(MemberState::Live);
-        live.iter().filter(|member| member.region == self.region).count()
+        self.live_names().len()
     }
 
     /// Whether a region is this one or a daemon of it is alive.
     pub(crate) fn is_reachable(&self, region: &RegionName) -> bool {
         let membership = self.membership.lock().expect("membership lock");
-        let mut daemons = membership.region_daemons(region).into_iter();
+        let mut daemons = membership.region_daemons(region);
         *region == self.region || daemons.any(|member| member.state != MemberState::Dead)
     }
 
-    fn own_daemons(&self) -> Vec<Member> {
-        let membership = self.membership.lock().expect("membership lock");
-        membership.region_daemons(&self.region)
+    /// Name of this daemon.
+    fn me(&self) -> DaemonName {
+        self.membership.lock().expect("membership lock").me().name.clone()
     }
 
     fn is_own(&self, vm: &Vm) -> bool {
@@ -231,7 +231,7 @@
             return true;
         }
         let live = self.live_names();
-        let me = self.membership.lock().expect("membership lock").me().name.clone();
+        let me = self.me();
         let place = |name: &DaemonName| live.iter().position(|live| live == name);
         let distance = match (place(&me), place(reader)) {
             (Some(me), Some(reader)) => (me + live.len() - reader - 1) % live.len().max(1),
@@ -259,7 +259,7 @@
                 return;
             }
         };
-        let me = self.membership.lock().expect("membership lock").me().name.clone();
+        let me = self.me();
         let now = self.kernel.clock.now();
         let (changed, removed) = {
             let mut list = self.list.lock().expect("list lock");
@@ -295,7 +295,7 @@
     /// Tells the other daemons of the region that the list was read, and what changed.
     fn tell_list(&self, changed: &[Vm], removed: &[String]) {
         let Ok(links) = self.kernel.find::<Links>() else { return };
-        let me = self.membership.lock().expect("membership lock").me().name.clone();
+        let me = self.me();
         for daemon in self.live_names().into_iter().filter(|name| *name != me) {
             let links = links.clone();
             let request = Request::Listed {
@@ -376,8 +376,11 @@
             return;
         };
         let view = self.view();
-        let me = self.membership.lock().expect("membership lock").me().name.clone();
-        let daemons = self.own_daemons();
+        let me = self.me();
+        let daemons: Vec<Member> = {
+            let membership = self.membership.lock().expect("membership lock");
+            membership.region_daemons(&self.region).cloned().collect()
+        };
         let workers: Vec<Vm> = view.workers.into_iter().filter(|vm| self.is_own(vm)).collect();
         let share = rendezvous::worker_share(&me, &daemons, &workers);
         let addresses: BTreeMap<&str, &str> = workers
--- a/crates/pistachiostair/src/membership.rs
+++ b/crates/pistachiostair/src/membership.rs
@@ -168,9 +168,9 @@
     }
 
     /// Daemons of a region that are or were heard, this one included, in no particular order.
-    pub(crate) fn region_daemons(&self, region: &RegionName) -> Vec<Member> {
+    pub(crate) fn region_daemons(&self, region: &RegionName) -> impl Iterator<Item = &Member> {
         let all = self.heard().chain([&self.me]);
-        all.filter(|member| member.region == *region).cloned().collect()
+        all.filter(move |member| member.region == *region)
     }
 
     /// A worker of the platform's list.
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -11,7 +11,7 @@
 use crate::ids::{DaemonName, Incarnation, RegionName, Revision, TaskId, Term, WorkerName};
 use crate::record;
 use crate::resource::{Guarantee, Job, JobSpec, Member, Worker};
-use crate::short_member;
+use crate::short_member::{self, ShortMember};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// Version of the messages, sent in each envelope.
@@ -149,7 +149,7 @@
     /// A heartbeat. Sent to each daemon once a second, so its fields have short names on the wire.
     pub struct Heartbeat {
         /// The sender.
-        #[serde(rename = "m", alias = "member", with = "short_member::one")]
+        #[serde(rename = "m", alias = "member", with = "ShortMember")]
         pub member: Member,
         /// Schedulers of regions that it knows.
         #[serde(rename = "l", alias = "leaders", default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/pistachiostair/src/reconcile.rs
+++ b/crates/pistachiostair/src/reconcile.rs
@@ -5,6 +5,7 @@
 use crate::active::Active;
 use crate::clock::Millis;
 use crate::dispatch::{Kind, LEASE};
+use crate::gang::PartRun;
 use crate::ids::{Incarnation, JobId, TaskId, WorkerName};
 use crate::planner::Change;
 use crate::resource::{MemberState, WorkerInfo};
@@ -154,7 +155,7 @@
         self.leaving |= changes.leaving;
     }
 
-    fn state(&self, drained: bool, settled: bool) -> MemberState {
+    pub(crate) fn state(&self, drained: bool, settled: bool) -> MemberState {
         if self.silent {
             MemberState::Dead
         } else if self.leaving || drained || !settled {
@@ -271,11 +272,11 @@
             .parts
             .iter()
             .all(|task| self.runs.get(&task.job).is_none_or(|run| run.counted));
-        let told = Some((info.clone(), upstream.state(drained, settled)));
+        let state = upstream.state(drained, settled);
+        let told = Some((info.clone(), state));
         if upstream.told == told {
             return;
         }
-        let state = upstream.state(drained, settled);
         if let Some(upstream) = self.workers.get_mut(worker) {
             upstream.told = told;
         }
@@ -288,7 +289,7 @@
         let Some(run) = self.runs.get_mut(&job).filter(|run| !run.counted && !run.closed) else {
             return;
         };
-        let known = |part: &crate::gang::PartRun| self.workers.get(&part.worker).is_some_and(|w| w.told.is_some());
+        let known = |part: &PartRun| self.workers.get(&part.worker).is_some_and(|w| w.told.is_some());
         if !run.parts.iter().all(known) {
             return;
         }
@@ -349,16 +350,20 @@
         self.touched.insert(worker.clone());
     }
 
+    /// The part that a task is, if its attempt is in progress.
+    fn part_mut(&mut self, task: TaskId) -> Option<&mut PartRun> {
+        let run = self.runs.get_mut(&task.job)?;
+        let parts = (run.attempt == task.attempt).then_some(&mut run.parts)?;
+        parts.get_mut(task.part as usize)
+    }
+
     /// Nothing of the batch was carried out.
     fn deny(&mut self, batch: &CommandBatch) {
         for command in &batch.commands {
             let Command::Start(start) = command else {
                 continue;
             };
-            if let Some(run) = self.runs.get_mut(&start.task.job)
-                && run.attempt == start.task.attempt
-                && let Some(part) = run.parts.get_mut(start.task.part as usize)
-            {
+            if let Some(part) = self.part_mut(start.task) {
                 part.denied += 1;
             }
             self.review.insert(start.task.job);
@@ -369,10 +374,7 @@
         match (command, result) {
             (Command::Start(start), CommandResult::Refused { reason }) => {
                 // A copy of the command may still arrive: a stop follows, which rules that out.
-                if let Some(run) = self.runs.get_mut(&start.task.job)
-                    && run.attempt == start.task.attempt
-                    && let Some(part) = run.parts.get_mut(start.task.part as usize)
-                {
+                if let Some(part) = self.part_mut(start.task) {
                     part.refused = Some(reason);
                     self.review.insert(start.task.job);
                 }
--- a/crates/pistachiostair/src/rendezvous.rs
+++ b/crates/pistachiostair/src/rendezvous.rs
@@ -7,8 +7,12 @@
 
 /// Name of the daemon that supervises `worker`: one of the live daemons, and one in the worker's region
 /// if there is any. All daemons with the same view get the same answer.
-pub fn worker_owner<'a>(worker: &str, region: Option<&RegionName>, daemons: &'a [Member]) -> Option<&'a DaemonName> {
-    let live = daemons.iter().filter(|daemon| daemon.state == MemberState::Live);
+pub fn worker_owner<'a>(
+    worker: &str,
+    region: Option<&RegionName>,
+    daemons: impl IntoIterator<Item = &'a Member>,
+) -> Option<&'a DaemonName> {
+    let live = daemons.into_iter().filter(|daemon| daemon.state == MemberState::Live);
     let best = live.max_by_key(|daemon| {
         let local = Some(&daemon.region) == region;
         (local, weight(worker, daemon.name.as_str()), &daemon.name)
--- a/crates/pistachiostair/src/supervise.rs
+++ b/crates/pistachiostair/src/supervise.rs
@@ -13,7 +13,7 @@
 use crate::kernel::{Kernel, Service, Stop};
 use crate::links::Links;
 use crate::message::{Leader, Request, Response};
-use crate::tally::{Asked, Tally};
+use crate::tally::{Asked, SILENCE, Tally};
 use crate::worker::{BatchReply, CLOCK_HEADER, Changes, CommandBatch};
 
 #[cfg(test)]
@@ -33,9 +33,6 @@
 /// Longest time for the scheduler to take a report.
 const REPORT_TIMEOUT: Millis = Millis(1_500);
 
-/// Silence after which a worker is reported as not answering.
-const SILENCE: Millis = Millis(4_000);
-
 /// Pause after a failed poll, and between reports of silence.
 const RETRY_PAUSE: Millis = Millis(250);
 
@@ -168,10 +165,9 @@
     fn take_outcomes(&self) -> Vec<(WorkerName, Vec<bool>)> {
         let now = self.kernel.clock.now();
         let mut tallies = self.tallies.lock().expect("tallies lock");
-        let taken = tallies
-            .iter_mut()
-            .map(|(worker, tally)| (worker.clone(), tally.take(now)));
-        taken.filter(|(_, outcomes)| !outcomes.is_empty()).collect()
+        let taken = tallies.iter_mut().map(|(worker, tally)| (worker, tally.take(now)));
+        let told = taken.filter(|(_, outcomes)| !outcomes.is_empty());
+        told.map(|(worker, outcomes)| (worker.clone(), outcomes)).collect()
     }
 
     /// Tells the scheduler, once each interval, which workers answered without changes, and which failed requests.
--- a/crates/pistachiostair/src/tally.rs
+++ b/crates/pistachiostair/src/tally.rs
@@ -2,9 +2,9 @@
 
 use crate::clock::Millis;
 
-/// Silence that the rule of silence covers. The failures of such a span are dropped: a worker that was dead is not an
+/// Silence after which a worker is reported as not answering. The failures of such a span are dropped: a worker that was dead is not an
 /// outlier when it answers again.
-const SILENCE: Millis = Millis(4_000);
+pub(crate) const SILENCE: Millis = Millis(4_000);
 /// Time after a failure during which outcomes are told. Those of workers without failures would only cost bytes.
 const TOLD: Millis = Millis(10_000);
 /// Outcomes that are kept until they are told; the oldest are dropped.
--- a/crates/pistachiostair/src/views.rs
+++ b/crates/pistachiostair/src/views.rs
@@ -6,7 +6,7 @@
 use crate::ids::{Attempt, Revision};
 use crate::state::{Ended, Entry};
 
-use crate::resource::{Condition, Job, JobPhase, JobStatus, MemberState, Metadata, Worker};
+use crate::resource::{Condition, Job, JobPhase, JobStatus, Metadata, Worker};
 
 impl Active {
     /// A job as its caller sees it.
@@ -64,13 +64,6 @@
             .filter_map(|(name, upstream)| {
                 let info = upstream.info.clone()?;
                 let drained = self.state.drained.contains(name);
-                let state = if upstream.silent {
-                    MemberState::Dead
-                } else if upstream.leaving || drained {
-                    MemberState::Leaving
-                } else {
-                    MemberState::Live
-                };
                 let used = upstream
                     .parts
                     .iter()
@@ -84,7 +77,7 @@
                         ..Metadata::default()
                     },
                     info,
-                    state,
+                    state: upstream.state(drained, true),
                     quarantined: quarantined.contains(name),
                     ejected: self.ejector.holds(name),
                     tasks: upstream.parts.len() as u32,
--- a/crates/standin/tests/processes/crash.rs
+++ b/crates/standin/tests/processes/crash.rs
@@ -15,6 +15,16 @@
 /// Pause of a scheduler, longer than its lease of 4 s.
 const PAUSE: u64 = 6_000;
 
+/// Checks that the order `urgent` began in time after a loss at `killed`, a wall time in milliseconds.
+fn assert_urgent_start(log: &[LogEntry], killed: u64) {
+    let begun = runs_of(log, "urgent")[0].wall;
+    assert!(
+        begun < killed + URGENT_START,
+        "urgent work started {} ms after the loss",
+        begun - killed
+    );
+}
+
 /// Guards against gangs that run in part or twice when the scheduler's daemon dies while it
 /// starts them, and against a takeover that is too slow for urgent work.
 #[test]
@@ -41,12 +51,7 @@
     let settled = ready.verify(tasks);
     all_succeeded(&settled);
     let log = ready.log().expect("log");
-    let begun = runs_of(&log, "urgent")[0].wall;
-    assert!(
-        begun < killed + URGENT_START,
-        "urgent work started {} ms after the crash",
-        begun - killed
-    );
+    assert_urgent_start(&log, killed);
 }
 
 /// Guards against work that is lost or repeated because the caller's daemon dies.
@@ -171,12 +176,7 @@
         };
         assert_eq!(phase, Some(expected), "{settled:?}");
     }
-    let begun = runs_of(&log, "urgent")[0].wall;
-    assert!(
-        begun < killed + URGENT_START,
-        "urgent work started {} ms after the loss",
-        begun - killed
-    );
+    assert_urgent_start(&log, killed);
 }
 
 /// Guards against a running gang that loses its leases in a takeover: the next scheduler renews them only
