--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -17,6 +17,8 @@
 use crate::scheduler::{Action, Event, LogLine};
 use crate::snapshot::SnapshotLimits;
 use crate::state::{Entry, State};
+use crate::steps::Steps;
+use crate::steps_active::adopt_steps;
 
 /// Decisions taken from the planner before the next batch is written.
 const PLAN_LIMIT: usize = 256;
@@ -92,6 +94,10 @@
     /// Workers to look at in this step.
     pub(crate) touched: BTreeSet<WorkerName>,
     pub(crate) actions: Vec<Action>,
+    /// Jobs made of steps.
+    pub(crate) steps: Steps,
+    /// When the lease was last known to be held.
+    pub(crate) tenured: Millis,
 }
 
 impl Active {
@@ -101,7 +107,7 @@
         now: Millis,
         wall: Millis,
         region: RegionName,
-        (retention, limits): (Retention, SnapshotLimits),
+        (retention, limits, row_bytes): (Retention, SnapshotLimits, usize),
         (term, fence): (Term, u64),
         snapshot: Option<&[u8]>,
         rows: &[(Seq, String)],
@@ -119,7 +125,9 @@
         // The clock of the region never goes back, whatever this daemon's clock says.
         let wall = wall.max(state.wall);
         let mut core = Self {
-            appender: Appender::new(region.clone(), term, fence, state.seq, covered).with_snapshots(limits),
+            appender: Appender::new(region.clone(), term, fence, state.seq, covered)
+                .with_snapshots(limits)
+                .with_row_bytes(row_bytes),
             region,
             retention,
             term,
@@ -148,6 +156,8 @@
             review: BTreeSet::new(),
             touched: BTreeSet::new(),
             actions: Vec::new(),
+            steps: adopt_steps(now, wall, term, &state),
+            tenured: now,
             state,
         };
         core.adopt(now);
@@ -227,11 +237,13 @@
 
     /// Whether this daemon must stop being the scheduler.
     pub(crate) fn over(&self) -> bool {
-        self.outdated || self.appender.lost()
+        self.outdated || self.steps.outdated || self.appender.lost()
     }
 
     pub(crate) fn wake(&self) -> Option<Millis> {
-        self.appender.wake()
+        let replan = self.held && self.steps.replan;
+        let placement = if replan { self.appender.ready_at() } else { None };
+        self.appender.wake().into_iter().chain(placement).min()
     }
 
     pub(crate) fn figures(&self) -> Figures {
@@ -243,6 +255,7 @@
         match event {
             Event::Tenure { held } => {
                 self.held = held;
+                self.steps.replan = true;
                 self.replan = true;
                 self.touched.extend(self.workers.keys().cloned());
                 self.review.extend(self.runs.keys().copied());
@@ -269,7 +282,11 @@
                 self.configure(now);
             }
             Event::Stored(event) => self.stored(now, event),
-            Event::Tick => self.tick(now),
+            Event::Steps(event) => self.steps_event(now, event),
+            Event::Tick => {
+                self.tick(now);
+                self.steps_tick(now);
+            }
             Event::Elected { .. } | Event::Deposed => {}
         }
         self.finish(now);
@@ -282,6 +299,7 @@
             self.committed(now, seq, &batch);
         }
         if self.over() {
+            self.steps_flush();
             return;
         }
         while let Some(job) = self.review.pop_first() {
@@ -290,6 +308,7 @@
         if self.held && self.replan && self.appender.ready(now) {
             self.plan(now);
         }
+        self.steps_finish(now);
         let mut appends = self.appender.poll(now, self.wall);
         appends.extend(self.appender.maintain(now, &self.state));
         self.append(appends);
--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -8,6 +8,7 @@
 use crate::journal::{Batch, MAX_BATCH, Record, journal_key, term_key};
 use crate::snapshot::{SnapshotLimits, Snapshots};
 use crate::state::State;
+use crate::steps::StepRecord;
 
 /// What the store must do for the journal.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,7 +99,7 @@
 const GAP: Millis = Millis(10);
 /// Pause before a read-back or a write is tried again during an outage of the store.
 const RETRY: Millis = Millis(250);
-/// Most bytes of records in one batch.
+/// Most bytes of records in one batch, unless rows of the table service hold less.
 const MAX_BYTES: usize = 256 * 1024;
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -134,6 +135,7 @@
     last: Option<Millis>,
     done: VecDeque<(Seq, Batch)>,
     lost: bool,
+    max_bytes: usize,
     snapshots: Snapshots,
 }
 
@@ -153,9 +155,17 @@
             last: None,
             done: VecDeque::new(),
             lost: false,
+            max_bytes: MAX_BYTES,
         }
     }
 
+    /// Lowers the bytes of records in one batch to what a row of the table service holds.
+    #[must_use]
+    pub(crate) fn with_row_bytes(mut self, bytes: usize) -> Self {
+        self.max_bytes = self.max_bytes.min(bytes);
+        self
+    }
+
     /// Changes when a snapshot is due.
     #[must_use]
     pub fn with_snapshots(mut self, limits: SnapshotLimits) -> Self {
@@ -179,6 +189,12 @@
         waits.then(|| self.last.map_or(Millis::ZERO, |last| last + GAP))
     }
 
+    /// When [`Self::ready`] will hold if nothing is sent before; none while a transaction is in flight.
+    pub(crate) fn ready_at(&self) -> Option<Millis> {
+        let free = self.flight.is_none() && !self.lost;
+        free.then(|| self.last.map_or(Millis::ZERO, |last| last + GAP))
+    }
+
     /// Records that are not committed yet.
     pub fn backlog(&self) -> usize {
         self.queue.len() + self.flight.as_ref().map_or(0, |flight| flight.batch.records.len())
@@ -251,7 +267,7 @@
         let mut records = Vec::new();
         while let Some(record) = self.queue.front() {
             bytes += weight(record);
-            if !records.is_empty() && (bytes > MAX_BYTES || records.len() == MAX_BATCH) {
+            if !records.is_empty() && (bytes > self.max_bytes || records.len() == MAX_BATCH) {
                 break;
             }
             records.extend(self.queue.pop_front());
@@ -361,6 +377,9 @@
             Record::Finished { answer, .. } => answer.as_ref().map_or(0, String::len),
             Record::Placed { parts, .. } => parts.len() * 50,
             Record::Forgotten { jobs } => jobs.len() * 8,
+            Record::Steps(StepRecord::Accepted { job }) => 2 * job.payload.len() + job.steps.len() * 400,
+            Record::Steps(StepRecord::Started { starts }) => starts.len() * 150,
+            Record::Steps(StepRecord::Forgotten { jobs }) => jobs.len() * 20,
             _ => 0,
         }
 }
--- /dev/null
+++ b/crates/pistachiostair/src/beats.rs
@@ -0,0 +1,152 @@
+//! Signs of life of the scheduler: each daemon asks it at short intervals, so that candidates need not read its lease,
+//! and notices early when it is gone.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use async_io::Timer;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind, Result};
+use crate::govern::{Govern, failed};
+use crate::ids::DaemonName;
+use crate::kernel::{Kernel, Service};
+use crate::message::{Request, Response};
+use crate::peers::Peers;
+use crate::tenure::TenureEvent;
+
+/// Time between two questions to the scheduler.
+const BEAT: Millis = Millis(500);
+
+/// Longest time for the answer: an exchange takes about 10 ms, and a daemon may be several times slower than usual.
+const BEAT_TIMEOUT: Millis = Millis(700);
+
+/// Daemons that asked within this span are told when the lease is given back.
+const FOLLOWING: Millis = Millis(2_000);
+
+/// Pause between the claims of two daemons on a lease that was given back: the time that a claim takes.
+const CLAIM_PAUSE: Millis = Millis(60);
+
+#[derive(Default)]
+struct Shared {
+    /// Daemons that asked this one, with their addresses and when they last did.
+    followers: BTreeMap<DaemonName, (String, Millis)>,
+    /// When the scheduler last answered, or this daemon was the scheduler.
+    heard: Millis,
+}
+
+/// The service.
+pub(crate) struct Beats {
+    kernel: Arc<Kernel>,
+    /// Address of this daemon's links.
+    address: String,
+    log: slog::Logger,
+    shared: Mutex<Shared>,
+}
+
+impl Service for Beats {
+    const NAME: &'static str = "beats";
+}
+
+impl Beats {
+    /// Registers the service and starts to ask.
+    pub(crate) fn start(kernel: &Arc<Kernel>, address: String, log: slog::Logger) -> Result<Arc<Self>> {
+        let beats = Arc::new(Self {
+            kernel: kernel.clone(),
+            address,
+            log,
+            shared: Mutex::default(),
+        });
+        kernel.register(beats.clone())?;
+        kernel.spawn_until_stop(beats.clone().run());
+        Ok(beats)
+    }
+
+    /// For how long no scheduler has answered.
+    pub(crate) fn silence(&self) -> Millis {
+        self.kernel
+            .clock
+            .now()
+            .since(self.shared.lock().expect("beats lock").heard)
+    }
+
+    /// Answers the question of another daemon.
+    pub(crate) fn answer(&self, from: &DaemonName, address: String) -> Response {
+        let now = self.kernel.clock.now();
+        self.shared
+            .lock()
+            .expect("beats lock")
+            .followers
+            .insert(from.clone(), (address, now));
+        let lease = self.kernel.find::<Govern>().ok().and_then(|govern| govern.lease());
+        match lease {
+            Some((version, until)) if until > now => Response::Beat {
+                version,
+                left: until.since(now),
+            },
+            _ => failed(&Error::msg(
+                ErrorKind::Unavailable,
+                "answer beat",
+                "this daemon is not the scheduler",
+            )),
+        }
+    }
+
+    /// Tells the daemons that asked lately that this one has given the lease back.
+    pub(crate) fn announce_vacancy(&self) {
+        let Ok(peers) = self.kernel.find::<Peers>() else { return };
+        let now = self.kernel.clock.now();
+        let followers = self.shared.lock().expect("beats lock").followers.clone();
+        let recent = followers
+            .into_values()
+            .filter(|(_, asked)| now.since(*asked) <= FOLLOWING);
+        for (place, (address, _)) in (0..).zip(recent) {
+            let peers = peers.clone();
+            let request = Request::Vacant {
+                pause: Millis(CLAIM_PAUSE.0 * place),
+            };
+            self.kernel.spawn_until_stop(async move {
+                // A daemon that misses this reads the lease once the scheduler does not answer.
+                let _ = peers.call(&address, request, BEAT_TIMEOUT).await;
+            });
+        }
+    }
+
+    async fn run(self: Arc<Self>) {
+        let mut lost = false;
+        loop {
+            if let Some(answered) = self.ask().await {
+                if answered && lost {
+                    slog::info!(self.log, "scheduler answers again");
+                } else if !answered && !lost {
+                    slog::warn!(self.log, "scheduler does not answer");
+                }
+                lost = !answered;
+            }
+            Timer::after(BEAT.duration()).await;
+        }
+    }
+
+    /// Asks the scheduler once; nothing if none is known.
+    async fn ask(&self) -> Option<bool> {
+        let govern = self.kernel.find::<Govern>().ok()?;
+        if govern.term().is_some() {
+            self.shared.lock().expect("beats lock").heard = self.kernel.clock.now();
+            return Some(true);
+        }
+        let (_, address) = govern.holder().filter(|(_, address)| *address != self.address)?;
+        let peers = self.kernel.find::<Peers>().ok()?;
+        let request = Request::Beat {
+            address: self.address.clone(),
+        };
+        let asked = self.kernel.clock.now();
+        match peers.call(&address, request, BEAT_TIMEOUT).await {
+            Ok(Response::Beat { version, left }) => {
+                self.shared.lock().expect("beats lock").heard = asked;
+                govern.tenure_event(TenureEvent::Heard { version, left });
+                Some(true)
+            }
+            _ => Some(false),
+        }
+    }
+}
--- a/crates/pistachiostair/src/calls.rs
+++ b/crates/pistachiostair/src/calls.rs
@@ -13,7 +13,7 @@
 use crate::state::Entry;
 
 /// Submissions are refused while a transaction has had no outcome for this long.
-const STALLED: Millis = Millis(1_000);
+pub(crate) const STALLED: Millis = Millis(1_000);
 /// A submission whose commit takes longer is answered: its outcome is not known.
 const COMMIT_WAIT: Millis = Millis(3_000);
 /// Most calls that wait at a time.
@@ -403,6 +403,8 @@
         for token in reads {
             self.fail(token, failure(Ran::No));
         }
+        self.steps.abandon();
+        self.steps_flush();
         std::mem::take(&mut self.actions)
     }
 }
--- a/crates/pistachiostair/src/clock.rs
+++ b/crates/pistachiostair/src/clock.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 use std::ops::{Add, AddAssign, Sub};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::future;
+use rustix::time::{ClockId, clock_gettime};
 
 /// A point in time or a span, in milliseconds. Points count from the start of the process's
 /// monotonic clock, so that points of two processes are never compared.
@@ -62,24 +63,31 @@
     }
 }
 
-/// The monotonic clock of a process.
+/// The monotonic clock of a process. It also counts the time for which the VM was suspended, so that a lease is not
+/// taken for held after that.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Starts a clock that reads zero now.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: boot_time() }
     }
 
     /// Milliseconds since the clock was started.
     pub fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        Millis(boot_time().saturating_sub(self.start).as_millis() as u64)
     }
 }
 
+/// Time since the VM was booted.
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+}
+
 /// Output of a future, or nothing if it takes longer than `timeout`; the future is dropped then.
 pub(crate) async fn within<T>(timeout: Millis, work: impl Future<Output = T>) -> Option<T> {
     future::or(async { Some(work.await) }, async {
--- a/crates/pistachiostair/src/commits.rs
+++ b/crates/pistachiostair/src/commits.rs
@@ -86,6 +86,7 @@
                 self.sync_worker(now, worker);
                 self.answer_drains(worker);
             }
+            Record::Steps(record) => self.steps_committed(now, record),
         }
     }
 
--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -12,8 +12,9 @@
 use crate::api::{Api, error_reply};
 use crate::clock::{Millis, within};
 use crate::config::Config;
+use crate::durable::Durable;
 use crate::error::{Error, ErrorKind, Result};
-use crate::govern::{Govern, new_incarnation};
+use crate::govern::{Govern, GovernSettings, new_incarnation};
 use crate::http_client::HttpClient;
 use crate::http_server::{HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer};
 use crate::kernel::{Kernel, Stop};
@@ -29,6 +30,7 @@
 use crate::settings::Settings;
 use crate::store::Store;
 use crate::supervise::Supervise;
+use crate::tenure::TenureTimes;
 
 /// Connections to the platform.
 const STORE_CONNECTIONS: usize = 16;
@@ -81,14 +83,17 @@
         let metrics = kernel.find::<Metrics>()?;
         let platform = HttpClient::new(executor.clone(), STORE_CONNECTIONS, STORE_BODY);
         let platform = Arc::new(platform.with_traffic(metrics.traffic.clone(), "platform"));
-        kernel.register(Arc::new(
-            Store::new(
-                platform,
-                settings.platform.address.to_string(),
-                settings.platform.timeout,
-            )
-            .with_metrics(metrics.clone()),
-        ))?;
+        let store = Store::new(
+            platform,
+            settings.platform.address.to_string(),
+            settings.platform.timeout,
+        );
+        let store = Arc::new(store.with_metrics(metrics.clone()));
+        kernel.register(store.clone())?;
+        kernel.register(Arc::new(Durable {
+            table: store.clone(),
+            objects: store,
+        }))?;
         let peers = start_peers(&kernel, &settings, &log)?;
         let addresses = Addresses {
             api: local(&api_listener)?,
@@ -247,15 +252,15 @@
     let seeds = settings.seeds.iter().map(ToString::to_string).collect();
     Members::start(kernel, me, seeds, component_logger(log, Component::Members))?;
     let log = component_logger(log, Component::Scheduler);
-    Govern::start(
-        kernel,
-        settings.region.clone(),
-        settings.name.clone(),
+    let govern = GovernSettings {
+        region: settings.region.clone(),
+        me: settings.name.clone(),
         incarnation,
-        advertised,
-        log,
-    )
-    .map(drop)
+        address: advertised,
+        times: TenureTimes::default(),
+        row_bytes: usize::MAX,
+    };
+    Govern::start(kernel, govern, log).map(drop)
 }
 
 fn start_api(kernel: &Arc<Kernel>, settings: &Settings, log: &slog::Logger) -> Result<Arc<Api>> {
--- a/crates/pistachiostair/src/edge.rs
+++ b/crates/pistachiostair/src/edge.rs
@@ -3,9 +3,11 @@
 use std::future::Future;
 use std::pin::Pin;
 
+use crate::clock::Millis;
 use crate::error::Result;
-use crate::ids::RegionName;
+use crate::ids::{RegionName, Term};
 use crate::resource::MemberState;
+use crate::steps::{HoldOrder, HoldReply, HostUpdate, OrderReply, Rules, StartOrder, Target, TaskKey};
 use crate::{closed_set, record};
 
 /// A boxed future that can move between threads.
@@ -127,3 +129,36 @@
     /// Reads the list.
     fn list(&self) -> BoxFuture<'_, Result<Vec<Vm>>>;
 }
+
+/// Workers that run the tasks of steps.
+///
+/// A reply that says nothing of the order's effect is [`OrderReply::Unanswered`]; the implementation logs its cause.
+pub trait Hosts: Send + Sync {
+    /// Starts a run.
+    fn start<'a>(&'a self, target: &'a Target, order: &'a StartOrder) -> BoxFuture<'a, OrderReply>;
+    /// Stops a run; one that is not there can no longer start.
+    fn stop<'a>(&'a self, target: &'a Target, run: (TaskKey, u32), term: Term) -> BoxFuture<'a, OrderReply>;
+    /// Renews the lease of all that runs on a worker, acknowledges ends, waits for one, and reads the worker's lists.
+    fn hold<'a>(&'a self, target: &'a Target, order: &'a HoldOrder) -> BoxFuture<'a, Result<HoldReply, OrderReply>>;
+}
+
+/// The platform's list of workers that run the tasks of steps.
+pub trait HostList: Send + Sync {
+    /// Reads the whole list, or what changed after a position, and the position to continue from.
+    ///
+    /// # Errors
+    ///
+    /// `Expired` if the changes after the position are no longer known: read the whole list.
+    fn hosts(&self, after: Option<u64>) -> BoxFuture<'_, Result<(u64, HostUpdate)>>;
+}
+
+/// The platform's source of the configuration for jobs made of steps.
+pub trait RulesSource: Send + Sync {
+    /// Reads the configuration, or waits at most `wait` milliseconds for a change after a position; with the position
+    /// to continue from. Nothing if it did not change, or there is none yet.
+    ///
+    /// # Errors
+    ///
+    /// `Expired` if the changes after the position are no longer known: read it anew.
+    fn rules(&self, after: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, Option<Rules>)>>;
+}
--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -7,6 +7,7 @@
 use async_channel::{Sender, TrySendError};
 
 use crate::clock::{Millis, within};
+use crate::durable::Durable;
 use crate::edge::BoxFuture;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::govern_actor::Actor;
@@ -17,13 +18,16 @@
 use crate::metrics::Metrics;
 use crate::orders::Orders;
 use crate::scheduler::{Event, Scheduler, Token};
-use crate::store::Store;
-use crate::tenure::{Tenure, TenureEvent};
+use crate::steps::{HostUpdate, StepAnswer, StepCall};
+use crate::tenure::{Tenure, TenureEvent, TenureTimes};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// Inputs that may wait; a call beyond them is refused.
 const INBOX: usize = 20_000;
 
+/// Time after which a call that did not reach the scheduler makes sense again.
+const NOT_LEADING_RETRY: Millis = Millis(200);
+
 /// Longest time to give the lease back.
 const RESIGN_TIMEOUT: Millis = Millis(3_000);
 
@@ -49,14 +53,40 @@
         batch: CommandBatch,
         reply: Option<BatchReply>,
     },
+    Steps {
+        token: Token,
+        call: Box<StepCall>,
+        reply: Sender<StepAnswer>,
+    },
+    /// News of the platform's list of workers under a term.
+    Hosts {
+        term: Term,
+        update: HostUpdate,
+    },
     Resign(Sender<()>),
 }
 
+/// What a scheduler's service is started with.
+pub(crate) struct GovernSettings {
+    pub(crate) region: RegionName,
+    pub(crate) me: DaemonName,
+    pub(crate) incarnation: Incarnation,
+    /// Address of this daemon's links.
+    pub(crate) address: String,
+    pub(crate) times: TenureTimes,
+    /// Most bytes in a row of the table service.
+    pub(crate) row_bytes: usize,
+}
+
 /// What the actor tells the service.
 #[derive(Default)]
 pub(crate) struct Shared {
     pub(crate) leader: Option<Leader>,
+    /// Address of the holder of the lease row.
+    pub(crate) address: Option<String>,
     pub(crate) term: Option<Term>,
+    /// Version of this daemon's lease and until when it may act, while it holds the lease.
+    pub(crate) lease: Option<(u64, Millis)>,
 }
 
 /// The scheduler's service, which is active on one daemon of the region.
@@ -78,18 +108,13 @@
 
 impl Govern {
     /// Starts the service.
-    pub(crate) fn start(
-        kernel: &Arc<Kernel>,
-        region: RegionName,
-        me: DaemonName,
-        incarnation: Incarnation,
-        address: String,
-        log: slog::Logger,
-    ) -> Result<Arc<Self>> {
+    pub(crate) fn start(kernel: &Arc<Kernel>, settings: GovernSettings, log: slog::Logger) -> Result<Arc<Self>> {
+        let (region, me) = (settings.region, settings.me);
+        let tenure = Tenure::new(region.clone(), me.clone(), settings.incarnation, settings.address);
         let (inbox, receiver) = async_channel::bounded(INBOX);
         let shared = Arc::new(Mutex::new(Shared::default()));
         let actor = Actor {
-            store: kernel.find::<Store>()?,
+            store: kernel.find::<Durable>()?,
             metrics: kernel.find::<Metrics>()?,
             kernel: kernel.clone(),
             region: region.clone(),
@@ -97,9 +122,10 @@
             log,
             inbox: inbox.clone(),
             shared: shared.clone(),
-            tenure: Tenure::new(region.clone(), me.clone(), incarnation, address),
-            scheduler: Scheduler::new(region.clone()),
+            tenure: tenure.with_times(settings.times),
+            scheduler: Scheduler::new(region.clone()).with_row_bytes(settings.row_bytes),
             calls: BTreeMap::new(),
+            step_calls: BTreeMap::new(),
             orders: Orders::default(),
             headers: BTreeMap::new(),
             known: Known::default(),
@@ -169,6 +195,50 @@
         failed(&error.ran(unsure))
     }
 
+    /// Hands a caller's request about jobs made of steps to the scheduler.
+    pub(crate) async fn call_steps(&self, call: StepCall, timeout: Millis) -> StepAnswer {
+        let step = "call scheduler";
+        let failed = |error: Error| StepAnswer::Failed(Failure::from(&error.at(self.me.as_str())));
+        if self.term().is_none() {
+            let error = Error::msg(ErrorKind::Unavailable, step, "this daemon is not the scheduler");
+            return failed(error.retry_after(NOT_LEADING_RETRY.0));
+        }
+        let unsure = match &call {
+            StepCall::Submit { .. } | StepCall::Cancel { .. } => Ran::Unknown,
+            StepCall::State { .. } | StepCall::Pending { .. } => Ran::No,
+        };
+        let token = Token(self.tokens.fetch_add(1, Ordering::Relaxed));
+        let (reply, answer) = async_channel::bounded(1);
+        let call = Box::new(call);
+        if let Err(error) = self.inbox.try_send(Input::Steps { token, call, reply }) {
+            return failed(inbox_error(&error));
+        }
+        let error = match within(timeout, answer.recv()).await {
+            Some(Ok(answer)) => return answer,
+            Some(Err(_)) => Error::msg(ErrorKind::Unavailable, step, "the scheduler changed"),
+            None => Error::msg(ErrorKind::Timeout, step, format!("no answer within {timeout}")),
+        };
+        failed(error.ran(unsure).retry_after(NOT_LEADING_RETRY.0))
+    }
+
+    /// Passes something on to the tenure.
+    pub(crate) fn tenure_event(&self, event: TenureEvent) {
+        // A full inbox means that the scheduler has more urgent things to do; the tenure also polls by itself.
+        let _ = self.inbox.try_send(Input::Tenure(event));
+    }
+
+    /// The daemon that holds the lease, with its address, as seen in the lease row.
+    pub(crate) fn holder(&self) -> Option<(DaemonName, String)> {
+        let shared = self.shared.lock().expect("leader lock");
+        Some((shared.leader.as_ref()?.daemon.clone(), shared.address.clone()?))
+    }
+
+    /// Version of this daemon's lease row and until when it may act, while it is the scheduler.
+    pub(crate) fn lease(&self) -> Option<(u64, Millis)> {
+        let shared = self.shared.lock().expect("leader lock");
+        shared.term.and(shared.lease)
+    }
+
     /// Takes news of a worker.
     pub(crate) fn report(&self, worker: WorkerName, changes: Option<Changes>) -> Response {
         self.take(Input::Event(Box::new(Event::Report { worker, changes })))
--- a/crates/pistachiostair/src/govern_actor.rs
+++ b/crates/pistachiostair/src/govern_actor.rs
@@ -7,9 +7,11 @@
 use futures_lite::future;
 
 use crate::appender::AppendAction;
+use crate::beats::Beats;
 use crate::clock::Millis;
 use crate::config::{CATALOG_KEY, Config, GUARANTEE_PREFIX};
-use crate::edge::{Commit, Table, Transaction, Write};
+use crate::durable::Durable;
+use crate::edge::{Commit, Transaction, Write};
 use crate::error::{Error, ErrorKind, Ran};
 use crate::govern::{Input, Shared, failed, wall_time};
 use crate::govern_feed::Known;
@@ -23,7 +25,7 @@
 use crate::orders::{self, Orders};
 use crate::resource::Guarantee;
 use crate::scheduler::{Action, Event, Scheduler, Token};
-use crate::store::Store;
+use crate::steps::{StepAnswer, StepsEvent};
 use crate::takeover;
 use crate::tenure::{Tenure, TenureAction, TenureEvent};
 use crate::worker::{Changes, CommandBatch};
@@ -40,7 +42,7 @@
 /// State of the task.
 pub(crate) struct Actor {
     pub(crate) kernel: Arc<Kernel>,
-    pub(crate) store: Arc<Store>,
+    pub(crate) store: Arc<Durable>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) region: RegionName,
     pub(crate) me: DaemonName,
@@ -50,6 +52,7 @@
     pub(crate) tenure: Tenure,
     pub(crate) scheduler: Scheduler,
     pub(crate) calls: BTreeMap<Token, Sender<Response>>,
+    pub(crate) step_calls: BTreeMap<Token, Sender<StepAnswer>>,
     pub(crate) orders: Orders,
     /// Last changes of each worker without tasks, to stand for a report of an unchanged worker.
     pub(crate) headers: BTreeMap<WorkerName, Changes>,
@@ -98,6 +101,7 @@
             self.refreshed = self.now();
             self.refresh();
         }
+        self.shared.lock().expect("leader lock").lease = self.tenure.lease_held(self.now());
         self.event(Event::Tick);
         self.send_renewals();
         self.metrics.set_figures(&self.scheduler.figures().unwrap_or_default());
@@ -130,6 +134,15 @@
                 self.orders.free(&worker);
                 self.send_next();
             }
+            Input::Steps { token, call, reply } => {
+                self.step_calls.insert(token, reply);
+                self.event(Event::Steps(StepsEvent::Call { token, call: *call }));
+            }
+            Input::Hosts { term, update } => {
+                if self.elected.is_some_and(|(elected, _)| elected == term) {
+                    self.event(Event::Steps(StepsEvent::Hosts(update)));
+                }
+            }
             Input::Resign(done) => {
                 self.resigning = Some(done);
                 self.tenure(TenureEvent::Resign);
@@ -140,14 +153,16 @@
     fn tenure(&mut self, event: TenureEvent) {
         if let TenureEvent::Read { lease: Some(row), .. } = &event {
             let seen = Lease::parse(&row.value);
-            let leader = seen.and_then(|lease| {
+            let leader = seen.as_ref().and_then(|lease| {
                 Some(Leader {
                     region: self.region.clone(),
-                    daemon: lease.holder?,
+                    daemon: lease.holder.clone()?,
                     term: lease.term,
                 })
             });
-            self.shared.lock().expect("leader lock").leader = leader;
+            let mut shared = self.shared.lock().expect("leader lock");
+            shared.leader = leader;
+            shared.address = seen.map(|lease| lease.address);
         }
         for action in self.tenure.on(self.now(), event) {
             self.tenure_action(action);
@@ -173,6 +188,9 @@
             }
             TenureAction::Resigned => {
                 self.depose();
+                if let Ok(beats) = self.kernel.find::<Beats>() {
+                    beats.announce_vacancy();
+                }
                 match self.resigning.take() {
                     Some(done) => {
                         let _ = done.try_send(());
@@ -188,6 +206,7 @@
         self.shared.lock().expect("leader lock").term = None;
         self.event(Event::Deposed);
         self.calls.clear();
+        self.step_calls.clear();
         self.orders = Orders::default();
         self.headers.clear();
     }
@@ -209,7 +228,7 @@
         let store = self.store.clone();
         self.reply_later(async move {
             // One after the other: of two requests at once, a breaker that probes refuses one.
-            let rows = async { Ok::<_, Error>((store.get(&lease).await?, store.get(&term).await?)) }.await;
+            let rows = async { Ok::<_, Error>((store.table.get(&lease).await?, store.table.get(&term).await?)) }.await;
             Input::Tenure(match rows {
                 Ok((lease, term)) => TenureEvent::Read { sent, lease, term },
                 Err(_) => TenureEvent::Unread,
@@ -221,7 +240,7 @@
         let sent = self.now();
         let store = self.store.clone();
         self.reply_later(async move {
-            Input::Tenure(match store.commit(&transaction).await {
+            Input::Tenure(match store.table.commit(&transaction).await {
                 Ok(Commit::Done { version }) => TenureEvent::Committed { sent, version },
                 Ok(Commit::Conflict { .. }) => TenureEvent::Conflict,
                 Err(_) => TenureEvent::Unknown,
@@ -276,6 +295,7 @@
         });
         drop(shared);
         self.refresh();
+        self.follow_hosts(term);
     }
 
     fn alive(&mut self, workers: Vec<(WorkerName, Option<Millis>)>) {
@@ -323,6 +343,7 @@
                 guarantee,
             } => self.write(token, transaction, guarantee),
             Action::StepDown => self.step_down(),
+            Action::Steps(action) => self.step_action(action),
             Action::Log(line) => {
                 self.count(line.what);
                 logging::log_decision(&self.log, &line);
@@ -365,7 +386,7 @@
         let store = self.store.clone();
         let kernel = self.kernel.clone();
         self.kernel.spawn(async move {
-            let response = match store.commit(&transaction).await {
+            let response = match store.table.commit(&transaction).await {
                 Ok(Commit::Done { version }) => {
                     let written = guarantee.map(|mut written| {
                         written.metadata.revision = Revision(version);
@@ -435,7 +456,7 @@
         }
     }
 
-    fn reply_later(&self, task: impl Future<Output = Input> + Send + 'static) {
+    pub(crate) fn reply_later(&self, task: impl Future<Output = Input> + Send + 'static) {
         let inbox = self.inbox.clone();
         self.kernel.spawn_until_stop(async move {
             let _ = inbox.send(task.await).await;
--- a/crates/pistachiostair/src/govern_feed.rs
+++ b/crates/pistachiostair/src/govern_feed.rs
@@ -7,13 +7,16 @@
 use crate::ids::{Revision, WorkerName};
 use crate::members::Members;
 use crate::resource::MemberState;
+use crate::rules_watch::RulesWatch;
 use crate::scheduler::Event;
+use crate::steps::StepsEvent;
 
 /// What the scheduler was last told about accounts, guarantees, policy and the platform's list.
 #[derive(Default)]
 pub(crate) struct Known {
     pub(crate) catalog: Catalog,
     pub(crate) policy: Option<Revision>,
+    pub(crate) rules: Option<Revision>,
     pub(crate) listed: Option<BTreeMap<WorkerName, MemberState>>,
 }
 
@@ -26,11 +29,22 @@
         if let Ok(config) = self.kernel.find::<Config>() {
             self.refresh_catalog(&config);
         }
+        if let Ok(watch) = self.kernel.find::<RulesWatch>() {
+            self.refresh_rules(&watch);
+        }
         if let Ok(members) = self.kernel.find::<Members>() {
             self.refresh_list(&members);
         }
     }
 
+    fn refresh_rules(&mut self, watch: &RulesWatch) {
+        let Some(rules) = watch.rules().filter(|rules| Some(rules.version) != self.known.rules) else {
+            return;
+        };
+        self.known.rules = Some(rules.version);
+        self.event(Event::Steps(StepsEvent::Rules(rules.as_ref().clone())));
+    }
+
     fn refresh_catalog(&mut self, config: &Config) {
         if self.known.policy != Some(config.revision()) {
             let (revision, policy) = config.policy();
--- a/crates/pistachiostair/src/journal.rs
+++ b/crates/pistachiostair/src/journal.rs
@@ -5,6 +5,7 @@
 use crate::ids::{Attempt, Incarnation, JobId, JobName, RegionName, Revision, Seq, Term, WorkerName};
 use crate::record;
 use crate::resource::{JobPhase, JobSpec};
+use crate::steps::StepRecord;
 
 /// Most records in one batch; a revision keeps the index of a record in these bits.
 pub(crate) const MAX_BATCH: usize = 1 << INDEX_BITS;
@@ -102,6 +103,8 @@
             /// Whether it is drained.
             drain: bool,
         },
+        /// A change of a job made of steps.
+        Steps(StepRecord),
     }
 }
 
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -28,6 +28,7 @@
 mod api_objects;
 mod api_watch;
 mod appender;
+mod beats;
 mod blame;
 mod calls;
 mod clock;
@@ -37,6 +38,7 @@
 mod daemon;
 mod decide;
 mod dispatch;
+mod durable;
 mod edge;
 mod ejection;
 mod error;
@@ -45,6 +47,7 @@
 mod finish;
 mod fit;
 mod gang;
+mod gateway;
 mod govern;
 mod govern_actor;
 mod govern_feed;
@@ -68,12 +71,14 @@
 mod message;
 mod metrics;
 mod node;
+mod node_daemon;
 mod orders;
 mod outlier;
 mod peer_frame;
 mod peer_link;
 mod peer_tls;
 mod peers;
+mod pki;
 mod place;
 mod planner;
 mod policy;
@@ -84,6 +89,7 @@
 mod retry;
 mod route;
 mod rows;
+mod rules_watch;
 mod scheduler;
 mod search;
 mod serve;
@@ -91,6 +97,9 @@
 mod short_member;
 mod snapshot;
 mod state;
+mod steps;
+mod steps_active;
+mod steps_io;
 mod store;
 mod submit;
 mod supervise;
@@ -107,7 +116,9 @@
 pub use appender::{AppendAction, AppendEvent, Appender};
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
-pub use edge::{BoxFuture, Check, Commit, Objects, Row, Table, Transaction, Vm, VmList, VmRole, Write};
+pub use edge::{
+    BoxFuture, Check, Commit, HostList, Hosts, Objects, Row, RulesSource, Table, Transaction, Vm, VmList, VmRole, Write,
+};
 pub use ejection::Ejector;
 pub use error::{Error, ErrorKind, Ran, Result};
 pub use http_client::{HttpAnswer, HttpCall, HttpClient};
@@ -125,12 +136,13 @@
 pub use kernel::{Kernel, Service, Stop};
 pub use lease::{Lease, lease_key};
 pub use limits::{AccountLimits, Admission, MAX_ACCOUNTS, Permit, Refusal, RefusalReason};
-pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger};
+pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger, stdout_logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
 pub use message::{
     Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, View,
 };
 pub use metrics::{Metrics, ProcessUsage, process_usage};
+pub use node_daemon::{Admission as StepAdmission, Edges, StepDaemon, StepSettings};
 pub use peer_frame::decode_message;
 pub use peer_tls::PeerTls;
 pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
@@ -146,9 +158,15 @@
 pub use settings::{LimitSettings, LogSettings, PeerSettings, PlatformSettings, Settings};
 pub use snapshot::{SnapshotLimits, SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{Ended, Entry, Placement, State};
+pub use steps::{
+    Book, Demand, Entitlement, Fate, HoldOrder, HoldReply, HostInfo, HostUpdate, JobEntry, JobKey, OrderReply, Placed,
+    Queue, QueueName, Recurrence, Rules, RunLine, ServiceName, ServiceRule, StartOrder, StartRecord, Step, StepAnswer,
+    StepCall, StepEntry, StepJob, StepPhase, StepRecord, Steps, StepsAction, StepsEvent, StepsLog, Target, TaskEnd,
+    TaskEntry, TaskKey, Terms,
+};
 pub use store::Store;
 pub use tally::{Asked, Tally};
-pub use tenure::{Tenure, TenureAction, TenureEvent};
+pub use tenure::{Tenure, TenureAction, TenureEvent, TenureTimes};
 pub use traffic::Traffic;
 pub use validate::{
     Finding, check_account, check_guarantee, check_job, check_job_metadata, check_metadata, check_policy,
--- a/crates/pistachiostair/src/logging.rs
+++ b/crates/pistachiostair/src/logging.rs
@@ -109,6 +109,11 @@
     }
 }
 
+/// A logger that writes one JSON object a line to standard output from a thread of its own.
+pub fn stdout_logger(level: LogLevel) -> Logger {
+    background(slog_json::Json::default(std::io::stdout()).fuse(), level)
+}
+
 fn background<D>(drain: D, level: LogLevel) -> Logger
 where
     D: Drain<Ok = (), Err = Never> + Send + 'static,
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -12,6 +12,7 @@
 use crate::record;
 use crate::resource::{Guarantee, Job, JobSpec, Member, Worker};
 use crate::short_member::{self, ShortMember};
+use crate::steps::{StepAnswer, StepCall};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// Version of the messages, sent in each envelope.
@@ -101,6 +102,21 @@
         },
         /// Asks for the configuration in force.
         GetPolicy,
+        /// From an entry daemon to the scheduler: a caller's request about jobs made of steps.
+        Steps {
+            /// The request.
+            call: StepCall,
+        },
+        /// Asks the scheduler for a sign of life.
+        Beat {
+            /// Link address of the sender.
+            address: String,
+        },
+        /// The scheduler gave its lease back.
+        Vacant {
+            /// Pause before the receiver claims the lease, in milliseconds.
+            pause: Millis,
+        },
     }
 }
 
@@ -117,6 +133,9 @@
             Self::Call { .. } => "call",
             Self::Policy { .. } => "policy",
             Self::GetPolicy => "getPolicy",
+            Self::Steps { .. } => "steps",
+            Self::Beat { .. } => "beat",
+            Self::Vacant { .. } => "vacant",
         }
     }
 }
@@ -304,6 +323,15 @@
             /// Its document, as YAML.
             document: String,
         },
+        /// Answer to a request about jobs made of steps.
+        Steps(StepAnswer),
+        /// The responder is the scheduler.
+        Beat {
+            /// Version of its lease row.
+            version: u64,
+            /// For how long it may act without another renewal.
+            left: Millis,
+        },
         /// The request was not met.
         Failed(Failure),
     }
--- a/crates/pistachiostair/src/peer_tls.rs
+++ b/crates/pistachiostair/src/peer_tls.rs
@@ -178,11 +178,8 @@
     }
 
     fn wrap_udp_socket(&self, socket: std::net::UdpSocket) -> io::Result<Arc<dyn AsyncUdpSocket>> {
-        let socket = SmolRuntime.wrap_udp_socket(socket)?;
         let metrics = self.0.upgrade().and_then(|kernel| kernel.find::<Metrics>().ok());
-        Ok(match metrics {
-            Some(metrics) => Arc::new(CountedSocket::new(socket, metrics.traffic.clone())),
-            None => socket,
-        })
+        let traffic = metrics.map(|metrics| metrics.traffic.clone()).unwrap_or_default();
+        Ok(Arc::new(CountedSocket::new(socket, traffic)?))
     }
 }
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -12,6 +12,7 @@
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
 use crate::snapshot::SnapshotLimits;
+use crate::steps::{StepAnswer, StepsAction, StepsEvent};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 number_id! {
@@ -87,6 +88,8 @@
     Policy(Policy),
     /// Outcome of [`Action::Append`].
     Stored(AppendEvent),
+    /// Something about jobs made of steps.
+    Steps(StepsEvent),
     /// Time passed; comes every 100 ms.
     Tick,
 }
@@ -121,6 +124,8 @@
     },
     /// A newer term was seen: stop being the scheduler.
     StepDown,
+    /// Work for jobs made of steps.
+    Steps(StepsAction),
     /// A line for the log.
     Log(LogLine),
 }
@@ -152,6 +157,7 @@
     region: RegionName,
     retention: Retention,
     snapshots: SnapshotLimits,
+    row_bytes: usize,
     known: Known,
     active: Option<Box<Active>>,
 }
@@ -163,6 +169,7 @@
             region,
             retention: Retention::default(),
             snapshots: SnapshotLimits::default(),
+            row_bytes: usize::MAX,
             known: Known {
                 accounts: BTreeMap::new(),
                 guarantees: BTreeMap::new(),
@@ -186,6 +193,13 @@
         self
     }
 
+    /// Lowers the bytes of records in a row of the journal to what the table service holds.
+    #[must_use]
+    pub fn with_row_bytes(mut self, bytes: usize) -> Self {
+        self.row_bytes = bytes;
+        self
+    }
+
     /// Takes note of an event and returns what must be done.
     pub fn on(&mut self, now: Millis, event: Event) -> Vec<Action> {
         self.remember(&event);
@@ -202,7 +216,7 @@
                     now,
                     wall,
                     self.region.clone(),
-                    (self.retention, self.snapshots),
+                    (self.retention, self.snapshots, self.row_bytes),
                     (term, fence),
                     snapshot.as_deref(),
                     &rows,
@@ -277,7 +291,8 @@
 
     fn refuse(&self, event: Event) -> Vec<Action> {
         const RETRY_MS: u64 = 200;
-        let Event::Call { token, .. } = event else {
+        let steps = matches!(event, Event::Steps(_));
+        let (Event::Call { token, .. } | Event::Steps(StepsEvent::Call { token, .. })) = event else {
             return Vec::new();
         };
         let failure = Failure {
@@ -286,6 +301,10 @@
             ran: Ran::No,
             retry: Some(RETRY_MS),
         };
+        if steps {
+            let answer = StepAnswer::Failed(failure);
+            return vec![Action::Steps(StepsAction::Reply { token, answer })];
+        }
         vec![Action::Reply {
             token,
             response: Response::Failed(failure),
--- a/crates/pistachiostair/src/serve.rs
+++ b/crates/pistachiostair/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::beats::Beats;
 use crate::clock::Millis;
 use crate::config::Config;
 use crate::error::{Error, ErrorKind, Result};
@@ -11,6 +12,7 @@
 use crate::members::Members;
 use crate::message::{Failure, Request, Response};
 use crate::orders::{pass_on, renew_all};
+use crate::tenure::TenureEvent;
 
 /// Answers a request; failures become a response.
 pub(crate) async fn dispatch(
@@ -70,6 +72,14 @@
             kernel.find::<Config>()?.apply(revision, &document, from.as_str());
             Ok(Response::Ack)
         }
+        Request::Steps { call } => Ok(Response::Steps(
+            kernel.find::<Govern>()?.call_steps(call, timeout).await,
+        )),
+        Request::Beat { address } => Ok(kernel.find::<Beats>()?.answer(from, address)),
+        Request::Vacant { pause } => {
+            kernel.find::<Govern>()?.tenure_event(TenureEvent::Vacant { pause });
+            Ok(Response::Ack)
+        }
         Request::GetPolicy => {
             let (revision, document) = kernel.find::<Config>()?.document();
             Ok(Response::Policy { revision, document })
--- a/crates/pistachiostair/src/state.rs
+++ b/crates/pistachiostair/src/state.rs
@@ -10,6 +10,7 @@
 use crate::journal::{Batch, Part, Record, checksum, digest, revision};
 use crate::record;
 use crate::resource::{JobPhase, JobSpec};
+use crate::steps::{Book, JobEntry};
 
 record! {
     /// How a job ended.
@@ -94,6 +95,8 @@
     pub floor: Revision,
     /// Workers drained by operators.
     pub drained: BTreeSet<WorkerName>,
+    /// Jobs made of steps.
+    pub book: Book,
     jobs: BTreeMap<JobId, Entry>,
     names: BTreeMap<(AccountName, JobName), JobId>,
     keys: BTreeMap<(AccountName, String), JobId>,
@@ -112,6 +115,8 @@
     floor: Revision,
     drained: BTreeSet<WorkerName>,
     jobs: Vec<Entry>,
+    #[serde(default)]
+    book: Vec<JobEntry>,
 }
 
 impl State {
@@ -169,6 +174,7 @@
             Record::Drained { worker, .. } => {
                 self.drained.remove(worker);
             }
+            Record::Steps(record) => self.book.fold(self.wall, record),
         }
     }
 
@@ -353,6 +359,7 @@
             floor: self.floor,
             drained: self.drained.clone(),
             jobs: self.jobs.values().cloned().collect(),
+            book: self.book.jobs().cloned().collect(),
         };
         let body = rmp_serde::to_vec_named(&image).unwrap_or_default();
         let mut bytes = checksum(&body).to_be_bytes().to_vec();
@@ -377,6 +384,7 @@
             last: image.last,
             floor: image.floor,
             drained: image.drained,
+            book: Book::restore(image.book),
             ..Self::default()
         };
         for entry in image.jobs {
--- /dev/null
+++ b/crates/pistachiostair/src/steps/book.rs
@@ -0,0 +1,280 @@
+//! Durable state of jobs made of steps, folded from the journal.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::clock::Millis;
+use crate::ids::{Incarnation, WorkerName};
+use crate::record;
+use crate::steps::fate::Fate;
+use crate::steps::record::{StartRecord, StepRecord};
+use crate::steps::spec::{JobKey, StepJob, StepPhase, TaskKey};
+
+record! {
+    /// A run that may be alive.
+    pub struct Placed {
+        /// Number of the run.
+        pub run: u32,
+        /// Its worker.
+        pub worker: WorkerName,
+        /// Incarnation of the worker.
+        pub incarnation: Incarnation,
+    }
+}
+
+record! {
+    /// A task that was started at least once.
+    #[derive(Default)]
+    pub struct TaskEntry {
+        /// Highest run number used.
+        pub run: u32,
+        /// Runs that ended as failed.
+        pub failures: u32,
+        /// Whether a run ended as done.
+        pub done: bool,
+        /// The newest checkpoint that is known durably; empty if there is none.
+        pub saved: String,
+        /// Runs that may be alive.
+        pub placed: Vec<Placed>,
+    }
+}
+
+record! {
+    /// A step of one occurrence.
+    #[derive(Default)]
+    pub struct StepEntry {
+        /// Tasks by index.
+        pub tasks: BTreeMap<u32, TaskEntry>,
+        /// Number of tasks that are done.
+        pub done: u32,
+        /// Runs of a gang that failed.
+        pub failed: BTreeSet<u32>,
+    }
+}
+
+record! {
+    /// A job as the journal has it.
+    pub struct JobEntry {
+        /// Specification.
+        pub spec: StepJob,
+        /// When it was accepted, in milliseconds since the Unix epoch.
+        pub accepted: Millis,
+        /// Phase.
+        pub phase: StepPhase,
+        /// When it ended, in milliseconds since the Unix epoch.
+        pub ended: Option<Millis>,
+        /// Steps by occurrence and number.
+        #[serde(with = "pairs")]
+        pub steps: BTreeMap<(u32, u32), StepEntry>,
+        /// Tasks of all occurrences that are not done.
+        pub open: u64,
+    }
+}
+
+impl JobEntry {
+    /// The step of one occurrence, if any task of it was started.
+    pub fn step(&self, occurrence: u32, step: u32) -> Option<&StepEntry> {
+        self.steps.get(&(occurrence, step))
+    }
+
+    /// The task, if it was started.
+    pub fn task(&self, task: &TaskKey) -> Option<&TaskEntry> {
+        self.step(task.occurrence, task.step)?.tasks.get(&task.index)
+    }
+
+    /// Whether all tasks of a step are done.
+    pub fn is_step_done(&self, occurrence: u32, step: u32) -> bool {
+        let count = self.spec.steps.get(step as usize).map_or(0, |step| step.count);
+        self.step(occurrence, step).is_some_and(|entry| entry.done >= count)
+    }
+
+    /// Runs that may be alive, with their tasks.
+    pub fn placed(&self) -> impl Iterator<Item = (TaskKey, &Placed)> {
+        self.steps.iter().flat_map(move |((occurrence, step), entry)| {
+            entry.tasks.iter().flat_map(move |(index, task)| {
+                let key = TaskKey {
+                    job: self.spec.key,
+                    occurrence: *occurrence,
+                    step: *step,
+                    index: *index,
+                };
+                task.placed.iter().map(move |placed| (key, placed))
+            })
+        })
+    }
+
+    fn task_mut(&mut self, task: &TaskKey) -> &mut TaskEntry {
+        let step = self.steps.entry((task.occurrence, task.step)).or_default();
+        step.tasks.entry(task.index).or_default()
+    }
+
+    fn start(&mut self, start: &StartRecord) {
+        if !self.phase.is_final() {
+            self.phase = StepPhase::Running;
+        }
+        let task = self.task_mut(&start.task);
+        task.run = task.run.max(start.run);
+        task.placed.push(Placed {
+            run: start.run,
+            worker: start.worker.clone(),
+            incarnation: start.incarnation,
+        });
+    }
+
+    fn end(&mut self, task: &TaskKey, run: u32, fate: Fate, saved: &str) {
+        let gang = self.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
+        let entry = self.task_mut(task);
+        entry.placed.retain(|placed| placed.run != run);
+        if !saved.is_empty() && !entry.done {
+            entry.saved = saved.to_owned();
+        }
+        entry.failures += u32::from(fate.is_attempt());
+        let step = self.steps.entry((task.occurrence, task.step)).or_default();
+        if fate.is_attempt() && gang {
+            step.failed.insert(run);
+        }
+        if !saved.is_empty() && gang {
+            // The checkpoint of any member is valid for the whole gang.
+            for member in step.tasks.values_mut().filter(|member| !member.done) {
+                member.saved = saved.to_owned();
+            }
+        }
+        if fate == Fate::Done {
+            self.finish(task, gang);
+        }
+    }
+
+    fn finish(&mut self, task: &TaskKey, gang: bool) {
+        let count = self.spec.steps.get(task.step as usize).map_or(0, |step| step.count);
+        let step = self.steps.entry((task.occurrence, task.step)).or_default();
+        let indices = if gang { 0..count } else { task.index..task.index + 1 };
+        for index in indices {
+            let entry = step.tasks.entry(index).or_default();
+            if !std::mem::replace(&mut entry.done, true) {
+                entry.placed.clear();
+                entry.saved.clear();
+                step.done += 1;
+                self.open = self.open.saturating_sub(1);
+            }
+        }
+        if self.open == 0 && !self.phase.is_final() {
+            self.phase = StepPhase::Completed;
+        }
+    }
+}
+
+/// Jobs made of steps, as the journal has them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Book {
+    jobs: BTreeMap<JobKey, JobEntry>,
+    ended: BTreeSet<(Millis, JobKey)>,
+}
+
+impl Book {
+    /// A book with these jobs, from a snapshot.
+    pub(crate) fn restore(jobs: Vec<JobEntry>) -> Self {
+        let ended = jobs.iter().filter_map(|entry| Some((entry.ended?, entry.spec.key)));
+        Self {
+            ended: ended.collect(),
+            jobs: jobs.into_iter().map(|entry| (entry.spec.key, entry)).collect(),
+        }
+    }
+
+    /// A job.
+    pub fn job(&self, key: JobKey) -> Option<&JobEntry> {
+        self.jobs.get(&key)
+    }
+
+    /// All jobs in order of their keys.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobEntry> {
+        self.jobs.values()
+    }
+
+    /// Folds one record; `wall` is the clock of its row.
+    pub fn fold(&mut self, wall: Millis, record: &StepRecord) {
+        match record {
+            StepRecord::Accepted { job } => self.accept(wall, job),
+            StepRecord::Started { starts } => {
+                for start in starts {
+                    self.change(wall, start.task.job, |entry| entry.start(start));
+                }
+            }
+            StepRecord::Ended { task, run, fate, saved } => {
+                self.change(wall, task.job, |entry| entry.end(task, *run, *fate, saved));
+            }
+            StepRecord::Cancelled { job } => self.close(wall, *job, StepPhase::Cancelled),
+            StepRecord::Exhausted { job } => self.close(wall, *job, StepPhase::Failed),
+            StepRecord::Forgotten { jobs } => {
+                for job in jobs {
+                    let ended = self.jobs.remove(job).and_then(|entry| entry.ended);
+                    self.ended.retain(|(at, key)| key != job || Some(*at) != ended);
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, wall: Millis, job: &StepJob) {
+        let entry = JobEntry {
+            open: job.tasks(),
+            spec: job.clone(),
+            accepted: wall,
+            phase: StepPhase::Queued,
+            ended: None,
+            steps: BTreeMap::new(),
+        };
+        self.jobs.entry(job.key).or_insert(entry);
+    }
+
+    fn close(&mut self, wall: Millis, job: JobKey, phase: StepPhase) {
+        self.change(wall, job, |entry| {
+            if !entry.phase.is_final() {
+                entry.phase = phase;
+            }
+        });
+    }
+
+    fn change(&mut self, wall: Millis, job: JobKey, edit: impl FnOnce(&mut JobEntry)) {
+        let Some(entry) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        edit(entry);
+        if entry.phase.is_final() && entry.ended.is_none() {
+            entry.ended = Some(wall);
+            entry.spec.payload = String::new();
+            self.ended.insert((wall, job));
+        }
+    }
+
+    /// Ended jobs beyond the newest `keep` or ended before `before`, oldest first, at most `limit`.
+    pub fn outdated(&self, before: Millis, keep: usize, limit: usize) -> Vec<JobKey> {
+        let excess = self.ended.len().saturating_sub(keep);
+        let old = self.ended.iter().enumerate();
+        old.take_while(|(index, (wall, _))| *index < excess || *wall < before)
+            .take(limit)
+            .map(|(_, (_, job))| *job)
+            .collect()
+    }
+}
+
+/// A map whose keys are not text, as a list of pairs.
+mod pairs {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<K: serde::Serialize, V: serde::Serialize, S: Serializer>(
+        map: &BTreeMap<K, V>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(map)
+    }
+
+    pub(super) fn deserialize<'de, K, V, D>(deserializer: D) -> Result<BTreeMap<K, V>, D::Error>
+    where
+        K: Deserialize<'de> + Ord,
+        V: Deserialize<'de>,
+        D: Deserializer<'de>,
+    {
+        let pairs = Vec::<(K, V)>::deserialize(deserializer)?;
+        Ok(pairs.into_iter().collect())
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -0,0 +1,127 @@
+//! Steps that wait for workers, and their order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::clock::Millis;
+use crate::ids::AccountName;
+use crate::steps::board::{Cx, RunPhase, Steps};
+use crate::steps::spec::JobKey;
+
+/// A step of one occurrence.
+pub(crate) type GroupKey = (JobKey, u32, u32);
+
+/// A step with tasks that can be placed.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    /// Since when, without a break.
+    pub(crate) since: Millis,
+    /// Its tasks; all of them for a gang.
+    pub(crate) indices: BTreeSet<u32>,
+}
+
+/// Place of a step in the queue; lower goes first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// False if the account's guarantee covers it.
+    uncovered: bool,
+    priority: u32,
+    accepted: Millis,
+    group: GroupKey,
+}
+
+/// The queue of one planning pass: in each priority the account that uses least goes first.
+pub(crate) struct Line {
+    /// Steps by priority class and account, each in order.
+    classes: BTreeMap<(bool, u32), BTreeMap<AccountName, Vec<Rank>>>,
+    /// Accelerators in use by each account.
+    usage: BTreeMap<AccountName, u64>,
+}
+
+impl Line {
+    /// The next step, which is then no longer in the queue.
+    pub(crate) fn next(&mut self) -> Option<(GroupKey, bool)> {
+        let mut class = self.classes.first_entry()?;
+        let accounts = class.get_mut();
+        let least = accounts
+            .keys()
+            .min_by_key(|name| self.usage.get(*name).copied().unwrap_or(0))
+            .cloned()?;
+        let ranks = accounts.get_mut(&least)?;
+        let rank = ranks.pop();
+        if ranks.is_empty() {
+            accounts.remove(&least);
+        }
+        if accounts.is_empty() {
+            class.remove();
+        }
+        rank.map(|rank| (rank.group, !rank.uncovered))
+    }
+
+    /// Counts accelerators that an account was given.
+    pub(crate) fn charge(&mut self, account: &AccountName, accelerators: u64) {
+        *self.usage.entry(account.clone()).or_default() += accelerators;
+    }
+}
+
+impl Steps {
+    /// The queue as it stands now.
+    pub(crate) fn line(&self, cx: &Cx<'_>) -> Line {
+        let covered = self.covered(cx);
+        let mut line = Line {
+            classes: BTreeMap::new(),
+            usage: self.usage(cx),
+        };
+        for group in self.waiting.keys() {
+            let Some(entry) = cx.book.job(group.0) else { continue };
+            let rank = Rank {
+                uncovered: !covered.contains(&group.0),
+                priority: self.terms(entry).priority,
+                accepted: entry.accepted,
+                group: *group,
+            };
+            let class = line.classes.entry((rank.uncovered, rank.priority)).or_default();
+            class.entry(entry.spec.account.clone()).or_default().push(rank);
+        }
+        for ranks in line.classes.values_mut().flat_map(BTreeMap::values_mut) {
+            ranks.sort_unstable_by(|a, b| b.cmp(a));
+        }
+        line
+    }
+
+    fn usage(&self, cx: &Cx<'_>) -> BTreeMap<AccountName, u64> {
+        let mut usage = BTreeMap::new();
+        for ((task, _), run) in self.runs.iter().filter(|(_, run)| run.phase != RunPhase::Ended) {
+            if let Some(entry) = cx.book.job(task.job) {
+                *usage.entry(entry.spec.account.clone()).or_default() += run.demand.accelerators;
+            }
+        }
+        usage
+    }
+
+    /// Jobs of priority 0 that the guarantees of their accounts cover, oldest first.
+    pub(crate) fn covered(&self, cx: &Cx<'_>) -> BTreeSet<JobKey> {
+        let mut urgent: Vec<_> = cx
+            .book
+            .jobs()
+            .filter(|entry| !entry.phase.is_final() && self.terms(entry).priority == 0)
+            .collect();
+        urgent.sort_unstable_by_key(|entry| (entry.accepted, entry.spec.key));
+        let mut used: BTreeMap<&AccountName, u64> = BTreeMap::new();
+        let mut covered = BTreeSet::new();
+        for entry in urgent {
+            let account = &entry.spec.account;
+            let guaranteed = self.rules.accounts.get(account).map_or(0, |account| account.guaranteed);
+            let steps = entry.spec.steps.iter();
+            let need = steps
+                .map(|step| u64::from(step.count) * step.demand.accelerators)
+                .max()
+                .unwrap_or(0);
+            let sum = used.entry(account).or_default();
+            if *sum + need <= guaranteed {
+                *sum += need;
+                covered.insert(entry.spec.key);
+            }
+        }
+        covered
+    }
+}
--- /dev/null
+++ b/crates/pistachiostair/src/steps_active.rs
@@ -0,0 +1,74 @@
+//! The scheduler of steps as a part of a region's scheduler under one term: one journal, one lease, one clock.
+
+use crate::active::Active;
+use crate::calls::STALLED;
+use crate::clock::Millis;
+use crate::ids::Term;
+use crate::journal::Record;
+use crate::scheduler::Action;
+use crate::state::State;
+use crate::steps::{Cx, StepRecord, Steps, StepsEvent};
+
+/// Takes over the jobs made of steps that the journal has.
+pub(crate) fn adopt_steps(now: Millis, wall: Millis, term: Term, state: &State) -> Steps {
+    let cx = Cx {
+        now,
+        wall,
+        held: false,
+        stalled: false,
+        tenured: now,
+        book: &state.book,
+    };
+    Steps::adopt(term, &cx)
+}
+
+impl Active {
+    /// Lets the scheduler of steps work with what it reads of this one.
+    fn with_steps(&mut self, now: Millis, work: impl FnOnce(&mut Steps, &Cx<'_>)) {
+        if self.held {
+            self.tenured = now;
+        }
+        let cx = Cx {
+            now,
+            wall: self.wall,
+            held: self.held,
+            stalled: self.appender.stalled(now) >= STALLED,
+            tenured: self.tenured,
+            book: &self.state.book,
+        };
+        work(&mut self.steps, &cx);
+    }
+
+    pub(crate) fn steps_event(&mut self, now: Millis, event: StepsEvent) {
+        self.with_steps(now, |steps, cx| steps.on(cx, event));
+    }
+
+    pub(crate) fn steps_committed(&mut self, now: Millis, record: &StepRecord) {
+        self.with_steps(now, |steps, cx| steps.committed(cx, record));
+    }
+
+    pub(crate) fn steps_tick(&mut self, now: Millis) {
+        let retention = self.retention;
+        self.with_steps(now, |steps, cx| {
+            steps.tick(cx);
+            steps.retire(cx, retention.span, retention.jobs);
+        });
+    }
+
+    /// Places what waits, and hands records and actions on.
+    pub(crate) fn steps_finish(&mut self, now: Millis) {
+        if self.steps.replan && self.appender.ready(now) {
+            self.with_steps(now, Steps::plan);
+        }
+        self.with_steps(now, Steps::renew_touched);
+        let records = std::mem::take(&mut self.steps.records);
+        self.appender.push(records.into_iter().map(Record::Steps));
+        self.steps_flush();
+    }
+
+    /// Hands on what the scheduler of steps wants done.
+    pub(crate) fn steps_flush(&mut self) {
+        let actions = std::mem::take(&mut self.steps.actions);
+        self.actions.extend(actions.into_iter().map(Action::Steps));
+    }
+}
--- a/crates/pistachiostair/src/takeover.rs
+++ b/crates/pistachiostair/src/takeover.rs
@@ -1,29 +1,29 @@
 //! The scheduler's journal in the platform's store: reading it at a takeover, carrying out its actions.
 
 use crate::appender::{AppendAction, AppendEvent};
-use crate::edge::{Commit, Objects, Table};
+use crate::durable::Durable;
+use crate::edge::Commit;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{RegionName, Seq};
 use crate::journal::journal_key;
 use crate::snapshot::{SnapshotRow, snapshot_key};
-use crate::store::Store;
 
 /// Rows read at once.
 const SCAN_LIMIT: usize = 500;
 
 /// Carries out an action; nothing if its outcome is of no interest.
-pub(crate) async fn perform(store: &Store, action: AppendAction) -> Option<AppendEvent> {
+pub(crate) async fn perform(store: &Durable, action: AppendAction) -> Option<AppendEvent> {
     Some(match action {
-        AppendAction::Commit { seq, transaction } => match store.commit(&transaction).await {
+        AppendAction::Commit { seq, transaction } => match store.table.commit(&transaction).await {
             Ok(Commit::Done { .. }) => AppendEvent::Committed(seq),
             Ok(Commit::Conflict { .. }) => AppendEvent::Conflict(seq),
             Err(_) => AppendEvent::Unknown(seq),
         },
-        AppendAction::ReadBack { seq, key } => match store.get(&key).await {
+        AppendAction::ReadBack { seq, key } => match store.table.get(&key).await {
             Ok(row) => AppendEvent::Row(seq, row.map(|row| row.value)),
             Err(_) => AppendEvent::Unread(seq),
         },
-        AppendAction::ReadSnapshotRow { key } => match store.get(&key).await {
+        AppendAction::ReadSnapshotRow { key } => match store.table.get(&key).await {
             Ok(row) => AppendEvent::SnapshotRow { answered: true, row },
             Err(_) => AppendEvent::SnapshotRow {
                 answered: false,
@@ -32,28 +32,29 @@
         },
         AppendAction::DeleteObject { key } => {
             // An object that stays costs space only.
-            let _ = store.delete(&key).await;
+            let _ = store.objects.delete(&key).await;
             return None;
         }
         AppendAction::PutSnapshot { key, body } => {
-            let done = store.write(&key, &body).await.is_ok();
+            let done = store.objects.write(&key, &body).await.is_ok();
             AppendEvent::SnapshotPut { key, done }
         }
         AppendAction::ReadSnapshot { key } => {
-            let body = store.read(&key).await.ok().flatten();
+            let body = store.objects.read(&key).await.ok().flatten();
             AppendEvent::SnapshotRead { key, body }
         }
-        AppendAction::Maintain { transaction } => {
-            AppendEvent::Maintained(matches!(store.commit(&transaction).await, Ok(Commit::Done { .. })))
-        }
+        AppendAction::Maintain { transaction } => AppendEvent::Maintained(matches!(
+            store.table.commit(&transaction).await,
+            Ok(Commit::Done { .. })
+        )),
     })
 }
 
 type Loaded = (Option<Vec<u8>>, Vec<(Seq, String)>);
 
 /// Reads the newest snapshot and the journal rows behind it.
-pub(crate) async fn load(store: &Store, region: &RegionName) -> Result<Loaded> {
-    let (snapshot, after) = match store.get(&snapshot_key(region)).await? {
+pub(crate) async fn load(store: &Durable, region: &RegionName) -> Result<Loaded> {
+    let (snapshot, after) = match store.table.get(&snapshot_key(region)).await? {
         Some(row) => load_snapshot(store, &row.value).await?,
         None => (None, Seq(0)),
     };
@@ -61,7 +62,7 @@
     let mut from = journal_key(region, after);
     let mut rows = Vec::new();
     loop {
-        let page = store.scan(&prefix, &from, SCAN_LIMIT).await?;
+        let page = store.table.scan(&prefix, &from, SCAN_LIMIT).await?;
         let Some(last) = page.last() else {
             return Ok((snapshot, rows));
         };
@@ -85,11 +86,16 @@
 
 /// Reads the newest snapshot whose content agrees with its checksum, and its journal position; none if
 /// the journal alone is enough.
-async fn load_snapshot(store: &Store, value: &str) -> Result<(Option<Vec<u8>>, Seq)> {
+async fn load_snapshot(store: &Durable, value: &str) -> Result<(Option<Vec<u8>>, Seq)> {
     let step = "read snapshot";
     let row = SnapshotRow::parse(value).ok_or_else(|| Error::msg(ErrorKind::Internal, step, "bad row"))?;
     for snapshot in row.named() {
-        if let Some(body) = store.read(&snapshot.key).await?.filter(|body| snapshot.matches(body)) {
+        if let Some(body) = store
+            .objects
+            .read(&snapshot.key)
+            .await?
+            .filter(|body| snapshot.matches(body))
+        {
             return Ok((Some(body), snapshot.seq));
         }
     }
--- a/crates/pistachiostair/src/tenure.rs
+++ b/crates/pistachiostair/src/tenure.rs
@@ -35,6 +35,18 @@
     Unknown,
     /// This daemon is going away: give the lease back.
     Resign,
+    /// The holder answered a request of this daemon.
+    Heard {
+        /// Version of the lease row.
+        version: u64,
+        /// For how long the holder may still act without another renewal.
+        left: Millis,
+    },
+    /// The holder gave the lease back. Candidates that claim it one after the other don't get in each other's way.
+    Vacant {
+        /// Pause before this daemon claims it.
+        pause: Millis,
+    },
 }
 
 /// What the service must do for the tenure.
@@ -64,16 +76,37 @@
     Resigned,
 }
 
-/// Span for which a lease row protects its holder after each renewal.
-const LEASE_TTL: Millis = Millis(4_000);
-/// Span between renewals.
-const RENEW: Millis = Millis(1_000);
-/// The holder stops acting this long before the ttl ends, for the drift between two clocks.
-const MARGIN: Millis = Millis(500);
-/// Span between a candidate's reads.
-const POLL: Millis = Millis(500);
+/// Times of a tenure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TenureTimes {
+    /// Span for which a lease row protects its holder after each renewal.
+    pub ttl: Millis,
+    /// Span between renewals.
+    pub renew: Millis,
+    /// The holder stops acting this long before the ttl ends, for the drift between two clocks.
+    pub margin: Millis,
+    /// Span between a candidate's reads.
+    pub poll: Millis,
+    /// Span after an answer of the holder for which a candidate does not read.
+    pub quiet: Millis,
+}
+
+impl Default for TenureTimes {
+    fn default() -> Self {
+        Self {
+            ttl: Millis(4_000),
+            renew: Millis(1_000),
+            margin: Millis(500),
+            poll: Millis(500),
+            quiet: Millis(1_000),
+        }
+    }
+}
+
 /// Pause before an unanswered renewal or read-back is tried again.
 const RETRY: Millis = Millis(250);
+/// Shortest span between a candidate's reads.
+const LEAST_POLL: Millis = Millis(50);
 
 /// The version of the lease row that a candidate waits to see unchanged.
 #[derive(Clone, Copy, Debug)]
@@ -128,6 +161,7 @@
     until: Millis,
     held: bool,
     resign: bool,
+    times: TenureTimes,
 }
 
 impl Tenure {
@@ -149,9 +183,17 @@
             until: Millis::ZERO,
             held: false,
             resign: false,
+            times: TenureTimes::default(),
         }
     }
 
+    /// Changes the times. All daemons of a region must have the same ttl and margin.
+    #[must_use]
+    pub fn with_times(mut self, times: TenureTimes) -> Self {
+        self.times = times;
+        self
+    }
+
     /// Makes it a candidate again after [`TenureAction::Resigned`], after a pause in which others may claim
     /// the lease. A request on its way is awaited first, so that its answer is not taken for that of a claim.
     pub fn restart(&mut self, now: Millis) {
@@ -159,7 +201,12 @@
         self.resign = false;
         self.sent.clear();
         self.seen = None;
-        self.next = now + POLL;
+        self.next = now + self.times.poll;
+    }
+
+    /// Version of the lease row and the time until which this daemon may act as the scheduler, while it may.
+    pub fn lease_held(&self, now: Millis) -> Option<(u64, Millis)> {
+        self.held(now).then_some((self.version, self.until))
     }
 
     /// Whether this daemon may act as the scheduler at `now`.
@@ -173,6 +220,9 @@
         match event {
             TenureEvent::Tick => {}
             TenureEvent::Resign => self.resign = true,
+            TenureEvent::Heard { version, left } => self.heard(now, version, left),
+            TenureEvent::Vacant { pause } if self.mode == Mode::Candidate => self.next = now + pause,
+            TenureEvent::Vacant { .. } => {}
             TenureEvent::Read { sent, lease, term } => {
                 self.wait = Wait::Nothing;
                 self.read(now, sent, lease, term, &mut actions);
@@ -193,6 +243,19 @@
         actions
     }
 
+    /// The holder stops acting when its lease ends, even if no renewal follows.
+    fn heard(&mut self, now: Millis, version: u64, left: Millis) {
+        if self.mode != Mode::Candidate || self.wait == Wait::Commit {
+            return;
+        }
+        let end = now + left + self.times.margin;
+        self.seen = Some(Seen {
+            version,
+            since: end.since(self.times.ttl),
+        });
+        self.next = self.next.max(now + self.times.quiet);
+    }
+
     fn again(&mut self, now: Millis) {
         self.wait = Wait::Nothing;
         self.next = now + RETRY;
@@ -241,8 +304,7 @@
         term: Option<Row>,
         actions: &mut Vec<TenureAction>,
     ) {
-        self.next = now + POLL;
-        let ttl = held.as_ref().map_or(LEASE_TTL, |lease| lease.ttl);
+        let ttl = held.as_ref().map_or(self.times.ttl, |lease| lease.ttl);
         let free = version == 0 || held.as_ref().is_some_and(|lease| lease.holder.is_none());
         // A row first seen in this answer may have been written just before.
         let seen = match self.seen {
@@ -251,9 +313,15 @@
         };
         self.seen = Some(seen);
         let expired = sent.since(seen.since) >= ttl;
+        // An earlier process of this daemon that held the lease is gone.
+        let own = held
+            .as_ref()
+            .is_some_and(|lease| lease.holder.as_ref() == Some(&self.me) && lease.incarnation < self.incarnation);
+        let end = (seen.since + ttl).max(now + LEAST_POLL);
+        self.next = (now + self.times.poll).min(end);
         if self.resign {
             self.sent.clear();
-        } else if free || expired {
+        } else if free || expired || own {
             self.claim(now, version, term, actions);
         }
     }
@@ -281,7 +349,7 @@
             holder,
             incarnation: self.incarnation,
             term: self.term,
-            ttl: LEASE_TTL,
+            ttl: self.times.ttl,
             renewal: self.renewal,
             address: self.address.clone(),
         }
@@ -334,9 +402,9 @@
     fn renewed(&mut self, now: Millis, own: &Sent, version: u64, actions: &mut Vec<TenureAction>) {
         self.version = version;
         self.sent.clear();
-        self.until = own.at + (LEASE_TTL - MARGIN);
+        self.until = own.at + (self.times.ttl - self.times.margin);
         self.next = match self.mode {
-            Mode::Holder => own.at + RENEW,
+            Mode::Holder => own.at + self.times.renew,
             _ => now,
         };
         if own.lease.holder.is_none() {
@@ -351,7 +419,7 @@
         self.held = false;
         self.sent.clear();
         self.seen = None;
-        self.next = now + POLL;
+        self.next = now + self.times.poll;
         self.mode = match self.mode {
             Mode::Leaving(_) => Mode::Resigned,
             _ => Mode::Candidate,
@@ -399,7 +467,7 @@
     fn leave(&mut self, now: Millis, actions: &mut Vec<TenureAction>) {
         match self.mode {
             Mode::Holder => {
-                self.mode = Mode::Leaving(now + LEASE_TTL);
+                self.mode = Mode::Leaving(now + self.times.ttl);
                 self.held = false;
                 self.next = now;
                 actions.push(TenureAction::Deposed);
--- a/crates/pistachiostair/src/traffic.rs
+++ b/crates/pistachiostair/src/traffic.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, IoSliceMut};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
+use async_io::Async;
 use futures_lite::{AsyncRead, AsyncWrite};
 use quinn::udp::{RecvMeta, Transmit};
 use quinn::{AsyncUdpSocket, UdpPoller};
@@ -122,29 +123,42 @@
     }
 }
 
-/// A UDP socket whose bytes are counted.
+/// A UDP socket that takes and gives one datagram a call, without segmentation offload and control messages, which some
+/// virtual networks lack. Its bytes are counted.
 #[derive(Debug)]
 pub(crate) struct CountedSocket {
-    socket: Arc<dyn AsyncUdpSocket>,
+    socket: Async<UdpSocket>,
+    /// The last datagram found no room.
+    full: AtomicBool,
     traffic: Arc<Traffic>,
 }
 
 impl CountedSocket {
-    pub(crate) fn new(socket: Arc<dyn AsyncUdpSocket>, traffic: Arc<Traffic>) -> Self {
-        Self { socket, traffic }
+    pub(crate) fn new(socket: UdpSocket, traffic: Arc<Traffic>) -> io::Result<Self> {
+        let socket = Async::new(socket)?;
+        Ok(Self {
+            socket,
+            full: AtomicBool::new(false),
+            traffic,
+        })
     }
 }
 
 impl AsyncUdpSocket for CountedSocket {
     fn create_io_poller(self: Arc<Self>) -> Pin<Box<dyn UdpPoller>> {
-        self.socket.clone().create_io_poller()
+        Box::pin(Writable(self))
     }
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
-        self.socket.try_send(transmit)?;
-        let length = transmit.contents.len();
-        let datagrams = transmit.segment_size.map_or(1, |size| length.div_ceil(size.max(1)));
-        self.traffic.add_sent(length as u64 + datagrams as u64 * DATAGRAM_HEAD);
+        let sent = self.socket.get_ref().send_to(transmit.contents, transmit.destination);
+        if sent
+            .as_ref()
+            .is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        {
+            self.full.store(true, Ordering::Relaxed);
+        }
+        let length = sent?;
+        self.traffic.add_sent(length as u64 + DATAGRAM_HEAD);
         Ok(())
     }
 
@@ -154,30 +168,48 @@
         bufs: &mut [IoSliceMut<'_>],
         meta: &mut [RecvMeta],
     ) -> Poll<io::Result<usize>> {
-        let poll = self.socket.poll_recv(cx, bufs, meta);
-        if let Poll::Ready(Ok(count)) = &poll {
-            for received in &meta[..*count] {
-                let datagrams = received.len.div_ceil(received.stride.max(1));
-                self.traffic
-                    .add_received(received.len as u64 + datagrams as u64 * DATAGRAM_HEAD);
+        let (Some(buf), Some(meta)) = (bufs.first_mut(), meta.first_mut()) else {
+            return Poll::Ready(Ok(0));
+        };
+        loop {
+            match self.socket.get_ref().recv_from(buf) {
+                Ok((length, addr)) => {
+                    self.traffic.add_received(length as u64 + DATAGRAM_HEAD);
+                    *meta = RecvMeta {
+                        addr,
+                        len: length,
+                        stride: length,
+                        ecn: None,
+                        dst_ip: None,
+                    };
+                    return Poll::Ready(Ok(1));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => ready!(self.socket.poll_readable(cx))?,
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
-        poll
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.socket.local_addr()
+        self.socket.get_ref().local_addr()
     }
 
-    fn max_transmit_segments(&self) -> usize {
-        self.socket.max_transmit_segments()
+    fn may_fragment(&self) -> bool {
+        true
     }
+}
 
-    fn max_receive_segments(&self) -> usize {
-        self.socket.max_receive_segments()
-    }
+/// Waits until a socket takes another datagram, but only once it has refused one.
+#[derive(Debug)]
+struct Writable(Arc<CountedSocket>);
 
-    fn may_fragment(&self) -> bool {
-        self.socket.may_fragment()
+impl UdpPoller for Writable {
+    fn poll_writable(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !self.0.full.load(Ordering::Relaxed) {
+            return Poll::Ready(Ok(()));
+        }
+        ready!(self.0.socket.poll_writable(cx))?;
+        self.0.full.store(false, Ordering::Relaxed);
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/pistachiostair/tests/life/daemon.rs
+++ b/crates/pistachiostair/tests/life/daemon.rs
@@ -372,7 +372,7 @@
                         },
                     );
                 }
-                Out::Action(Action::StepDown | Action::Log(_)) => {}
+                Out::Action(Action::StepDown | Action::Log(_) | Action::Steps(_)) => {}
             }
         }
     }
--- a/crates/pistachiostair/tests/scheduler_calls.rs
+++ b/crates/pistachiostair/tests/scheduler_calls.rs
@@ -84,7 +84,7 @@
                         }
                     }
                     Action::Write { .. } => self.writes += 1,
-                    Action::StepDown | Action::Log(_) => {}
+                    Action::StepDown | Action::Log(_) | Action::Steps(_) => {}
                 }
             }
         }
