Keep the room of a claim from being counted twice

Cause: a claim on a worker whose room was used up took nothing (the difference saturates at zero) and gave the whole demand back when it was looked at, so that its step was ordered before the others had left: 70 starts refused for want of room, and gangs broken over and over. Ruled out: a limit by slots (the refused workers had free ones). Now claims are looked at in a room that only runs were taken from.

--- a/crates/pistachiostair/src/steps/claim.rs
+++ b/crates/pistachiostair/src/steps/claim.rs
@@ -25,24 +25,21 @@
 }
 
 impl Claim {
-    /// The tasks with their workers if all of these have room for them beside other claims.
-    pub(crate) fn vacant(&self, room: &Room<'_>) -> Option<Vec<(u32, WorkerName)>> {
+    /// Whether the workers have room for all its tasks.
+    pub(crate) fn is_vacant(&self, room: &Room<'_>) -> bool {
         let mut room = room.clone();
+        self.workers.values().all(|worker| {
+            let fits = room.free(worker).is_some_and(|free| self.demand.fits(&free));
+            room.take(worker, &self.demand);
+            fits
+        })
+    }
+
+    /// Takes the room away, or what there is of it.
+    pub(crate) fn reserve(&self, room: &mut Room<'_>) {
         for worker in self.workers.values() {
-            room.give(worker, &self.demand);
-        }
-        for worker in self.workers.values() {
-            if !self.demand.fits(&room.free(worker)?) {
-                return None;
-            }
             room.take(worker, &self.demand);
         }
-        Some(
-            self.workers
-                .iter()
-                .map(|(index, worker)| (*index, worker.clone()))
-                .collect(),
-        )
     }
 }
 
@@ -102,7 +99,10 @@
         count: usize,
     ) -> Option<(Vec<WorkerName>, Vec<RunKey>)> {
         let entry = cx.book.job(group.0)?;
-        let room = Room::of(self, cx);
+        let mut room = Room::of(self, cx);
+        for claim in self.claims.values() {
+            claim.reserve(&mut room);
+        }
         let spots = self.spots(&room, &self.terms(entry).service, group, step);
         let racks: BTreeSet<&RackName> = spots.iter().map(|spot| spot.rack).collect();
         let covered = self.covered(cx);
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -36,14 +36,18 @@
         let mut starved = Vec::new();
         {
             let mut room = Room::of(self, cx);
+            chosen.extend(self.honour_claims(&mut room));
             while let Some((group, covered)) = line.next() {
                 let Some(entry) = cx.book.job(group.0) else { continue };
                 let Some(step) = entry.spec.steps.get(group.2 as usize) else {
                     continue;
                 };
+                if self.claims.contains_key(&group) {
+                    continue;
+                }
                 let found = self.choose(cx, entry, step, group, &mut room);
                 let missing = self.waiting[&group].indices.len() > found.workers.len();
-                if missing && covered && !self.claims.contains_key(&group) {
+                if missing && covered {
                     starved.push(group);
                 }
                 line.charge(
@@ -63,14 +67,25 @@
         }
     }
 
+    /// Places the steps whose claimed room is free by now, and keeps the room of the others.
+    fn honour_claims(&self, room: &mut Room<'_>) -> Vec<Chosen> {
+        let mut chosen = Vec::new();
+        for (group, claim) in &self.claims {
+            if claim.is_vacant(room) {
+                let workers = claim.workers.iter().map(|(index, worker)| (*index, worker.clone()));
+                chosen.push(Chosen {
+                    group: *group,
+                    workers: workers.collect(),
+                    reason: "the room kept for its guarantee is free",
+                });
+            }
+            claim.reserve(room);
+        }
+        chosen
+    }
+
     fn choose(&self, cx: &Cx<'_>, entry: &JobEntry, step: &Step, group: GroupKey, room: &mut Room<'_>) -> Chosen {
         let waiting = &self.waiting[&group];
-        if let Some(claim) = self.claims.get(&group) {
-            let workers = claim.vacant(room);
-            let workers: Vec<(u32, WorkerName)> = workers.unwrap_or_default();
-            let reason = "the room kept for its guarantee is free";
-            return Chosen { group, workers, reason };
-        }
         let patience = Millis(step.estimate.0 * RACK_PATIENCE / 100);
         let (reach, reason) = match cx.now.since(waiting.since) >= patience {
             true => (Reach::Anywhere, "best fit on any rack"),
--- a/crates/pistachiostair/src/steps/room.rs
+++ b/crates/pistachiostair/src/steps/room.rs
@@ -26,7 +26,7 @@
 }
 
 impl<'a> Room<'a> {
-    /// The room that runs and claims leave.
+    /// The room that runs leave.
     pub(crate) fn of(steps: &'a Steps, cx: &Cx<'_>) -> Self {
         let mut room = Self { spots: Vec::new() };
         for (worker, host) in &steps.hosts {
@@ -42,11 +42,6 @@
                 spread: u32::MAX,
             });
         }
-        for claim in steps.claims.values() {
-            for worker in claim.workers.values() {
-                room.take(worker, &claim.demand);
-            }
-        }
         room
     }
 
@@ -67,13 +62,6 @@
             spot.free = spot.free.minus(demand);
         }
     }
-
-    /// Gives room back.
-    pub(crate) fn give(&mut self, worker: &WorkerName, demand: &Demand) {
-        if let Some(spot) = self.spot_mut(worker) {
-            spot.free = spot.free.plus(demand);
-        }
-    }
 }
 
 impl Steps {
