Stop spinning before the list of workers is known; announce new schedulers

Cause: a scheduler that did not know the list of workers yet kept its wish to place, and its loop then slept for zero ms, so that nothing else in the process ran until its lease had ended (1.7 s after each election). Daemons that the store turns away could not learn of a new scheduler from its lease row: each daemon has a row with its address now, and a new scheduler announces itself to all of them.

--- a/crates/pistachiostair/src/beats.rs
+++ b/crates/pistachiostair/src/beats.rs
@@ -1,5 +1,6 @@
 //! Signs of life of the scheduler: each daemon asks it at short intervals, so that candidates need not read its lease,
-//! and notices early when it is gone.
+//! and notices early when it is gone. A new scheduler announces itself to all daemons, since some may not reach the
+//! table service at the time.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -7,12 +8,15 @@
 use async_io::Timer;
 
 use crate::clock::Millis;
+use crate::durable::Durable;
+use crate::edge::{Transaction, Write};
 use crate::error::{Error, ErrorKind, Result};
 use crate::govern::{Govern, failed};
-use crate::ids::DaemonName;
+use crate::ids::{DaemonName, RegionName, Term};
 use crate::kernel::{Kernel, Service};
 use crate::message::{Request, Response};
 use crate::peers::Peers;
+use crate::record;
 use crate::tenure::TenureEvent;
 
 /// Time between two questions to the scheduler.
@@ -27,6 +31,20 @@
 /// Pause between the claims of two daemons on a lease that was given back: the time that a claim takes.
 const CLAIM_PAUSE: Millis = Millis(60);
 
+/// Times that a new scheduler announces itself to a daemon that does not answer.
+const ANNOUNCEMENTS: u32 = 5;
+
+/// Most daemons that a new scheduler announces itself to.
+const ROSTER_LIMIT: usize = 500;
+
+/// Pause before a failed registration is tried again.
+const RETRY: Millis = Millis(500);
+
+/// Prefix of the rows of a region's daemons.
+fn roster_prefix(region: &RegionName) -> String {
+    format!("daemon/{region}/")
+}
+
 #[derive(Default)]
 struct Shared {
     /// Daemons that asked this one, with their addresses and when they last did.
@@ -35,9 +53,19 @@
     heard: Millis,
 }
 
+record! {
+    /// Value of the row `daemon/R/NAME`, as JSON.
+    struct DaemonRow {
+        /// Address of the daemon's links.
+        address: String,
+    }
+}
+
 /// The service.
 pub(crate) struct Beats {
     kernel: Arc<Kernel>,
+    region: RegionName,
+    me: DaemonName,
     /// Address of this daemon's links.
     address: String,
     log: slog::Logger,
@@ -50,14 +78,22 @@
 
 impl Beats {
     /// Registers the service and starts to ask.
-    pub(crate) fn start(kernel: &Arc<Kernel>, address: String, log: slog::Logger) -> Result<Arc<Self>> {
+    pub(crate) fn start(
+        kernel: &Arc<Kernel>,
+        (region, me): (RegionName, DaemonName),
+        address: String,
+        log: slog::Logger,
+    ) -> Result<Arc<Self>> {
         let beats = Arc::new(Self {
             kernel: kernel.clone(),
+            region,
+            me,
             address,
             log,
             shared: Mutex::default(),
         });
         kernel.register(beats.clone())?;
+        kernel.spawn_until_stop(beats.clone().register());
         kernel.spawn_until_stop(beats.clone().run());
         Ok(beats)
     }
@@ -112,6 +148,73 @@
         }
     }
 
+    /// Writes this daemon's row, so that new schedulers can announce themselves to it.
+    async fn register(self: Arc<Self>) {
+        let row = DaemonRow {
+            address: self.address.clone(),
+        };
+        let write = Write {
+            key: format!("{}{}", roster_prefix(&self.region), self.me),
+            value: serde_json::to_string(&row).ok(),
+        };
+        let transaction = Transaction {
+            checks: Vec::new(),
+            writes: vec![write],
+        };
+        loop {
+            let Ok(durable) = self.kernel.find::<Durable>() else {
+                return;
+            };
+            match durable.table.commit(&transaction).await {
+                Ok(_) => return,
+                Err(error) => slog::info!(self.log, "daemon not registered"; "error" => %error),
+            }
+            Timer::after(RETRY.duration()).await;
+        }
+    }
+
+    /// Tells all daemons that this one is the scheduler.
+    pub(crate) fn announce_term(self: &Arc<Self>, term: Term) {
+        let beats = self.clone();
+        self.kernel.spawn_until_stop(async move {
+            let Ok(durable) = beats.kernel.find::<Durable>() else {
+                return;
+            };
+            let rows = match durable
+                .table
+                .scan(&roster_prefix(&beats.region), "", ROSTER_LIMIT)
+                .await
+            {
+                Ok(rows) => rows,
+                Err(error) => return slog::info!(beats.log, "daemons not read"; "error" => %error),
+            };
+            for row in rows {
+                match serde_json::from_str::<DaemonRow>(&row.value) {
+                    Ok(other) if other.address != beats.address => beats.announce_to(other.address, term),
+                    Ok(_) => {}
+                    Err(error) => slog::warn!(beats.log, "row of a daemon"; "key" => row.key, "error" => %error),
+                }
+            }
+        });
+    }
+
+    fn announce_to(&self, address: String, term: Term) {
+        let Ok(peers) = self.kernel.find::<Peers>() else { return };
+        let request = Request::Leading {
+            term,
+            address: self.address.clone(),
+        };
+        self.kernel.spawn_until_stop(async move {
+            for _ in 0..ANNOUNCEMENTS {
+                // A daemon that is down asks once it is up again.
+                if peers.call(&address, request.clone(), BEAT_TIMEOUT).await.is_ok() {
+                    return;
+                }
+                Timer::after(BEAT.duration()).await;
+            }
+        });
+    }
+
     async fn run(self: Arc<Self>) {
         let mut lost = false;
         loop {
--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -227,6 +227,20 @@
         let _ = self.inbox.try_send(Input::Tenure(event));
     }
 
+    /// Takes note of a scheduler that announced itself, unless a later one is known.
+    pub(crate) fn learn_leader(&self, daemon: DaemonName, term: Term, address: String) {
+        let mut shared = self.shared.lock().expect("leader lock");
+        if shared.leader.as_ref().is_some_and(|leader| leader.term >= term) {
+            return;
+        }
+        shared.leader = Some(Leader {
+            region: self.region.clone(),
+            daemon,
+            term,
+        });
+        shared.address = Some(address);
+    }
+
     /// The daemon that holds the lease, with its address, as seen in the lease row.
     pub(crate) fn holder(&self) -> Option<(DaemonName, String)> {
         let shared = self.shared.lock().expect("leader lock");
--- a/crates/pistachiostair/src/govern_actor.rs
+++ b/crates/pistachiostair/src/govern_actor.rs
@@ -39,6 +39,9 @@
 /// Pause before the journal is read again after a failed takeover.
 const LOAD_PAUSE: Millis = Millis(200);
 
+/// Time for one step of the scheduler beyond which the log says so: a tenth of its lease.
+const SLOW_STEP: Millis = Millis(50);
+
 /// State of the task.
 pub(crate) struct Actor {
     pub(crate) kernel: Arc<Kernel>,
@@ -294,6 +297,9 @@
             term,
         });
         drop(shared);
+        if let Ok(beats) = self.kernel.find::<Beats>() {
+            beats.announce_term(term);
+        }
         self.refresh();
         self.follow_hosts(term);
     }
@@ -323,9 +329,14 @@
             };
             self.headers.insert(worker.clone(), header);
         }
-        for action in self.scheduler.on(self.now(), event) {
+        let started = self.now();
+        for action in self.scheduler.on(started, event) {
             self.action(action);
         }
+        let took = self.now().since(started);
+        if took >= SLOW_STEP {
+            slog::warn!(self.log, "slow step"; "took" => took.0);
+        }
     }
 
     fn action(&mut self, action: Action) {
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -112,6 +112,13 @@
             /// Link address of the sender.
             address: String,
         },
+        /// The sender is the scheduler of its region.
+        Leading {
+            /// Its term.
+            term: Term,
+            /// Link address of the sender.
+            address: String,
+        },
         /// The scheduler gave its lease back.
         Vacant {
             /// Pause before the receiver claims the lease, in milliseconds.
@@ -135,6 +142,7 @@
             Self::GetPolicy => "getPolicy",
             Self::Steps { .. } => "steps",
             Self::Beat { .. } => "beat",
+            Self::Leading { .. } => "leading",
             Self::Vacant { .. } => "vacant",
         }
     }
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -185,7 +185,8 @@
         };
         Govern::start(&self.kernel, govern, component_logger(&self.log, Component::Scheduler))?;
         let log = component_logger(&self.log, Component::Members);
-        Beats::start(&self.kernel, settings.peers.to_string(), log)?;
+        let names = (settings.region.clone(), settings.name.clone());
+        Beats::start(&self.kernel, names, settings.peers.to_string(), log)?;
         slog::info!(self.log, "links started"; "address" => %settings.peers);
         Ok(())
     }
--- a/crates/pistachiostair/src/serve.rs
+++ b/crates/pistachiostair/src/serve.rs
@@ -76,6 +76,10 @@
             kernel.find::<Govern>()?.call_steps(call, timeout).await,
         )),
         Request::Beat { address } => Ok(kernel.find::<Beats>()?.answer(from, address)),
+        Request::Leading { term, address } => {
+            kernel.find::<Govern>()?.learn_leader(from.clone(), term, address);
+            Ok(Response::Ack)
+        }
         Request::Vacant { pause } => {
             kernel.find::<Govern>()?.tenure_event(TenureEvent::Vacant { pause });
             Ok(Response::Ack)
--- a/crates/pistachiostair/src/steps/board.rs
+++ b/crates/pistachiostair/src/steps/board.rs
@@ -18,7 +18,7 @@
 
 /// For how long the scheduler of an earlier term may have gone on renewing leases after its own lease ended: the
 /// length of outages of the store that running work survives.
-pub(crate) const ORPHAN_RENEWAL: Millis = Millis(10_000);
+pub(crate) const ORPHAN_RENEWAL: Millis = Millis(2_000);
 
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -190,16 +190,11 @@
         }
     }
 
-    /// The number up to which all ends may be acknowledged.
+    /// The number up to which all ends may be acknowledged. A worker lists all ends that are not, lowest first; those
+    /// before were acknowledged by an earlier scheduler.
     pub(crate) fn cursor(&self) -> u64 {
-        let mut cursor = self.acked;
-        for (number, end) in &self.ends {
-            if !end.durable || *number != cursor + 1 {
-                break;
-            }
-            cursor = *number;
-        }
-        cursor
+        let durable = self.ends.iter().take_while(|(_, end)| end.durable);
+        durable.last().map_or(self.acked, |(number, _)| *number)
     }
 
     /// Whether listed ends are not stored yet.
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -33,17 +33,8 @@
         let host = self.hosts.entry(worker.clone());
         let host = host.or_insert_with(|| Host::new(info.incarnation, Millis::ZERO));
         host.listed = true;
-        if info.draining
-            && !host
-                .info
-                .as_ref()
-                .is_some_and(|old| old.draining && old.incarnation == info.incarnation)
-        {
-            host.leaves = Some(cx.now + info.remaining.unwrap_or_default());
-        }
-        if !info.draining {
-            host.leaves = None;
-        }
+        let left = info.remaining.unwrap_or_default();
+        host.leaves = info.draining.then_some(cx.now + left);
         let restarted = info.incarnation > host.incarnation;
         let changed = host.info.as_ref() != Some(&info);
         let draining = info.draining;
@@ -55,7 +46,7 @@
             self.log_worker(
                 "listed",
                 &worker,
-                format!("incarnation {incarnation}, draining {draining}"),
+                format!("incarnation {incarnation}, draining {draining}, {left} left"),
             );
         }
     }
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -27,10 +27,13 @@
 impl Steps {
     /// Places what can be placed.
     pub(crate) fn plan(&mut self, cx: &Cx<'_>) {
-        if !self.listed || !cx.held {
+        if !cx.held {
             return;
         }
         self.replan = false;
+        if !self.listed {
+            return;
+        }
         let mut line = self.line(cx);
         let mut chosen = Vec::new();
         let mut starved = Vec::new();
--- a/crates/pistachiostair/src/steps/watch.rs
+++ b/crates/pistachiostair/src/steps/watch.rs
@@ -14,6 +14,9 @@
 /// Pause between holds of a worker whose ends can't be stored: a fraction of the lease that they renew.
 const RENEW: Millis = Millis(1_000);
 
+/// Shortest pause between two holds of a worker.
+const HOLD_GAP: Millis = Millis(20);
+
 /// Time after which an order to stop is repeated: workers stop a task within 200 ms.
 const STOP_AGAIN: Millis = Millis(400);
 
@@ -93,7 +96,8 @@
         let Some(host) = self.hosts.get(worker) else { return };
         let busy = !host.runs.is_empty();
         let wanted = busy || host.owes_ack() || (!host.claimed && host.listed);
-        let paced = host.owes_end() && cx.now < host.held + RENEW;
+        let pause = if host.owes_end() { RENEW } else { HOLD_GAP };
+        let paced = cx.now < host.held + pause;
         if !wanted || paced || host.holding || host.looking || cx.now < host.hold_after {
             return;
         }
