Let leases of silent workers end; stop tasks before a leaving worker is gone

A worker that does not answer is looked at without a new deadline now, and gets no repeated stops. Runs on a leaving worker were stopped 45 ms before it was gone: the age of the list delayed the end that was expected; the earliest estimate counts and the margin is 900 ms.

--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -34,7 +34,8 @@
         let host = host.or_insert_with(|| Host::new(info.incarnation, Millis::ZERO));
         host.listed = true;
         let left = info.remaining.unwrap_or_default();
-        host.leaves = info.draining.then_some(cx.now + left);
+        let leaves = host.leaves.unwrap_or(Millis::MAX).min(cx.now + left);
+        host.leaves = info.draining.then_some(leaves);
         let restarted = info.incarnation > host.incarnation;
         let changed = host.info.as_ref() != Some(&info);
         let draining = info.draining;
--- a/crates/pistachiostair/src/steps/watch.rs
+++ b/crates/pistachiostair/src/steps/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::board::{Cx, HoldOrder, ORPHAN_RENEWAL, RunPhase, Steps, StepsAction, Target, Why};
+use crate::steps::board::{Cx, HoldOrder, ORPHAN_RENEWAL, Run, RunPhase, Steps, StepsAction, Target, Why};
 use crate::steps::fate::Fate;
 use crate::steps::host::RunKey;
 use crate::steps::record::StepRecord;
@@ -24,8 +24,8 @@
 const ACK_DELAY: Millis = Millis(300);
 
 /// Time before the end of a worker that drains at which its runs are stopped, so that their ends and checkpoints are
-/// listed before it is gone: a stop of 200 ms and two round trips.
-const LEAVE_MARGIN: Millis = Millis(500);
+/// listed before it is gone: a stop of 200 ms, two round trips, and the age of the list.
+const LEAVE_MARGIN: Millis = Millis(900);
 
 /// Ended jobs that are forgotten at once.
 const FORGET_LIMIT: usize = 100;
@@ -127,7 +127,8 @@
             incarnation: host.incarnation,
             address: info.address.clone(),
         };
-        let leased = !host.runs.is_empty() && host.claimed && !orphaned;
+        // A call to a worker that does not answer could renew its lease without anyone knowing.
+        let leased = !host.runs.is_empty() && host.claimed && !orphaned && host.failures == 0;
         let deadline = if leased { host.lease(cx.now) } else { None };
         match wait {
             Millis::ZERO => host.looking = true,
@@ -144,8 +145,10 @@
     }
 
     fn repeat_stops(&mut self, cx: &Cx<'_>) {
-        let due = |run: &crate::steps::board::Run| {
-            let ordered = matches!(run.phase, RunPhase::Live | RunPhase::Ordered);
+        let hosts = &self.hosts;
+        let due = |run: &Run| {
+            let answers = hosts.get(&run.worker).is_some_and(|host| host.failures == 0);
+            let ordered = answers && matches!(run.phase, RunPhase::Live | RunPhase::Ordered);
             ordered
                 && run
                     .halt
