--- /dev/null
+++ b/crates/standin/src/step_worker.rs
@@ -0,0 +1,400 @@
+//! Workers that run the tasks of steps, without I/O: leases, fencing, gangs, checkpoints and listed ends.
+//!
+//! The text of a job tells what its tasks do, as in `work=2000 gang=3 fails=1 gpu=4`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pistachiostair::{
+    Demand, Fate, HoldOrder, HoldReply, Incarnation, Millis, OrderReply, RunLine, StartOrder, TaskEnd, TaskKey, Term,
+    WorkerName,
+};
+
+/// Longest lease that a worker grants.
+const MAX_LEASE: Millis = Millis(10_000);
+/// Time that a member of a gang waits for the others.
+const GANG_WAIT: Millis = Millis(3_000);
+/// Time that a stop takes.
+const STOP_TIME: Millis = Millis(100);
+/// Work after which a checkpoint is made.
+const CHECKPOINT: Millis = Millis(1_000);
+
+/// What the tasks of a job do.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TaskPlan {
+    /// Duration.
+    pub work: Millis,
+    /// Members of the gang; 0 if each task works alone.
+    pub gang: u32,
+    /// The first runs that fail.
+    pub fails: u32,
+    /// What a task takes.
+    pub demand: Demand,
+}
+
+impl TaskPlan {
+    /// Parses the text of a job; what is missing or can't be read counts as zero.
+    pub fn parse(text: &str) -> Self {
+        let field = |name: &str| {
+            let value = text
+                .split_whitespace()
+                .find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+            value.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0)
+        };
+        Self {
+            work: Millis(field("work")),
+            gang: field("gang") as u32,
+            fails: field("fails") as u32,
+            demand: Demand {
+                millicores: field("cpu"),
+                memory: field("mem"),
+                accelerators: field("gpu"),
+            },
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    run: u32,
+    plan: TaskPlan,
+    since: Millis,
+    worked: Millis,
+    saved: Millis,
+    stops: Option<Millis>,
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct StepWorker {
+    incarnation: Incarnation,
+    capacity: Demand,
+    /// Its clock is ahead by this much.
+    offset: Millis,
+    token: Term,
+    deadline: Millis,
+    tasks: BTreeMap<TaskKey, Running>,
+    /// Highest run of each task that was stopped or ended here.
+    barred: BTreeMap<TaskKey, u32>,
+    ends: Vec<TaskEnd>,
+    next: u64,
+}
+
+/// All workers of a region, and what they saw go wrong.
+#[derive(Clone, Debug, Default)]
+pub struct StepWorkers {
+    workers: BTreeMap<WorkerName, StepWorker>,
+    /// Tasks whose end as done was acknowledged.
+    noted: BTreeSet<TaskKey>,
+    /// Starts that were carried out.
+    pub starts: u32,
+    /// Orders to start that did not fit.
+    pub refused: u32,
+    /// Promises that were broken.
+    pub violations: Vec<String>,
+}
+
+impl StepWorker {
+    fn new(incarnation: Incarnation, capacity: Demand, now: Millis) -> Self {
+        Self {
+            incarnation,
+            capacity,
+            offset: Millis(incarnation.0 * 1_000),
+            token: Term(0),
+            deadline: now,
+            tasks: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            ends: Vec::new(),
+            next: 1,
+        }
+    }
+
+    fn clock(&self, now: Millis) -> Millis {
+        now + self.offset
+    }
+
+    fn used(&self) -> Demand {
+        let demands = self.tasks.values().map(|running| running.plan.demand);
+        demands.fold(Demand::default(), |sum, demand| sum.plus(&demand))
+    }
+
+    fn extend(&mut self, now: Millis, deadline: Millis) {
+        let longest = self.clock(now) + MAX_LEASE;
+        self.deadline = self.deadline.max(deadline.min(longest));
+    }
+
+    fn end(&mut self, task: TaskKey, fate: Fate) {
+        let Some(running) = self.tasks.remove(&task) else {
+            return;
+        };
+        self.barred.insert(task, running.run);
+        let saved = if running.saved > Millis::ZERO && fate != Fate::Done {
+            running.saved.0.to_string()
+        } else {
+            String::new()
+        };
+        self.ends.push(TaskEnd {
+            number: self.next,
+            task,
+            run: running.run,
+            fate,
+            saved,
+        });
+        self.next += 1;
+    }
+}
+
+impl StepWorkers {
+    /// Adds a worker, or starts one anew: nothing runs there and it has seen no term.
+    pub fn start_worker(&mut self, name: &WorkerName, incarnation: Incarnation, capacity: Demand, now: Millis) {
+        self.workers
+            .insert(name.clone(), StepWorker::new(incarnation, capacity, now));
+    }
+
+    /// Ends a worker with all that runs there.
+    pub fn crash(&mut self, name: &WorkerName) {
+        self.workers.remove(name);
+    }
+
+    /// Its incarnation, if it is up.
+    pub fn incarnation(&self, name: &WorkerName) -> Option<Incarnation> {
+        self.workers.get(name).map(|worker| worker.incarnation)
+    }
+
+    /// Tasks that run anywhere.
+    pub fn running(&self) -> usize {
+        self.workers.values().map(|worker| worker.tasks.len()).sum()
+    }
+
+    /// Ends that no scheduler has acknowledged.
+    pub fn unacknowledged(&self) -> usize {
+        self.workers.values().map(|worker| worker.ends.len()).sum()
+    }
+
+    /// Carries out an order to start.
+    pub fn start(
+        &mut self,
+        now: Millis,
+        name: &WorkerName,
+        incarnation: Incarnation,
+        order: &StartOrder,
+    ) -> OrderReply {
+        let elsewhere = self
+            .workers
+            .iter()
+            .any(|(other, worker)| other != name && worker.tasks.contains_key(&order.task));
+        let Some(worker) = self.workers.get_mut(name) else {
+            return OrderReply::Undelivered;
+        };
+        if worker.incarnation != incarnation {
+            return OrderReply::OtherIncarnation;
+        }
+        if order.term < worker.token {
+            return OrderReply::OldTerm;
+        }
+        worker.token = order.term;
+        let clock = worker.clock(now);
+        if order.deadline <= clock {
+            return OrderReply::Late;
+        }
+        worker.extend(now, order.deadline);
+        if worker
+            .tasks
+            .get(&order.task)
+            .is_some_and(|running| running.run == order.run)
+        {
+            return OrderReply::Done { clock };
+        }
+        let barred = worker.barred.get(&order.task).is_some_and(|run| *run >= order.run);
+        if barred || worker.tasks.contains_key(&order.task) {
+            return OrderReply::OldRun;
+        }
+        let plan = TaskPlan::parse(&order.payload);
+        if !worker.used().plus(&plan.demand).fits(&worker.capacity) {
+            self.refused += 1;
+            return OrderReply::NoRoom;
+        }
+        self.starts += 1;
+        if elsewhere {
+            self.violations
+                .push(format!("{} runs twice at the same time", order.task));
+        }
+        if self.noted.contains(&order.task) {
+            self.violations.push(format!("{} starts after it was done", order.task));
+        }
+        let worked = Millis(order.saved.parse().unwrap_or(0));
+        let running = Running {
+            run: order.run,
+            plan,
+            since: now,
+            worked,
+            saved: worked,
+            stops: None,
+        };
+        worker.tasks.insert(order.task, running);
+        OrderReply::Done { clock }
+    }
+
+    /// Carries out an order to stop.
+    pub fn stop(
+        &mut self,
+        now: Millis,
+        name: &WorkerName,
+        incarnation: Incarnation,
+        (task, run): (TaskKey, u32),
+        term: Term,
+    ) -> OrderReply {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return OrderReply::Undelivered;
+        };
+        if worker.incarnation != incarnation {
+            return OrderReply::OtherIncarnation;
+        }
+        if term < worker.token {
+            return OrderReply::OldTerm;
+        }
+        worker.token = term;
+        match worker.tasks.get_mut(&task).filter(|running| running.run == run) {
+            Some(running) => {
+                running.stops.get_or_insert(now + STOP_TIME);
+            }
+            None => {
+                let barred = worker.barred.entry(task).or_default();
+                *barred = (*barred).max(run);
+            }
+        }
+        let clock = worker.clock(now);
+        OrderReply::Done { clock }
+    }
+
+    /// Carries out a hold without waiting.
+    ///
+    /// # Errors
+    ///
+    /// What the worker says instead of its lists.
+    pub fn hold(
+        &mut self,
+        now: Millis,
+        name: &WorkerName,
+        incarnation: Incarnation,
+        order: &HoldOrder,
+    ) -> Result<HoldReply, OrderReply> {
+        let worker = self.workers.get_mut(name).ok_or(OrderReply::Undelivered)?;
+        if worker.incarnation != incarnation {
+            return Err(OrderReply::OtherIncarnation);
+        }
+        if order.term < worker.token {
+            return Err(OrderReply::OldTerm);
+        }
+        worker.token = order.term;
+        if let Some(deadline) = order.deadline {
+            worker.extend(now, deadline);
+        }
+        let noted = worker
+            .ends
+            .iter()
+            .filter(|end| end.number <= order.ack && end.fate == Fate::Done);
+        self.noted.extend(noted.map(|end| end.task));
+        worker.ends.retain(|end| end.number > order.ack);
+        let line = |(task, running): (&TaskKey, &Running)| RunLine {
+            task: *task,
+            run: running.run,
+            saved: match running.saved {
+                Millis::ZERO => String::new(),
+                saved => saved.0.to_string(),
+            },
+            percent: (running.worked.0 * 100 / running.plan.work.0.max(1)).min(100) as u32,
+        };
+        Ok(HoldReply {
+            clock: worker.clock(now),
+            incarnation: worker.incarnation,
+            running: worker.tasks.iter().map(line).collect(),
+            finished: worker.ends.clone(),
+        })
+    }
+
+    /// Lets all tasks work until `now`, for `span` since the last call.
+    pub fn advance(&mut self, now: Millis, span: Millis) {
+        self.lapse(now);
+        let present = self.present();
+        let mut ends = Vec::new();
+        for (name, worker) in &mut self.workers {
+            for (task, running) in &mut worker.tasks {
+                let members = present.get(&gang_of(task, running.run)).copied().unwrap_or(0);
+                let complete = running.plan.gang == 0 || members >= running.plan.gang;
+                if running.stops.is_some_and(|at| at <= now) {
+                    ends.push((name.clone(), *task, Fate::Stopped));
+                } else if !complete {
+                    if now.since(running.since) >= GANG_WAIT && running.worked == running.saved {
+                        ends.push((name.clone(), *task, Fate::Alone));
+                    }
+                } else {
+                    running.worked += span;
+                    if running.worked.since(running.saved) >= CHECKPOINT {
+                        running.saved = running.worked;
+                    }
+                    if running.worked >= running.plan.work {
+                        let fails = running.run <= running.plan.fails;
+                        ends.push((name.clone(), *task, if fails { Fate::Failed } else { Fate::Done }));
+                    }
+                }
+            }
+        }
+        for (name, task, fate) in ends {
+            self.end(&name, task, fate);
+        }
+    }
+
+    fn lapse(&mut self, now: Millis) {
+        let mut lapsed = Vec::new();
+        for (name, worker) in &self.workers {
+            if worker.clock(now) >= worker.deadline {
+                lapsed.extend(worker.tasks.keys().map(|task| (name.clone(), *task)));
+            }
+        }
+        for (name, task) in lapsed {
+            self.end(&name, task, Fate::Lapsed);
+        }
+    }
+
+    /// Members of each gang's run that are there.
+    fn present(&self) -> BTreeMap<GangRun, u32> {
+        let mut present = BTreeMap::new();
+        for (task, running) in self.workers.values().flat_map(|worker| &worker.tasks) {
+            *present.entry(gang_of(task, running.run)).or_default() += 1;
+        }
+        present
+    }
+
+    /// Ends a task; the other members of its gang end with it.
+    fn end(&mut self, name: &WorkerName, task: TaskKey, fate: Fate) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(running) = worker.tasks.get(&task).cloned() else {
+            return;
+        };
+        worker.end(task, fate);
+        if running.plan.gang == 0 {
+            return;
+        }
+        let gang = gang_of(&task, running.run);
+        let others = if fate == Fate::Done { Fate::Done } else { Fate::Broken };
+        for worker in self.workers.values_mut() {
+            let members = worker
+                .tasks
+                .iter()
+                .filter(|(task, running)| gang_of(task, running.run) == gang);
+            let members: Vec<TaskKey> = members.map(|(task, _)| *task).collect();
+            for member in members {
+                worker.end(member, others);
+            }
+        }
+    }
+}
+
+/// Job, occurrence, step and run.
+type GangRun = (pistachiostair::JobKey, u32, u32, u32);
+
+fn gang_of(task: &TaskKey, run: u32) -> GangRun {
+    (task.job, task.occurrence, task.step, run)
+}
