--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -29,7 +29,7 @@
     pub method: Method,
     /// Path and query.
     pub path: &'a str,
-    /// Headers besides host and length.
+    /// Headers besides the length; the host is the peer if they have none.
     pub headers: &'a [(&'a str, &'a str)],
     /// Body.
     pub body: Bytes,
@@ -257,10 +257,10 @@
         call: &HttpCall<'_>,
     ) -> Result<Response<Incoming>> {
         let invalid = |e: hyper::http::Error| Error::new(ErrorKind::Invalid, "build request", e).at(peer);
-        let mut builder = Request::builder()
-            .method(call.method.clone())
-            .uri(call.path)
-            .header("host", peer);
+        let mut builder = Request::builder().method(call.method.clone()).uri(call.path);
+        if call.headers.iter().all(|(name, _)| *name != "host") {
+            builder = builder.header("host", peer);
+        }
         for (name, value) in call.headers {
             builder = builder.header(*name, *value);
         }
--- a/crates/pistachiostair/src/steps/board.rs
+++ b/crates/pistachiostair/src/steps/board.rs
@@ -282,7 +282,6 @@
 /// A run that is being stopped.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Halt {
-    pub(crate) why: Why,
     /// When the order was sent last.
     pub(crate) sent: Option<Millis>,
     /// The worker's clock when it confirmed the order.
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -126,7 +126,6 @@
             return;
         }
         run.halt = Some(Halt {
-            why,
             sent: None,
             acked: None,
         });
