--- a/crates/pistachiostair/src/snapshot.rs
+++ b/crates/pistachiostair/src/snapshot.rs
@@ -8,8 +8,8 @@
 use crate::record;
 use crate::state::State;
 
-/// Rows deleted in one transaction.
-const DELETE_ROWS: u64 = 100;
+/// Rows deleted in one transaction: with its preconditions below the 100 entries that table services take.
+const DELETE_ROWS: u64 = 90;
 /// Pause after a failure.
 const PAUSE: Millis = Millis(1_000);
 
