Keep room for what waits, by the progress that workers report

Ruled out: lost messages and slow orders (first starts within 0.1 s where there was room).

The percent of a worker's list is the progress of the run. From it follows when room becomes free: a step that can't start keeps the room that is free soonest, at most 40% of all, and others give way where less work is lost than the step's queue allows. Room that is kept and still in use counts as owed, so that two claims never share it.

--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod claim;
 mod fate;
+mod forecast;
 mod guard;
 mod host;
 mod lists;
@@ -20,6 +21,8 @@
 mod room;
 mod rules;
 mod spec;
+mod urgency;
+mod victims;
 mod watch;
 
 pub(crate) use board::Cx;
--- a/crates/pistachiostair/src/steps/board.rs
+++ b/crates/pistachiostair/src/steps/board.rs
@@ -300,6 +300,17 @@
     Ended,
 }
 
+/// Progress that a worker has reported of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Progress {
+    /// Percent that were done when the run began: more than 0 if it resumed from a checkpoint.
+    pub(crate) base: u32,
+    /// Percent that are done.
+    pub(crate) percent: u32,
+    /// When that was reported.
+    pub(crate) at: Millis,
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub(crate) worker: WorkerName,
@@ -314,7 +325,7 @@
     /// The worker's clock when it last confirmed the run.
     pub(crate) seen: Option<Millis>,
     pub(crate) saved: String,
-    pub(crate) percent: u32,
+    pub(crate) progress: Option<Progress>,
     pub(crate) halt: Option<Halt>,
 }
 
@@ -396,7 +407,7 @@
                 sent: cx.now,
                 seen: Some(Millis::ZERO),
                 saved: String::new(),
-                percent: 0,
+                progress: None,
                 halt: None,
             };
             let host = self.hosts.entry(placed.worker.clone());
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
-use crate::steps::board::{Cx, HoldReply, OrderReply, RunPhase, Steps, Target};
+use crate::steps::board::{Cx, HoldReply, OrderReply, Progress, RunPhase, Steps, Target};
 use crate::steps::fate::Fate;
 use crate::steps::host::{Host, HostInfo, HostUpdate, RunKey};
 
@@ -154,7 +154,15 @@
                         run.since = cx.now;
                     }
                     run.seen = Some(run.seen.unwrap_or_default().max(reply.clock));
-                    run.percent = line.percent;
+                    // The first report of a resumed run tells where it began.
+                    let resumed = cx.book.job(line.task.job).and_then(|entry| entry.task(&line.task));
+                    let resumed = resumed.is_some_and(|task| !task.saved.is_empty());
+                    let first = if resumed { line.percent } else { 0 };
+                    run.progress = Some(Progress {
+                        base: run.progress.map_or(first, |progress| progress.base),
+                        percent: line.percent,
+                        at: cx.now,
+                    });
                     if !line.saved.is_empty() {
                         run.saved.clone_from(&line.saved);
                     }
--- a/crates/pistachiostair/src/steps/place.rs
+++ b/crates/pistachiostair/src/steps/place.rs
@@ -6,51 +6,33 @@
 use crate::steps::room::Spot;
 use crate::steps::spec::{Demand, Step};
 
-/// How far a placement may stray from the rack that suits a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Reach {
-    /// Only the rack of the data, or one rack for a step that wants one.
-    Near,
-    /// Any rack.
-    Anywhere,
-}
-
-/// Workers for `count` tasks of a step, or for as many as fit unless it is a gang; nothing if none fit.
-pub(crate) fn place(step: &Step, count: u32, spots: &[Spot<'_>], reach: Reach) -> Vec<WorkerName> {
-    if let Some(rack) = &step.affinity {
-        let near: Vec<Spot<'_>> = spots
-            .iter()
-            .filter(|spot| spot.rack.as_str() == rack)
-            .cloned()
-            .collect();
-        let found = fit(step, count, near);
-        if !found.is_empty() || reach == Reach::Near {
-            return found;
-        }
+/// Sets of workers that suit a step: those on which its tasks run at full speed, or none if it has no such wish.
+pub(crate) fn near_sets<'a>(step: &Step, spots: &[Spot<'a>]) -> Option<Vec<Vec<Spot<'a>>>> {
+    let mut racks: BTreeMap<&RackName, Vec<Spot<'a>>> = BTreeMap::new();
+    for spot in spots {
+        racks.entry(spot.rack).or_default().push(spot.clone());
     }
-    if step.gang && step.same_rack {
-        let found = place_in_rack(step, count, spots);
-        if !found.is_empty() || reach == Reach::Near {
-            return found;
+    match &step.affinity {
+        Some(rack) => {
+            let near = racks.into_iter().filter(|(name, _)| name.as_str() == rack);
+            Some(near.map(|(_, spots)| spots).collect())
         }
+        None if step.gang && step.same_rack => Some(racks.into_values().collect()),
+        None => None,
     }
-    fit(step, count, spots.to_vec())
 }
 
-/// The rack that holds the whole gang and has the fewest accelerators to spare.
-fn place_in_rack(step: &Step, count: u32, spots: &[Spot<'_>]) -> Vec<WorkerName> {
-    let mut racks: BTreeMap<&RackName, Vec<Spot<'_>>> = BTreeMap::new();
-    for spot in spots {
-        racks.entry(spot.rack).or_default().push(spot.clone());
-    }
-    let fitting = racks.into_values().filter_map(|spots| {
+/// Workers for `count` tasks of a step in the best of several sets, or for as many as fit unless it is a gang.
+pub(crate) fn place(step: &Step, count: u32, sets: Vec<Vec<Spot<'_>>>) -> Vec<WorkerName> {
+    let found = sets.into_iter().map(|spots| {
         let free: u64 = spots.iter().map(|spot| spot.free.accelerators).sum();
-        let found = fit(step, count, spots);
-        (!found.is_empty()).then_some((free, found))
+        (free, fit(step, count, spots))
     });
-    fitting
-        .min_by_key(|(free, _)| *free)
-        .map_or_else(Vec::new, |(_, found)| found)
+    // The set with the fewest accelerators to spare leaves the others whole.
+    let best = found
+        .filter(|(_, found)| !found.is_empty())
+        .min_by_key(|(free, _)| *free);
+    best.map_or_else(Vec::new, |(_, found)| found)
 }
 
 /// Packs tasks tightly, so that workers stay whole for tasks that need all of one.
@@ -63,8 +45,7 @@
         let Some(spot) = fitting.min_by_key(|spot| leftover(&spot.free, &step.demand)) else {
             break;
         };
-        spot.free = spot.free.minus(&step.demand);
-        spot.spread -= 1;
+        spot.take(&step.demand);
         found.push(spot.worker.clone());
     }
     if step.gang && found.len() < count as usize {
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -6,16 +6,22 @@
 use crate::ids::WorkerName;
 use crate::steps::board::{Cx, Run, RunPhase, Steps};
 use crate::steps::book::JobEntry;
+use crate::steps::claim::{Claim, NewClaim, runs_of_claims};
+use crate::steps::forecast::Forecast;
 use crate::steps::host::RunKey;
-use crate::steps::place::{Reach, place};
+use crate::steps::place::{near_sets, place};
 use crate::steps::queue::GroupKey;
 use crate::steps::record::{StartRecord, StepRecord};
 use crate::steps::room::Room;
-use crate::steps::spec::{Step, TaskKey};
+use crate::steps::spec::{JobKey, Step, TaskKey};
+use crate::steps::victims::{Clearance, Mercy};
 
-/// Span for which a step waits for its rack, as a share of its estimated duration in percent. Running elsewhere takes
-/// several times as long.
-const RACK_PATIENCE: u64 = 100;
+/// Times as long that tasks take away from their data or spread over racks. The platform's default; only the order of
+/// choices depends on it.
+const FAR_FACTOR: u64 = 3;
+
+/// Most accelerators that are kept free for steps that wait, in percent of all.
+const RESERVED_SHARE: u64 = 40;
 
 /// Workers chosen for tasks of a step.
 pub(crate) struct Chosen {
@@ -24,6 +30,17 @@
     pub(crate) reason: &'static str,
 }
 
+/// State of one planning pass.
+struct Pass<'a> {
+    room: Room<'a>,
+    forecast: Forecast,
+    covered: BTreeSet<JobKey>,
+    /// Accelerators that may still be kept free.
+    reservable: u64,
+    chosen: Vec<Chosen>,
+    claims: Vec<NewClaim>,
+}
+
 impl Steps {
     /// Places what can be placed.
     pub(crate) fn plan(&mut self, cx: &Cx<'_>) {
@@ -31,77 +48,164 @@
             return;
         }
         self.replan = false;
-        if !self.listed {
+        if !self.listed || self.waiting.is_empty() {
             return;
         }
-        let mut line = self.line(cx);
-        let mut chosen = Vec::new();
-        let mut starved = Vec::new();
-        {
-            let mut room = Room::of(self, cx);
-            chosen.extend(self.honour_claims(&mut room));
-            while let Some((group, covered)) = line.next() {
-                let Some(entry) = cx.book.job(group.0) else { continue };
-                let Some(step) = entry.spec.steps.get(group.2 as usize) else {
-                    continue;
-                };
-                if self.claims.contains_key(&group) {
-                    continue;
-                }
-                let found = self.choose(cx, entry, step, group, &mut room);
-                let missing = self.waiting[&group].indices.len() > found.workers.len();
-                if missing && covered {
-                    starved.push(group);
-                }
-                line.charge(
-                    &entry.spec.account,
-                    step.demand.accelerators * found.workers.len() as u64,
-                );
-                if !found.workers.is_empty() {
-                    chosen.push(found);
-                }
-            }
-        }
+        let (chosen, claims) = self.decide(cx);
         for found in chosen {
             self.assign(cx, found);
         }
-        for group in starved {
-            self.claim_room(cx, group);
+        self.enter_claims(cx, claims);
+    }
+
+    fn decide(&self, cx: &Cx<'_>) -> (Vec<Chosen>, Vec<NewClaim>) {
+        let capacity = self.hosts.values().filter_map(|host| host.info.as_ref());
+        let accelerators: u64 = capacity.map(|info| info.capacity.accelerators).sum();
+        let mut pass = Pass {
+            room: Room::of(self, cx),
+            forecast: Forecast::of(self, cx),
+            covered: self.covered(cx),
+            reservable: accelerators * RESERVED_SHARE / 100,
+            chosen: Vec::new(),
+            claims: Vec::new(),
+        };
+        self.honour_claims(&mut pass);
+        let mut line = self.line(cx, &pass.covered);
+        while let Some(group) = line.next() {
+            let Some(entry) = cx.book.job(group.0) else { continue };
+            let Some(step) = entry.spec.steps.get(group.2 as usize) else {
+                continue;
+            };
+            if !self.claims.contains_key(&group) {
+                let placed = self.serve(cx, &mut pass, entry, (group, step));
+                line.charge(&entry.spec.account, step.demand.accelerators * placed);
+            }
         }
+        (pass.chosen, pass.claims)
     }
 
     /// Places the steps whose claimed room is free by now, and keeps the room of the others.
-    fn honour_claims(&self, room: &mut Room<'_>) -> Vec<Chosen> {
-        let mut chosen = Vec::new();
+    fn honour_claims(&self, pass: &mut Pass<'_>) {
+        let mut open = Vec::new();
         for (group, claim) in &self.claims {
-            if claim.is_vacant(room) {
+            if claim.take(&mut pass.room) {
                 let workers = claim.workers.iter().map(|(index, worker)| (*index, worker.clone()));
-                chosen.push(Chosen {
+                pass.chosen.push(Chosen {
                     group: *group,
                     workers: workers.collect(),
-                    reason: "the room kept for its guarantee is free",
+                    reason: "the room that was claimed for it is free",
                 });
+            } else {
+                open.push(claim);
             }
-            claim.reserve(room);
         }
-        chosen
+        for claim in open {
+            claim.reserve(&mut pass.room);
+        }
     }
 
-    fn choose(&self, cx: &Cx<'_>, entry: &JobEntry, step: &Step, group: GroupKey, room: &mut Room<'_>) -> Chosen {
-        let waiting = &self.waiting[&group];
-        let patience = Millis(step.estimate.0 * RACK_PATIENCE / 100);
-        let (reach, reason) = match cx.now.since(waiting.since) >= patience {
-            true => (Reach::Anywhere, "best fit on any rack"),
-            false => (Reach::Near, "best fit"),
-        };
-        let service = &self.terms(entry).service;
-        let spots = self.spots(room, service, group, step);
-        let found = place(step, waiting.indices.len() as u32, &spots, reach);
+    /// Finds workers for the tasks of a step, or keeps room for them; the number of tasks placed.
+    fn serve<'a>(
+        &'a self,
+        cx: &Cx<'_>,
+        pass: &mut Pass<'a>,
+        entry: &JobEntry,
+        (group, step): (GroupKey, &Step),
+    ) -> u64 {
+        let indices: Vec<u32> = self.waiting[&group].indices.iter().copied().collect();
+        let spots = self.spots(&pass.room, &self.terms(entry).service, group, step);
+        let near = near_sets(step, &spots);
+        let wishes = near.is_some();
+        let sets = near.unwrap_or_else(|| vec![spots.clone()]);
+        let mut found = place(step, indices.len() as u32, sets.clone());
+        let mut reason = "best fit";
+        let missing = indices.len() - found.len();
+        let mut soonest = sets
+            .iter()
+            .filter_map(|spots| pass.forecast.earliest(spots, &step.demand, missing))
+            .min();
+        if missing > 0 && wishes {
+            let worthwhile = Millis(step.estimate.0 * (FAR_FACTOR - 1));
+            if soonest.as_ref().is_none_or(|(at, _)| *at > worthwhile) {
+                let far = place(step, indices.len() as u32, vec![spots.clone()]);
+                if far.len() > found.len() {
+                    found = far;
+                    reason = "its rack is not free soon enough";
+                }
+            }
+            if soonest.is_none() {
+                soonest = pass.forecast.earliest(&spots, &step.demand, missing);
+            }
+        }
         for worker in &found {
-            room.take(worker, &step.demand);
+            pass.room.take(worker, &step.demand);
+        }
+        let placed = found.len();
+        if placed > 0 {
+            pass.chosen.push(Chosen {
+                group,
+                workers: indices.iter().copied().zip(found).collect(),
+                reason,
+            });
+        }
+        if placed == 0 {
+            self.keep_room(cx, pass, entry, (group, step), &indices, soonest);
+        }
+        placed as u64
+    }
+
+    /// Keeps room for a step that does not fit: others give way if it would be late otherwise and little is lost, or
+    /// the room that becomes free soonest stays free for it.
+    fn keep_room<'a>(
+        &'a self,
+        cx: &Cx<'_>,
+        pass: &mut Pass<'a>,
+        entry: &JobEntry,
+        (group, step): (GroupKey, &Step),
+        indices: &[u32],
+        soonest: Option<(Millis, Vec<WorkerName>)>,
+    ) {
+        let covered = pass.covered.contains(&group.0);
+        let urgency = self.urgency(cx, entry, (group.2, step), indices.len(), covered);
+        if soonest.as_ref().is_none_or(|(at, _)| *at > urgency.slack) {
+            let taken = runs_of_claims(&pass.claims);
+            let mercy = Mercy {
+                spared: &pass.covered,
+                priority: urgency.loss.map(|_| self.terms(entry).priority),
+                taken: &taken,
+            };
+            let clearance = self.find_clearance(cx, entry, (group, step), &pass.room, &mercy);
+            let cheap = |clearance: &Clearance| urgency.loss.is_none_or(|loss| clearance.lost <= loss);
+            if let Some(clearance) = clearance.filter(cheap) {
+                let reason = format!(
+                    "{} runs give way, {} core-ms are lost; slack {}, free in {:?} ms",
+                    clearance.runs.len(),
+                    clearance.lost,
+                    urgency.slack,
+                    soonest.map(|(at, _)| at.0)
+                );
+                let claim = Claim {
+                    workers: indices.iter().copied().zip(clearance.workers).collect(),
+                    demand: step.demand,
+                    since: cx.now,
+                };
+                claim.reserve(&mut pass.room);
+                let runs = clearance.runs;
+                pass.claims.push(NewClaim {
+                    group,
+                    claim,
+                    runs,
+                    reason,
+                });
+                return;
+            }
+        }
+        let need = step.demand.accelerators * indices.len() as u64;
+        let entitled = step.gang || self.terms(entry).priority == 0;
+        if let Some((_, workers)) = soonest.filter(|_| entitled && need <= pass.reservable) {
+            pass.reservable -= need;
+            pass.room.reserve(&workers, &step.demand);
         }
-        let workers = waiting.indices.iter().copied().zip(found).collect();
-        Chosen { group, workers, reason }
     }
 
     /// Makes a choice the plan of record: the orders follow once it is durable.
@@ -119,8 +223,11 @@
         };
         let last = |index: u32| entry.task(&key(index)).map_or(0, |task| task.run);
         let shared = (0..step.count).map(last).max().unwrap_or(0) + 1;
+        self.claims.remove(&chosen.group);
+        let waiting = self.waiting.get(&chosen.group).map(|waiting| waiting.indices.clone());
+        let waiting = waiting.unwrap_or_default();
         let mut starts = Vec::new();
-        for (index, worker) in chosen.workers {
+        for (index, worker) in chosen.workers.into_iter().filter(|(index, _)| waiting.contains(index)) {
             let run = if step.gang { shared } else { last(index) + 1 };
             let Some(host) = self.hosts.get_mut(&worker) else {
                 continue;
@@ -144,7 +251,7 @@
                 sent: cx.now,
                 seen: None,
                 saved: String::new(),
-                percent: 0,
+                progress: None,
                 halt: None,
             };
             self.runs.insert((key(index), run), placed);
@@ -154,7 +261,9 @@
         for run in runs {
             self.log_run("placed", run, chosen.reason.to_owned());
         }
-        self.records.push(StepRecord::Started { starts });
+        if !starts.is_empty() {
+            self.records.push(StepRecord::Started { starts });
+        }
     }
 
     fn forget_waiting(&mut self, group: GroupKey, placed: impl Iterator<Item = u32>) {
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -13,8 +13,6 @@
 /// A step with tasks that can be placed.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
-    /// Since when, without a break.
-    pub(crate) since: Millis,
     /// Its tasks; all of them for a gang.
     pub(crate) indices: BTreeSet<u32>,
 }
@@ -39,7 +37,7 @@
 
 impl Line {
     /// The next step, which is then no longer in the queue.
-    pub(crate) fn next(&mut self) -> Option<(GroupKey, bool)> {
+    pub(crate) fn next(&mut self) -> Option<GroupKey> {
         let mut class = self.classes.first_entry()?;
         let accounts = class.get_mut();
         let least = accounts
@@ -54,7 +52,7 @@
         if accounts.is_empty() {
             class.remove();
         }
-        rank.map(|rank| (rank.group, !rank.uncovered))
+        rank.map(|rank| rank.group)
     }
 
     /// Counts accelerators that an account was given.
@@ -65,8 +63,7 @@
 
 impl Steps {
     /// The queue as it stands now.
-    pub(crate) fn line(&self, cx: &Cx<'_>) -> Line {
-        let covered = self.covered(cx);
+    pub(crate) fn line(&self, cx: &Cx<'_>, covered: &BTreeSet<JobKey>) -> Line {
         let mut line = Line {
             classes: BTreeMap::new(),
             usage: self.usage(cx),
--- a/crates/pistachiostair/src/steps/ready.rs
+++ b/crates/pistachiostair/src/steps/ready.rs
@@ -36,7 +36,6 @@
                 if !indices.is_empty() {
                     kept.insert(group);
                     let waiting = self.waiting.entry(group).or_insert_with(|| Waiting {
-                        since: cx.now,
                         indices: BTreeSet::new(),
                     });
                     waiting.indices = indices;
--- a/crates/pistachiostair/src/steps/room.rs
+++ b/crates/pistachiostair/src/steps/room.rs
@@ -1,6 +1,6 @@
 //! Free room of the workers during one planning pass.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::{RackName, WorkerName};
 use crate::steps::board::{Cx, Steps};
@@ -13,53 +13,80 @@
     pub(crate) worker: &'a WorkerName,
     pub(crate) rack: &'a RackName,
     pub(crate) service: &'a ServiceName,
-    pub(crate) labels: &'a std::collections::BTreeSet<String>,
+    pub(crate) labels: &'a BTreeSet<String>,
     pub(crate) free: Demand,
+    /// Room that is reserved and still in use.
+    owed: Demand,
     /// Tasks of the step in question that it may still take.
     pub(crate) spread: u32,
 }
 
+impl Spot<'_> {
+    /// Takes room for a task if it fits.
+    pub(crate) fn take(&mut self, demand: &Demand) -> bool {
+        let fits = self.spread > 0 && demand.fits(&self.free);
+        if fits {
+            self.free = self.free.minus(demand);
+            self.spread -= 1;
+        }
+        fits
+    }
+
+    /// Keeps room for a task, whether it is free or not.
+    pub(crate) fn reserve(&mut self, demand: &Demand) {
+        self.owed = self.owed.plus(&demand.minus(&self.free));
+        self.free = self.free.minus(demand);
+    }
+
+    /// Gives back the room of a run, first to what it is reserved for.
+    pub(crate) fn release(&mut self, demand: &Demand) {
+        self.free = self.free.plus(&demand.minus(&self.owed));
+        self.owed = self.owed.minus(demand);
+    }
+}
+
 /// Free room of all workers that take new work, in order of their names.
 #[derive(Clone, Debug)]
 pub(crate) struct Room<'a> {
-    pub(crate) spots: Vec<Spot<'a>>,
+    spots: Vec<Spot<'a>>,
 }
 
 impl<'a> Room<'a> {
     /// The room that runs leave.
     pub(crate) fn of(steps: &'a Steps, cx: &Cx<'_>) -> Self {
-        let mut room = Self { spots: Vec::new() };
-        for (worker, host) in &steps.hosts {
-            let Some(info) = host.info.as_ref().filter(|_| host.is_usable(cx.now)) else {
-                continue;
-            };
-            room.spots.push(Spot {
+        let usable = steps.hosts.iter().filter(|(_, host)| host.is_usable(cx.now));
+        let spots = usable.filter_map(|(worker, host)| {
+            let info = host.info.as_ref()?;
+            Some(Spot {
                 worker,
                 rack: &info.rack,
                 service: &info.service,
                 labels: &info.labels,
                 free: info.capacity.minus(&host.used),
+                owed: Demand::default(),
                 spread: u32::MAX,
-            });
-        }
-        room
+            })
+        });
+        Self { spots: spots.collect() }
     }
 
-    fn spot_mut(&mut self, worker: &WorkerName) -> Option<&mut Spot<'a>> {
+    /// The worker's spot; none if it takes no new work.
+    pub(crate) fn spot_mut(&mut self, worker: &WorkerName) -> Option<&mut Spot<'a>> {
         let index = self.spots.binary_search_by(|spot| spot.worker.cmp(worker)).ok()?;
         self.spots.get_mut(index)
     }
 
-    /// Room of one worker; none if it takes no new work.
-    pub(crate) fn free(&self, worker: &WorkerName) -> Option<Demand> {
-        let index = self.spots.binary_search_by(|spot| spot.worker.cmp(worker)).ok()?;
-        Some(self.spots[index].free)
+    /// Takes room of a worker for a task; false if it does not fit.
+    pub(crate) fn take(&mut self, worker: &WorkerName, demand: &Demand) -> bool {
+        self.spot_mut(worker).is_some_and(|spot| spot.take(demand))
     }
 
-    /// Takes room away.
-    pub(crate) fn take(&mut self, worker: &WorkerName, demand: &Demand) {
-        if let Some(spot) = self.spot_mut(worker) {
-            spot.free = spot.free.minus(demand);
+    /// Keeps room of workers for tasks, whether it is free or not.
+    pub(crate) fn reserve<'b>(&mut self, workers: impl IntoIterator<Item = &'b WorkerName>, demand: &Demand) {
+        for worker in workers {
+            if let Some(spot) = self.spot_mut(worker) {
+                spot.reserve(demand);
+            }
         }
     }
 }
--- a/crates/pistachiostair/tests/steps/life.rs
+++ b/crates/pistachiostair/tests/steps/life.rs
@@ -164,6 +164,22 @@
     world.check();
 }
 
+/// Guards against a claim that places the same tasks again when others of the step come to wait.
+#[rstest]
+fn claim_used_once(#[values(10, 20, 40, 60, 80, 100)] work: u64) {
+    let mut world = World::new(2);
+    let mut bulk = job(1, "bulk", 14, 1, 4_000);
+    bulk.steps[0].spread = Some(7);
+    world.submit(bulk);
+    let mut urgent = job(2, "urgent", 3, 1, 5_000);
+    urgent.payload = format!("work={work} gpu=1 fails=1");
+    world.submit(urgent);
+    world.run(10_000);
+    assert_eq!(world.phase(2, "urgent"), StepPhase::Completed);
+    assert_eq!(world.phase(1, "bulk"), StepPhase::Completed);
+    world.check();
+}
+
 /// Guards against starts on a worker that leaves, and against runs that end unseen with it.
 #[test]
 fn leaving_worker() {
