Log and count each decision about a call; say that a connection ends

Admission by configuration and key moves from platform/ into the product and writes a line with the configuration's version and age; each submission and cancel has a line with its outcome, attempts and time. Counters and latency histograms of calls, orders and decisions.

--- a/crates/pistachiostair/src/gateway.rs
+++ b/crates/pistachiostair/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::govern::Govern;
 use crate::kernel::{Kernel, Service};
 use crate::message::{Failure, Request, Response};
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::steps::{StepAnswer, StepCall};
 
@@ -40,36 +41,69 @@
     /// of a job tells a repeated submission.
     pub(crate) async fn call(&self, call: &StepCall, deadline: Millis) -> StepAnswer {
         let started = self.kernel.clock.now();
+        let (answer, attempts) = self.call_until(call, started, deadline).await;
+        self.report(call, &answer, attempts, self.kernel.clock.now().since(started));
+        answer
+    }
+
+    async fn call_until(&self, call: &StepCall, started: Millis, deadline: Millis) -> (StepAnswer, u32) {
         let mut ran = Ran::No;
+        let mut attempts = 0;
         loop {
             let now = self.kernel.clock.now();
+            attempts += 1;
             let failure = match self.attempt(call, deadline.since(now).min(ATTEMPT_TIMEOUT)).await {
                 StepAnswer::Failed(failure) => failure,
-                answer => return answer,
+                answer => return (answer, attempts),
             };
             if failure.ran != Ran::No {
                 ran = Ran::Unknown;
             }
             let passing = matches!(failure.kind, ErrorKind::Unavailable | ErrorKind::Timeout);
-            let now = self.kernel.clock.now();
             // An attempt of unknown outcome is worth more patience: only another answer makes it known.
             let end = match ran {
                 Ran::No => deadline.min(started + PATIENCE),
                 _ => deadline,
             };
-            if !passing || now + RETRY_PAUSE >= end {
-                slog::info!(self.log, "not served"; "call" => name(call), "error" => &failure.message,
-                    "ran" => ?ran, "waited" => now.since(started).0);
-                return StepAnswer::Failed(Failure {
-                    ran,
-                    retry: failure.retry.or(Some(RETRY_AFTER.0)),
-                    ..failure
-                });
+            if !passing || self.kernel.clock.now() + RETRY_PAUSE >= end {
+                let retry = failure.retry.or(Some(RETRY_AFTER.0));
+                return (StepAnswer::Failed(Failure { ran, retry, ..failure }), attempts);
             }
             Timer::after(RETRY_PAUSE.duration()).await;
         }
     }
 
+    /// Writes a line for each call that changes something or was not met, and counts all.
+    fn report(&self, call: &StepCall, answer: &StepAnswer, attempts: u32, took: Millis) {
+        let (kind, id) = name(call);
+        let outcome = match answer {
+            StepAnswer::Accepted { created: true } => "accepted",
+            StepAnswer::Accepted { created: false } => "known",
+            StepAnswer::State { .. } => "state",
+            StepAnswer::Cancelled => "cancelled",
+            StepAnswer::Pending { .. } => "pending",
+            StepAnswer::Unknown => "no such job",
+            StepAnswer::Failed(_) => "failed",
+        };
+        if let Ok(metrics) = self.kernel.find::<Metrics>() {
+            metrics.step_calls.with_label_values(&[kind, outcome]).inc();
+            metrics
+                .step_latency
+                .with_label_values(&[kind])
+                .observe(took.0 as f64 / 1_000.0);
+        }
+        let holder = self.kernel.find::<Govern>().ok().and_then(|govern| govern.holder());
+        let scheduler = holder.map(|(daemon, _)| daemon.to_string());
+        match answer {
+            StepAnswer::Failed(failure) => slog::info!(self.log, "not served"; "call" => kind, "job" => id,
+                "error" => &failure.message, "ran" => ?failure.ran, "retry" => failure.retry, "attempts" => attempts,
+                "took" => took.0, "scheduler" => scheduler),
+            StepAnswer::State { .. } | StepAnswer::Pending { .. } => {}
+            _ => slog::info!(self.log, "served"; "call" => kind, "job" => id, "outcome" => outcome,
+                "attempts" => attempts, "took" => took.0, "scheduler" => scheduler),
+        }
+    }
+
     async fn attempt(&self, call: &StepCall, limit: Millis) -> StepAnswer {
         match self.send(call, limit).await {
             Ok(answer) => answer,
@@ -98,11 +132,12 @@
     Error::msg(ErrorKind::Unavailable, step, "the daemon is starting")
 }
 
-fn name(call: &StepCall) -> String {
+/// Kind of a call, and the job or queue that it names.
+fn name(call: &StepCall) -> (&'static str, String) {
     match call {
-        StepCall::Submit { job } => format!("submit {}", job.key),
-        StepCall::State { job, .. } => format!("state {job}"),
-        StepCall::Cancel { job, .. } => format!("cancel {job}"),
-        StepCall::Pending { queue } => format!("pending {queue}"),
+        StepCall::Submit { job } => ("submit", job.key.to_string()),
+        StepCall::State { job, .. } => ("state", job.to_string()),
+        StepCall::Cancel { job, .. } => ("cancel", job.to_string()),
+        StepCall::Pending { queue } => ("pending", queue.to_string()),
     }
 }
--- a/crates/pistachiostair/src/http_server.rs
+++ b/crates/pistachiostair/src/http_server.rs
@@ -214,10 +214,13 @@
                 };
                 (self.handler)(request).await
             }
-            Err(None) => (self.refusal)(StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time"),
+            Err(None) => closing((self.refusal)(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body did not arrive in time",
+            )),
             Err(Some(error)) if error.is::<http_body_util::LengthLimitError>() => {
                 let reason = format!("the body is longer than {} bytes", self.limits.body);
-                (self.refusal)(StatusCode::PAYLOAD_TOO_LARGE, &reason)
+                closing((self.refusal)(StatusCode::PAYLOAD_TOO_LARGE, &reason))
             }
             Err(Some(error)) => (self.refusal)(StatusCode::BAD_REQUEST, &format!("the body can't be read: {error}")),
         };
@@ -225,6 +228,13 @@
     }
 }
 
+/// Tells the caller that the connection ends, since the rest of the body is not read: another request on it would be
+/// lost.
+fn closing(mut reply: HttpReply) -> HttpReply {
+    reply.headers.push(("connection", "close".to_owned()));
+    reply
+}
+
 fn into_response(reply: HttpReply) -> Response<Body> {
     let body = match reply.body {
         HttpBody::Full(bytes) => Full::new(bytes).boxed(),
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -142,7 +142,7 @@
     Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, View,
 };
 pub use metrics::{Metrics, ProcessUsage, process_usage};
-pub use node_daemon::{Admission as StepAdmission, Edges, StepDaemon, StepSettings};
+pub use node_daemon::{Admitted, Denial, Edges, StepDaemon, StepSettings};
 pub use peer_frame::decode_message;
 pub use peer_tls::PeerTls;
 pub use peers::{LinkSettings, PeerHandler, PeerReport, Peers};
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use prometheus::core::Collector;
-use prometheus::{Encoder, Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::kernel::Service;
@@ -16,6 +18,9 @@
 /// Clock ticks a second in `/proc/self/stat`. Linux fixes the unit that it shows to programs at 100.
 const TICKS_PER_SECOND: f64 = 100.0;
 
+/// Bounds of the buckets of latencies in seconds: from an exchange within a failure domain to the longest deadline.
+const LATENCY_BUCKETS: [f64; 9] = [0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
+
 /// Metrics of a daemon, each with the prefix `pistachiostair_`.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -58,6 +63,16 @@
     pub tenure: IntGauge,
     /// Bytes between this daemon and other daemons, workers and the platform.
     pub traffic: Arc<Traffic>,
+    /// Calls about jobs made of steps, by kind and outcome.
+    pub step_calls: IntCounterVec,
+    /// Time in seconds until these calls were answered, by kind.
+    pub step_latency: HistogramVec,
+    /// Orders to workers, by kind and outcome.
+    pub step_orders: IntCounterVec,
+    /// Time in seconds until workers answered, by kind of order; holds wait for an end.
+    pub order_latency: HistogramVec,
+    /// Decisions of the scheduler of steps, by what was decided.
+    pub step_decisions: IntCounterVec,
     control: IntCounterVec,
     kinds: IntCounterVec,
     cpu: Gauge,
@@ -99,6 +114,15 @@
             peers: with.gauge("peers_live", "Other daemons that are live.")?,
             policy: with.gauge("policy_revision", "Revision of the configuration in force.")?,
             tenure: with.gauge("scheduler_term", "Term of the scheduler here; 0 if it runs elsewhere.")?,
+            step_calls: with.vec(
+                "step_calls_total",
+                "Calls about jobs made of steps.",
+                &["call", "outcome"],
+            )?,
+            step_latency: with.histogram("step_call_seconds", "Time until a call was answered.", &["call"])?,
+            step_orders: with.vec("step_orders_total", "Orders to workers.", &["order", "outcome"])?,
+            order_latency: with.histogram("step_order_seconds", "Time until a worker answered.", &["order"])?,
+            step_decisions: with.vec("step_decisions_total", "Decisions about steps.", &["decision"])?,
             control: with.vec("control_bytes_total", "Bytes of the control plane.", &["direction"])?,
             kinds: with.vec(
                 "control_kind_bytes_total",
@@ -171,6 +195,11 @@
         self.add(IntCounterVec::new(Opts::new(name, help), labels))
     }
 
+    fn histogram(&self, name: &str, help: &str, labels: &[&str]) -> Result<HistogramVec> {
+        let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+        self.add(HistogramVec::new(options, labels))
+    }
+
     fn counter(&self, name: &str, help: &str) -> Result<IntCounter> {
         self.add(IntCounter::new(name, help))
     }
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -14,7 +14,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::gateway::Gateway;
 use crate::govern::{Govern, GovernSettings, new_incarnation};
-use crate::ids::{DaemonName, RegionName};
+use crate::ids::{AccountName, DaemonName, RegionName};
 use crate::kernel::Kernel;
 use crate::logging::{Component, component_logger};
 use crate::metrics::Metrics;
@@ -22,7 +22,7 @@
 use crate::pki::Authority;
 use crate::rules_watch::RulesWatch;
 use crate::serve::dispatch;
-use crate::steps::{Rules, StepAnswer, StepCall};
+use crate::steps::{Queue, Rules, StepAnswer, StepCall};
 use crate::steps_io::HostEdges;
 use crate::tenure::TenureTimes;
 
@@ -75,13 +75,24 @@
     pub row_bytes: usize,
 }
 
-/// What a caller's key and path say about a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// The configuration is not known yet, or keys are too old to be trusted.
+/// Why a call is not passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// The configuration is not known yet, or what is known of keys is too old.
     Unready(&'static str),
-    /// The configuration that decides.
-    Ready(Arc<Rules>),
+    /// No queue has this host and path.
+    NoQueue,
+    /// No account has this key.
+    UnknownKey,
+}
+
+/// A call that may be passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Admitted {
+    /// The queue.
+    pub queue: Queue,
+    /// The account that the key belongs to; none for an open queue.
+    pub account: AccountName,
 }
 
 /// A running daemon for jobs made of steps.
@@ -191,16 +202,46 @@
         Ok(())
     }
 
-    /// The configuration that decides about calls that need a key, or about open ones.
-    pub fn admission(&self, keyed: bool) -> Admission {
-        let Some(rules) = self.rules.rules() else {
-            return Admission::Unready("the configuration is not known yet");
-        };
-        let stale = |limit: Millis| self.rules.age().is_none_or(|age| age >= limit);
-        if keyed && self.settings.key_age.is_some_and(stale) {
-            return Admission::Unready("keys were not confirmed lately");
+    /// Finds the queue and the account of a call. `id` names the call in the log.
+    ///
+    /// # Errors
+    ///
+    /// Why the call is not passed on.
+    pub fn admit(&self, host: &str, path: &str, key: Option<&str>, id: &str) -> std::result::Result<Admitted, Denial> {
+        let rules = self.rules.rules();
+        let admitted = self.decide(rules.as_deref(), host, path, key);
+        if let Err(denial) = &admitted {
+            slog::info!(self.log, "api: denied"; "job" => id, "path" => path, "reason" => ?denial,
+                "version" => rules.map(|rules| rules.version.0), "age" => self.rules.age().map(|age| age.0));
         }
-        Admission::Ready(rules)
+        admitted
+    }
+
+    fn decide(
+        &self,
+        rules: Option<&Rules>,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> std::result::Result<Admitted, Denial> {
+        let rules = rules.ok_or(Denial::Unready("the configuration is not known yet"))?;
+        let queue = rules.queue(host, path).ok_or(Denial::NoQueue)?;
+        let account = match queue.open {
+            true => AccountName::default(),
+            false if self.keys_aged() => return Err(Denial::Unready("keys were not confirmed lately")),
+            false => key
+                .and_then(|key| rules.account(key))
+                .cloned()
+                .ok_or(Denial::UnknownKey)?,
+        };
+        let queue = queue.clone();
+        Ok(Admitted { queue, account })
+    }
+
+    /// Whether what is known of keys is too old to be trusted.
+    fn keys_aged(&self) -> bool {
+        let aged = |limit: Millis| self.rules.age().is_none_or(|age| age >= limit);
+        self.settings.key_age.is_some_and(aged)
     }
 
     /// Sends a request to the scheduler; `left` is the time that the caller still waits.
@@ -217,8 +258,11 @@
         if self.stopping.load(Ordering::Relaxed) {
             return Err("stopping");
         }
-        if let Admission::Unready(reason) = self.admission(true) {
-            return Err(reason);
+        if self.rules.rules().is_none() {
+            return Err("the configuration is not known yet");
+        }
+        if self.keys_aged() {
+            return Err("keys were not confirmed lately");
         }
         match self.kernel.find::<Beats>() {
             Ok(beats) if beats.silence() < MAX_SILENCE => Ok(()),
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -11,8 +11,9 @@
 use crate::govern_actor::Actor;
 use crate::ids::Term;
 use crate::kernel::Service;
+use crate::metrics::Metrics;
 use crate::scheduler::Event;
-use crate::steps::{StepsAction, StepsEvent, StepsLog};
+use crate::steps::{OrderReply, StepsAction, StepsEvent, StepsLog};
 
 /// Time between two reads of the platform's list. A worker that leaves must get nothing new within 2 s.
 const LIST_INTERVAL: Millis = Millis(600);
@@ -46,14 +47,21 @@
             }
         };
         match edges {
-            Ok(edges) => self.reply_later(async move {
-                Input::Event(Box::new(Event::Steps(order(edges.hosts.as_ref(), action).await)))
-            }),
+            Ok(edges) => {
+                let (metrics, clock) = (self.metrics.clone(), self.kernel.clock);
+                self.reply_later(async move {
+                    let sent = clock.now();
+                    let event = order(edges.hosts.as_ref(), action).await;
+                    count(&metrics, &event, clock.now().since(sent));
+                    Input::Event(Box::new(Event::Steps(event)))
+                });
+            }
             Err(error) => slog::error!(self.log, "order not sent"; "error" => %error),
         }
     }
 
     fn log_step(&self, line: &StepsLog) {
+        self.metrics.step_decisions.with_label_values(&[line.what]).inc();
         let job = line.job.map(|job| job.to_string());
         let task = line.task.map(|(task, _)| task.to_string());
         let run = line.task.map(|(_, run)| run);
@@ -99,6 +107,36 @@
     }
 }
 
+fn count(metrics: &Metrics, event: &StepsEvent, took: Millis) {
+    let (kind, outcome) = match event {
+        StepsEvent::Started { reply, .. } => ("start", outcome(reply)),
+        StepsEvent::Stopped { reply, .. } => ("stop", outcome(reply)),
+        StepsEvent::Held { reply: Ok(_), .. } => ("hold", "done"),
+        StepsEvent::Held { reply: Err(reply), .. } => ("hold", outcome(reply)),
+        StepsEvent::Call { .. } | StepsEvent::Hosts(_) | StepsEvent::Rules(_) => return,
+    };
+    metrics.step_orders.with_label_values(&[kind, outcome]).inc();
+    metrics
+        .order_latency
+        .with_label_values(&[kind])
+        .observe(took.0 as f64 / 1_000.0);
+}
+
+fn outcome(reply: &OrderReply) -> &'static str {
+    match reply {
+        OrderReply::Done { .. } => "done",
+        OrderReply::OldTerm => "old term",
+        OrderReply::OldRun => "old run",
+        OrderReply::Late => "late",
+        OrderReply::NoRoom => "no room",
+        OrderReply::OtherIncarnation => "other incarnation",
+        OrderReply::Unhealthy => "unhealthy",
+        OrderReply::Invalid { .. } => "invalid",
+        OrderReply::Undelivered => "undelivered",
+        OrderReply::Unanswered => "unanswered",
+    }
+}
+
 /// Sends an order and turns its outcome into an event.
 async fn order(hosts: &dyn Hosts, action: StepsAction) -> StepsEvent {
     match action {
