--- a/crates/pistachiostair/src/steps/board.rs
+++ b/crates/pistachiostair/src/steps/board.rs
@@ -303,8 +303,11 @@
 /// Progress that a worker has reported of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Progress {
-    /// Percent that were done when the run began: more than 0 if it resumed from a checkpoint.
+    /// Percent that were done at the start of the observation.
     pub(crate) base: u32,
+    /// The start of the observation: that of the run, or the first report of a run that did not begin with nothing done
+    /// under this term.
+    pub(crate) from: Millis,
     /// Percent that are done.
     pub(crate) percent: u32,
     /// When that was reported.
@@ -325,6 +328,8 @@
     /// The worker's clock when it last confirmed the run.
     pub(crate) seen: Option<Millis>,
     pub(crate) saved: String,
+    /// Whether the run began under an earlier term or resumed from a checkpoint.
+    pub(crate) resumed: bool,
     pub(crate) progress: Option<Progress>,
     pub(crate) halt: Option<Halt>,
 }
@@ -407,6 +412,7 @@
                 sent: cx.now,
                 seen: Some(Millis::ZERO),
                 saved: String::new(),
+                resumed: true,
                 progress: None,
                 halt: None,
             };
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -76,7 +76,7 @@
         let estimate = step_of(cx.book, task).map_or(Millis::ZERO, |step| step.estimate);
         return estimate.since(elapsed).max(UNKNOWN_REST);
     };
-    let spent = progress.at.since(run.since).0;
+    let spent = progress.at.since(progress.from).0;
     let rate = u64::from(progress.percent - progress.base);
     let left = spent * u64::from(100 - progress.percent.min(100)) / rate;
     Millis(left).since(cx.now.since(progress.at))
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -154,12 +154,14 @@
                         run.since = cx.now;
                     }
                     run.seen = Some(run.seen.unwrap_or_default().max(reply.clock));
-                    // The first report of a resumed run tells where it began.
-                    let resumed = cx.book.job(line.task.job).and_then(|entry| entry.task(&line.task));
-                    let resumed = resumed.is_some_and(|task| !task.saved.is_empty());
-                    let first = if resumed { line.percent } else { 0 };
+                    let (base, from) = match run.progress {
+                        Some(progress) => (progress.base, progress.from),
+                        None if run.resumed => (line.percent, cx.now),
+                        None => (0, run.since),
+                    };
                     run.progress = Some(Progress {
-                        base: run.progress.map_or(first, |progress| progress.base),
+                        base,
+                        from,
                         percent: line.percent,
                         at: cx.now,
                     });
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -251,6 +251,7 @@
                 sent: cx.now,
                 seen: None,
                 saved: String::new(),
+                resumed: entry.task(&key(index)).is_some_and(|task| !task.saved.is_empty()),
                 progress: None,
                 halt: None,
             };
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -35,6 +35,20 @@
     assert!(world.holds - holds < 20, "{} holds in 2.5 s", world.holds - holds);
 }
 
+/// Guards against a scheduler that takes the progress of runs that it took over for their speed: it then waits for
+/// room that never becomes free.
+#[test]
+fn take_over_reclaims() {
+    let mut world = World::with_guarantee(4, 24);
+    world.submit(job(1, "normal", 32, 1, 20_000));
+    world.run(10_000);
+    world.take_over();
+    world.submit(gang(2, "urgent", 3, ACCELERATORS, 500));
+    world.run(1_500);
+    assert_eq!(world.phase(2, "urgent"), StepPhase::Completed);
+    world.check();
+}
+
 /// Guards against a scheduler that spins before it knows the list of workers.
 #[test]
 fn take_over_rests() {
