Cover guaranteed jobs that fit once older ones have ended

The account exceeded its guarantee until 32.24 s, when an older job ended; 270 ms were left, and the forecast said that room would be free in less than 150 ms, which it was not.

A job is now covered once 1.2 s are left and the jobs that outlast its time fit beside it; 400 ms after its acceptance a covered job no longer waits for a forecast. guarantee_in_time fails without the change.

--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -167,7 +167,8 @@
     ) {
         let covered = pass.covered.contains(&group.0);
         let urgency = self.urgency(cx, entry, (group.2, step), indices.len(), covered);
-        if soonest.as_ref().is_none_or(|(at, _)| *at > urgency.slack) {
+        let overdue = urgency.loss.is_none();
+        if overdue || soonest.as_ref().is_none_or(|(at, _)| *at > urgency.slack) {
             let taken = runs_of_claims(&pass.claims);
             let mercy = Mercy {
                 spared: &pass.covered,
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -5,8 +5,20 @@
 use crate::clock::Millis;
 use crate::ids::AccountName;
 use crate::steps::board::{Cx, RunPhase, Steps};
+use crate::steps::book::JobEntry;
+use crate::steps::forecast::rest;
 use crate::steps::spec::JobKey;
 
+/// Time after the acceptance of a job that a guarantee covers within which it must have begun: the shortest that
+/// the users' deployments set.
+const RECLAIM_TIME: Millis = Millis(2_700);
+
+/// Rest of that time in which room can still be made twice: a stop of 200 ms, the ways of the orders, a commit.
+const RECLAIM_LEAD: Millis = Millis(1_200);
+
+/// Error of the forecast of a job's end: workers report progress in whole percent, at most 2 s old.
+const FORECAST_ERROR: Millis = Millis(500);
+
 /// A step of one occurrence.
 pub(crate) type GroupKey = (JobKey, u32, u32);
 
@@ -95,7 +107,8 @@
         usage
     }
 
-    /// Jobs of priority 0 that the guarantees of their accounts cover, oldest first.
+    /// Jobs of priority 0 that the guarantees of their accounts cover, oldest first. One that exceeds the guarantee
+    /// for now is covered once its time is short and enough of the others will have ended when it is up.
     pub(crate) fn covered(&self, cx: &Cx<'_>) -> BTreeSet<JobKey> {
         let mut urgent: Vec<_> = cx
             .book
@@ -103,22 +116,44 @@
             .filter(|entry| !entry.phase.is_final() && self.terms(entry).priority == 0)
             .collect();
         urgent.sort_unstable_by_key(|entry| (entry.accepted, entry.spec.key));
-        let mut used: BTreeMap<&AccountName, u64> = BTreeMap::new();
+        let mut accounts: BTreeMap<&AccountName, Vec<(&JobEntry, u64)>> = BTreeMap::new();
         let mut covered = BTreeSet::new();
         for entry in urgent {
             let account = &entry.spec.account;
             let guaranteed = self.rules.accounts.get(account).map_or(0, |account| account.guaranteed);
-            let steps = entry.spec.steps.iter();
-            let need = steps
-                .map(|step| u64::from(step.count) * step.demand.accelerators)
-                .max()
-                .unwrap_or(0);
-            let sum = used.entry(account).or_default();
-            if *sum + need <= guaranteed {
-                *sum += need;
+            let need = need(entry);
+            let older = accounts.entry(account).or_default();
+            let sum = |counts: &dyn Fn(&JobEntry) -> bool| -> u64 {
+                let counted = older.iter().filter(|(entry, _)| counts(entry));
+                counted.map(|(_, need)| need).sum()
+            };
+            let left = RECLAIM_TIME.since(cx.wall.since(entry.accepted));
+            let now = sum(&|entry| covered.contains(&entry.spec.key)) + need <= guaranteed;
+            let outlasts = |entry: &JobEntry| self.rest_of(cx, entry) > left + FORECAST_ERROR;
+            if now || left <= RECLAIM_LEAD && sum(&outlasts) + need <= guaranteed {
                 covered.insert(entry.spec.key);
             }
+            older.push((entry, need));
         }
         covered
     }
+
+    /// How long a job goes on, if all that it has left to do runs.
+    fn rest_of(&self, cx: &Cx<'_>, entry: &JobEntry) -> Millis {
+        let runs: Vec<_> = self.runs_of(entry.spec.key).collect();
+        if (runs.len() as u64) < entry.open {
+            return Millis::MAX;
+        }
+        let rests = runs
+            .iter()
+            .filter_map(|key| Some(rest(cx, &key.0, self.runs.get(key)?)));
+        rests.max().unwrap_or(Millis::MAX)
+    }
+}
+
+/// Most accelerators that a step of a job needs.
+fn need(entry: &JobEntry) -> u64 {
+    let steps = entry.spec.steps.iter();
+    let needs = steps.map(|step| u64::from(step.count) * step.demand.accelerators);
+    needs.max().unwrap_or(0)
 }
--- a/crates/pistachiostair/src/steps/urgency.rs
+++ b/crates/pistachiostair/src/steps/urgency.rs
@@ -10,7 +10,7 @@
 /// a job must have begun within 2.7 s, so that several attempts to make room fit into the rest.
 const COVERED_WAIT: Millis = Millis(400);
 
-/// Time for which a job with a guarantee waits for room that becomes free by itself.
+/// Time for which a job with a guarantee waits for room that becomes free by itself, before [`COVERED_WAIT`].
 const COVERED_SLACK: Millis = Millis(150);
 
 /// Work that may be lost for a step of the most urgent queues, in percent of its own work. Above 100, since a late job
@@ -51,6 +51,7 @@
         let unlimited = covered && waited >= COVERED_WAIT;
         // Estimates are too rough to tell how long urgent work, which is short, may wait.
         let slack = match (covered, urgent) {
+            (true, _) if unlimited => Millis::ZERO,
             (true, _) => COVERED_SLACK,
             (false, true) => Millis::ZERO,
             (false, false) => slack,
--- a/crates/pistachiostair/tests/steps/life.rs
+++ b/crates/pistachiostair/tests/steps/life.rs
@@ -1,6 +1,6 @@
 //! Jobs from their acceptance to their end.
 
-use pistachiostair::{JobKey, Millis, Recurrence, Step, StepAnswer, StepCall, StepPhase};
+use pistachiostair::{JobKey, Millis, Recurrence, Step, StepAnswer, StepCall, StepJob, StepPhase};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -164,6 +164,28 @@
     world.check();
 }
 
+/// Guards against a job that its account's guarantee covers only shortly before its time is up, since an older job
+/// ends then: it had no time left to make room.
+#[test]
+fn guarantee_in_time() {
+    let mut world = World::with_guarantee(5, 20);
+    let in_rack = |mut job: StepJob| {
+        job.steps[0].requires = Some("r1".to_owned());
+        job
+    };
+    world.submit(in_rack(job(1, "bulk", 8, 1, 60_000)));
+    world.run(10_000);
+    world.submit(gang(2, "urgent", 2, ACCELERATORS, 3_600));
+    world.run(900);
+    world.submit(in_rack(gang(3, "urgent", 1, ACCELERATORS, 1_000)));
+    world.run(2_400);
+    assert_eq!(world.phase(2, "urgent"), StepPhase::Running);
+    assert_ne!(world.phase(3, "urgent"), StepPhase::Queued);
+    world.run(60_000);
+    assert_eq!(world.phase(1, "bulk"), StepPhase::Completed);
+    world.check();
+}
+
 /// Guards against a claim that places the same tasks again when others of the step come to wait.
 #[rstest]
 fn claim_used_once(#[values(10, 20, 40, 60, 80, 100)] work: u64) {
