Move runs that lag behind others of their step, and leave their workers

Cause: a gang is as slow as its slowest member. Nothing used those reports, and new work went to the same workers.

- Workers with short tasks are read more often (a quarter of the shortest estimate, 400 ms to 2 s).
- The forecast lets the members of a gang end together, at the latest speed of the slowest.

Ruled out: long tasks (they are long for all tasks of a job), cold starts, zones (durations differ by worker).

slow_worker_left fails without the change.

--- a/crates/pistachiostair/src/steps/board.rs
+++ b/crates/pistachiostair/src/steps/board.rs
@@ -11,10 +11,12 @@
 use crate::steps::claim::Claim;
 use crate::steps::fate::Fate;
 use crate::steps::host::{Host, HostUpdate, RunKey};
-use crate::steps::queue::Waiting;
+use crate::steps::lag::Paces;
+use crate::steps::queue::{GroupKey, Waiting};
 use crate::steps::record::StepRecord;
 use crate::steps::rules::Rules;
 use crate::steps::spec::{Demand, JobKey, Step, StepPhase, TaskKey, Terms};
+use crate::steps::speed::Progress;
 
 /// For how long the scheduler of an earlier term may have gone on renewing leases after its own lease ended: the
 /// length of outages of the store that running work survives.
@@ -265,6 +267,7 @@
     Reclaimed,
     WorkerLeaves,
     Unanswered,
+    Lags,
 }
 
 impl Why {
@@ -275,6 +278,7 @@
             Self::Reclaimed => "its room goes to work with a guarantee",
             Self::WorkerLeaves => "the worker leaves",
             Self::Unanswered => "the worker did not answer the start",
+            Self::Lags => "it lags behind others of its step",
         }
     }
 }
@@ -300,18 +304,13 @@
     Ended,
 }
 
-/// Progress that a worker has reported of a run.
+/// How a run began, as far as this term knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Progress {
-    /// Percent that were done at the start of the observation.
-    pub(crate) base: u32,
-    /// The start of the observation: that of the run, or the first report of a run that did not begin with nothing done
-    /// under this term.
-    pub(crate) from: Millis,
-    /// Percent that are done.
-    pub(crate) percent: u32,
-    /// When that was reported.
-    pub(crate) at: Millis,
+pub(crate) enum Origin {
+    Anew,
+    Checkpoint,
+    /// Under an earlier term.
+    Adopted,
 }
 
 #[derive(Clone, Debug)]
@@ -328,8 +327,7 @@
     /// The worker's clock when it last confirmed the run.
     pub(crate) seen: Option<Millis>,
     pub(crate) saved: String,
-    /// Whether the run began under an earlier term or resumed from a checkpoint.
-    pub(crate) resumed: bool,
+    pub(crate) origin: Origin,
     pub(crate) progress: Option<Progress>,
     pub(crate) halt: Option<Halt>,
 }
@@ -344,9 +342,11 @@
     pub(crate) hosts: BTreeMap<WorkerName, Host>,
     pub(crate) runs: BTreeMap<RunKey, Run>,
     /// Steps with tasks that can be placed.
-    pub(crate) waiting: BTreeMap<(JobKey, u32, u32), Waiting>,
+    pub(crate) waiting: BTreeMap<GroupKey, Waiting>,
     /// Room that is kept for steps with a guarantee until others have left it.
-    pub(crate) claims: BTreeMap<(JobKey, u32, u32), Claim>,
+    pub(crate) claims: BTreeMap<GroupKey, Claim>,
+    /// What the runs of open steps have shown of their speed.
+    pub(crate) paces: Paces,
     /// Occurrences that are due later, by wall clock.
     pub(crate) due: BTreeSet<(Millis, JobKey)>,
     /// Jobs that have ended under this term or whose end is being committed.
@@ -376,6 +376,7 @@
             runs: BTreeMap::new(),
             waiting: BTreeMap::new(),
             claims: BTreeMap::new(),
+            paces: Paces::new(),
             due: BTreeSet::new(),
             closed: BTreeSet::new(),
             forgetting: BTreeSet::new(),
@@ -412,7 +413,7 @@
                 sent: cx.now,
                 seen: Some(Millis::ZERO),
                 saved: String::new(),
-                resumed: true,
+                origin: Origin::Adopted,
                 progress: None,
                 halt: None,
             };
@@ -538,13 +539,11 @@
     }
 
     /// Runs of one step of an occurrence in any phase.
-    pub(crate) fn runs_of_step(
-        &self,
-        (job, occurrence, step): (JobKey, u32, u32),
-    ) -> impl Iterator<Item = RunKey> + '_ {
-        let within = move |task: &TaskKey| (task.job, task.occurrence, task.step) == (job, occurrence, step);
+    pub(crate) fn runs_of_step(&self, group: GroupKey) -> impl Iterator<Item = RunKey> + '_ {
+        let (job, occurrence, step) = group;
         let runs = self.runs.range(first_of(job, occurrence, step)..);
-        runs.map(|(key, _)| *key).take_while(move |(task, _)| within(task))
+        runs.map(|(key, _)| *key)
+            .take_while(move |(task, _)| task.group() == group)
     }
 
     pub(crate) fn log_job(&mut self, what: &'static str, job: JobKey, reason: String) {
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -5,6 +5,7 @@
 use crate::clock::Millis;
 use crate::ids::WorkerName;
 use crate::steps::board::{Cx, Run, RunPhase, Steps, step_of};
+use crate::steps::queue::GroupKey;
 use crate::steps::room::Spot;
 use crate::steps::spec::{Demand, TaskKey};
 
@@ -20,11 +21,20 @@
 }
 
 impl Forecast {
-    /// Of all runs.
+    /// Of all runs. The members of a gang end together.
     pub(crate) fn of(steps: &Steps, cx: &Cx<'_>) -> Self {
+        let live = || steps.runs.iter().filter(|(_, run)| run.phase != RunPhase::Ended);
+        let mut gangs: BTreeMap<(GroupKey, u32), Millis> = BTreeMap::new();
+        for ((task, number), run) in live() {
+            if step_of(cx.book, task).is_some_and(|step| step.gang) {
+                let last = gangs.entry((task.group(), *number)).or_default();
+                *last = (*last).max(rest(cx, task, run));
+            }
+        }
         let mut ends: BTreeMap<WorkerName, Vec<(Millis, Demand)>> = BTreeMap::new();
-        for ((task, _), run) in steps.runs.iter().filter(|(_, run)| run.phase != RunPhase::Ended) {
-            let rest = rest(cx, task, run);
+        for ((task, number), run) in live() {
+            let together = gangs.get(&(task.group(), *number)).copied();
+            let rest = together.unwrap_or_else(|| rest(cx, task, run));
             ends.entry(run.worker.clone()).or_default().push((rest, run.demand));
         }
         for ends in ends.values_mut() {
@@ -71,13 +81,7 @@
     if run.halt.is_some() {
         return STOP_TIME;
     }
-    let elapsed = cx.now.since(run.since);
-    let Some(progress) = run.progress.filter(|progress| progress.percent > progress.base) else {
-        let estimate = step_of(cx.book, task).map_or(Millis::ZERO, |step| step.estimate);
-        return estimate.since(elapsed).max(UNKNOWN_REST);
-    };
-    let spent = progress.at.since(progress.from).0;
-    let rate = u64::from(progress.percent - progress.base);
-    let left = spent * u64::from(100 - progress.percent.min(100)) / rate;
-    Millis(left).since(cx.now.since(progress.at))
+    let estimate = step_of(cx.book, task).map_or(Millis::ZERO, |step| step.estimate);
+    let known = run.progress.and_then(|progress| progress.rest(cx.now, estimate));
+    known.unwrap_or_else(|| estimate.since(cx.now.since(run.since)).max(UNKNOWN_REST))
 }
--- a/crates/pistachiostair/src/steps/guard.rs
+++ b/crates/pistachiostair/src/steps/guard.rs
@@ -1,4 +1,4 @@
-//! Ejection of workers on which task after task fails.
+//! Ejection of workers on which task after task fails, or which are slow.
 
 use crate::clock::Millis;
 
@@ -7,6 +7,8 @@
 const FAILURES: u32 = 2;
 /// First pause; doubled by each further failure without a success in between.
 const PAUSE: Millis = Millis(4_000);
+/// Pause after a run lagged behind; renewed while one does.
+const LAG_PAUSE: Millis = Millis(3_000);
 /// Longest pause.
 const MAX_PAUSE: Millis = Millis(16_000);
 
@@ -15,12 +17,13 @@
 pub(crate) struct Guard {
     failures: u32,
     until: Millis,
+    slow_until: Millis,
 }
 
 impl Guard {
     /// Whether the worker takes no new work.
     pub(crate) fn is_closed(&self, now: Millis) -> bool {
-        now < self.until
+        now < self.until || now < self.slow_until
     }
 
     /// A task failed; whether that closes the worker.
@@ -34,8 +37,14 @@
         true
     }
 
+    /// A run lags behind others elsewhere.
+    pub(crate) fn lagged(&mut self, now: Millis) {
+        self.slow_until = now + LAG_PAUSE;
+    }
+
     /// A task ended well.
     pub(crate) fn succeeded(&mut self) {
-        *self = Self::default();
+        self.failures = 0;
+        self.until = Millis::ZERO;
     }
 }
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -1,10 +1,17 @@
 //! What the platform's list and the workers' own lists tell.
 
+use std::collections::BTreeSet;
+
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
-use crate::steps::board::{Cx, HoldReply, OrderReply, Progress, RunPhase, Steps, Target};
+use crate::steps::board::{Cx, HoldReply, OrderReply, Origin, RunPhase, Steps, Target};
 use crate::steps::fate::Fate;
 use crate::steps::host::{Host, HostInfo, HostUpdate, RunKey};
+use crate::steps::queue::GroupKey;
+use crate::steps::speed::Progress;
+
+/// Longest time that a run takes to resume from a checkpoint.
+pub(crate) const RESTORE_TIME: Millis = Millis(600);
 
 impl Steps {
     /// Takes in news of the platform's list.
@@ -115,6 +122,10 @@
         self.take_ends(cx, worker, &reply);
         self.take_running(cx, worker, &reply);
         self.take_absent(cx, worker, &reply);
+        let groups: BTreeSet<GroupKey> = reply.running.iter().map(|line| line.task.group()).collect();
+        for group in groups {
+            self.compare_runs(cx, group);
+        }
     }
 
     fn take_ends(&mut self, cx: &Cx<'_>, worker: &WorkerName, reply: &HoldReply) {
@@ -154,17 +165,17 @@
                         run.since = cx.now;
                     }
                     run.seen = Some(run.seen.unwrap_or_default().max(reply.clock));
-                    let (base, from) = match run.progress {
-                        Some(progress) => (progress.base, progress.from),
-                        None if run.resumed => (line.percent, cx.now),
-                        None => (0, run.since),
-                    };
-                    run.progress = Some(Progress {
-                        base,
-                        from,
-                        percent: line.percent,
-                        at: cx.now,
-                    });
+                    match &mut run.progress {
+                        Some(progress) => progress.advance(line.percent, cx.now),
+                        None => {
+                            let start = match run.origin {
+                                Origin::Anew => (0, run.since),
+                                Origin::Checkpoint => (line.percent, cx.now + RESTORE_TIME),
+                                Origin::Adopted => (line.percent, cx.now),
+                            };
+                            run.progress = Some(Progress::first(start, line.percent, cx.now));
+                        }
+                    }
                     if !line.saved.is_empty() {
                         run.saved.clone_from(&line.saved);
                     }
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -142,7 +142,7 @@
         if !step_of(cx.book, &task).is_some_and(|step| step.gang) {
             return;
         }
-        let members = self.runs_of_step((task.job, task.occurrence, task.step));
+        let members = self.runs_of_step(task.group());
         let members: Vec<RunKey> = members
             .filter(|(other, run)| *run == number && *other != task)
             .collect();
@@ -237,6 +237,9 @@
             }
         }
         self.replan = true;
+        if fate == Fate::Done {
+            self.note_duration(cx, &key);
+        }
         let entry = cx.book.job(key.0.job);
         let done = entry.and_then(|entry| entry.task(&key.0)).is_some_and(|task| task.done);
         self.log_run("ended", key, format!("{fate:?}"));
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::board::{Cx, Run, RunPhase, Steps};
+use crate::steps::board::{Cx, Origin, Run, RunPhase, Steps};
 use crate::steps::book::JobEntry;
 use crate::steps::claim::{Claim, NewClaim, runs_of_claims};
 use crate::steps::forecast::Forecast;
@@ -17,8 +17,8 @@
 use crate::steps::victims::{Clearance, Mercy};
 
 /// Times as long that tasks take away from their data or spread over racks. The platform's default; only the order of
-/// choices depends on it.
-const FAR_FACTOR: u64 = 3;
+/// choices and the comparison of runs depend on it.
+pub(crate) const FAR_FACTOR: u64 = 3;
 
 /// Most accelerators that are kept free for steps that wait, in percent of all.
 const RESERVED_SHARE: u64 = 40;
@@ -252,7 +252,10 @@
                 sent: cx.now,
                 seen: None,
                 saved: String::new(),
-                resumed: entry.task(&key(index)).is_some_and(|task| !task.saved.is_empty()),
+                origin: match entry.task(&key(index)) {
+                    Some(task) if !task.saved.is_empty() => Origin::Checkpoint,
+                    _ => Origin::Anew,
+                },
                 progress: None,
                 halt: None,
             };
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -7,7 +7,7 @@
 use crate::steps::board::{Cx, RunPhase, Steps};
 use crate::steps::book::JobEntry;
 use crate::steps::forecast::rest;
-use crate::steps::spec::JobKey;
+use crate::steps::spec::{JobKey, TaskKey};
 
 /// Time after the acceptance of a job that a guarantee covers within which it must have begun: the shortest that
 /// the users' deployments set.
@@ -22,6 +22,13 @@
 /// A step of one occurrence.
 pub(crate) type GroupKey = (JobKey, u32, u32);
 
+impl TaskKey {
+    /// The task's step.
+    pub(crate) fn group(&self) -> GroupKey {
+        (self.job, self.occurrence, self.step)
+    }
+}
+
 /// A step with tasks that can be placed.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
--- a/crates/pistachiostair/src/steps/victims.rs
+++ b/crates/pistachiostair/src/steps/victims.rs
@@ -86,7 +86,7 @@
             }
             let rank = u32::MAX - priority;
             let victim = if step.gang {
-                let gang = ((task.job, task.occurrence, task.step), number);
+                let gang = (task.group(), number);
                 *gangs.entry(gang).or_insert_with(|| ground.add(rank))
             } else {
                 ground.add(rank)
--- a/crates/pistachiostair/src/steps/watch.rs
+++ b/crates/pistachiostair/src/steps/watch.rs
@@ -2,14 +2,20 @@
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::board::{Cx, HoldOrder, ORPHAN_RENEWAL, Run, RunPhase, Steps, StepsAction, Target, Why};
+use crate::steps::board::{Cx, HoldOrder, ORPHAN_RENEWAL, Run, RunPhase, Steps, StepsAction, Target, Why, step_of};
 use crate::steps::fate::Fate;
 use crate::steps::host::RunKey;
 use crate::steps::record::StepRecord;
 use crate::steps::spec::JobKey;
 
 /// Longest wait of a hold for an end, the most that workers allow.
-const HOLD_WAIT: Millis = Millis(2_000);
+const MAX_HOLD_WAIT: Millis = Millis(2_000);
+
+/// Shortest wait: each look at a worker has its price.
+const MIN_HOLD_WAIT: Millis = Millis(400);
+
+/// Reports of a run's progress during the time that it is estimated to take.
+const REPORTS: u64 = 4;
 
 /// Pause between holds of a worker whose ends can't be stored: a fraction of the lease that they renew.
 const RENEW: Millis = Millis(1_000);
@@ -35,6 +41,7 @@
     pub(crate) fn tick(&mut self, cx: &Cx<'_>) {
         self.release_due(cx);
         self.review_claims(cx);
+        self.review_paces(cx);
         let workers: Vec<WorkerName> = self.hosts.keys().cloned().collect();
         for worker in workers {
             self.watch_host(cx, &worker);
@@ -101,7 +108,12 @@
         if !wanted || paced || host.holding || host.looking || cx.now < host.hold_after {
             return;
         }
-        let wait = if busy && host.claimed { HOLD_WAIT } else { Millis::ZERO };
+        let estimates = host.runs.iter().filter_map(|(task, _)| step_of(cx.book, task));
+        let shortest = estimates.map(|step| step.estimate.0 / REPORTS).min().unwrap_or(0);
+        let wait = match busy && host.claimed {
+            true => Millis(shortest).clamp(MIN_HOLD_WAIT, MAX_HOLD_WAIT),
+            false => Millis::ZERO,
+        };
         self.send_hold(cx, worker, wait);
     }
 
--- a/crates/pistachiostair/tests/steps/life.rs
+++ b/crates/pistachiostair/tests/steps/life.rs
@@ -231,3 +231,37 @@
     world.run(500);
     assert!(!world.spins());
 }
+
+/// Guards against a gang that is as slow as the slowest of its workers, and against work that is placed there again.
+#[rstest]
+#[case::slow(15)]
+#[case::still(0)]
+fn slow_worker_left(#[case] pace: u64) {
+    let mut world = World::new(8);
+    world.workers.paces.insert(worker(1), pace);
+    world.submit(gang(1, "normal", 4, ACCELERATORS, 2_000));
+    world.run(1_000);
+    world.submit(job(2, "normal", 3, ACCELERATORS, 2_000));
+    world.run(3_000);
+    assert_eq!(world.phase(1, "normal"), StepPhase::Completed);
+    assert_eq!(world.phase(2, "normal"), StepPhase::Completed);
+    world.check();
+}
+
+/// Guards against tasks that are moved again and again because they are long by themselves.
+#[test]
+fn long_task_moved_once() {
+    let mut world = World::new(4);
+    for number in 0..4 {
+        world
+            .workers
+            .paces
+            .insert(worker(number), if number == 0 { 100 } else { 10 });
+    }
+    world.submit(job(1, "normal", 4, ACCELERATORS, 2_000));
+    world.run(10_000);
+    assert!(world.workers.starts <= 8, "{} starts", world.workers.starts);
+    world.run(30_000);
+    assert_eq!(world.phase(1, "normal"), StepPhase::Completed);
+    world.check();
+}
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -63,6 +63,12 @@
     stops: Option<Millis>,
 }
 
+impl Running {
+    fn is_finished(&self) -> bool {
+        self.worked >= self.plan.work
+    }
+}
+
 /// One worker.
 #[derive(Clone, Debug)]
 pub struct StepWorker {
@@ -83,6 +89,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StepWorkers {
     workers: BTreeMap<WorkerName, StepWorker>,
+    /// Speeds of workers in percent; those that are not named have 100.
+    pub paces: BTreeMap<WorkerName, u64>,
     /// Tasks whose end as done was acknowledged.
     noted: BTreeSet<TaskKey>,
     /// Starts that were carried out.
@@ -315,12 +323,17 @@
     /// Lets all tasks work until `now`, for `span` since the last call.
     pub fn advance(&mut self, now: Millis, span: Millis) {
         self.lapse(now);
-        let present = self.present();
+        let present = self.members(|_| true);
+        let finished = self.members(Running::is_finished);
         let mut ends = Vec::new();
         for (name, worker) in &mut self.workers {
+            let pace = self.paces.get(name).copied().unwrap_or(100);
             for (task, running) in &mut worker.tasks {
-                let members = present.get(&gang_of(task, running.run)).copied().unwrap_or(0);
-                let complete = running.plan.gang == 0 || members >= running.plan.gang;
+                let gang = gang_of(task, running.run);
+                let whole = |members: &BTreeMap<GangRun, u32>| {
+                    running.plan.gang == 0 || members.get(&gang).is_some_and(|count| *count >= running.plan.gang)
+                };
+                let (complete, all_finished) = (whole(&present), whole(&finished));
                 if running.stops.is_some_and(|at| at <= now) {
                     ends.push((name.clone(), *task, Fate::Stopped));
                 } else if !complete {
@@ -328,11 +341,14 @@
                         ends.push((name.clone(), *task, Fate::Alone));
                     }
                 } else {
-                    running.worked += span;
+                    // A member of a gang that has finished waits for the others.
+                    if !running.is_finished() {
+                        running.worked += Millis(span.0 * pace / 100);
+                    }
                     if running.worked.since(running.saved) >= CHECKPOINT {
                         running.saved = running.worked;
                     }
-                    if running.worked >= running.plan.work {
+                    if running.is_finished() && all_finished {
                         let fails = running.run <= running.plan.fails;
                         ends.push((name.clone(), *task, if fails { Fate::Failed } else { Fate::Done }));
                     }
@@ -356,13 +372,14 @@
         }
     }
 
-    /// Members of each gang's run that are there.
-    fn present(&self) -> BTreeMap<GangRun, u32> {
-        let mut present = BTreeMap::new();
-        for (task, running) in self.workers.values().flat_map(|worker| &worker.tasks) {
-            *present.entry(gang_of(task, running.run)).or_default() += 1;
+    /// Members of each gang's run that are there and of which `counts` holds.
+    fn members(&self, counts: impl Fn(&Running) -> bool) -> BTreeMap<GangRun, u32> {
+        let mut members = BTreeMap::new();
+        let tasks = self.workers.values().flat_map(|worker| &worker.tasks);
+        for (task, running) in tasks.filter(|(_, running)| counts(running)) {
+            *members.entry(gang_of(task, running.run)).or_default() += 1;
         }
-        present
+        members
     }
 
     /// Ends a task; the other members of its gang end with it.
