Let urgent work wait briefly for room that becomes free by itself

Urgent work without a guarantee did not wait at all, with one 150 ms.

It now waits for a quarter of its estimated time, 100 to 500 ms, and not at all once 400 ms have passed for a guaranteed job.

--- a/crates/pistachiostair/src/steps/urgency.rs
+++ b/crates/pistachiostair/src/steps/urgency.rs
@@ -10,8 +10,13 @@
 /// a job must have begun within 2.7 s, so that several attempts to make room fit into the rest.
 const COVERED_WAIT: Millis = Millis(400);
 
-/// Time for which a job with a guarantee waits for room that becomes free by itself, before [`COVERED_WAIT`].
-const COVERED_SLACK: Millis = Millis(150);
+/// Time for which urgent work waits for room that becomes free by itself, in percent of its estimated time. Such work
+/// may take half as long again, and estimates are off by up to half.
+const URGENT_SLACK: u64 = 25;
+
+/// Bounds of that time. Jobs with a guarantee must have begun within 2.7 s.
+const MIN_SLACK: Millis = Millis(100);
+const MAX_SLACK: Millis = Millis(500);
 
 /// Work that may be lost for a step of the most urgent queues, in percent of its own work. Above 100, since a late job
 /// there is worth a fifth of one in time, and work of other queues can still be done in time later.
@@ -49,12 +54,10 @@
         let urgent = terms.priority == 0;
         let percent = if urgent { URGENT_LOSS } else { OTHER_LOSS };
         let unlimited = covered && waited >= COVERED_WAIT;
-        // Estimates are too rough to tell how long urgent work, which is short, may wait.
-        let slack = match (covered, urgent) {
-            (true, _) if unlimited => Millis::ZERO,
-            (true, _) => COVERED_SLACK,
-            (false, true) => Millis::ZERO,
-            (false, false) => slack,
+        let slack = match urgent || covered {
+            true if unlimited => Millis::ZERO,
+            true => Millis(rest.0 * URGENT_SLACK / 100).clamp(MIN_SLACK, MAX_SLACK),
+            false => slack,
         };
         Urgency {
             slack,
