Learn the paces of workers, and give urgent tasks the faster ones

Urgent jobs may take half as long again as their work, and a gang has the pace of its slowest worker.

The durations of the tasks of ended steps are compared; a worker's pace is their smoothed ratio. Among workers that fit, urgent tasks take fast ones first and other tasks slow ones.

--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -21,6 +21,13 @@
 /// Added to the end of a lease for rounding and for the time of an answer.
 const LEASE_SLACK: Millis = Millis(100);
 
+/// Part of a new observation in the pace of a worker, in percent: five tasks tell it well enough.
+const PACE_GAIN: u64 = 25;
+
+/// Longest time that counts for the pace, in percent of the usual: a worker that was slow for some seconds is not
+/// taken for one that is always.
+const MAX_PACE: u64 = 200;
+
 /// Unanswered calls in a row after which a worker takes no new work until it answers.
 const SUSPECT_FAILURES: u32 = 2;
 
@@ -107,6 +114,8 @@
     /// When a worker that drains may be gone.
     pub(crate) leaves: Option<Millis>,
     pub(crate) guard: Guard,
+    /// How long tasks take there, in percent of the usual.
+    pub(crate) pace: u64,
 }
 
 impl Host {
@@ -130,9 +139,15 @@
             acked: 0,
             leaves: None,
             guard: Guard::default(),
+            pace: 100,
         }
     }
 
+    /// Takes note of how long a task took, in percent of the usual.
+    pub(crate) fn note_pace(&mut self, percent: u64) {
+        self.pace = (self.pace * (100 - PACE_GAIN) + percent.min(MAX_PACE) * PACE_GAIN) / 100;
+    }
+
     /// Forgets everything about the incarnation before.
     pub(crate) fn restart(&mut self, incarnation: Incarnation) {
         self.incarnation = incarnation;
--- a/crates/pistachiostair/src/steps/lag.rs
+++ b/crates/pistachiostair/src/steps/lag.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::Millis;
+use crate::ids::WorkerName;
 use crate::steps::board::{Cx, RunPhase, Steps, Why};
 use crate::steps::host::RunKey;
 use crate::steps::lists::RESTORE_TIME;
@@ -31,11 +32,14 @@
 /// Least part of the workers that take new work, in percent of those listed, when another is left because it is slow.
 const LEAST_USABLE: usize = 75;
 
+/// Least tasks of a step whose durations tell the paces of their workers.
+const LEAST_TASKS: usize = 3;
+
 /// What the runs of a step have shown.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepPace {
-    /// Durations of tasks that are done.
-    durations: Vec<Millis>,
+    /// Durations of tasks that are done, and their workers.
+    durations: Vec<(Millis, WorkerName)>,
     /// Tasks that were moved once; index 0 for a gang. A task that lags again is slow by itself.
     moved: BTreeSet<u32>,
 }
@@ -46,16 +50,30 @@
 impl Steps {
     /// Takes note of the duration of a task that is done.
     pub(crate) fn note_duration(&mut self, cx: &Cx<'_>, key: &RunKey) {
-        if let Some(duration) = self.duration(cx, key) {
+        let worker = self.runs.get(key).map(|run| run.worker.clone());
+        if let (Some(duration), Some(worker)) = (self.duration(cx, key), worker) {
             let pace = self.paces.entry(key.0.group()).or_default();
-            pace.durations.push(duration);
+            pace.durations.push((duration, worker));
         }
     }
 
-    /// Forgets the paces of steps whose jobs have ended.
+    /// Takes from the steps of jobs that have ended how long the workers took, against one another.
     pub(crate) fn review_paces(&mut self, cx: &Cx<'_>) {
         let open = |group: &GroupKey| cx.book.job(group.0).is_some_and(|entry| !entry.phase.is_final());
-        self.paces.retain(|group, _| open(group));
+        let ended: Vec<GroupKey> = self.paces.keys().filter(|group| !open(group)).copied().collect();
+        for pace in ended.iter().filter_map(|group| self.paces.remove(group)) {
+            let Some(usual) = median(pace.durations.iter().map(|(duration, _)| *duration)) else {
+                continue;
+            };
+            if pace.durations.len() < LEAST_TASKS {
+                continue;
+            }
+            for (duration, worker) in &pace.durations {
+                if let Some(host) = self.hosts.get_mut(worker) {
+                    host.note_pace(duration.0 * 100 / usual.0.max(1));
+                }
+            }
+        }
     }
 
     /// Compares the runs of a step with one another.
@@ -96,10 +114,10 @@
     /// The usual duration of a step's tasks, and how many tenths of it make a run lag; none while too little is known.
     fn usual(&self, cx: &Cx<'_>, group: GroupKey) -> Option<(Millis, u64)> {
         let done = self.paces.get(&group).map_or(&[][..], |pace| &pace.durations);
-        let mut durations: Vec<Millis> = done.to_vec();
-        durations.extend(self.runs_of_step(group).filter_map(|key| self.duration(cx, &key)));
-        durations.sort_unstable();
-        let usual = *durations.get(durations.len().checked_sub(1)? / 2)?;
+        let done = done.iter().map(|(duration, _)| *duration);
+        let running = self.runs_of_step(group).filter_map(|key| self.duration(cx, &key));
+        let durations: Vec<Millis> = done.chain(running).collect();
+        let usual = median(durations.iter().copied())?;
         let limit = if durations.len() > 2 { LAG } else { LAG_OF_TWO };
         Some((usual, limit))
     }
@@ -155,6 +173,13 @@
     }
 }
 
+/// The middle one of several durations, the lower one of two.
+fn median(durations: impl Iterator<Item = Millis>) -> Option<Millis> {
+    let mut durations: Vec<Millis> = durations.collect();
+    durations.sort_unstable();
+    durations.get(durations.len().checked_sub(1)? / 2).copied()
+}
+
 /// A run that lags behind.
 struct Lag {
     /// Usual duration of such a run.
--- a/crates/pistachiostair/src/steps/place.rs
+++ b/crates/pistachiostair/src/steps/place.rs
@@ -23,10 +23,10 @@
 }
 
 /// Workers for `count` tasks of a step in the best of several sets, or for as many as fit unless it is a gang.
-pub(crate) fn place(step: &Step, count: u32, sets: Vec<Vec<Spot<'_>>>) -> Vec<WorkerName> {
+pub(crate) fn place(step: &Step, (count, urgent): (u32, bool), sets: Vec<Vec<Spot<'_>>>) -> Vec<WorkerName> {
     let found = sets.into_iter().map(|spots| {
         let free: u64 = spots.iter().map(|spot| spot.free.accelerators).sum();
-        (free, fit(step, count, spots))
+        (free, fit(step, (count, urgent), spots))
     });
     // The set with the fewest accelerators to spare leaves the others whole.
     let best = found
@@ -35,14 +35,15 @@
     best.map_or_else(Vec::new, |(_, found)| found)
 }
 
-/// Packs tasks tightly, so that workers stay whole for tasks that need all of one.
-fn fit(step: &Step, count: u32, mut spots: Vec<Spot<'_>>) -> Vec<WorkerName> {
+/// Packs tasks tightly, so that workers stay whole for tasks that need all of one. Urgent tasks go to fast workers
+/// first, others to slow ones.
+fn fit(step: &Step, (count, urgent): (u32, bool), mut spots: Vec<Spot<'_>>) -> Vec<WorkerName> {
     let mut found = Vec::new();
     for _ in 0..count {
         let fitting = spots
             .iter_mut()
             .filter(|spot| spot.spread > 0 && step.demand.fits(&spot.free));
-        let Some(spot) = fitting.min_by_key(|spot| leftover(&spot.free, &step.demand)) else {
+        let Some(spot) = fitting.min_by_key(|spot| (spot.slow == urgent, leftover(&spot.free, &step.demand))) else {
             break;
         };
         spot.take(&step.demand);
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -117,7 +117,8 @@
         let near = near_sets(step, &spots);
         let wishes = near.is_some();
         let sets = near.unwrap_or_else(|| vec![spots.clone()]);
-        let mut found = place(step, indices.len() as u32, sets.clone());
+        let wanted = (indices.len() as u32, self.terms(entry).priority == 0);
+        let mut found = place(step, wanted, sets.clone());
         let mut reason = "best fit";
         let missing = indices.len() - found.len();
         let mut soonest = sets
@@ -127,7 +128,7 @@
         if missing > 0 && wishes {
             let worthwhile = Millis(step.estimate.0 * (FAR_FACTOR - 1));
             if soonest.as_ref().is_none_or(|(at, _)| *at > worthwhile) {
-                let far = place(step, indices.len() as u32, vec![spots.clone()]);
+                let far = place(step, wanted, vec![spots.clone()]);
                 if far.len() > found.len() {
                     found = far;
                     reason = "its rack is not free soon enough";
--- a/crates/pistachiostair/src/steps/room.rs
+++ b/crates/pistachiostair/src/steps/room.rs
@@ -7,6 +7,10 @@
 use crate::steps::queue::GroupKey;
 use crate::steps::spec::{Demand, ServiceName, Step};
 
+/// Pace from which on a worker counts as slow, in percent of the usual: between the kinds of workers of the users'
+/// deployments, which take 93 and 117 percent of the median.
+const SLOW_PACE: u64 = 107;
+
 /// A worker that takes new work.
 #[derive(Clone, Debug)]
 pub(crate) struct Spot<'a> {
@@ -15,6 +19,8 @@
     pub(crate) service: &'a ServiceName,
     pub(crate) labels: &'a BTreeSet<String>,
     pub(crate) free: Demand,
+    /// Whether tasks take longer there than on most workers.
+    pub(crate) slow: bool,
     /// Room that is reserved and still in use.
     owed: Demand,
     /// Tasks of the step in question that it may still take.
@@ -63,6 +69,7 @@
                 service: &info.service,
                 labels: &info.labels,
                 free: info.capacity.minus(&host.used),
+                slow: host.pace > SLOW_PACE,
                 owed: Demand::default(),
                 spread: u32::MAX,
             })
