--- a/crates/pistachiostair/src/steps/victims.rs
+++ b/crates/pistachiostair/src/steps/victims.rs
@@ -8,7 +8,7 @@
 use crate::steps::host::RunKey;
 use crate::steps::queue::GroupKey;
 use crate::steps::room::Spot;
-use crate::steps::spec::{Demand, JobKey};
+use crate::steps::spec::{Demand, JobKey, Step, TaskKey};
 
 /// Cores that an accelerator counts as when work is compared, as in the platform's prices.
 const ACCELERATOR_CORES: u64 = 8;
@@ -70,6 +70,8 @@
             stopped: BTreeSet::new(),
         };
         let mut gangs: BTreeMap<(GroupKey, u32), usize> = BTreeMap::new();
+        // How many more tasks of a lasting step may be away.
+        let mut spare: BTreeMap<GroupKey, u32> = BTreeMap::new();
         for (key, run) in steps.runs.iter().filter(|(_, run)| run.phase != RunPhase::Ended) {
             if run.halt.is_some() || mercy.taken.contains(key) {
                 ground.release(&run.worker, &run.demand);
@@ -84,6 +86,14 @@
             if protected || mercy.spared.contains(&task.job) {
                 continue;
             }
+            if let Some(most) = step.may_miss {
+                let count = || most.saturating_sub(steps.away(&task, step, mercy.taken));
+                let spare = spare.entry(task.group()).or_insert_with(count);
+                if *spare == 0 {
+                    continue;
+                }
+                *spare -= 1;
+            }
             let rank = u32::MAX - priority;
             let victim = if step.gang {
                 let gang = (task.group(), number);
@@ -92,7 +102,7 @@
                 ground.add(rank)
             };
             ground.all[victim].runs.push(*key);
-            ground.all[victim].lost += lost(cx, run, step.checkpointing);
+            ground.all[victim].lost += lost(cx, run, step);
             ground.victims.entry(&run.worker).or_default().push(victim);
         }
         ground
@@ -178,13 +188,33 @@
     }
 }
 
-/// Work that the end of a run loses, in core-milliseconds.
-fn lost(cx: &Cx<'_>, run: &Run, checkpointing: bool) -> u64 {
-    let elapsed = cx.now.since(run.since).max(Millis(1));
-    let span = if checkpointing {
-        elapsed.min(CHECKPOINT_LOSS)
-    } else {
-        elapsed
+impl Steps {
+    /// Tasks of a lasting step that are not at work, or won't be once the runs in `taken` are stopped.
+    fn away(&self, task: &TaskKey, step: &Step, taken: &BTreeSet<RunKey>) -> u32 {
+        let at_work = |key: &RunKey| {
+            let run = self
+                .runs
+                .get(key)
+                .filter(|run| run.phase == RunPhase::Live && run.halt.is_none());
+            let started = run
+                .and_then(|run| run.progress)
+                .is_some_and(|progress| progress.percent() >= 100);
+            started && !taken.contains(key)
+        };
+        let present = self.runs_of_step(task.group()).filter(at_work).count();
+        step.count.saturating_sub(present as u32)
+    }
+}
+
+/// Work that the end of a run loses, in core-milliseconds. A run that was taken over has worked for longer than this
+/// term knows; its progress tells.
+fn lost(cx: &Cx<'_>, run: &Run, step: &Step) -> u64 {
+    let reported = run.progress.map_or(0, |progress| progress.percent());
+    let worked = Millis(step.estimate.0 * u64::from(reported) / 100);
+    let span = cx.now.since(run.since).max(worked).max(Millis(1));
+    let span = match step.checkpointing {
+        true => span.min(CHECKPOINT_LOSS),
+        false => span,
     };
     work(&run.demand, span)
 }
--- a/crates/pistachiostair/tests/steps/life.rs
+++ b/crates/pistachiostair/tests/steps/life.rs
@@ -186,6 +186,23 @@
     world.check();
 }
 
+/// Guards against lasting tasks that are stopped for others although as many as may be are away.
+#[rstest]
+#[case::starting(Some(1), 4)]
+#[case::unbound(None, 2)]
+fn lasting_tasks_stay(#[case] may_miss: Option<u32>, #[case] running: usize) {
+    let mut world = World::with_guarantee(2, 16);
+    let mut lasting = job(1, "bulk", 4, 4, 60_000);
+    lasting.steps[0].lasting = true;
+    lasting.steps[0].may_miss = may_miss;
+    world.submit(lasting);
+    world.run(500);
+    world.submit(job(2, "urgent", 1, ACCELERATORS, 30_000));
+    world.run(3_000);
+    assert_eq!(world.workers.running() - usize::from(may_miss.is_none()), running);
+    world.check();
+}
+
 /// Guards against a claim that places the same tasks again when others of the step come to wait.
 #[rstest]
 fn claim_used_once(#[values(10, 20, 40, 60, 80, 100)] work: u64) {
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -49,6 +49,24 @@
     world.check();
 }
 
+/// Guards against a scheduler that takes runs which it took over for new ones, so that stopping them seems to lose
+/// nothing: urgent work without a guarantee may cost others some work, but not 20 s of it.
+#[test]
+fn take_over_spares() {
+    let mut world = World::new(2);
+    world.submit(gang(1, "normal", 2, ACCELERATORS, 30_000));
+    world.run(20_000);
+    world.take_over();
+    world.run(1_000);
+    world.submit(gang(2, "urgent", 1, ACCELERATORS, 1_000));
+    world.run(2_000);
+    assert_eq!(world.phase(2, "urgent"), StepPhase::Queued);
+    world.run(10_000);
+    assert_eq!(world.phase(1, "normal"), StepPhase::Completed);
+    assert_eq!(world.phase(2, "urgent"), StepPhase::Completed);
+    world.check();
+}
+
 /// Guards against a scheduler that spins before it knows the list of workers.
 #[test]
 fn take_over_rests() {
