--- a/crates/pistachiostair/src/govern.rs
+++ b/crates/pistachiostair/src/govern.rs
@@ -200,7 +200,8 @@
         let step = "call scheduler";
         let failed = |error: Error| StepAnswer::Failed(Failure::from(&error.at(self.me.as_str())));
         if self.term().is_none() {
-            let error = Error::msg(ErrorKind::Unavailable, step, "this daemon is not the scheduler");
+            let reason = "this daemon is not the scheduler, or is still reading the journal";
+            let error = Error::msg(ErrorKind::Unavailable, step, reason);
             return failed(error.retry_after(NOT_LEADING_RETRY.0));
         }
         let unsure = match &call {
--- a/crates/pistachiostair/src/govern_actor.rs
+++ b/crates/pistachiostair/src/govern_actor.rs
@@ -255,13 +255,17 @@
     fn load(&self, term: Term, fence: u64, mut pause: Millis) {
         let store = self.store.clone();
         let region = self.region.clone();
-        let log = self.log.clone();
+        let (log, clock) = (self.log.clone(), self.kernel.clock);
         self.reply_later(async move {
             loop {
                 async_io::Timer::after(pause.duration()).await;
                 pause = LOAD_PAUSE;
+                let asked = clock.now();
                 match takeover::load(&store, &region).await {
                     Ok((snapshot, rows)) => {
+                        let took = clock.now().since(asked);
+                        slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
+                            "snapshot" => snapshot.is_some(), "took" => took.0);
                         let loaded = Box::new(Event::Elected {
                             term,
                             fence,
