Go by the shorter lease as soon as its renewal is sent

Cause, from: a holder with a lease that was long because the store had been slow sent a renewal with a shorter one, and its answer came late. Candidates waited for the shorter one, the holder acted on until the end of the long one. Ruled out: candidates' side (it counts from the first sight of the row, by the row's ttl).

--- a/crates/pistachiostair/src/tenure.rs
+++ b/crates/pistachiostair/src/tenure.rs
@@ -473,6 +473,8 @@
     fn renew(&mut self, now: Millis, holder: Option<DaemonName>, actions: &mut Vec<TenureAction>) {
         self.renewal += 1;
         let lease = self.lease(holder);
+        // Candidates go by this renewal once it takes effect, which this daemon may learn late.
+        self.until = self.until.min(now + (lease.ttl - self.times.margin));
         let transaction = self.transaction(self.version, &lease);
         self.commit(now, lease, transaction, actions);
     }
--- a/crates/pistachiostair/tests/tenure.rs
+++ b/crates/pistachiostair/tests/tenure.rs
@@ -242,6 +242,31 @@
     );
 }
 
+/// After a long lease a shorter one may take effect without the holder's knowledge: candidates then go by the shorter
+/// one, and so must the holder.
+#[test]
+fn shorten_unheard() {
+    let mut tenure = Tenure::new("fi".into(), "d0".into(), Incarnation(1), "10.0.0.1:1");
+    let committed = |sent, version| TenureEvent::Committed {
+        sent: Millis(sent),
+        version,
+    };
+    let free = TenureEvent::Read {
+        sent: Millis(0),
+        lease: None,
+        term: None,
+    };
+    tenure.on(Millis(0), TenureEvent::Tick);
+    tenure.on(Millis(10), free);
+    // The slow answer makes the next lease long.
+    tenure.on(Millis(2_010), committed(10, 1));
+    tenure.on(Millis(2_020), committed(2_010, 2));
+    let renewal = tenure.on(Millis(3_010), TenureEvent::Tick);
+    assert!(matches!(renewal[..], [TenureAction::Commit(_)]), "{renewal:?}");
+    let end = Millis(3_010) + TenureTimes::default().ttl;
+    assert!(!tenure.held(end), "it acts longer than candidates wait");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
