Log the takeover's reads, the scheduler's load and the machine's limits

A timeout now says how far the response had come, each part of a takeover's read is logged with size and duration, and the scheduler logs its load every 2 s. Decides nothing.

--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -131,6 +131,17 @@
     unanswered: bool,
 }
 
+/// Load of the journal's writer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct JournalLoad {
+    /// Number of pushed records that are not committed yet.
+    pub(crate) backlog: usize,
+    /// Bytes of the last snapshot that this writer wrote; 0 before the first one.
+    pub(crate) snapshot_bytes: usize,
+    /// Approximate bytes of the rows written since then.
+    pub(crate) row_bytes: usize,
+}
+
 /// Writer of a region's journal in one term.
 ///
 /// Every pushed record is committed eventually, unless another scheduler took over: a transaction of unknown outcome
@@ -219,6 +230,15 @@
         self.queue.len() + self.in_flight.as_ref().map_or(0, |flight| flight.batch.records.len())
     }
 
+    /// What the writer holds and what a takeover would read at present.
+    pub(crate) fn load(&self) -> JournalLoad {
+        JournalLoad {
+            backlog: self.backlog(),
+            snapshot_bytes: self.snapshots.last_size(),
+            row_bytes: self.snapshots.new_bytes(),
+        }
+    }
+
     /// For how long the batch in flight has had no certain outcome; zero if none is in flight.
     pub fn stalled(&self, now: Millis) -> Millis {
         self.in_flight
--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -1,12 +1,14 @@
 //! HTTP client with a pool for each peer, deadlines, and no trust in silent connections.
 
 use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use async_executor::Executor;
 use async_io::Timer;
 use async_net::TcpStream;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::future;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -95,12 +97,14 @@
     /// with `ran: unknown` if the request was sent and the response did not arrive whole.
     pub async fn send(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpAnswer> {
         let timeout = call.timeout;
+        let progress = Progress::default();
         let attempt = async {
             let (epoch, mut sender) = match self.take_idle(peer) {
                 Some(found) => found,
                 None => self.connect(peer).await?,
             };
-            let result = self.exchange(peer, &mut sender, &call).await;
+            progress.advance();
+            let result = self.exchange(peer, &mut sender, &call, &progress).await;
             self.put_back(peer, epoch, sender, result.is_ok());
             result
         };
@@ -109,7 +113,7 @@
             Err(Error::msg(
                 ErrorKind::Timeout,
                 "http request",
-                format!("no response within {timeout}"),
+                format!("no response within {timeout}: {progress}"),
             )
             .at(peer))
         };
@@ -235,18 +239,28 @@
         peer: &str,
         sender: &mut SendRequest<Full<Bytes>>,
         call: &HttpCall<'_>,
+        progress: &Progress,
     ) -> Result<HttpAnswer> {
         let response = self.request(peer, sender, call).await?;
+        progress.advance();
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.max_body).collect().await.map_err(|e| {
-            Error::msg(ErrorKind::Unavailable, "read response", e)
+        let failed = |reason: String| {
+            Error::msg(ErrorKind::Unavailable, "read response", reason)
                 .at(peer)
                 .ran(Ran::Unknown)
-        })?;
+        };
+        let mut body = std::pin::pin!(Limited::new(body, self.max_body));
+        let mut received = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.map_err(|e| failed(e.to_string()))?.into_data() {
+                progress.received(data.len());
+                received.extend_from_slice(&data);
+            }
+        }
         Ok(HttpAnswer {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body: received.freeze(),
         })
     }
 
@@ -272,6 +286,31 @@
     }
 }
 
+/// How far a request has come: 0 while the connection is being opened, 1 while the request is sent and its response
+/// awaited, 2 plus the bytes of the body received from then on.
+#[derive(Default)]
+struct Progress(AtomicUsize);
+
+impl Progress {
+    fn advance(&self) {
+        self.received(1);
+    }
+
+    fn received(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0.load(Ordering::Relaxed) {
+            0 => f.write_str("the connection was not opened"),
+            1 => f.write_str("the head of the response did not arrive"),
+            bytes => write!(f, "{} bytes of the body arrived", bytes - 2),
+        }
+    }
+}
+
 /// A place among the open connections of a peer, given back when the connection ends.
 struct OpenGuard {
     pools: Arc<Mutex<BTreeMap<String, Pool>>>,
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use crate::active::{ActiveScheduler, RegionConfig, Retention};
-use crate::appender::{AppendAction, AppendEvent};
+use crate::appender::{AppendAction, AppendEvent, JournalLoad};
 use crate::clock::Millis;
 use crate::edge::Transaction;
 use crate::error::{ErrorKind, Ran};
@@ -269,6 +269,11 @@
         self.active.as_ref().map(|active| active.stats())
     }
 
+    /// What the journal's writer holds; `None` while this daemon is not the scheduler.
+    pub(crate) fn journal_load(&self) -> Option<JournalLoad> {
+        self.active.as_ref().map(|active| active.appender.load())
+    }
+
     /// Acts on `decision` as if the planner had made it, for tests of what follows from it.
     #[doc(hidden)]
     pub fn decide(&mut self, now: Millis, decision: crate::planner::Decision) -> Vec<Action> {
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -2,6 +2,7 @@
 //! its inbox and outcomes of storage requests, and carries out the actions that they return.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use async_channel::{Receiver, Sender};
@@ -20,7 +21,7 @@
 use crate::lease::Lease;
 use crate::members::Members;
 use crate::message::{Leader, Response};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, process_usage};
 use crate::resource::Guarantee;
 use crate::scheduler::{Action, Event, Scheduler, Token};
 use crate::scheduler_service::{Input, Shared, failed, wall_time};
@@ -39,6 +40,9 @@
 /// Pause before the journal is read again, after it could not be read or folded.
 const LOAD_PAUSE: Millis = Millis(200);
 
+/// Time between two log lines about the load of the scheduler.
+const LOAD_INTERVAL: Millis = Millis(2_000);
+
 /// A step of the scheduler that takes at least this long is logged as slow: a tenth of its lease.
 const SLOW_STEP: Millis = Millis(50);
 
@@ -63,6 +67,10 @@
     pub(crate) last_changes: BTreeMap<WorkerName, Changes>,
     pub(crate) forwarded: Forwarded,
     pub(crate) refreshed_at: Millis,
+    /// When the load was last logged.
+    pub(crate) load_reported: Millis,
+    /// Number of orders to workers that have no outcome yet.
+    pub(crate) open_orders: Arc<AtomicUsize>,
     /// Term and version of the term row since this daemon was elected; `None` while it is not the scheduler.
     pub(crate) elected: Option<(Term, u64)>,
     /// Signalled once a resignation that the daemon asked for is done.
@@ -111,12 +119,31 @@
         self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
         self.handle_event(Event::Tick);
         self.send_renewals();
+        self.report_load();
         self.metrics.set_figures(&self.scheduler.stats().unwrap_or_default());
         self.metrics
             .tenure
             .set(self.elected.map_or(0, |(term, _)| term.0 as i64));
     }
 
+    /// Logs the load of this daemon at intervals: while it is the scheduler what waits in it, and its own usage.
+    fn report_load(&mut self) {
+        let now = self.now();
+        if now < self.load_reported + LOAD_INTERVAL {
+            return;
+        }
+        let late = now.since(self.load_reported + LOAD_INTERVAL);
+        self.load_reported = now;
+        let Some((term, _)) = self.elected else { return };
+        let usage = process_usage();
+        let journal = self.scheduler.journal_load();
+        slog::info!(self.log, "load"; "term" => term.0, "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
+            "calls" => self.step_calls.len(), "records" => journal.map(|load| load.backlog),
+            "snapshot_bytes" => journal.map(|load| load.snapshot_bytes),
+            "row_bytes" => journal.map(|load| load.row_bytes), "tick_late" => late.0,
+            "cpu_ms" => (usage.cpu * 1_000.0) as u64, "resident" => usage.resident);
+    }
+
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Election(event) => self.handle_election(event),
@@ -267,7 +294,7 @@
                 async_io::Timer::after(pause.duration()).await;
                 pause = LOAD_PAUSE;
                 let asked = clock.now();
-                match takeover::load(&storage, &region).await {
+                match takeover::load(&storage, &region, (&log, clock)).await {
                     Ok((snapshot, rows)) => {
                         let took = clock.now().since(asked);
                         slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -136,6 +136,8 @@
             last_changes: BTreeMap::new(),
             forwarded: Forwarded::default(),
             refreshed_at: Millis::ZERO,
+            load_reported: Millis::ZERO,
+            open_orders: Arc::default(),
             elected: None,
             resign_reply: None,
         };
--- a/crates/pistachiostair/src/snapshot.rs
+++ b/crates/pistachiostair/src/snapshot.rs
@@ -152,6 +152,16 @@
         self.new_bytes += bytes;
     }
 
+    /// Bytes added to the journal since the last snapshot.
+    pub(crate) fn new_bytes(&self) -> usize {
+        self.new_bytes
+    }
+
+    /// Bytes of the last snapshot that this writer wrote; 0 before the first one.
+    pub(crate) fn last_size(&self) -> usize {
+        self.last_size
+    }
+
     /// Starts a snapshot of `state` if one is due, or takes its next step.
     ///
     /// The row that names the snapshots is read first and written only if it still has that version. Otherwise a write
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -2,6 +2,7 @@
 //! lines. While this daemon is the scheduler, it also polls the platform's list of workers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use async_io::Timer;
 
@@ -52,9 +53,12 @@
         match clients {
             Ok(clients) => {
                 let (metrics, clock) = (self.metrics.clone(), self.kernel.clock);
+                let open_orders = self.open_orders.clone();
+                open_orders.fetch_add(1, Ordering::Relaxed);
                 self.spawn_input(async move {
                     let sent = clock.now();
                     let event = send_order(clients.hosts.as_ref(), action).await;
+                    open_orders.fetch_sub(1, Ordering::Relaxed);
                     count_order(&metrics, &event, clock.now().since(sent));
                     Input::Event(Box::new(Event::Steps(event)))
                 });
--- a/crates/pistachiostair/src/takeover.rs
+++ b/crates/pistachiostair/src/takeover.rs
@@ -2,6 +2,7 @@
 //! [`AppendAction`]s of the scheduler's journal writer.
 
 use crate::appender::{AppendAction, AppendEvent};
+use crate::clock::Clock;
 use crate::edge::Commit;
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{RegionName, Seq};
@@ -54,22 +55,30 @@
 /// Body of the newest intact snapshot, if one is needed, and the journal rows after it, in order.
 type Loaded = (Option<Vec<u8>>, Vec<(Seq, String)>);
 
-/// Reads the newest intact snapshot of a region and the journal rows after it.
+/// Reads the newest intact snapshot of a region and the journal rows after it. Logs the size and duration of each part.
 ///
 /// # Errors
 ///
 /// `Internal` if the snapshot row or the key of a journal row can't be parsed, or if the journal was truncated and none
 /// of its snapshots is intact; otherwise the error of the table service or object store.
-pub(crate) async fn load(store: &Storage, region: &RegionName) -> Result<Loaded> {
-    let (snapshot, after) = match store.table.get(&snapshot_key(region)).await? {
+pub(crate) async fn load(store: &Storage, region: &RegionName, (log, clock): (&slog::Logger, Clock)) -> Result<Loaded> {
+    let begun = clock.now();
+    let row = store.table.get(&snapshot_key(region)).await?;
+    let named = clock.now();
+    let (snapshot, after) = match row {
         Some(row) => load_snapshot(store, &row.value).await?,
         None => (None, Seq(0)),
     };
+    slog::info!(log, "takeover: snapshot read"; "bytes" => snapshot.as_ref().map(Vec::len), "covers" => after.0,
+        "row_took" => named.since(begun).0, "took" => clock.now().since(named).0);
     let prefix = format!("journal/{region}/");
     let mut from = journal_key(region, after);
     let mut rows = Vec::new();
     loop {
+        let asked = clock.now();
         let page = store.table.scan(&prefix, &from, SCAN_LIMIT).await?;
+        slog::info!(log, "takeover: journal page read"; "rows" => page.len(),
+            "bytes" => page.iter().map(|row| row.value.len()).sum::<usize>(), "took" => clock.now().since(asked).0);
         let Some(last) = page.last() else {
             return Ok((snapshot, rows));
         };
