Bound requests to the store by progress instead of whole duration

Cause: a deadline on the whole transfer of something whose size is not bounded. HttpClient::transfer now bounds the time without progress, for which the body of a request is passed on in parts and buffers are small.

Ruled out: a slow store (heads of responses arrive in 16 to 39 ms), a slow processor (the link is full).

transfer_slow_link failed before, as with send: 'no response within 250 ms: 262144 bytes of the response's body arrived'; the upload likewise.

--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -1,8 +1,6 @@
 //! HTTP client with a pool for each peer, deadlines, and no trust in silent connections.
 
 use std::collections::BTreeMap;
-use std::fmt;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use async_executor::Executor;
@@ -10,20 +8,26 @@
 use async_net::TcpStream;
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use rustix::net::sockopt::set_socket_send_buffer_size;
 use smol_hyper::rt::FuturesIo;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_lines::HttpLines;
+use crate::http_progress::{Progress, Upload};
 use crate::traffic::{ByteCounts, CountedStream, Traffic};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
+/// Most bytes that a connection buffers in each direction, and that its socket buffers for sending. Larger buffers would
+/// take a whole body at once, so that no progress shows while the peer takes it.
+const BUFFER_BYTES: usize = 32 * 1024;
+
 /// A request without its peer.
 #[derive(Clone, Debug)]
 pub struct HttpCall<'a> {
@@ -35,7 +39,7 @@
     pub headers: &'a [(&'a str, &'a str)],
     /// Body.
     pub body: Bytes,
-    /// Longest time until the whole response is there.
+    /// Longest time until the whole response is there or, for [`HttpClient::transfer`], without progress.
     pub timeout: Millis,
 }
 
@@ -54,7 +58,7 @@
 struct Pool {
     /// Raised when a request on this peer timed out; connections of older epochs are not used again.
     epoch: u64,
-    idle: Vec<(u64, SendRequest<Full<Bytes>>)>,
+    idle: Vec<(u64, SendRequest<Upload>)>,
     open: usize,
 }
 
@@ -89,42 +93,67 @@
         self
     }
 
-    /// Sends a request to `peer`, an `ip:port`, and reads the whole response.
+    /// Sends a request to `peer`, an `ip:port`, and reads the whole response within the call's timeout.
     ///
     /// # Errors
     ///
     /// `Limited` or `Unavailable` with `ran: no` if nothing was sent; `Timeout` or `Unavailable`
     /// with `ran: unknown` if the request was sent and the response did not arrive whole.
     pub async fn send(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpAnswer> {
+        let progress = Progress::start();
         let timeout = call.timeout;
-        let progress = Progress::default();
+        let lapsed = async {
+            Timer::after(timeout.duration()).await;
+            format!("no response within {timeout}: {progress}")
+        };
+        self.send_until(peer, &call, &progress, lapsed).await
+    }
+
+    /// As [`Self::send`], but the call's timeout bounds the time without progress instead of the whole request: until
+    /// the connection is open, until a further part of the request is written, until the head of the response is there,
+    /// and until a further part of its body is. So a large body may take as long as the link needs for it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn transfer(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpAnswer> {
+        let progress = Progress::start();
+        let timeout = call.timeout;
+        let stalled = async {
+            while progress.idle() < timeout {
+                Timer::after((timeout - progress.idle()).duration()).await;
+            }
+            format!("no progress for {timeout}: {progress}")
+        };
+        self.send_until(peer, &call, &progress, stalled).await
+    }
+
+    /// Sends a request and reads the whole response, unless `lapsed` ends before; it returns the reason.
+    async fn send_until(
+        &self,
+        peer: &str,
+        call: &HttpCall<'_>,
+        progress: &Arc<Progress>,
+        lapsed: impl Future<Output = String>,
+    ) -> Result<HttpAnswer> {
         let attempt = async {
             let (epoch, mut sender) = match self.take_idle(peer) {
                 Some(found) => found,
                 None => self.connect(peer).await?,
             };
-            progress.advance();
-            let result = self.exchange(peer, &mut sender, &call, &progress).await;
+            progress.connected();
+            let result = self.exchange(peer, &mut sender, call, progress).await;
             self.put_back(peer, epoch, sender, result.is_ok());
             result
         };
         let lapsed = async {
-            Timer::after(timeout.duration()).await;
-            Err(Error::msg(
-                ErrorKind::Timeout,
-                "http request",
-                format!("no response within {timeout}: {progress}"),
-            )
-            .at(peer))
+            let reason = lapsed.await;
+            self.distrust(peer);
+            Err(Error::msg(ErrorKind::Timeout, "http request", reason)
+                .at(peer)
+                .ran(Ran::Unknown))
         };
-        let result = future::or(attempt, lapsed).await;
-        match result {
-            Err(error) if error.kind == ErrorKind::Timeout && error.step == "http request" => {
-                self.distrust(peer);
-                Err(error.ran(Ran::Unknown))
-            }
-            other => other,
-        }
+        future::or(attempt, lapsed).await
     }
 
     /// Sends a request on a connection of its own and returns once the head of the response is there;
@@ -136,7 +165,7 @@
     pub async fn stream(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpLines> {
         let attempt = async {
             let (_, mut sender) = self.connect(peer).await?;
-            self.request(peer, &mut sender, &call).await
+            self.request(peer, &mut sender, &call, &Progress::start()).await
         };
         let lapsed = async {
             Timer::after(call.timeout.duration()).await;
@@ -165,7 +194,7 @@
             .map_or(0, |pool| pool.open)
     }
 
-    fn take_idle(&self, peer: &str) -> Option<(u64, SendRequest<Full<Bytes>>)> {
+    fn take_idle(&self, peer: &str) -> Option<(u64, SendRequest<Upload>)> {
         let mut pools = self.pools.lock().expect("pool lock");
         let pool = pools.get_mut(peer)?;
         while let Some((epoch, sender)) = pool.idle.pop() {
@@ -176,7 +205,7 @@
         None
     }
 
-    fn put_back(&self, peer: &str, epoch: u64, sender: SendRequest<Full<Bytes>>, usable: bool) {
+    fn put_back(&self, peer: &str, epoch: u64, sender: SendRequest<Upload>, usable: bool) {
         let mut pools = self.pools.lock().expect("pool lock");
         let pool = pools.entry(peer.to_owned()).or_default();
         if usable && epoch == pool.epoch && !sender.is_closed() && pool.idle.len() < self.limit {
@@ -191,7 +220,7 @@
         pool.idle.clear();
     }
 
-    async fn connect(&self, peer: &str) -> Result<(u64, SendRequest<Full<Bytes>>)> {
+    async fn connect(&self, peer: &str) -> Result<(u64, SendRequest<Upload>)> {
         let guard = self.reserve(peer)?;
         let unavailable = |error: anyhow::Error| Error::new(ErrorKind::Unavailable, "connect", error).at(peer);
         let lapsed = async {
@@ -202,8 +231,11 @@
             .await
             .map_err(|e| unavailable(e.into()))?;
         stream.set_nodelay(true).map_err(|e| unavailable(e.into()))?;
+        set_socket_send_buffer_size(&stream, BUFFER_BYTES).map_err(|e| unavailable(e.into()))?;
         let stream = CountedStream::new(stream, self.traffic.clone(), self.kind.clone());
-        let (sender, connection) = http1::handshake(FuturesIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|e| unavailable(e.into()))?;
         let epoch = guard.epoch;
@@ -237,12 +269,12 @@
     async fn exchange(
         &self,
         peer: &str,
-        sender: &mut SendRequest<Full<Bytes>>,
+        sender: &mut SendRequest<Upload>,
         call: &HttpCall<'_>,
-        progress: &Progress,
+        progress: &Arc<Progress>,
     ) -> Result<HttpAnswer> {
-        let response = self.request(peer, sender, call).await?;
-        progress.advance();
+        let response = self.request(peer, sender, call, progress).await?;
+        progress.answered();
         let (head, body) = response.into_parts();
         let failed = |reason: String| {
             Error::msg(ErrorKind::Unavailable, "read response", reason)
@@ -267,8 +299,9 @@
     async fn request(
         &self,
         peer: &str,
-        sender: &mut SendRequest<Full<Bytes>>,
+        sender: &mut SendRequest<Upload>,
         call: &HttpCall<'_>,
+        progress: &Arc<Progress>,
     ) -> Result<Response<Incoming>> {
         let invalid = |e: hyper::http::Error| Error::new(ErrorKind::Invalid, "build request", e).at(peer);
         let mut builder = Request::builder().method(call.method.clone()).uri(call.path);
@@ -278,7 +311,9 @@
         for (name, value) in call.headers {
             builder = builder.header(*name, *value);
         }
-        let request = builder.body(Full::new(call.body.clone())).map_err(invalid)?;
+        let request = builder
+            .body(Upload::new(call.body.clone(), progress.clone()))
+            .map_err(invalid)?;
         sender.send_request(request).await.map_err(|e| {
             let ran = if e.is_canceled() { Ran::No } else { Ran::Unknown };
             Error::new(ErrorKind::Unavailable, "send request", e).at(peer).ran(ran)
@@ -286,31 +321,6 @@
     }
 }
 
-/// How far a request has come: 0 while the connection is being opened, 1 while the request is sent and its response
-/// awaited, 2 plus the bytes of the body received from then on.
-#[derive(Default)]
-struct Progress(AtomicUsize);
-
-impl Progress {
-    fn advance(&self) {
-        self.received(1);
-    }
-
-    fn received(&self, bytes: usize) {
-        self.0.fetch_add(bytes, Ordering::Relaxed);
-    }
-}
-
-impl fmt::Display for Progress {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0.load(Ordering::Relaxed) {
-            0 => f.write_str("the connection was not opened"),
-            1 => f.write_str("the head of the response did not arrive"),
-            bytes => write!(f, "{} bytes of the body arrived", bytes - 2),
-        }
-    }
-}
-
 /// A place among the open connections of a peer, given back when the connection ends.
 struct OpenGuard {
     pools: Arc<Mutex<BTreeMap<String, Pool>>>,
--- /dev/null
+++ b/crates/pistachiostair/src/http_progress.rs
@@ -0,0 +1,127 @@
+//! Progress of an HTTP request, and the body of a request that reports how much of it was written.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::clock::{Clock, Millis};
+
+/// Largest part of a body that is passed to the connection at once.
+const PART_BYTES: usize = 16 * 1024;
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug)]
+enum Stage {
+    Connecting,
+    /// The bytes of the body that were passed to the connection.
+    Sending(usize),
+    /// The bytes of the response's body that have arrived.
+    Receiving(usize),
+}
+
+/// Progress of one request. The task that sends the request and the task of its connection share it.
+pub(crate) struct Progress {
+    clock: Clock,
+    state: Mutex<(Stage, Millis)>,
+}
+
+impl Progress {
+    /// A request that begins now.
+    pub(crate) fn start() -> Arc<Self> {
+        Arc::new(Self {
+            clock: Clock::start(),
+            state: Mutex::new((Stage::Connecting, Millis::ZERO)),
+        })
+    }
+
+    /// Time since the last progress.
+    pub(crate) fn idle(&self) -> Millis {
+        self.clock.now().since(self.state.lock().expect("progress lock").1)
+    }
+
+    /// The connection is open.
+    pub(crate) fn connected(&self) {
+        self.advance(|_| Stage::Sending(0));
+    }
+
+    /// The head of the response has arrived.
+    pub(crate) fn answered(&self) {
+        self.advance(|_| Stage::Receiving(0));
+    }
+
+    /// A part of the response's body has arrived.
+    pub(crate) fn received(&self, bytes: usize) {
+        self.advance(|stage| match stage {
+            Stage::Receiving(before) => Stage::Receiving(before + bytes),
+            Stage::Connecting | Stage::Sending(_) => stage,
+        });
+    }
+
+    /// A part of the request's body was passed to the connection.
+    fn sent(&self, bytes: usize) {
+        self.advance(|stage| match stage {
+            Stage::Sending(before) => Stage::Sending(before + bytes),
+            Stage::Connecting | Stage::Receiving(_) => stage,
+        });
+    }
+
+    fn advance(&self, next: impl FnOnce(Stage) -> Stage) {
+        let now = self.clock.now();
+        let mut state = self.state.lock().expect("progress lock");
+        *state = (next(state.0), now);
+    }
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.state.lock().expect("progress lock").0 {
+            Stage::Connecting => f.write_str("the connection was not opened"),
+            Stage::Sending(bytes) => write!(f, "{bytes} bytes of the body sent, no head of the response"),
+            Stage::Receiving(bytes) => write!(f, "{bytes} bytes of the response's body arrived"),
+        }
+    }
+}
+
+/// Body of a request, passed to the connection in parts so that its progress shows while the peer takes it.
+pub(crate) struct Upload {
+    rest: Bytes,
+    progress: Arc<Progress>,
+}
+
+impl Upload {
+    /// A body whose parts count as progress of the request.
+    pub(crate) fn new(body: Bytes, progress: Arc<Progress>) -> Self {
+        Self { rest: body, progress }
+    }
+}
+
+impl Body for Upload {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Infallible>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let bytes = self.rest.len().min(PART_BYTES);
+        let part = self.rest.split_to(bytes);
+        self.progress.sent(bytes);
+        Poll::Ready(Some(Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -53,6 +53,7 @@
 mod headroom;
 mod http_client;
 mod http_lines;
+mod http_progress;
 mod http_server;
 mod ids;
 mod interface;
--- a/crates/pistachiostair/src/store.rs
+++ b/crates/pistachiostair/src/store.rs
@@ -106,7 +106,7 @@
             timeout: self.timeout,
         };
         let guard = self.admit(step)?;
-        let result = self.client.send(&self.address, call).await;
+        let result = self.client.transfer(&self.address, call).await;
         let failed = result.as_ref().map_or(true, |answer| answer.status.is_server_error());
         guard.report(failed);
         self.count_request(&method, rows, failed);
--- /dev/null
+++ b/crates/pistachiostair/tests/http_transfer.rs
@@ -0,0 +1,128 @@
+//! Requests over links that are slow, or that fall silent half way.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use bytes::Bytes;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use hyper::Method;
+use pistachiostair::{ErrorKind, HttpAnswer, HttpCall, HttpClient, Millis, Ran, Result};
+use rstest::rstest;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+
+/// Bytes of a body, several times what a link moves within [`TIMEOUT`].
+const BODY: usize = 2 * 1024 * 1024;
+/// Bytes that the link moves at once, and the pause after them: 1 MB a second.
+const PART: usize = 64 * 1024;
+const PAUSE: Duration = Duration::from_millis(62);
+/// Longest time without progress.
+const TIMEOUT: u64 = 250;
+
+/// What the simulated server does with a connection.
+#[derive(Clone, Copy, Debug)]
+enum Link {
+    /// Sends a large body at the pace of the link.
+    Download,
+    /// Sends the head and this many parts of a large body, and then nothing more.
+    Stalls(usize),
+    /// Reads a large body at the pace of the link and answers after its end.
+    Upload,
+    /// Reads the head of a large body and nothing of the rest.
+    Deaf,
+}
+
+/// Starts a server and returns a client and the address.
+fn start(link: Link) -> (HttpClient, String) {
+    let executor: Arc<Executor<'static>> = Arc::new(Executor::new());
+    let runner = executor.clone();
+    // The thread lives as long as the test process.
+    std::thread::spawn(move || future::block_on(runner.run(future::pending::<()>())));
+    let listener = future::block_on(TcpListener::bind("127.0.0.1:0")).expect("bind");
+    // The kernel would otherwise take megabytes that the server has not read, which a link doesn't.
+    set_socket_recv_buffer_size(&listener, PART / 4).expect("a buffer size");
+    let address = listener.local_addr().expect("address").to_string();
+    executor
+        .spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                // The client closes the connection once it gives up.
+                let _ = serve(link, stream).await;
+            }
+        })
+        .detach();
+    (HttpClient::new(executor, 2, 2 * BODY), address)
+}
+
+async fn serve(link: Link, mut stream: TcpStream) -> std::io::Result<()> {
+    let mut buffer = vec![0; PART];
+    match link {
+        Link::Download | Link::Stalls(_) => {
+            let parts = match link {
+                Link::Stalls(parts) => parts,
+                _ => BODY / PART,
+            };
+            let _ = stream.read(&mut buffer).await?;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {BODY}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await?;
+            for _ in 0..parts {
+                stream.write_all(&buffer).await?;
+                Timer::after(PAUSE).await;
+            }
+            future::pending().await
+        }
+        Link::Upload => {
+            for _ in 0..BODY / PART {
+                stream.read_exact(&mut buffer).await?;
+                Timer::after(PAUSE).await;
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await
+        }
+        Link::Deaf => {
+            let _ = stream.read(&mut buffer[..512]).await?;
+            future::pending().await
+        }
+    }
+}
+
+fn transfer(client: &HttpClient, address: &str, body: usize) -> (Result<HttpAnswer>, Duration) {
+    let call = HttpCall {
+        method: if body == 0 { Method::GET } else { Method::PUT },
+        path: "/",
+        headers: &[],
+        body: Bytes::from(vec![b'x'; body]),
+        timeout: Millis(TIMEOUT),
+    };
+    let begun = Instant::now();
+    let answer = future::block_on(client.transfer(address, call));
+    (answer, begun.elapsed())
+}
+
+/// Guards against a body that is given up although it arrives: its size and the link decide how long it takes.
+#[rstest]
+#[case::download(Link::Download, 0, BODY)]
+#[case::upload(Link::Upload, BODY, 0)]
+fn transfer_slow_link(#[case] link: Link, #[case] sent: usize, #[case] received: usize) {
+    let (client, address) = start(link);
+    let (answer, took) = transfer(&client, &address, sent);
+    assert_eq!(answer.expect("the whole body arrives").body.len(), received);
+    assert!(
+        took > Duration::from_millis(4 * TIMEOUT),
+        "the link is not slow: {took:?}"
+    );
+}
+
+/// Guards against waiting on a connection that has fallen silent, at whatever point of the request.
+#[rstest]
+#[case::no_head(Link::Deaf, 0)]
+#[case::no_body(Link::Stalls(0), 0)]
+#[case::half_body(Link::Stalls(8), 0)]
+#[case::half_upload(Link::Deaf, BODY)]
+fn transfer_silent(#[case] link: Link, #[case] sent: usize) {
+    let (client, address) = start(link);
+    let (answer, took) = transfer(&client, &address, sent);
+    let error = answer.expect_err("no whole answer");
+    assert_eq!((error.kind, error.ran), (ErrorKind::Timeout, Ran::Unknown));
+    assert!(took < Duration::from_millis(2_000), "given up only after {took:?}");
+}
