Resume a takeover's read where it failed, and read its parts side by side

Cause: the retry unit was the whole state. Loader keeps what it has read; this is safe since the term of the reader fences off all earlier writers.

load_resumes fails without it: with 80% of the requests failing, reading from the beginning needs all of 12 requests to succeed in a row.

--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use futures_lite::future;
 
 use crate::appender::AppendAction;
@@ -28,6 +29,7 @@
 use crate::scheduler_updates::Forwarded;
 use crate::steps::{StepAnswer, StepsEvent};
 use crate::storage::Storage;
+use crate::takeover::Loader;
 use crate::worker::{Changes, CommandBatch};
 use crate::{logging, takeover};
 
@@ -95,7 +97,7 @@
                 .map_or(next, |wake| next.min(wake))
                 .since(self.now());
             let timer = async {
-                async_io::Timer::after(wait.duration()).await;
+                Timer::after(wait.duration()).await;
                 None
             };
             match future::or(async { inbox.recv().await.ok() }, timer).await {
@@ -284,35 +286,37 @@
         });
     }
 
-    /// Reads the snapshot and the journal rows after it. Waits for `pause` first, and repeats until it succeeds.
-    fn load_journal(&self, term: Term, fence: u64, mut pause: Millis) {
+    /// Reads the snapshot and the journal rows after it, after `pause`. Repeats until it succeeds.
+    fn load_journal(&self, term: Term, fence: u64, pause: Millis) {
         let storage = self.storage.clone();
-        let region = self.region.clone();
-        let (log, clock) = (self.log.clone(), self.kernel.clock);
-        self.spawn_input(async move {
-            loop {
-                async_io::Timer::after(pause.duration()).await;
-                pause = LOAD_PAUSE;
-                let asked = clock.now();
-                match takeover::load(&storage, &region, (&log, clock)).await {
-                    Ok((snapshot, rows)) => {
-                        let took = clock.now().since(asked);
-                        slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
-                            "snapshot" => snapshot.is_some(), "took" => took.0);
-                        let loaded = Box::new(Event::Elected {
-                            term,
-                            fence,
-                            snapshot,
-                            rows,
-                            wall: wall_time(),
-                        });
-                        return Input::Loaded { term, loaded };
-                    }
-                    Err(error) => {
-                        slog::warn!(log, "journal can't be read for the takeover; trying again"; "error" => %error)
+        let (log, clock, inbox) = (self.log.clone(), self.kernel.clock, self.inbox.clone());
+        let mut loader = Loader::new(self.region.clone(), log.clone(), clock);
+        self.kernel.spawn_until_stop(async move {
+            let load = async {
+                Timer::after(pause.duration()).await;
+                let begun = clock.now();
+                loop {
+                    match loader.load(&storage).await {
+                        Ok((snapshot, rows)) => {
+                            slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
+                                "snapshot" => snapshot.is_some(), "took" => clock.now().since(begun).0);
+                            return (snapshot, rows);
+                        }
+                        Err(error) => slog::warn!(log, "journal not read for the takeover; trying again";
+                            "error" => %error, "bytes" => loader.bytes()),
                     }
+                    Timer::after(LOAD_PAUSE.duration()).await;
                 }
-            }
+            };
+            let (snapshot, rows) = load.await;
+            let loaded = Box::new(Event::Elected {
+                term,
+                fence,
+                snapshot,
+                rows,
+                wall: wall_time(),
+            });
+            let _ = inbox.send(Input::Loaded { term, loaded }).await;
         });
     }
 
--- a/crates/pistachiostair/src/takeover.rs
+++ b/crates/pistachiostair/src/takeover.rs
@@ -1,17 +1,28 @@
 //! Storage side of the journal: loads snapshot and journal when a daemon becomes the scheduler, and carries out the
 //! [`AppendAction`]s of the scheduler's journal writer.
 
+use std::collections::{BTreeMap, BTreeSet};
+
+use futures_lite::future;
+
 use crate::appender::{AppendAction, AppendEvent};
 use crate::clock::Clock;
-use crate::edge::Commit;
+use crate::edge::{Commit, Row};
 use crate::error::{Error, ErrorKind, Result};
 use crate::ids::{RegionName, Seq};
 use crate::journal::journal_key;
-use crate::snapshot::{SnapshotRow, snapshot_key};
+use crate::snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
 use crate::storage::Storage;
 
-/// Rows per page when the journal is scanned.
-const SCAN_LIMIT: usize = 500;
+#[cfg(test)]
+mod tests;
+
+/// Rows per page when the journal is read. A page whose read fails is read again, so that pages must be small enough
+/// for slow links.
+const PAGE_ROWS: usize = 64;
+
+/// Step that errors about snapshots name.
+const READ_SNAPSHOT: &str = "read snapshot";
 
 /// Carries out an action and returns its outcome; `None` for an action whose outcome is not reported.
 pub(crate) async fn perform(store: &Storage, action: AppendAction) -> Option<AppendEvent> {
@@ -53,80 +64,184 @@
 }
 
 /// Body of the newest intact snapshot, if one is needed, and the journal rows after it, in order.
-type Loaded = (Option<Vec<u8>>, Vec<(Seq, String)>);
+pub(crate) type Loaded = (Option<Vec<u8>>, Vec<(Seq, String)>);
 
-/// Reads the newest intact snapshot of a region and the journal rows after it. Logs the size and duration of each part.
-///
-/// # Errors
+/// Reads the newest intact snapshot of a region and the journal rows after it.
 ///
-/// `Internal` if the snapshot row or the key of a journal row can't be parsed, or if the journal was truncated and none
-/// of its snapshots is intact; otherwise the error of the table service or object store.
-pub(crate) async fn load(store: &Storage, region: &RegionName, (log, clock): (&slog::Logger, Clock)) -> Result<Loaded> {
-    let begun = clock.now();
-    let row = store.table.get(&snapshot_key(region)).await?;
-    let named = clock.now();
-    let (snapshot, after) = match row {
-        Some(row) => load_snapshot(store, &row.value).await?,
-        None => (None, Seq(0)),
-    };
-    slog::info!(log, "takeover: snapshot read"; "bytes" => snapshot.as_ref().map(Vec::len), "covers" => after.0,
-        "row_took" => named.since(begun).0, "took" => clock.now().since(named).0);
-    let prefix = format!("journal/{region}/");
-    let mut from = journal_key(region, after);
-    let mut rows = Vec::new();
-    loop {
-        let asked = clock.now();
-        let page = store.table.scan(&prefix, &from, SCAN_LIMIT).await?;
-        slog::info!(log, "takeover: journal page read"; "rows" => page.len(),
-            "bytes" => page.iter().map(|row| row.value.len()).sum::<usize>(), "took" => clock.now().since(asked).0);
-        let Some(last) = page.last() else {
-            return Ok((snapshot, rows));
+/// What was read stays over failed tries, so that each try goes on where the last one stopped. It can't be outdated:
+/// the term of the reader fences off all earlier writers.
+pub(crate) struct Loader {
+    region: RegionName,
+    log: slog::Logger,
+    clock: Clock,
+    /// The row that names the snapshots; the outer `None` until it was read, the inner one if there is no row.
+    named: Option<Option<SnapshotRow>>,
+    /// Keys of snapshots that are missing or damaged.
+    damaged: BTreeSet<String>,
+    snapshot: Option<Vec<u8>>,
+    rows: BTreeMap<Seq, String>,
+    /// Whether the end of the journal was read.
+    complete: bool,
+}
+
+impl Loader {
+    /// A loader that has read nothing yet and logs the size and duration of what it reads.
+    pub(crate) fn new(region: RegionName, log: slog::Logger, clock: Clock) -> Self {
+        Self {
+            region,
+            log,
+            clock,
+            named: None,
+            damaged: BTreeSet::new(),
+            snapshot: None,
+            rows: BTreeMap::new(),
+            complete: false,
+        }
+    }
+
+    /// Bytes read so far.
+    pub(crate) fn bytes(&self) -> usize {
+        let rows: usize = self.rows.values().map(String::len).sum();
+        rows + self.snapshot.as_ref().map_or(0, Vec::len)
+    }
+
+    /// Reads what is missing: snapshot and rows at the same time.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if the snapshot row or the key of a journal row can't be parsed, or if the journal was truncated and
+    /// none of its snapshots is intact; otherwise the error of the table service or object store. The next call goes on
+    /// from there.
+    pub(crate) async fn load(&mut self, store: &Storage) -> Result<Loaded> {
+        if self.named.is_none() {
+            self.named = Some(read_snapshot_row(store, &self.region).await?);
+        }
+        loop {
+            let source = self.source()?;
+            let after = source.as_ref().map_or(Seq(0), |source| source.seq);
+            let snapshot = source.filter(|_| self.snapshot.is_none());
+            let (body, pages) = future::zip(
+                read_snapshot(store, snapshot.as_ref(), (&self.log, self.clock)),
+                self.read_pages(store, after),
+            )
+            .await;
+            let added = self.add_pages(pages);
+            let intact = self.add_snapshot(snapshot, body)?;
+            added?;
+            if intact && self.complete {
+                let rows = std::mem::take(&mut self.rows);
+                return Ok((self.snapshot.take(), rows.into_iter().collect()));
+            }
+        }
+    }
+
+    /// The newest snapshot that is not known to be damaged; `None` if the journal has all its rows and needs none.
+    fn source(&self) -> Result<Option<SnapshotRef>> {
+        let Some(row) = self.named.as_ref().and_then(Option::as_ref) else {
+            return Ok(None);
         };
-        from.clone_from(&last.key);
-        let full = page.len() == SCAN_LIMIT;
-        for row in page {
-            let seq = row
-                .key
-                .strip_prefix(&prefix)
-                .and_then(|text| text.parse().ok())
-                .ok_or_else(|| {
-                    Error::msg(
-                        ErrorKind::Internal,
-                        "scan journal",
-                        "the key does not end in a journal position",
-                    )
-                    .at(row.key.as_str())
-                })?;
-            rows.push((Seq(seq), row.value));
+        let usable = row.refs().find(|named| !self.damaged.contains(&named.key));
+        if usable.is_none() && !row.has_full_journal() {
+            let reason = "the journal was truncated and none of its snapshots is intact";
+            return Err(Error::msg(ErrorKind::Internal, READ_SNAPSHOT, reason));
         }
-        if !full {
-            return Ok((snapshot, rows));
+        Ok(usable.cloned())
+    }
+
+    /// Keeps a snapshot that was read, or notes it as damaged; the rows from the one before it are then needed too.
+    /// Returns whether the snapshot, if any was needed, is intact.
+    fn add_snapshot(&mut self, named: Option<SnapshotRef>, body: Result<Option<Vec<u8>>>) -> Result<bool> {
+        let Some(named) = named else { return Ok(true) };
+        match body?.filter(|body| named.matches(body)) {
+            Some(body) => self.snapshot = Some(body),
+            None => {
+                slog::warn!(self.log, "takeover: snapshot is missing or damaged"; "key" => &named.key);
+                self.damaged.insert(named.key);
+                self.rows.clear();
+                self.complete = false;
+            }
         }
+        Ok(self.snapshot.is_some())
     }
-}
 
-/// Reads the newest snapshot whose content matches its checksum, and returns it with the newest journal row that it
-/// covers; `None` and 0 if none is intact but the journal still has all rows.
-async fn load_snapshot(store: &Storage, value: &str) -> Result<(Option<Vec<u8>>, Seq)> {
-    let step = "read snapshot";
-    let row = SnapshotRow::parse(value)
-        .ok_or_else(|| Error::msg(ErrorKind::Internal, step, "the snapshot row can't be parsed"))?;
-    for snapshot in row.refs() {
-        if let Some(body) = store
-            .objects
-            .read(&snapshot.key)
-            .await?
-            .filter(|body| snapshot.matches(body))
-        {
-            return Ok((Some(body), snapshot.seq));
+    /// Reads the next pages of rows, several at a time: rows are numbered without gaps, so that it is known where each
+    /// page begins. Reads nothing once the end of the journal was read.
+    async fn read_pages(&self, store: &Storage, after: Seq) -> Vec<Result<Vec<Row>>> {
+        if self.complete {
+            return Vec::new();
         }
+        let last = self.rows.last_key_value().map_or(after, |(seq, _)| *seq);
+        let next = Seq(last.0 + PAGE_ROWS as u64);
+        let (first, second) = future::zip(self.read_page(store, last), self.read_page(store, next)).await;
+        vec![first, second]
+    }
+
+    async fn read_page(&self, store: &Storage, after: Seq) -> Result<Vec<Row>> {
+        let begun = self.clock.now();
+        let prefix = journal_prefix(&self.region);
+        let page = store
+            .table
+            .scan(&prefix, &journal_key(&self.region, after), PAGE_ROWS)
+            .await?;
+        slog::info!(self.log, "takeover: journal page read"; "after" => after.0, "rows" => page.len(),
+            "bytes" => page.iter().map(|row| row.value.len()).sum::<usize>(),
+            "took" => self.clock.now().since(begun).0);
+        Ok(page)
     }
-    if row.has_full_journal() {
-        return Ok((None, Seq(0)));
+
+    /// Keeps the rows of the pages up to the first that was not read, since the next try begins after the last row.
+    fn add_pages(&mut self, pages: Vec<Result<Vec<Row>>>) -> Result<()> {
+        for page in pages {
+            if !self.complete {
+                self.add_page(page?)?;
+            }
+        }
+        Ok(())
     }
-    Err(Error::msg(
-        ErrorKind::Internal,
-        step,
-        "the journal was truncated and none of its snapshots is intact",
-    ))
+
+    /// Keeps the rows of a page. A page that is not full is the last one.
+    fn add_page(&mut self, page: Vec<Row>) -> Result<()> {
+        self.complete |= page.len() < PAGE_ROWS;
+        let prefix = journal_prefix(&self.region);
+        for row in page {
+            let seq = row.key.strip_prefix(&prefix).and_then(|text| text.parse().ok());
+            let seq = seq.ok_or_else(|| {
+                let reason = "the key does not end in a journal position";
+                Error::msg(ErrorKind::Internal, "scan journal", reason).at(row.key.as_str())
+            })?;
+            self.rows.insert(Seq(seq), row.value);
+        }
+        Ok(())
+    }
+}
+
+/// Prefix of the keys of a region's journal rows.
+fn journal_prefix(region: &RegionName) -> String {
+    format!("journal/{region}/")
+}
+
+/// Reads the row that names the snapshots; `None` if there is none yet.
+async fn read_snapshot_row(store: &Storage, region: &RegionName) -> Result<Option<SnapshotRow>> {
+    let Some(row) = store.table.get(&snapshot_key(region)).await? else {
+        return Ok(None);
+    };
+    let reason = "the snapshot row can't be parsed";
+    let parsed = SnapshotRow::parse(&row.value);
+    Ok(Some(parsed.ok_or_else(|| {
+        Error::msg(ErrorKind::Internal, READ_SNAPSHOT, reason)
+    })?))
+}
+
+/// Reads a snapshot; `None` if none is needed or it does not exist.
+async fn read_snapshot(
+    store: &Storage,
+    named: Option<&SnapshotRef>,
+    (log, clock): (&slog::Logger, Clock),
+) -> Result<Option<Vec<u8>>> {
+    let Some(named) = named else { return Ok(None) };
+    let begun = clock.now();
+    let body = store.objects.read(&named.key).await?;
+    slog::info!(log, "takeover: snapshot read"; "covers" => named.seq.0, "bytes" => body.as_ref().map(Vec::len),
+        "took" => clock.now().since(begun).0);
+    Ok(body)
 }
