Stop the takeover's read of a daemon that lost its term

Cause: work that outlives the term that it is for. The read now ends when the daemon is deposed. Looked for elsewhere: the poll of the list of workers ends with the term already; orders in flight are fenced by it.

--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -75,6 +75,8 @@
     pub(crate) open_orders: Arc<AtomicUsize>,
     /// Term and version of the term row since this daemon was elected; `None` while it is not the scheduler.
     pub(crate) elected: Option<(Term, u64)>,
+    /// Held while the journal is read for a takeover; dropping it ends the read.
+    pub(crate) loading: Option<Sender<()>>,
     /// Signalled once a resignation that the daemon asked for is done.
     pub(crate) resign_reply: Option<Sender<()>>,
 }
@@ -239,6 +241,7 @@
 
     fn handle_deposed(&mut self) {
         self.elected = None;
+        self.loading = None;
         self.shared.lock().expect("leader lock").term = None;
         self.handle_event(Event::Deposed);
         self.calls.clear();
@@ -286,8 +289,11 @@
         });
     }
 
-    /// Reads the snapshot and the journal rows after it, after `pause`. Repeats until it succeeds.
-    fn load_journal(&self, term: Term, fence: u64, pause: Millis) {
+    /// Reads the snapshot and the journal rows after it, after `pause`. Repeats until it succeeds or this daemon is no
+    /// longer the scheduler.
+    fn load_journal(&mut self, term: Term, fence: u64, pause: Millis) {
+        let (loading, deposed) = async_channel::bounded::<()>(1);
+        self.loading = Some(loading);
         let storage = self.storage.clone();
         let (log, clock, inbox) = (self.log.clone(), self.kernel.clock, self.inbox.clone());
         let mut loader = Loader::new(self.region.clone(), log.clone(), clock);
@@ -300,7 +306,7 @@
                         Ok((snapshot, rows)) => {
                             slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
                                 "snapshot" => snapshot.is_some(), "took" => clock.now().since(begun).0);
-                            return (snapshot, rows);
+                            return Some((snapshot, rows));
                         }
                         Err(error) => slog::warn!(log, "journal not read for the takeover; trying again";
                             "error" => %error, "bytes" => loader.bytes()),
@@ -308,7 +314,14 @@
                     Timer::after(LOAD_PAUSE.duration()).await;
                 }
             };
-            let (snapshot, rows) = load.await;
+            let deposed = async {
+                // Fails once the sender is dropped.
+                let _ = deposed.recv().await;
+                None
+            };
+            let Some((snapshot, rows)) = future::or(load, deposed).await else {
+                return slog::info!(log, "takeover: reading stopped"; "term" => term.0);
+            };
             let loaded = Box::new(Event::Elected {
                 term,
                 fence,
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -139,6 +139,7 @@
             load_reported: Millis::ZERO,
             open_orders: Arc::default(),
             elected: None,
+            loading: None,
             resign_reply: None,
         };
         kernel.spawn_until_stop(actor.run(receiver));
