Drop the tasks of step jobs that have ended from the state

A takeover reads and decodes the state; it held every task of every job of the retention time. A job that has ended keeps only tasks with a run that may be alive, which the next scheduler must stop. Old builds read the new state.

--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -68,7 +68,8 @@
         pub phase: StepJobPhase,
         /// When it ended, in milliseconds since the Unix epoch; absent until then.
         pub ended: Option<Millis>,
-        /// Steps by occurrence and number, both counted from 0. Steps without a started task are absent.
+        /// Steps by occurrence and number, both counted from 0. Steps without a started task are absent and, once the job
+        /// has ended, tasks and steps without a run that may be alive.
         #[serde(with = "pairs")]
         pub steps: BTreeMap<(u32, u32), StepEntry>,
         /// Number of tasks of all occurrences that are not done.
@@ -150,6 +151,15 @@
         }
     }
 
+    /// Drops what nothing needs of a job that has ended: its payload, and tasks without a run that may be alive.
+    fn drop_ended(&mut self) {
+        self.spec.payload = String::new();
+        for step in self.steps.values_mut() {
+            step.tasks.retain(|_, task| !task.placed.is_empty());
+        }
+        self.steps.retain(|_, step| !step.tasks.is_empty());
+    }
+
     /// Marks a task as done, or all tasks of the step if it is a gang. The job completes with its last task.
     fn mark_done(&mut self, task: &TaskKey, gang: bool) {
         let count = self.spec.steps.get(task.step as usize).map_or(0, |step| step.count);
@@ -249,16 +259,18 @@
         });
     }
 
-    /// Changes a job and, if that ended it, sets its end time and drops its payload.
+    /// Changes a job and, if it has ended, sets its end time and drops what is no longer needed of it.
     fn update(&mut self, wall: Millis, job: JobKey, edit: impl FnOnce(&mut JobEntry)) {
         let Some(entry) = self.jobs.get_mut(&job) else {
             return;
         };
         edit(entry);
-        if entry.phase.is_final() && entry.ended.is_none() {
-            entry.ended = Some(wall);
-            entry.spec.payload = String::new();
-            self.ended.insert((wall, job));
+        if entry.phase.is_final() {
+            entry.drop_ended();
+            if entry.ended.is_none() {
+                entry.ended = Some(wall);
+                self.ended.insert((wall, job));
+            }
         }
     }
 
