--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -130,6 +130,10 @@
     ) -> Result<Self> {
         let mut state = snapshot.map(RegionState::decode).transpose()?.unwrap_or_default();
         let covered = state.seq;
+        let read = (
+            snapshot.map_or(0, <[u8]>::len),
+            rows.iter().map(|(_, text)| text.len()).sum(),
+        );
         for (seq, text) in rows.iter().filter(|(seq, _)| *seq > covered) {
             if *seq != state.seq.next() {
                 let text = format!("row {} is missing before row {seq}", state.seq.next());
@@ -142,6 +146,7 @@
         let mut active = Self {
             appender: Appender::new(region.clone(), term, fence, state.seq, covered)
                 .with_snapshots(limits)
+                .with_read(read.0, read.1)
                 .with_row_bytes(row_bytes),
             region,
             retention,
--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -124,6 +124,8 @@
 struct InFlight {
     seq: Seq,
     batch: Batch,
+    /// Bytes of the row.
+    bytes: usize,
     /// When it was first sent.
     since: Millis,
     step: Step,
@@ -136,9 +138,9 @@
 pub(crate) struct JournalLoad {
     /// Number of pushed records that are not committed yet.
     pub(crate) backlog: usize,
-    /// Bytes of the last snapshot that this writer wrote; 0 before the first one.
+    /// Bytes of the last snapshot; 0 before the first one.
     pub(crate) snapshot_bytes: usize,
-    /// Approximate bytes of the rows written since then.
+    /// Bytes of the rows written since then.
     pub(crate) row_bytes: usize,
 }
 
@@ -193,6 +195,13 @@
         self
     }
 
+    /// Sets what was read from the store: the bytes of the snapshot and of the rows after it.
+    #[must_use]
+    pub fn with_read(mut self, snapshot: usize, rows: usize) -> Self {
+        self.snapshots.set_read(snapshot, rows);
+        self
+    }
+
     /// Replaces the default limits that say when a snapshot is due.
     #[must_use]
     pub fn with_snapshots(mut self, limits: SnapshotLimits) -> Self {
@@ -282,6 +291,7 @@
         self.in_flight = Some(InFlight {
             seq: self.next_seq,
             batch,
+            bytes: 0,
             since: now,
             step: Step::Committing,
             unanswered: false,
@@ -330,19 +340,18 @@
     fn commit(&mut self, now: Millis) -> Vec<AppendAction> {
         self.set_step(Step::Committing);
         self.last_sent = Some(now);
-        let Some(flight) = &self.in_flight else {
+        let Some(flight) = &mut self.in_flight else {
             return Vec::new();
         };
         let key = journal_key(&self.region, flight.seq);
+        let text = flight.batch.text();
+        flight.bytes = text.len();
         let mut transaction = fenced(&self.region, self.fence);
         transaction.checks.push(Check {
             key: key.clone(),
             version: 0,
         });
-        transaction.writes.push(Write {
-            key,
-            value: Some(flight.batch.text()),
-        });
+        transaction.writes.push(Write { key, value: Some(text) });
         vec![AppendAction::Commit {
             seq: flight.seq,
             transaction,
@@ -383,8 +392,7 @@
 
     fn finish_commit(&mut self) {
         if let Some(flight) = self.in_flight.take() {
-            let bytes = flight.batch.records.iter().map(approximate_size).sum();
-            self.snapshots.add_bytes(bytes);
+            self.snapshots.add_bytes(flight.bytes);
             self.next_seq = flight.seq.next();
             self.committed.push_back((flight.seq, flight.batch));
         }
--- a/crates/pistachiostair/src/snapshot.rs
+++ b/crates/pistachiostair/src/snapshot.rs
@@ -17,13 +17,15 @@
 /// Pause after a failed snapshot before the next one is started.
 const RETRY_PAUSE: Millis = Millis(1_000);
 
-/// Numbers of journal rows since the last snapshot at which the next one is due.
+/// Journal rows and bytes since the last snapshot at which the next one is due. They bound what a takeover reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SnapshotLimits {
     /// Rows at which a snapshot is due if they take at least half as many bytes as the last snapshot.
     pub min_rows: u64,
     /// Rows at which a snapshot is due in any case, to bound the journal scan of a takeover.
     pub max_rows: u64,
+    /// Bytes of rows at which a snapshot is due if they are at least as many as those of the last snapshot.
+    pub min_bytes: usize,
 }
 
 impl Default for SnapshotLimits {
@@ -31,6 +33,7 @@
         Self {
             min_rows: 500,
             max_rows: 5_000,
+            min_bytes: 256 * 1024,
         }
     }
 }
@@ -124,7 +127,7 @@
     covered: Seq,
     /// Bytes added to the journal since the last snapshot.
     new_bytes: usize,
-    /// Bytes of the last snapshot that this writer wrote; 0 before the first one.
+    /// Bytes of the last snapshot; 0 before the first one.
     last_size: usize,
 }
 
@@ -147,6 +150,12 @@
         }
     }
 
+    /// Sets what a takeover has read: the bytes of the snapshot and of the rows after it.
+    pub(crate) fn set_read(&mut self, snapshot: usize, rows: usize) {
+        self.last_size = snapshot;
+        self.new_bytes = rows;
+    }
+
     /// Counts bytes added to the journal since the last snapshot.
     pub(crate) fn add_bytes(&mut self, bytes: usize) {
         self.new_bytes += bytes;
@@ -157,7 +166,7 @@
         self.new_bytes
     }
 
-    /// Bytes of the last snapshot that this writer wrote; 0 before the first one.
+    /// Bytes of the last snapshot; 0 before the first one.
     pub(crate) fn last_size(&self) -> usize {
         self.last_size
     }
@@ -181,7 +190,10 @@
 
     fn is_due(&self, state: &RegionState) -> bool {
         let rows = state.seq.0.saturating_sub(self.covered.0);
-        rows >= self.limits.max_rows || (rows >= self.limits.min_rows && self.new_bytes >= self.last_size / 2)
+        rows >= self.limits.max_rows
+            || (rows >= self.limits.min_rows && self.new_bytes >= self.last_size / 2)
+            || (rows > 0 && self.new_bytes >= self.limits.min_bytes.max(self.last_size))
+           
     }
 
     fn write_snapshot(&mut self, state: &RegionState) -> Vec<AppendAction> {
--- a/crates/pistachiostair/tests/appender.rs
+++ b/crates/pistachiostair/tests/appender.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 use pistachiostair::{
-    AppendAction, AppendEvent, Appender, Batch, Commit, Millis, Record, RegionState, Seq, SnapshotRow, Term,
-    Transaction, WorkerName, snapshot_key, term_key,
+    AppendAction, AppendEvent, Appender, Batch, Commit, Millis, Record, RegionState, Seq, SnapshotLimits, SnapshotRow,
+    Term, Transaction, WorkerName, journal_key, snapshot_key, term_key,
 };
 use proptest::prelude::*;
 use standin::Tables;
@@ -210,6 +210,59 @@
     assert_eq!(snapshots, 2);
 }
 
+/// Bytes that a takeover reads: the newest snapshot and the journal rows after it.
+fn takeover_bytes(store: &Store) -> usize {
+    let row = store.tables.get(&snapshot_key(&"fi".into()));
+    let named = row
+        .and_then(|row| SnapshotRow::parse(&row.value))
+        .map(|row| row.current);
+    let after = named.as_ref().map_or(Seq(0), |named| named.seq);
+    let rows = store
+        .tables
+        .scan("journal/fi/", &journal_key(&"fi".into(), after), usize::MAX);
+    let snapshot = named.map_or(0, |named| store.objects[&named.key].len());
+    snapshot + rows.iter().map(|row| row.value.len()).sum::<usize>()
+}
+
+/// Guards against a takeover that reads megabytes because few, large rows don't make a snapshot due, under the first
+/// writer or under one that found such rows.
+#[test]
+fn snapshot_by_bytes() {
+    let limit = SnapshotLimits::default().min_bytes;
+    let (mut store, fence) = Store::new(vec![1]);
+    let mut state = RegionState::default();
+    let mut now = Millis(0);
+    let mut read = 0;
+    for term in 1..4 {
+        let mut appender = Appender::new("fi".into(), Term(term), fence, state.seq, Seq(0)).with_read(0, read);
+        for round in 0..200 {
+            now += Millis(100);
+            // Drains a worker and puts it back, so that the state stays small while the journal grows.
+            let worker = WorkerName::from("w".repeat(8_000));
+            let drain = round % 2 == 0;
+            appender.push([Record::Drained { worker, drain }]);
+            let mut actions = appender.poll(now, now);
+            // The last rows of a term get no snapshot: its scheduler ends.
+            if round < 180 {
+                actions.extend(appender.maintain(now, &state));
+            }
+            while let Some(action) = actions.pop() {
+                actions.extend(
+                    store
+                        .perform(action)
+                        .map_or_else(Vec::new, |event| appender.on(now, event)),
+                );
+            }
+            while let Some((seq, batch)) = appender.next_committed() {
+                state.fold_batch(seq, &batch);
+            }
+            let bytes = takeover_bytes(&store);
+            assert!(bytes < 2 * limit, "term {term}, round {round}: {bytes} bytes");
+        }
+        read = takeover_bytes(&store);
+    }
+}
+
 /// Guards against a late transaction that names an old snapshot after the journal rows that follow it were deleted. It
 /// must not take effect.
 #[test]
--- a/crates/pistachiostair/tests/life/world.rs
+++ b/crates/pistachiostair/tests/life/world.rs
@@ -268,6 +268,7 @@
             SnapshotLimits {
                 min_rows: 2,
                 max_rows: 3,
+                ..SnapshotLimits::default()
             },
         );
     }
@@ -284,6 +285,7 @@
             SnapshotLimits {
                 min_rows: 2,
                 max_rows: 3,
+                ..SnapshotLimits::default()
             },
         );
     }
