--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,9 +1,12 @@
-//! A TCP relay whose connections can go silent or be refused.
+//! A TCP relay whose connections can go silent or be refused, and whose bandwidth can be limited.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use async_executor::Executor;
+use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use hyper::{Method, StatusCode};
@@ -11,20 +14,38 @@
 
 use crate::server::{reply_status, segments, serve};
 
-/// Bytes that are forwarded at once.
+/// Largest number of bytes that are forwarded at once.
 const BLOCK: usize = 64 * 1024;
 
+/// Smallest number of bytes that are forwarded at once.
+const MIN_BLOCK: usize = 1_500;
+
+/// Time that a block takes at the limit of the bandwidth, and by which a sender may be late without losing bandwidth.
+const BLOCK_TIME: Duration = Duration::from_millis(5);
+
+/// One direction of the link that all connections of a relay share.
+struct Lane {
+    /// When all bytes that were forwarded so far have left.
+    free_at: Instant,
+}
+
 struct State {
     /// Raised to make the connections of now silent, and then replaced.
     silence: Stop,
     /// Raised to close the connections of now; new ones are refused until it is replaced.
     cut: Stop,
+    /// Bytes a second in each direction; unlimited if there is none.
+    bandwidth: Option<u64>,
+    /// Bytes of a response after which its connection goes silent; applies to one connection.
+    stall: Option<usize>,
 }
 
 /// A relay to one target.
 pub struct Relay {
     target: String,
     state: Mutex<State>,
+    /// The directions towards the target and back.
+    lanes: [Mutex<Lane>; 2],
 }
 
 impl Relay {
@@ -35,10 +56,42 @@
             state: Mutex::new(State {
                 silence: Stop::new(),
                 cut: Stop::new(),
+                bandwidth: None,
+                stall: None,
+            }),
+            lanes: [(); 2].map(|()| {
+                Mutex::new(Lane {
+                    free_at: Instant::now(),
+                })
             }),
         })
     }
 
+    /// Limits the bandwidth in each direction to this many bytes a second; removes the limit if there is none.
+    pub fn limit(&self, bandwidth: Option<u64>) {
+        self.state.lock().expect("relay lock").bandwidth = bandwidth;
+    }
+
+    /// Makes the next connection silent for good that forwards more than `bytes` bytes of one response.
+    pub fn stall_after(&self, bytes: usize) {
+        self.state.lock().expect("relay lock").stall = Some(bytes);
+    }
+
+    /// Whether a connection went silent since the last [`Self::stall_after`].
+    pub fn has_stalled(&self) -> bool {
+        self.state.lock().expect("relay lock").stall.is_none()
+    }
+
+    /// Closes all connections and refuses new ones until [`Self::open`].
+    pub fn cut(&self) {
+        self.state.lock().expect("relay lock").cut.raise();
+    }
+
+    /// Accepts connections again.
+    pub fn open(&self) {
+        self.state.lock().expect("relay lock").cut = Stop::new();
+    }
+
     /// Relays in the background; returns the address and that of the control server.
     ///
     /// # Errors
@@ -69,11 +122,10 @@
         if request.method != Method::POST {
             return reply_status(StatusCode::METHOD_NOT_ALLOWED);
         }
-        let mut state = self.state.lock().expect("relay lock");
         match segments(&request.path).iter().map(String::as_str).collect::<Vec<_>>()[..] {
-            ["control", "silence"] => std::mem::take(&mut state.silence).raise(),
-            ["control", "cut"] => state.cut.raise(),
-            ["control", "open"] => state.cut = Stop::new(),
+            ["control", "silence"] => std::mem::take(&mut self.state.lock().expect("relay lock").silence).raise(),
+            ["control", "cut"] => self.cut(),
+            ["control", "open"] => self.open(),
             _ => return reply_status(StatusCode::NOT_FOUND),
         }
         reply_status(StatusCode::OK)
@@ -103,9 +155,11 @@
             return;
         };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let response = AtomicUsize::new(0);
         let ended = async {
-            future::race(copy(near.clone(), far.clone()), copy(far.clone(), near.clone())).await;
-            false
+            let requests = self.copy(near.clone(), far.clone(), 0, &response);
+            let responses = self.copy(far.clone(), near.clone(), 1, &response);
+            future::race(requests, responses).await
         };
         let silenced = async {
             silence.wait().await;
@@ -116,19 +170,56 @@
             std::future::pending().await
         }
     }
-}
 
-/// Copies until one side ends; then both directions are closed by dropping the streams.
-async fn copy(mut from: TcpStream, mut to: TcpStream) {
-    let mut block = vec![0; BLOCK];
-    loop {
-        match from.read(&mut block).await {
-            Ok(count) if count > 0 => {
-                if to.write_all(&block[..count]).await.is_err() {
-                    return;
+    /// Copies until one side ends, or the connection is to go silent; returns whether it is. In the first case both
+    /// directions are closed by dropping the streams. `response` counts the bytes of the response since the last request.
+    async fn copy(&self, mut from: TcpStream, mut to: TcpStream, lane: usize, response: &AtomicUsize) -> bool {
+        let mut block = vec![0; BLOCK];
+        loop {
+            let size = self.block_size();
+            match from.read(&mut block[..size]).await {
+                Ok(count) if count > 0 => {
+                    match lane {
+                        0 => response.store(0, Ordering::Relaxed),
+                        _ if self.stalls(response.fetch_add(count, Ordering::Relaxed) + count) => return true,
+                        _ => {}
+                    }
+                    self.wait_turn(lane, count).await;
+                    if to.write_all(&block[..count]).await.is_err() {
+                        return false;
+                    }
                 }
+                _ => return false,
             }
-            _ => return,
         }
     }
+
+    /// Bytes that are forwarded at once.
+    fn block_size(&self) -> usize {
+        let bandwidth = self.state.lock().expect("relay lock").bandwidth;
+        bandwidth.map_or(BLOCK, |bandwidth| {
+            ((bandwidth as f64 * BLOCK_TIME.as_secs_f64()) as usize).clamp(MIN_BLOCK, BLOCK)
+        })
+    }
+
+    /// Whether a connection goes silent that has read this many bytes of a response.
+    fn stalls(&self, bytes: usize) -> bool {
+        let mut state = self.state.lock().expect("relay lock");
+        state.stall.take_if(|limit| bytes > *limit).is_some()
+    }
+
+    /// Waits until these bytes have passed the link after those of other connections.
+    async fn wait_turn(&self, lane: usize, bytes: usize) {
+        let Some(bandwidth) = self.state.lock().expect("relay lock").bandwidth else {
+            return;
+        };
+        let time = Duration::from_secs_f64(bytes as f64 / bandwidth as f64);
+        let until = {
+            let mut lane = self.lanes[lane].lock().expect("lane lock");
+            let begin = Instant::now().checked_sub(BLOCK_TIME).unwrap_or(lane.free_at);
+            lane.free_at = lane.free_at.max(begin) + time;
+            lane.free_at
+        };
+        Timer::at(until).await;
+    }
 }
