--- a/crates/standin/tests/relay.rs
+++ b/crates/standin/tests/relay.rs
@@ -1,11 +1,15 @@
-//! Faults of the relay, which the tests of silent connections rest on.
+//! Faults of the relay, which the tests of silent connections and slow links rest on.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use async_executor::Executor;
 use async_io::Timer;
-use hyper::Method;
-use pistachiostair::{HttpCall, HttpClient, Millis};
-use standin::{Platform, Relay, ask, run};
+use futures_lite::future;
+use hyper::{Method, StatusCode};
+use pistachiostair::{HttpCall, HttpClient, HttpHandler, HttpReply, Millis};
+use standin::{Platform, Relay, ask, run, serve};
 
 fn local() -> SocketAddr {
     "127.0.0.1:0".parse().expect("address")
@@ -76,3 +80,69 @@
         assert_eq!(read().await.len(), 1);
     });
 }
+
+/// Guards against a relay that exceeds the limit of its bandwidth, counts it for each connection alone, or keeps a limit that was removed.
+#[test]
+fn limit_bandwidth() {
+    const BANDWIDTH: u64 = 200_000;
+    const SIZE: usize = 100_000;
+    run(1, |executor| async move {
+        let target = serve_bytes(&executor, SIZE).await;
+        let relay = Relay::new(target.to_string());
+        let (address, _) = relay.serve(&executor, local(), local()).await.expect("relay");
+        relay.limit(Some(BANDWIDTH));
+        let client = HttpClient::new(executor.clone(), 8, 1 << 20);
+        let begun = Instant::now();
+        let read = async || read_bytes(&client, &address.to_string(), Millis(10_000)).await;
+        // Two responses share the bandwidth: 200 KB take 1 s.
+        let (first, second) = future::zip(read(), read()).await;
+        assert_eq!((first, second), (Ok(SIZE), Ok(SIZE)));
+        let took = begun.elapsed();
+        assert!(took >= Duration::from_millis(950), "{took:?}");
+        relay.limit(None);
+        assert_eq!(read_bytes(&client, &address.to_string(), Millis(500)).await, Ok(SIZE));
+    });
+}
+
+/// Guards against a relay that stalls no connection, more than one, or before the number of bytes that it was told.
+#[test]
+fn stall_once() {
+    const SIZE: usize = 100_000;
+    run(1, |executor| async move {
+        let target = serve_bytes(&executor, SIZE).await;
+        let relay = Relay::new(target.to_string());
+        let (address, _) = relay.serve(&executor, local(), local()).await.expect("relay");
+        let client = HttpClient::new(executor.clone(), 8, 1 << 20);
+        let read = async || read_bytes(&client, &address.to_string(), Millis(500)).await;
+        relay.stall_after(2 * SIZE);
+        // Bytes count from the last request on, so that two responses on one connection don't add up.
+        for _ in 0..3 {
+            assert_eq!(read().await, Ok(SIZE));
+        }
+        assert!(!relay.has_stalled());
+        relay.stall_after(SIZE / 2);
+        assert_eq!(read().await, Err(pistachiostair::ErrorKind::Timeout));
+        assert!(relay.has_stalled());
+        assert_eq!(read().await, Ok(SIZE));
+    });
+}
+
+/// Serves responses of `size` bytes.
+async fn serve_bytes(executor: &Arc<Executor<'static>>, size: usize) -> SocketAddr {
+    let handler: HttpHandler =
+        Arc::new(move |_| Box::pin(async move { HttpReply::text(StatusCode::OK, vec![b'x'; size]) }));
+    serve(executor, local(), 16, handler).await.expect("server")
+}
+
+/// Number of bytes of a response.
+async fn read_bytes(client: &HttpClient, peer: &str, timeout: Millis) -> Result<usize, pistachiostair::ErrorKind> {
+    let call = HttpCall {
+        method: Method::GET,
+        path: "/",
+        headers: &[],
+        body: Default::default(),
+        timeout,
+    };
+    let answer = client.send(peer, call).await;
+    answer.map(|answer| answer.body.len()).map_err(|error| error.kind)
+}
