--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -15,10 +15,10 @@
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use smol_hyper::rt::FuturesIo;
 
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_lines::HttpLines;
-use crate::http_progress::{Progress, Upload};
+use crate::http_progress::{LinkActivity, Progress, Upload};
 use crate::traffic::{ByteCounts, CountedStream, Traffic};
 
 /// Longest time to open a connection.
@@ -60,11 +60,13 @@
     epoch: u64,
     idle: Vec<(u64, SendRequest<Upload>)>,
     open: usize,
+    activity: LinkActivity,
 }
 
 /// HTTP/1.1 client: one request at a time on each connection.
 pub struct HttpClient {
     executor: Arc<Executor<'static>>,
+    clock: Clock,
     pools: Arc<Mutex<BTreeMap<String, Pool>>>,
     limit: usize,
     max_body: usize,
@@ -77,6 +79,7 @@
     pub fn new(executor: Arc<Executor<'static>>, limit: usize, max_body: usize) -> Self {
         Self {
             executor,
+            clock: Clock::start(),
             pools: Arc::default(),
             limit,
             max_body,
@@ -100,7 +103,7 @@
     /// `Limited` or `Unavailable` with `ran: no` if nothing was sent; `Timeout` or `Unavailable`
     /// with `ran: unknown` if the request was sent and the response did not arrive whole.
     pub async fn send(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpAnswer> {
-        let progress = Progress::start();
+        let progress = self.begin(peer);
         let timeout = call.timeout;
         let lapsed = async {
             Timer::after(timeout.duration()).await;
@@ -111,23 +114,34 @@
 
     /// As [`Self::send`], but the call's timeout bounds the time without progress instead of the whole request: until
     /// the connection is open, until a further part of the request is written, until the head of the response is there,
-    /// and until a further part of its body is. So a large body may take as long as the link needs for it.
+    /// and until a further part of its body is. So a large body may take as long as the link needs for it. Other
+    /// requests to the peer may take several times as long meanwhile.
     ///
     /// # Errors
     ///
     /// As [`Self::send`].
     pub async fn transfer(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpAnswer> {
-        let progress = Progress::start();
+        let progress = self.begin(peer);
         let timeout = call.timeout;
         let stalled = async {
-            while progress.idle() < timeout {
-                Timer::after((timeout - progress.idle()).duration()).await;
+            loop {
+                match progress.time_left(timeout) {
+                    Millis::ZERO => break,
+                    left => drop(Timer::after(left.duration()).await),
+                }
             }
             format!("no progress for {timeout}: {progress}")
         };
         self.send_until(peer, &call, &progress, stalled).await
     }
 
+    /// Progress of a request to `peer` that begins now.
+    fn begin(&self, peer: &str) -> Arc<Progress> {
+        let mut pools = self.pools.lock().expect("pool lock");
+        let pool = pools.entry(peer.to_owned()).or_default();
+        Progress::start(self.clock, pool.activity.clone())
+    }
+
     /// Sends a request and reads the whole response, unless `lapsed` ends before; it returns the reason.
     async fn send_until(
         &self,
@@ -165,7 +179,7 @@
     pub async fn stream(&self, peer: &str, call: HttpCall<'_>) -> Result<HttpLines> {
         let attempt = async {
             let (_, mut sender) = self.connect(peer).await?;
-            self.request(peer, &mut sender, &call, &Progress::start()).await
+            self.request(peer, &mut sender, &call, &self.begin(peer)).await
         };
         let lapsed = async {
             Timer::after(call.timeout.duration()).await;
