Pause a takeover's read while the lease is not valid

deposed_stops_reading failed once beside a busy machine (6 reads for 3): a daemon whose lease had ended went on reading over its slow link, and its renewals and reads of the lease, which would have told it that another was elected, waited behind. No further request is sent while the lease is not valid; what was read stays. Pages shrink after a failed read.

--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -218,6 +218,7 @@
             }
             ElectionAction::LeaseValid(held) => {
                 slog::info!(self.log, "tenure changed"; "region" => %self.region, "held" => held);
+                self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
                 self.handle_event(Event::LeaseChanged { held });
             }
             ElectionAction::Deposed => {
@@ -297,12 +298,17 @@
         let storage = self.storage.clone();
         let (log, clock, inbox) = (self.log.clone(), self.kernel.clock, self.inbox.clone());
         let mut loader = Loader::new(self.region.clone(), log.clone(), clock);
+        let shared = self.shared.clone();
+        let held = move || {
+            let lease = shared.lock().expect("leader lock").lease;
+            lease.is_some_and(|(_, until)| clock.now() < until)
+        };
         self.kernel.spawn_until_stop(async move {
             let load = async {
                 Timer::after(pause.duration()).await;
                 let begun = clock.now();
                 loop {
-                    match loader.load(&storage).await {
+                    match loader.load(&storage, &held).await {
                         Ok((snapshot, rows)) => {
                             slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
                                 "snapshot" => snapshot.is_some(), "took" => clock.now().since(begun).0);
--- a/crates/pistachiostair/src/takeover.rs
+++ b/crates/pistachiostair/src/takeover.rs
@@ -17,9 +17,9 @@
 #[cfg(test)]
 mod tests;
 
-/// Rows per page when the journal is read. A page whose read fails is read again, so that pages must be small enough
-/// for slow links.
-const PAGE_ROWS: usize = 64;
+/// Most and fewest rows per page when the journal is read. A page whose read fails is read again, so that the next one
+/// is smaller.
+const PAGE_ROWS: (usize, usize) = (32, 64);
 
 /// Step that errors about snapshots name.
 const READ_SNAPSHOT: &str = "read snapshot";
@@ -80,6 +80,8 @@
     damaged: BTreeSet<String>,
     snapshot: Option<Vec<u8>>,
     rows: BTreeMap<Seq, String>,
+    /// Rows of the next page.
+    page_rows: usize,
     /// Whether the end of the journal was read.
     complete: bool,
 }
@@ -95,6 +97,7 @@
             damaged: BTreeSet::new(),
             snapshot: None,
             rows: BTreeMap::new(),
+            page_rows: PAGE_ROWS.1,
             complete: false,
         }
     }
@@ -105,18 +108,22 @@
         rows + self.snapshot.as_ref().map_or(0, Vec::len)
     }
 
-    /// Reads what is missing: snapshot and rows at the same time.
+    /// Reads what is missing: snapshot and rows at the same time. Sends no request while `held` says that the lease is not
+    /// valid, since renewals of the lease share the link.
     ///
     /// # Errors
     ///
-    /// `Internal` if the snapshot row or the key of a journal row can't be parsed, or if the journal was truncated and
+    /// `Refused` while the lease is not valid; `Internal` if the snapshot row or the key of a journal row can't be parsed, or if the journal was truncated and
     /// none of its snapshots is intact; otherwise the error of the table service or object store. The next call goes on
     /// from there.
-    pub(crate) async fn load(&mut self, store: &Storage) -> Result<Loaded> {
+    pub(crate) async fn load(&mut self, store: &Storage, held: &(dyn Fn() -> bool + Send + Sync)) -> Result<Loaded> {
         if self.named.is_none() {
             self.named = Some(read_snapshot_row(store, &self.region).await?);
         }
         loop {
+            if !held() {
+                return Err(Error::msg(ErrorKind::Refused, "read journal", "the lease is not valid"));
+            }
             let source = self.source()?;
             let after = source.as_ref().map_or(Seq(0), |source| source.seq);
             let snapshot = source.filter(|_| self.snapshot.is_none());
@@ -171,7 +178,7 @@
             return Vec::new();
         }
         let last = self.rows.last_key_value().map_or(after, |(seq, _)| *seq);
-        let next = Seq(last.0 + PAGE_ROWS as u64);
+        let next = Seq(last.0 + self.page_rows as u64);
         let (first, second) = future::zip(self.read_page(store, last), self.read_page(store, next)).await;
         vec![first, second]
     }
@@ -181,7 +188,7 @@
         let prefix = journal_prefix(&self.region);
         let page = store
             .table
-            .scan(&prefix, &journal_key(&self.region, after), PAGE_ROWS)
+            .scan(&prefix, &journal_key(&self.region, after), self.page_rows)
             .await?;
         slog::info!(self.log, "takeover: journal page read"; "after" => after.0, "rows" => page.len(),
             "bytes" => page.iter().map(|row| row.value.len()).sum::<usize>(),
@@ -191,17 +198,23 @@
 
     /// Keeps the rows of the pages up to the first that was not read, since the next try begins after the last row.
     fn add_pages(&mut self, pages: Vec<Result<Vec<Row>>>) -> Result<()> {
+        let asked = self.page_rows;
         for page in pages {
             if !self.complete {
-                self.add_page(page?)?;
+                let (fewest, most) = PAGE_ROWS;
+                self.page_rows = match page.is_ok() {
+                    true => (self.page_rows * 2).min(most),
+                    false => (self.page_rows / 2).max(fewest),
+                };
+                self.add_page(asked, page?)?;
             }
         }
         Ok(())
     }
 
-    /// Keeps the rows of a page. A page that is not full is the last one.
-    fn add_page(&mut self, page: Vec<Row>) -> Result<()> {
-        self.complete |= page.len() < PAGE_ROWS;
+    /// Keeps the rows of a page. One with fewer rows than were asked for is the last one.
+    fn add_page(&mut self, asked: usize, page: Vec<Row>) -> Result<()> {
+        self.complete |= page.len() < asked;
         let prefix = journal_prefix(&self.region);
         for row in page {
             let seq = row.key.strip_prefix(&prefix).and_then(|text| text.parse().ok());
--- a/crates/pistachiostair/src/takeover/tests.rs
+++ b/crates/pistachiostair/src/takeover/tests.rs
@@ -145,10 +145,10 @@
     };
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let mut loader = Loader::new(region(), log, Clock::start());
-    let mut result = block_on(loader.load(&storage));
+    let mut result = block_on(loader.load(&storage, &|| true));
     for _ in 1..tries {
         if result.is_err() {
-            result = block_on(loader.load(&storage));
+            result = block_on(loader.load(&storage, &|| true));
         }
     }
     let (snapshot, rows) = result?;
@@ -167,7 +167,7 @@
 #[case::half_fail(50)]
 #[case::most_fail(80)]
 fn load_resumes(#[case] failing: u32) {
-    let last = 40 + 9 * PAGE_ROWS as u64 + 7;
+    let last = 40 + 9 * PAGE_ROWS.1 as u64 + 7;
     let fake = store(10, last, &[40, 20]);
     fake.0.lock().expect("store lock").failing = failing;
     let (snapshot, rows) = load(&fake, 200).expect("loaded");
