End the resignation of a candidate whose claim was lost

A candidate waits for the outcome of its claims before it resigns. A claim that another daemon's had replaced stayed in the list until the next read of the lease row without a conflict, and a resigning candidate sent no read, so the resignation ended only by its timeout of 3 s, half of the platform's grace.

Claims now carry the version that they replace and are dropped once the row has another one; a resigning candidate with an open claim reads the row.

tenure::resign_after_conflict fails before ([] instead of [Resigned]).

--- a/crates/pistachiostair/src/election.rs
+++ b/crates/pistachiostair/src/election.rs
@@ -133,6 +133,8 @@
 #[derive(Clone, Debug)]
 struct PendingWrite {
     lease: Lease,
+    /// Version of the lease row that it replaces. It can't take effect once the row has another version.
+    replaces: u64,
     sent_at: Millis,
 }
 
@@ -274,6 +276,7 @@
             version,
             expiry: now + remaining + self.times.margin,
         });
+        self.pending.retain(|write| write.replaces == version);
         self.next_request = self.next_request.max(now + self.times.poll_holdoff);
     }
 
@@ -336,6 +339,7 @@
             },
         };
         self.observed = Some(seen);
+        self.pending.retain(|write| write.replaces == version);
         let expired = sent >= seen.expiry;
         // The lease of an earlier process of this daemon can be claimed at once, since that process is gone.
         let own = held
@@ -364,7 +368,7 @@
             key,
             value: Some(self.term.to_string()),
         });
-        self.commit(now, lease, transaction, actions);
+        self.commit(now, (lease, version), transaction, actions);
     }
 
     fn new_lease(&self, holder: Option<DaemonName>) -> Lease {
@@ -392,13 +396,24 @@
         }
     }
 
-    fn commit(&mut self, now: Millis, lease: Lease, transaction: Transaction, actions: &mut Vec<ElectionAction>) {
+    /// Commits `lease` by a transaction that replaces the row of version `replaces`.
+    fn commit(
+        &mut self,
+        now: Millis,
+        (lease, replaces): (Lease, u64),
+        transaction: Transaction,
+        actions: &mut Vec<ElectionAction>,
+    ) {
         // All writes with the same expected version exclude each other; older ones can no longer take effect.
         const MAX_PENDING: usize = 64;
         if self.pending.len() == MAX_PENDING {
             self.pending.remove(0);
         }
-        self.pending.push(PendingWrite { lease, sent_at: now });
+        self.pending.push(PendingWrite {
+            lease,
+            replaces,
+            sent_at: now,
+        });
         self.in_flight = InFlight::Commit;
         actions.push(ElectionAction::Commit(transaction));
     }
@@ -482,10 +497,11 @@
             return;
         }
         match self.role {
-            Role::Candidate if !self.resigning => self.read_rows(actions),
+            // While it resigns, this daemon still has to know the outcome of a claim.
+            Role::Candidate => self.read_rows(actions),
             Role::Holder => self.renew(now, Some(self.me.clone()), actions),
             Role::Releasing(_) => self.renew(now, None, actions),
-            Role::Candidate | Role::Resigned => {}
+            Role::Resigned => {}
         }
     }
 
@@ -496,7 +512,7 @@
         // this daemon may learn of the effect late.
         self.valid_until = self.valid_until.min(now + (lease.ttl - self.times.margin));
         let transaction = self.lease_write(self.version, &lease);
-        self.commit(now, lease, transaction, actions);
+        self.commit(now, (lease, self.version), transaction, actions);
     }
 
     fn release(&mut self, now: Millis, actions: &mut Vec<ElectionAction>) {
--- a/crates/pistachiostair/tests/tenure.rs
+++ b/crates/pistachiostair/tests/tenure.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pistachiostair::{Commit, Election, ElectionAction, ElectionEvent, ElectionTimes, Incarnation, Millis, Term};
+use pistachiostair::{Commit, Election, ElectionAction, ElectionEvent, ElectionTimes, Incarnation, Millis, Row, Term};
 use proptest::prelude::*;
 use rstest::rstest;
 use standin::Tables;
@@ -267,6 +267,43 @@
     );
 }
 
+/// Guards against a candidate that never ends its resignation because another daemon took the lease before its claim.
+/// The holder's answers to its probes keep it from reading the lease row meanwhile.
+#[test]
+fn resign_after_conflict() {
+    let mut election = Election::new("fi".into(), "d0".into(), Incarnation(1), "10.0.0.1:1");
+    let free = ElectionEvent::Read {
+        sent: Millis(0),
+        lease: None,
+        term: None,
+    };
+    election.on(Millis(0), ElectionEvent::Tick);
+    let claim = election.on(Millis(10), free);
+    assert!(matches!(claim[..], [ElectionAction::Commit(_)]), "{claim:?}");
+    election.on(Millis(20), ElectionEvent::Conflict);
+    let held = r#"{"holder":"d1","incarnation":1,"term":1,"ttl":4000,"renewal":1,"address":"10.0.0.2:1"}"#;
+    let row = |value: &str| {
+        Some(Row {
+            key: String::new(),
+            value: value.to_owned(),
+            version: 1,
+        })
+    };
+    let read = ElectionEvent::Read {
+        sent: Millis(20),
+        lease: row(held),
+        term: row("1"),
+    };
+    election.on(Millis(30), read);
+    let answer = ElectionEvent::HolderAnswered {
+        version: 1,
+        remaining: Millis(3_000),
+    };
+    election.on(Millis(40), answer);
+    let actions = election.on(Millis(50), ElectionEvent::Resign);
+    assert_eq!(actions, [ElectionAction::Resigned]);
+}
+
 /// Guards against a holder that acts after its lease expired: after a long lease, a renewal with a shorter one may take
 /// effect while its answer is still under way. Candidates then wait for the shorter lease only.
 #[test]
