Elect the daemon of the highest capacity as the scheduler

Cause: the election was indifferent to the capacity of daemons.

Change: each daemon has a capacity (scarcest of processor, link, memory) from the limits in its settings, writes it in its row and sends it with its probes. The holder tells each daemon how many stronger ones there are; before that, a daemon counts the rows. Candidates of rank 0 claim as before, others wait 0.76 to 1 s. Releases are announced to the strongest first. A holder hands the lease over to a daemon of twice its capacity that has probed it steadily for 5 s. ElectionEvent::Yield releases the lease and lets others come first for 15 s.

--- a/crates/pistachiostair/examples/tenure_costs/owners.rs
+++ b/crates/pistachiostair/examples/tenure_costs/owners.rs
@@ -68,6 +68,7 @@
                 }
                 ElectionAction::LeaseValid(held) => self.owners[owner].holder = held.then_some(daemon),
                 ElectionAction::Deposed | ElectionAction::Resigned => self.deposed += 1,
+                ElectionAction::ClaimDelayed { .. } | ElectionAction::HandingOver { .. } => {}
             }
         }
     }
--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -257,6 +257,7 @@
         me: settings.name.clone(),
         incarnation,
         address: advertised,
+        ranked: false,
         times: ElectionTimes::default(),
         row_bytes: usize::MAX,
     };
--- a/crates/pistachiostair/src/election.rs
+++ b/crates/pistachiostair/src/election.rs
@@ -4,6 +4,7 @@
 //! answers of the table service, and carries out the actions it returns. Each claim of the lease raises the region's
 //! term, and the version of the term row is the fencing precondition of every journal write.
 
+use crate::claim_order::ClaimOrder;
 use crate::clock::Millis;
 use crate::edge::{Check, Row, Transaction, Write};
 use crate::ids::{DaemonName, Incarnation, RegionName, Term};
@@ -39,12 +40,28 @@
     Unknown,
     /// Release the lease, or stop trying to get it. Answered by [`ElectionAction::Resigned`].
     Resign,
+    /// Release the lease because this daemon can't serve. Answered by [`ElectionAction::Resigned`], after which
+    /// [`Election::restart`] makes this daemon a candidate that lets others claim first for a while.
+    Yield,
+    /// Release the lease to a stronger candidate, like [`Self::Yield`]. Ignored unless this daemon holds the lease and
+    /// the table service answers, and for a while after the last time.
+    HandOver {
+        /// The candidate.
+        to: DaemonName,
+    },
+    /// The number of stronger daemons by their rows, for a candidate that no holder has told its rank.
+    Ranked {
+        /// The number.
+        rank: u32,
+    },
     /// The holder answered a liveness probe of this daemon, so that the lease row need not be read for a while.
     HolderAnswered {
         /// Version of the lease row after the holder's last renewal.
         version: u64,
         /// For how long the lease stays valid without another renewal.
         remaining: Millis,
+        /// Number of stronger candidates, if the holder knows it.
+        rank: Option<u32>,
     },
     /// The holder announced that it released the lease. It gives each candidate another pause, so that their claims
     /// do not conflict.
@@ -82,6 +99,18 @@
     /// This daemon is out of the election until [`Election::restart`]: the lease was released or not held, or its
     /// release had no certain outcome within a `ttl`.
     Resigned,
+    /// The lease may be claimed, but stronger candidates come first. Sent once for each version of the lease row.
+    ClaimDelayed {
+        /// Number of stronger candidates.
+        rank: u32,
+        /// How long this daemon waits from the end of the lease on.
+        delay: Millis,
+    },
+    /// This daemon begins to hand the lease over.
+    HandingOver {
+        /// The stronger candidate.
+        to: DaemonName,
+    },
 }
 
 /// Lease and polling times. All daemons of a region must have the same `ttl` and `margin`.
@@ -120,6 +149,11 @@
 const MAX_STRETCH_TTLS: u64 = 2;
 /// Shortest time between two reads of the lease row by a candidate.
 const MIN_POLL_INTERVAL: Millis = Millis(50);
+/// A holder that loses the lease sooner than this after its election lets others claim first.
+const SHORT_TENURE: Millis = Millis(5_000);
+/// Shortest time between two handovers by one daemon, so that the lease does not alternate between it and a stronger
+/// daemon that can't keep it.
+const HANDOVER_PAUSE: Millis = Millis(30_000);
 
 /// The newest version of the lease row that a candidate knows, from a read or a probe.
 #[derive(Clone, Copy, Debug)]
@@ -127,6 +161,9 @@
     version: u64,
     /// When the lease expires if the row still has this version.
     expiry: Millis,
+    /// When a read first found the lease free or expired. Claims are delayed from then on rather than from `expiry`,
+    /// which may have passed during an outage of the table service.
+    vacant_since: Option<Millis>,
 }
 
 /// A write of the lease row that may have taken effect.
@@ -179,6 +216,13 @@
     valid_until: Millis,
     valid: bool,
     resigning: bool,
+    order: ClaimOrder,
+    /// Version of the lease row for which [`ElectionAction::ClaimDelayed`] was sent.
+    delay_reported: Option<u64>,
+    elected_at: Millis,
+    /// When the last renewal was answered.
+    renewed_at: Millis,
+    handed_over_at: Option<Millis>,
     times: ElectionTimes,
 }
 
@@ -203,6 +247,11 @@
             valid_until: Millis::ZERO,
             valid: false,
             resigning: false,
+            order: ClaimOrder::with_rank(Some(0)),
+            delay_reported: None,
+            elected_at: Millis::ZERO,
+            renewed_at: Millis::ZERO,
+            handed_over_at: None,
             times: ElectionTimes::default(),
         }
     }
@@ -215,6 +264,14 @@
         self
     }
 
+    /// Makes this daemon a candidate that does not know its rank yet. It claims like the weakest one until a holder or
+    /// [`ElectionEvent::Ranked`] tells. Without this, it counts as one of the strongest.
+    #[must_use]
+    pub fn unranked(mut self) -> Self {
+        self.order = ClaimOrder::with_rank(None);
+        self
+    }
+
     /// Makes this daemon a candidate again after [`ElectionAction::Resigned`]. It first waits one poll interval, in
     /// which others may claim the lease, and for the answer of a request in flight, which would otherwise be taken for
     /// the answer of a claim.
@@ -226,6 +283,12 @@
         self.next_request = now + self.times.poll_interval;
     }
 
+    /// Whether this daemon lets all others claim first, because it gave the lease up or lost it soon after its
+    /// election.
+    pub fn is_penalized(&self, now: Millis) -> bool {
+        self.order.is_penalized(now)
+    }
+
     /// Version of the lease row and the time until which this daemon may act as the scheduler; `None` while it may
     /// not.
     pub fn valid_lease(&self, now: Millis) -> Option<(u64, Millis)> {
@@ -243,8 +306,18 @@
         match event {
             ElectionEvent::Tick => {}
             ElectionEvent::Resign => self.resigning = true,
-            ElectionEvent::HolderAnswered { version, remaining } => self.holder_answered(now, version, remaining),
-            ElectionEvent::Released { pause } if self.role == Role::Candidate => self.next_request = now + pause,
+            ElectionEvent::Yield => self.yield_lease(now),
+            ElectionEvent::HandOver { to } => self.hand_over(now, to, &mut actions),
+            ElectionEvent::Ranked { rank } => self.set_rank(now, rank),
+            ElectionEvent::HolderAnswered {
+                version,
+                remaining,
+                rank,
+            } => self.holder_answered(now, version, remaining, rank),
+            ElectionEvent::Released { pause } if self.role == Role::Candidate => {
+                self.order.set_announced(true);
+                self.next_request = now + pause;
+            }
             ElectionEvent::Released { .. } => {}
             ElectionEvent::Read { sent, lease, term } => {
                 self.in_flight = InFlight::Nothing;
@@ -268,18 +341,57 @@
 
     /// Takes the expiry from the holder's answer, since the holder stops acting at the end of its lease even if the row
     /// is not read here until then.
-    fn holder_answered(&mut self, now: Millis, version: u64, remaining: Millis) {
+    fn holder_answered(&mut self, now: Millis, version: u64, remaining: Millis, rank: Option<u32>) {
+        if let Some(rank) = rank {
+            self.order.set_rank(rank);
+        }
         if self.role != Role::Candidate || self.in_flight == InFlight::Commit {
             return;
         }
         self.observed = Some(Observed {
             version,
             expiry: now + remaining + self.times.margin,
+            vacant_since: None,
         });
         self.pending.retain(|write| write.replaces == version);
+        self.order.set_announced(false);
         self.next_request = self.next_request.max(now + self.times.poll_holdoff);
     }
 
+    /// Takes the rank by the rows of daemons unless a holder has told it. The rows of daemons that are down count too.
+    fn set_rank(&mut self, now: Millis, rank: u32) {
+        if self.order.rank().is_some() {
+            return;
+        }
+        self.order.set_rank(rank);
+        if self.role == Role::Candidate {
+            self.next_request = self.next_request.min(now);
+        }
+    }
+
+    fn yield_lease(&mut self, now: Millis) {
+        match self.role {
+            Role::Holder => {
+                self.order.penalize(now);
+                self.resigning = true;
+            }
+            Role::Candidate => self.order.penalize(now),
+            Role::Releasing(_) | Role::Resigned => {}
+        }
+    }
+
+    fn hand_over(&mut self, now: Millis, to: DaemonName, actions: &mut Vec<ElectionAction>) {
+        let store_answers = now.since(self.renewed_at) <= self.times.renew_interval + self.times.renew_interval;
+        let paused = self.handed_over_at.is_some_and(|last| now < last + HANDOVER_PAUSE);
+        if self.role != Role::Holder || self.resigning || !self.is_leader(now) || !store_answers || paused {
+            return;
+        }
+        self.handed_over_at = Some(now);
+        self.order.penalize(now);
+        self.resigning = true;
+        actions.push(ElectionAction::HandingOver { to });
+    }
+
     fn retry_later(&mut self, now: Millis) {
         self.in_flight = InFlight::Nothing;
         self.next_request = now + RETRY_PAUSE;
@@ -331,25 +443,52 @@
         let ttl = held.as_ref().map_or(self.times.ttl, |lease| lease.ttl);
         let free = version == 0 || held.as_ref().is_some_and(|lease| lease.holder.is_none());
         // A row with a new version may have been written just before it was read.
-        let seen = match self.observed {
+        let mut seen = match self.observed {
             Some(seen) if seen.version == version => seen,
             _ => Observed {
                 version,
-                expiry: now + ttl,
+                expiry: if free { sent } else { now + ttl },
+                vacant_since: None,
             },
         };
+        if sent >= seen.expiry {
+            seen.vacant_since.get_or_insert(sent);
+        }
         self.observed = Some(seen);
         self.pending.retain(|write| write.replaces == version);
-        let expired = sent >= seen.expiry;
-        // The lease of an earlier process of this daemon can be claimed at once, since that process is gone.
+        if !free {
+            self.order.set_announced(false);
+        }
+        let delay = self.order.delay(now, self.view_spread(&seen));
+        let claim_at = seen.vacant_since.map(|since| since + delay);
+        // The lease of an earlier process of this daemon can be claimed at once, since that process is gone, unless
+        // another daemon should be the scheduler.
         let own = held
             .as_ref()
             .is_some_and(|lease| lease.holder.as_ref() == Some(&self.me) && lease.incarnation < self.incarnation);
-        self.next_request = (now + self.times.poll_interval).min(seen.expiry.max(now + MIN_POLL_INTERVAL));
+        let next = claim_at.unwrap_or(seen.expiry).max(now + MIN_POLL_INTERVAL);
+        self.next_request = next.min(now + self.times.poll_interval);
         if self.resigning {
             self.pending.clear();
-        } else if free || expired || own {
+        } else if claim_at.is_some_and(|at| sent >= at) || (own && delay == Millis::ZERO) {
             self.claim(now, version, term, actions);
+        } else if claim_at.is_some()
+            && self.delay_reported != Some(version)
+            && let Some(rank) = self.order.rank()
+        {
+            self.delay_reported = Some(version);
+            actions.push(ElectionAction::ClaimDelayed { rank, delay });
+        }
+    }
+
+    /// How much later than this daemon another candidate may learn that the lease may be claimed: one that missed the
+    /// last renewal reads the row after the holdoff. After an outage of the table service it reads the row once its last
+    /// failed read has timed out, and then waits for a lease that starts at its read.
+    fn view_spread(&self, seen: &Observed) -> Millis {
+        let late = seen.vacant_since.map_or(Millis::ZERO, |since| since.since(seen.expiry));
+        match late > self.times.poll_interval {
+            true => self.times.ttl + RETRY_PAUSE + RETRY_PAUSE,
+            false => self.times.poll_holdoff,
         }
     }
 
@@ -438,6 +577,7 @@
         actions: &mut Vec<ElectionAction>,
     ) {
         self.role = Role::Holder;
+        self.elected_at = now;
         self.term = own.lease.term;
         self.valid = false;
         actions.push(ElectionAction::Elected { term: self.term, fence });
@@ -446,6 +586,7 @@
 
     fn lease_renewed(&mut self, now: Millis, own: &PendingWrite, version: u64, actions: &mut Vec<ElectionAction>) {
         self.version = version;
+        self.renewed_at = now;
         self.pending.clear();
         self.valid_until = own.sent_at + (own.lease.ttl - self.times.margin);
         let stretch = Millis(now.since(own.sent_at).0 * STRETCH_FACTOR);
@@ -462,6 +603,9 @@
     fn lose_lease(&mut self, now: Millis, actions: &mut Vec<ElectionAction>) {
         if self.role == Role::Holder {
             actions.push(ElectionAction::Deposed);
+            if now < self.elected_at + SHORT_TENURE {
+                self.order.penalize(now);
+            }
         }
         self.valid = false;
         self.pending.clear();
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -32,6 +32,8 @@
 mod best_fit;
 mod bookkeeping;
 mod calls;
+mod capacity;
+mod claim_order;
 mod clock;
 mod commands;
 mod commits;
@@ -47,6 +49,7 @@
 mod failures;
 mod fair;
 mod finish;
+mod followers;
 mod gang;
 mod gateway;
 mod guarantee;
@@ -114,6 +117,7 @@
 
 pub use active::Retention;
 pub use appender::{AppendAction, AppendEvent, Appender};
+pub use capacity::Capacity;
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
 pub use edge::{
@@ -122,6 +126,7 @@
 pub use ejection::Ejector;
 pub use election::{Election, ElectionAction, ElectionEvent, ElectionTimes};
 pub use error::{Error, ErrorKind, Ran, Result};
+pub use followers::Followers;
 pub use http_client::{HttpAnswer, HttpCall, HttpClient};
 pub use http_lines::HttpLines;
 pub use http_server::{
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::capacity::Capacity;
 use crate::clock::Millis;
 use crate::edge::Vm;
 use crate::error::{Error, ErrorKind, Ran};
@@ -111,6 +112,9 @@
         Beat {
             /// Link address of the sender.
             address: String,
+            /// What the sender could serve with as the scheduler; absent if it can't become the scheduler at present.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            capacity: Option<Capacity>,
         },
         /// The sender is the scheduler of its region.
         Leading {
@@ -339,6 +343,9 @@
             version: u64,
             /// For how long it may act without another renewal.
             left: Millis,
+            /// Number of daemons that should claim the lease before the receiver, if known.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            rank: Option<u32>,
         },
         /// The request was not met.
         Failed(Failure),
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -7,6 +7,7 @@
 use async_executor::Executor;
 use async_io::Timer;
 
+use crate::capacity::Capacity;
 use crate::clock::{Millis, within};
 use crate::edge::{HostList, Hosts, Objects, RulesSource, Table};
 use crate::election::ElectionTimes;
@@ -73,6 +74,8 @@
     pub key_age: Option<Millis>,
     /// Most bytes in a row of the table service.
     pub row_bytes: usize,
+    /// Resources of this daemon; all daemons without them count as equal.
+    pub capacity: Option<Capacity>,
 }
 
 /// Why a call is not passed on.
@@ -192,12 +195,13 @@
             incarnation: new_incarnation(),
             address: settings.peers.to_string(),
             times: TIMES,
+            ranked: settings.capacity.is_some(),
             row_bytes: settings.row_bytes,
         };
         SchedulerService::start(&self.kernel, govern, component_logger(&self.log, Component::Scheduler))?;
         let log = component_logger(&self.log, Component::Members);
         let names = (settings.region.clone(), settings.name.clone());
-        LeaderProbe::start(&self.kernel, names, settings.peers.to_string(), log)?;
+        LeaderProbe::start(&self.kernel, names, settings.peers.to_string(), settings.capacity, log)?;
         slog::info!(self.log, "links started"; "address" => %settings.peers);
         Ok(())
     }
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -116,7 +116,11 @@
             self.refreshed_at = self.now();
             self.refresh();
         }
-        self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
+        let now = self.now();
+        let mut shared = self.shared.lock().expect("leader lock");
+        shared.lease = self.election.valid_lease(now);
+        shared.penalized = self.election.is_penalized(now);
+        drop(shared);
         self.handle_event(Event::Tick);
         self.send_renewals();
         self.report_load();
@@ -220,6 +224,15 @@
                 slog::warn!(self.log, "deposed"; "region" => %self.region);
                 self.handle_deposed();
             }
+            ElectionAction::ClaimDelayed { rank, delay } => {
+                slog::info!(self.log, "claim delayed because other daemons come first"; "region" => %self.region,
+                    "stronger" => rank, "delay" => delay.0);
+            }
+            ElectionAction::HandingOver { to } => {
+                if let Ok(probe) = self.kernel.find::<LeaderProbe>() {
+                    probe.log_handover(&to);
+                }
+            }
             ElectionAction::Resigned => {
                 self.handle_deposed();
                 if let Ok(probe) = self.kernel.find::<LeaderProbe>() {
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -78,6 +78,8 @@
     /// Address (`ip:port`) at which other daemons reach this one.
     pub(crate) address: String,
     pub(crate) times: ElectionTimes,
+    /// Whether daemons differ in capacity, so that a rank decides who claims the lease first.
+    pub(crate) ranked: bool,
     /// Most bytes that a row of the table service holds.
     pub(crate) row_bytes: usize,
 }
@@ -93,6 +95,8 @@
     pub(crate) term: Option<Term>,
     /// Version of the lease row and end of the lease, while this daemon holds a valid one.
     pub(crate) lease: Option<(u64, Millis)>,
+    /// Whether this daemon lets all others claim the lease first.
+    pub(crate) penalized: bool,
 }
 
 /// Handle of the scheduler of the region: passes calls, reports and events to the actor.
@@ -117,6 +121,8 @@
     pub(crate) fn start(kernel: &Arc<Kernel>, settings: SchedulerSettings, log: slog::Logger) -> Result<Arc<Self>> {
         let (region, me) = (settings.region, settings.me);
         let election = Election::new(region.clone(), me.clone(), settings.incarnation, settings.address);
+        let election = election.with_times(settings.times);
+        let election = if settings.ranked { election.unranked() } else { election };
         let (inbox, receiver) = async_channel::bounded(INBOX_CAPACITY);
         let shared = Arc::new(Mutex::new(Shared::default()));
         let actor = SchedulerActor {
@@ -128,7 +134,7 @@
             log,
             inbox: inbox.clone(),
             shared: shared.clone(),
-            election: election.with_times(settings.times),
+            election,
             scheduler: Scheduler::new(region.clone()).with_row_bytes(settings.row_bytes),
             calls: BTreeMap::new(),
             step_calls: BTreeMap::new(),
@@ -264,6 +270,11 @@
         shared.term.and(shared.lease)
     }
 
+    /// Whether this daemon lets all others claim the lease first.
+    pub(crate) fn is_penalized(&self) -> bool {
+        self.shared.lock().expect("leader lock").penalized
+    }
+
     /// Passes a worker's changes to the scheduler; `None` if the worker did not answer its supervisor.
     pub(crate) fn report(&self, worker: WorkerName, changes: Option<Changes>) -> Response {
         self.send_report(Input::Event(Box::new(Event::Report { worker, changes })))
--- a/crates/pistachiostair/src/serve.rs
+++ b/crates/pistachiostair/src/serve.rs
@@ -77,7 +77,7 @@
         Request::Steps { call } => Ok(Response::Steps(
             kernel.find::<SchedulerService>()?.call_steps(call, timeout).await,
         )),
-        Request::Beat { address } => Ok(kernel.find::<LeaderProbe>()?.answer_probe(from, address)),
+        Request::Beat { address, capacity } => Ok(kernel.find::<LeaderProbe>()?.answer_probe(from, address, capacity)),
         Request::Leading { term, address } => {
             kernel
                 .find::<SchedulerService>()?
--- a/crates/pistachiostair/tests/life/daemon.rs
+++ b/crates/pistachiostair/tests/life/daemon.rs
@@ -217,6 +217,7 @@
                     self.event(now, Event::Deposed, out);
                 }
                 ElectionAction::Resigned => out.push(Out::Resigned),
+                ElectionAction::ClaimDelayed { .. } | ElectionAction::HandingOver { .. } => {}
             }
         }
     }
--- a/crates/pistachiostair/tests/tenure.rs
+++ b/crates/pistachiostair/tests/tenure/main.rs
@@ -1,175 +1,16 @@
 //! Leader election under lost answers, delays, pauses and outages. Guards against two daemons that act as the
 //! scheduler of one region at the same time, or under the same term.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod rank;
+mod region;
 
-use pistachiostair::{Commit, Election, ElectionAction, ElectionEvent, ElectionTimes, Incarnation, Millis, Row, Term};
+use std::collections::BTreeMap;
+
+use pistachiostair::{Election, ElectionAction, ElectionEvent, ElectionTimes, Incarnation, Millis, Row, Term};
 use proptest::prelude::*;
 use rstest::rstest;
-use standin::Tables;
-
-#[derive(Clone, Debug)]
-enum Delivery {
-    /// A request of a daemon, sent at this time on its clock, reaches the table service.
-    Request(usize, Millis, ElectionAction),
-    /// An answer reaches the daemon.
-    Answer(usize, ElectionEvent),
-}
-
-/// A simulated region. All times are in milliseconds.
-struct Region {
-    now: u64,
-    tables: Tables,
-    elections: Vec<Election>,
-    /// How far each daemon's clock is ahead of `now`.
-    offsets: Vec<u64>,
-    /// Until when each daemon is paused.
-    paused_until: Vec<u64>,
-    /// Until when the table service does not answer.
-    down_until: u64,
-    /// How many of the next transactions take effect, but lose their answers.
-    lost_answers: u32,
-    /// Whether each daemon was last told that its lease is valid.
-    lease_valid: Vec<bool>,
-    /// Terms of all elections so far.
-    terms: Vec<Term>,
-    /// Messages in flight, by the time of their arrival and a running number.
-    queue: BTreeMap<(u64, u64), Delivery>,
-    next: u64,
-    /// Delays of messages, used in turn.
-    delays: Vec<u64>,
-    resigned: Vec<bool>,
-    /// Whether daemons become candidates again after they resigned.
-    restart: bool,
-}
-
-impl Region {
-    fn new(count: usize, delays: Vec<u64>) -> Self {
-        let election = |index: usize| {
-            let name = format!("d{index}");
-            Election::new(
-                "fi".into(),
-                name.as_str().into(),
-                Incarnation(index as u64),
-                "10.0.0.1:1",
-            )
-        };
-        Self {
-            now: 0,
-            tables: Tables::default(),
-            elections: (0..count).map(election).collect(),
-            offsets: (0..count as u64).map(|index| index * 1_000_000).collect(),
-            paused_until: vec![0; count],
-            down_until: 0,
-            lost_answers: 0,
-            lease_valid: vec![false; count],
-            terms: Vec::new(),
-            queue: BTreeMap::new(),
-            next: 0,
-            delays,
-            resigned: vec![false; count],
-            restart: false,
-        }
-    }
 
-    fn deliver_after(&mut self, delay: u64, delivery: Delivery) {
-        self.next += 1;
-        self.queue.insert((self.now + delay, self.next), delivery);
-    }
-
-    fn delay(&mut self) -> u64 {
-        self.next += 1;
-        self.delays[self.next as usize % self.delays.len()]
-    }
-
-    fn feed(&mut self, index: usize, event: ElectionEvent) {
-        let clock = Millis(self.now + self.offsets[index]);
-        for action in self.elections[index].on(clock, event) {
-            match action {
-                ElectionAction::Elected { term, .. } => self.terms.push(term),
-                ElectionAction::LeaseValid(valid) => self.lease_valid[index] = valid,
-                ElectionAction::Deposed => self.lease_valid[index] = false,
-                ElectionAction::Resigned if self.restart => self.elections[index].restart(clock),
-                ElectionAction::Resigned => self.resigned[index] = true,
-                action => {
-                    let delay = self.delay();
-                    self.deliver_after(delay, Delivery::Request(index, clock, action));
-                }
-            }
-        }
-    }
-
-    /// Carries out a request at the table service and sends the answer.
-    fn serve(&mut self, index: usize, sent: Millis, action: ElectionAction) {
-        let down = self.down_until > self.now;
-        let (event, delay) = match action {
-            ElectionAction::Read { .. } if down => (ElectionEvent::ReadFailed, 1_000),
-            ElectionAction::Commit(_) if down => (ElectionEvent::Unknown, 1_000),
-            ElectionAction::Read { lease, term } => {
-                let (lease, term) = (self.tables.get(&lease), self.tables.get(&term));
-                (ElectionEvent::Read { sent, lease, term }, self.delay())
-            }
-            ElectionAction::Commit(transaction) => {
-                let event = match self.tables.commit(&transaction) {
-                    Commit::Done { version } => ElectionEvent::Committed { sent, version },
-                    Commit::Conflict { .. } => ElectionEvent::Conflict,
-                };
-                if self.lost_answers > 0 {
-                    self.lost_answers -= 1;
-                    (ElectionEvent::Unknown, 1_000)
-                } else {
-                    (event, self.delay())
-                }
-            }
-            _ => return,
-        };
-        self.deliver_after(delay, Delivery::Answer(index, event));
-    }
-
-    /// Runs the simulation until `until`. Fails if two daemons hold a valid lease at the same time, or were elected
-    /// under the same term.
-    fn run(&mut self, until: u64) -> Result<(), String> {
-        while self.now < until {
-            self.now += 10;
-            while let Some((&key, _)) = self.queue.first_key_value()
-                && key.0 <= self.now
-            {
-                match self.queue.remove(&key) {
-                    Some(Delivery::Request(index, sent, action)) => self.serve(index, sent, action),
-                    Some(Delivery::Answer(index, event)) if self.paused_until[index] > self.now => {
-                        let span = self.paused_until[index] - self.now;
-                        self.deliver_after(span, Delivery::Answer(index, event));
-                    }
-                    Some(Delivery::Answer(index, event)) => self.feed(index, event),
-                    None => {}
-                }
-            }
-            for index in 0..self.elections.len() {
-                if self.now.is_multiple_of(100) && self.paused_until[index] <= self.now {
-                    self.feed(index, ElectionEvent::Tick);
-                }
-            }
-            let holders = (0..self.elections.len())
-                .filter(|index| self.elections[*index].is_leader(Millis(self.now + self.offsets[*index])))
-                .count();
-            if holders > 1 {
-                return Err(format!("{holders} holders at {}", self.now));
-            }
-        }
-        // A daemon may learn of its election only after the next one was elected, so terms may be out of order; but no
-        // two elections may have the same term.
-        let distinct: BTreeSet<Term> = self.terms.iter().copied().collect();
-        match distinct.len() == self.terms.len() {
-            true => Ok(()),
-            false => Err(format!("terms {:?}", self.terms)),
-        }
-    }
-
-    fn holder(&self) -> Option<usize> {
-        (0..self.elections.len())
-            .find(|index| self.elections[*index].is_leader(Millis(self.now + self.offsets[*index])))
-    }
-}
+use crate::region::Region;
 
 /// Guards against a slow takeover: another daemon must be the scheduler within a ttl, a poll and a few round trips
 /// after a crash, and at its next poll after a resignation. A daemon that resigned must not act any more.
@@ -298,6 +139,7 @@
     let answer = ElectionEvent::HolderAnswered {
         version: 1,
         remaining: Millis(3_000),
+        rank: None,
     };
     election.on(Millis(40), answer);
     let actions = election.on(Millis(50), ElectionEvent::Resign);
