Measure the costs of scheduling step jobs

Cause: the scheduler uses 0.45 of a core at 350 workers, and no measurement tells what of it.

The log line about the load has the number of planning passes, waiting steps and runs.

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -163,8 +163,8 @@
 pub use steps::{
     AccountRule, Demand, HoldOrder, HoldReply, HostInfo, HostUpdate, JobEntry, JobKey, OrderReply, PlacedRun, Queue,
     QueueName, QueueSettings, Recurrence, Rules, RunEnd, RunOutcome, RunReport, ServiceName, ServiceRule, StartOrder,
-    StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepRecord, StepScheduler,
-    StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
+    StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepLoad, StepRecord,
+    StepScheduler, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
 };
 pub use store::Store;
 pub use traffic::Traffic;
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
 use crate::snapshot::SnapshotLimits;
-use crate::steps::{StepAnswer, StepsAction, StepsEvent};
+use crate::steps::{StepAnswer, StepLoad, StepsAction, StepsEvent};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 number_id! {
@@ -269,6 +269,11 @@
         self.active.as_ref().map(|active| active.stats())
     }
 
+    /// How much the scheduler of step jobs has to do; `None` while this daemon is not the scheduler.
+    pub fn step_load(&self) -> Option<StepLoad> {
+        self.active.as_ref().map(|active| active.steps.load())
+    }
+
     /// What the journal's writer holds; `None` while this daemon is not the scheduler.
     pub(crate) fn journal_load(&self) -> Option<JournalLoad> {
         self.active.as_ref().map(|active| active.appender.load())
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -137,7 +137,9 @@
         let Some((term, _)) = self.elected else { return };
         let usage = process_usage();
         let journal = self.scheduler.journal_load();
-        slog::info!(self.log, "load"; "term" => term.0, "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
+        let steps = self.scheduler.step_load();
+        slog::info!(self.log, "load"; "term" => term.0, "passes" => steps.map(|load| load.passes),
+            "waiting" => steps.map(|load| load.waiting), "runs" => steps.map(|load| load.runs), "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
             "calls" => self.step_calls.len(), "records" => journal.map(|load| load.backlog),
             "snapshot_bytes" => journal.map(|load| load.snapshot_bytes),
             "row_bytes" => journal.map(|load| load.row_bytes), "tick_late" => late.0,
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -35,8 +35,8 @@
 pub use calls::{StepAnswer, StepCall};
 pub(crate) use engine::Context;
 pub use engine::{
-    HoldOrder, HoldReply, OrderReply, RunEnd, RunReport, StartOrder, StepScheduler, StepsAction, StepsEvent, StepsLog,
-    Target,
+    HoldOrder, HoldReply, OrderReply, RunEnd, RunReport, StartOrder, StepLoad, StepScheduler, StepsAction, StepsEvent,
+    StepsLog, Target,
 };
 pub use host::{HostInfo, HostUpdate};
 pub use job_table::{JobEntry, PlacedRun, StepEntry, StepJobTable, TaskEntry};
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -356,6 +356,17 @@
     pub(crate) stop: Option<RunStop>,
 }
 
+/// How much the scheduler of step jobs has to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StepLoad {
+    /// Planning passes since the election.
+    pub passes: u64,
+    /// Steps with tasks that can be placed.
+    pub waiting: usize,
+    /// Runs that may be alive or whose end is not durable.
+    pub runs: usize,
+}
+
 /// The scheduler of step jobs under one term.
 ///
 /// Handles calls, events and committed records one at a time. What it decides collects in `records`, which must become
@@ -390,6 +401,8 @@
     pub(crate) touched: BTreeSet<WorkerName>,
     /// Whether something changed that placement depends on.
     pub(crate) replan: bool,
+    /// Number of planning passes so far.
+    pub(crate) passes: u64,
     /// Whether a worker has seen a newer term, so that this scheduler must stop.
     pub(crate) outdated: bool,
     /// Records to commit.
@@ -420,6 +433,7 @@
             cancelling: BTreeMap::new(),
             touched: BTreeSet::new(),
             replan: true,
+            passes: 0,
             outdated: false,
             records: Vec::new(),
             actions: Vec::new(),
@@ -461,6 +475,15 @@
         }
     }
 
+    /// How much there is to do at present.
+    pub(crate) fn load(&self) -> StepLoad {
+        StepLoad {
+            passes: self.passes,
+            waiting: self.waiting.len(),
+            runs: self.runs.len(),
+        }
+    }
+
     /// Handles an event.
     pub(crate) fn handle(&mut self, cx: &Context<'_>, event: StepsEvent) {
         match event {
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -59,6 +59,7 @@
         if !self.workers_known || self.waiting.is_empty() {
             return;
         }
+        self.passes += 1;
         let (placements, reservations) = self.decide(cx);
         for placement in placements {
             self.assign(cx, placement);
