Index the step jobs that have not ended

Change: the table keeps the keys of open jobs. Forgetting a job removes its end by its time instead of walking all ends.

--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -144,7 +144,7 @@
         if !cx.lease_held || cx.store_stalled {
             return Some(refusal(ErrorKind::Unavailable, "the store does not answer"));
         }
-        if cx.book.jobs().filter(|entry| !entry.phase.is_final()).count() >= MAX_UNFINISHED_JOBS {
+        if cx.book.open_count() >= MAX_UNFINISHED_JOBS {
             return Some(refusal(ErrorKind::Limited, "too many jobs have not ended"));
         }
         self.accepting.insert(job.key, vec![token]);
@@ -184,7 +184,7 @@
     fn pending(&self, cx: &Context<'_>, queue: &QueueName) -> StepAnswer {
         let waiting =
             |entry: &&crate::steps::JobEntry| entry.phase == StepJobPhase::Queued && entry.spec.queue == *queue;
-        let jobs = cx.book.jobs().filter(waiting).count() as u64;
+        let jobs = cx.book.open_jobs().filter(waiting).count() as u64;
         StepAnswer::Pending { jobs }
     }
 
--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -3,7 +3,8 @@
 //! It changes only through [`StepJobTable::apply`], so that every scheduler that reads the same journal has the same
 //! table.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
+use std::collections::btree_map::{BTreeMap, Entry};
 
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
@@ -174,14 +175,18 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StepJobTable {
     jobs: BTreeMap<JobKey, JobEntry>,
+    /// Jobs that have not ended.
+    open: BTreeSet<JobKey>,
     ended: BTreeSet<(Millis, JobKey)>,
 }
 
 impl StepJobTable {
     /// The table with the jobs of a snapshot.
     pub(crate) fn restore(jobs: Vec<JobEntry>) -> Self {
+        let open = jobs.iter().filter(|entry| !entry.phase.is_final());
         let ended = jobs.iter().filter_map(|entry| Some((entry.ended?, entry.spec.key)));
         Self {
+            open: open.map(|entry| entry.spec.key).collect(),
             ended: ended.collect(),
             jobs: jobs.into_iter().map(|entry| (entry.spec.key, entry)).collect(),
         }
@@ -197,6 +202,16 @@
         self.jobs.values()
     }
 
+    /// The jobs that have not ended, in order of their keys.
+    pub fn open_jobs(&self) -> impl Iterator<Item = &JobEntry> {
+        self.open.iter().filter_map(|key| self.jobs.get(key))
+    }
+
+    /// Number of jobs that have not ended.
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
     /// Applies one record. `wall` is the wall clock of its journal row, in milliseconds since the Unix epoch. A record
     /// of an unknown job changes nothing.
     pub fn apply(&mut self, wall: Millis, record: &StepRecord) {
@@ -221,8 +236,10 @@
             StepRecord::Exhausted { job } => self.end_job(wall, *job, StepJobPhase::Failed),
             StepRecord::Forgotten { jobs } => {
                 for job in jobs {
-                    let ended = self.jobs.remove(job).and_then(|entry| entry.ended);
-                    self.ended.retain(|(at, key)| key != job || Some(*at) != ended);
+                    self.open.remove(job);
+                    if let Some(ended) = self.jobs.remove(job).and_then(|entry| entry.ended) {
+                        self.ended.remove(&(ended, *job));
+                    }
                 }
             }
         }
@@ -237,7 +254,10 @@
             ended: None,
             steps: BTreeMap::new(),
         };
-        self.jobs.entry(job.key).or_insert(entry);
+        if let Entry::Vacant(vacant) = self.jobs.entry(job.key) {
+            vacant.insert(entry);
+            self.open.insert(job.key);
+        }
     }
 
     /// Ends a job with this phase unless it has ended already.
@@ -257,6 +277,7 @@
         edit(entry);
         if entry.phase.is_final() && entry.ended.is_none() {
             entry.ended = Some(wall);
+            self.open.remove(&job);
             entry.spec.payload = String::new();
             self.ended.insert((wall, job));
         }
