--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -30,6 +30,8 @@
 mod rules;
 mod spec;
 mod straggler;
+#[cfg(test)]
+mod tests;
 mod timers;
 
 pub use calls::{StepAnswer, StepCall};
--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -11,35 +11,29 @@
 /// kinds of workers in the users' deployments, which take 93 and 117 percent of the median.
 const SLOW_PERCENT: u64 = 107;
 
-/// A worker that accepts new tasks, with its free capacity.
-#[derive(Clone, Debug)]
-pub(crate) struct Candidate<'a> {
-    pub(crate) worker: &'a WorkerName,
-    pub(crate) rack: &'a RackName,
-    pub(crate) service: &'a ServiceName,
-    pub(crate) labels: &'a BTreeSet<String>,
+/// An amount of free capacity, and the part of the capacity in use that is reserved.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Room {
     pub(crate) free: Demand,
-    /// Whether tasks take longer on it than on most workers.
-    pub(crate) slow: bool,
-    /// Reserved capacity that is still in use by other runs.
+    /// Reserved capacity that is still in use by runs.
     reserved_in_use: Demand,
-    /// Number of tasks of the step in question that it may still take; `u32::MAX` if unlimited.
-    pub(crate) task_limit: u32,
 }
 
-impl Candidate<'_> {
-    /// Takes capacity for a task; returns false and takes nothing if it does not fit.
-    pub(crate) fn take(&mut self, demand: &Demand) -> bool {
-        let fits = self.task_limit > 0 && demand.fits(&self.free);
-        if fits {
-            self.free = self.free.minus(demand);
-            self.task_limit -= 1;
+impl Room {
+    /// Number of tasks with this demand that fit, at most `limit`.
+    pub(crate) fn fitting(&self, demand: &Demand, limit: u32) -> u32 {
+        if limit <= 1 || !demand.fits(&self.free) {
+            return u32::from(limit == 1 && demand.fits(&self.free));
         }
-        fits
+        let quotient = |free: u64, needed: u64| free.checked_div(needed).unwrap_or(u64::MAX);
+        let fitting = quotient(self.free.millicores, demand.millicores)
+            .min(quotient(self.free.memory, demand.memory))
+            .min(quotient(self.free.accelerators, demand.accelerators));
+        fitting.min(limit.into()) as u32
     }
 
     /// Withholds capacity for a task, whether it is free or still in use.
-    pub(crate) fn reserve(&mut self, demand: &Demand) {
+    fn reserve(&mut self, demand: &Demand) {
         self.reserved_in_use = self.reserved_in_use.plus(&demand.minus(&self.free));
         self.free = self.free.minus(demand);
     }
@@ -51,89 +45,193 @@
     }
 }
 
-/// Free capacity of all workers that accept new tasks, ordered by their names.
+/// A worker that accepts new tasks.
+#[derive(Clone, Debug)]
+struct Candidate<'a> {
+    worker: &'a WorkerName,
+    service: &'a ServiceName,
+    labels: &'a BTreeSet<String>,
+    rack: &'a RackName,
+    /// Number of the rack, see [`StepScheduler::racks`].
+    rack_number: u32,
+    room: Room,
+    /// Whether tasks take longer on it than on most workers.
+    slow: bool,
+}
+
+/// A worker on which a step may run: its position in [`FreeCapacity`], and the number of tasks of the step that it may
+/// still take, [`u32::MAX`] if unlimited.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Eligible {
+    pub(crate) position: u32,
+    pub(crate) limit: u32,
+}
+
+/// Free capacity of all workers that accept new tasks. A worker's position is its rank among them by name.
 #[derive(Clone, Debug)]
 pub(crate) struct FreeCapacity<'a> {
     candidates: Vec<Candidate<'a>>,
+    /// Position of each worker by its number.
+    positions: Vec<Option<u32>>,
+    /// Accelerators of all known workers, whether they accept tasks or not.
+    pub(crate) accelerators: u64,
+    /// Raised with each change.
+    pub(crate) version: u64,
 }
 
 impl<'a> FreeCapacity<'a> {
     /// Capacity that no current run uses.
     pub(crate) fn new(scheduler: &'a StepScheduler, cx: &Context<'_>) -> Self {
-        let usable = scheduler.hosts.iter().filter(|(_, host)| host.is_usable(cx.now));
-        let candidates = usable.filter_map(|(worker, host)| {
-            let info = host.info.as_ref()?;
-            Some(Candidate {
+        let mut free = Self {
+            candidates: Vec::with_capacity(scheduler.hosts.len()),
+            positions: vec![None; scheduler.last_host as usize + 1],
+            accelerators: 0,
+            version: 0,
+        };
+        for (worker, host) in &scheduler.hosts {
+            let Some(info) = host.info.as_ref() else { continue };
+            free.accelerators += info.capacity.accelerators;
+            if !host.is_usable(cx.now) {
+                continue;
+            }
+            free.positions[host.number as usize] = Some(free.candidates.len() as u32);
+            free.candidates.push(Candidate {
                 worker,
-                rack: &info.rack,
                 service: &info.service,
                 labels: &info.labels,
-                free: info.capacity.minus(&host.used),
+                rack: &info.rack,
+                rack_number: host.rack,
+                room: Room {
+                    free: info.capacity.minus(&host.used),
+                    reserved_in_use: Demand::default(),
+                },
                 slow: host.relative_duration > SLOW_PERCENT,
-                reserved_in_use: Demand::default(),
-                task_limit: u32::MAX,
-            })
-        });
-        Self {
-            candidates: candidates.collect(),
+            });
         }
+        free
     }
 
-    /// The worker's free capacity; none if it accepts no new tasks.
-    pub(crate) fn candidate_mut(&mut self, worker: &WorkerName) -> Option<&mut Candidate<'a>> {
-        let index = self
-            .candidates
-            .binary_search_by(|candidate| candidate.worker.cmp(worker))
-            .ok()?;
-        self.candidates.get_mut(index)
+    /// Number of workers that accept new tasks.
+    pub(crate) fn len(&self) -> usize {
+        self.candidates.len()
     }
 
-    /// Takes capacity of a worker for a task; returns false if the task does not fit or the worker accepts none.
-    pub(crate) fn take(&mut self, worker: &WorkerName, demand: &Demand) -> bool {
-        self.candidate_mut(worker)
-            .is_some_and(|candidate| candidate.take(demand))
+    /// Position of the worker with this number; none if it accepts no new tasks.
+    pub(crate) fn position(&self, number: u32) -> Option<u32> {
+        self.positions.get(number as usize).copied().flatten()
+    }
+
+    /// Name of the worker at this position.
+    pub(crate) fn worker(&self, position: u32) -> &'a WorkerName {
+        self.candidates[position as usize].worker
+    }
+
+    /// Capacity of the worker at this position.
+    pub(crate) fn room(&self, position: u32) -> Room {
+        self.candidates[position as usize].room
+    }
+
+    /// Whether tasks take longer on the worker at this position than on most.
+    pub(crate) fn is_slow(&self, position: u32) -> bool {
+        self.candidates[position as usize].slow
+    }
+
+    /// Number of the rack of the worker at this position.
+    pub(crate) fn rack_number(&self, position: u32) -> u32 {
+        self.candidates[position as usize].rack_number
+    }
+
+    /// Whether the worker at this position is in the rack with this name.
+    pub(crate) fn is_in_rack(&self, position: u32, rack: &str) -> bool {
+        self.candidates[position as usize].rack.as_str() == rack
+    }
+
+    /// Takes capacity for a task that fits on the worker at this position.
+    pub(crate) fn take(&mut self, position: u32, demand: &Demand) {
+        let room = &mut self.candidates[position as usize].room;
+        room.free = room.free.minus(demand);
+        self.version += 1;
+    }
+
+    /// Takes capacity for one task on each of `workers`, or none at all if not all of them fit.
+    pub(crate) fn take_all<'b>(
+        &mut self,
+        workers: impl Iterator<Item = &'b WorkerName> + Clone,
+        demand: &Demand,
+    ) -> bool {
+        let mut taken = Vec::new();
+        for worker in workers {
+            let fitting = self
+                .find(worker)
+                .filter(|position| demand.fits(&self.room(*position).free));
+            let Some(position) = fitting else {
+                for position in taken {
+                    let room = &mut self.candidates[position as usize].room;
+                    room.free = room.free.plus(demand);
+                }
+                return false;
+            };
+            self.take(position, demand);
+            taken.push(position);
+        }
+        true
     }
 
     /// Withholds capacity for one task on each of `workers`, whether it is free or still in use.
-    pub(crate) fn reserve<'b>(&mut self, workers: impl IntoIterator<Item = &'b WorkerName>, demand: &Demand) {
+    pub(crate) fn reserve_named<'b>(&mut self, workers: impl IntoIterator<Item = &'b WorkerName>, demand: &Demand) {
         for worker in workers {
-            if let Some(candidate) = self.candidate_mut(worker) {
-                candidate.reserve(demand);
+            if let Some(position) = self.find(worker) {
+                self.reserve(position, demand);
             }
         }
     }
+
+    /// Withholds capacity for a task on the worker at this position, whether it is free or still in use.
+    pub(crate) fn reserve(&mut self, position: u32, demand: &Demand) {
+        self.candidates[position as usize].room.reserve(demand);
+        self.version += 1;
+    }
+
+    fn find(&self, worker: &WorkerName) -> Option<u32> {
+        let found = self
+            .candidates
+            .binary_search_by(|candidate| candidate.worker.cmp(worker));
+        found.ok().map(|position| position as u32)
+    }
 }
 
 impl StepScheduler {
-    /// The workers that may run tasks of a step: those of the service, with the required label, and not yet at the
-    /// step's limit of tasks for one worker.
-    pub(crate) fn candidates<'a>(
+    /// The workers that may run tasks of a step, in order of their positions: those of the service, with the required
+    /// label, and not yet at the step's limit of tasks for one worker.
+    pub(crate) fn eligible(
         &self,
-        free: &FreeCapacity<'a>,
+        free: &FreeCapacity<'_>,
         service: &ServiceName,
         key: StepKey,
         step: &Step,
-    ) -> Vec<Candidate<'a>> {
-        let mut placed: BTreeMap<&WorkerName, u32> = BTreeMap::new();
+    ) -> Vec<Eligible> {
+        let mut placed: BTreeMap<u32, u32> = BTreeMap::new();
         if step.spread.is_some() {
             for run in self.runs_of_step(key).filter_map(|run| self.runs.get(&run)) {
-                *placed.entry(&run.worker).or_default() += 1;
+                *placed.entry(run.host).or_default() += 1;
             }
         }
+        let placed: BTreeMap<u32, u32> = placed
+            .into_iter()
+            .filter_map(|(host, count)| Some((free.position(host)?, count)))
+            .collect();
         let max = step.spread.unwrap_or(u32::MAX);
-        let eligible = free.candidates.iter().filter(|candidate| {
-            candidate.service == service
-                && step
-                    .requires
-                    .as_ref()
-                    .is_none_or(|label| candidate.labels.contains(label))
-        });
-        eligible
-            .map(|candidate| Candidate {
-                task_limit: max.saturating_sub(placed.get(candidate.worker).copied().unwrap_or(0)),
-                ..candidate.clone()
+        let label = step.requires.as_ref();
+        let candidates = (0..).zip(&free.candidates);
+        candidates
+            .filter(|(_, candidate)| {
+                candidate.service == service && label.is_none_or(|label| candidate.labels.contains(label))
+            })
+            .map(|(position, _)| Eligible {
+                position,
+                limit: max.saturating_sub(placed.get(&position).copied().unwrap_or(0)),
             })
-            .filter(|candidate| candidate.task_limit > 0)
+            .filter(|eligible| eligible.limit > 0)
             .collect()
     }
 }
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::Millis;
-use crate::ids::{Incarnation, Term, WorkerName};
+use crate::ids::{AccountName, Incarnation, RackName, Term, WorkerName};
 use crate::record;
 use crate::scheduler::Token;
 use crate::steps::calls::{StepAnswer, StepCall};
@@ -334,6 +334,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TaskRun {
     pub(crate) worker: WorkerName,
+    /// [`Host::number`] of the worker.
+    pub(crate) host: u32,
     /// Incarnation of the worker on which it was placed.
     pub(crate) incarnation: Incarnation,
     pub(crate) demand: Demand,
@@ -379,8 +381,16 @@
     pub(crate) workers_known: bool,
     /// Workers that are listed or that runs were placed on.
     pub(crate) hosts: BTreeMap<WorkerName, Host>,
+    /// Highest [`Host::number`] so far.
+    pub(crate) last_host: u32,
+    /// Number of each rack that a listed worker was in.
+    pub(crate) racks: BTreeMap<RackName, u32>,
     /// Runs that may be alive or whose end is not durable.
     pub(crate) runs: BTreeMap<RunKey, TaskRun>,
+    /// Runs that are being stopped and have not ended.
+    pub(crate) stopping: BTreeSet<RunKey>,
+    /// Number of accelerators in use by the runs of each account that have not ended.
+    pub(crate) usage: BTreeMap<AccountName, u64>,
     /// Steps with tasks that can be placed.
     pub(crate) waiting: BTreeMap<StepKey, WaitingStep>,
     /// Capacity reserved for steps that preempt others, until the preempted runs have ended.
@@ -422,7 +432,11 @@
             rules: Rules::default(),
             workers_known: false,
             hosts: BTreeMap::new(),
+            last_host: 0,
+            racks: BTreeMap::new(),
             runs: BTreeMap::new(),
+            stopping: BTreeSet::new(),
+            usage: BTreeMap::new(),
             waiting: BTreeMap::new(),
             reservations: BTreeMap::new(),
             durations: DurationsByStep::new(),
@@ -441,7 +455,7 @@
         for entry in cx.book.jobs() {
             steps.recover_runs(cx, entry);
         }
-        for entry in cx.book.jobs().filter(|entry| !entry.phase.is_final()) {
+        for entry in cx.book.open_jobs() {
             steps.refresh_job(cx, entry.spec.key);
         }
         steps
@@ -453,8 +467,16 @@
             let Some(step) = entry.spec.steps.get(task.step as usize) else {
                 continue;
             };
+            let host = self.hosts.entry(placed.worker.clone());
+            let host = host.or_insert_with(|| {
+                self.last_host += 1;
+                Host::new(self.last_host, placed.incarnation, expiry)
+            });
+            host.used = host.used.plus(&step.demand);
+            host.runs.insert((task, placed.run));
             let run = TaskRun {
                 worker: placed.worker.clone(),
+                host: host.number,
                 incarnation: placed.incarnation,
                 demand: step.demand,
                 phase: RunPhase::Live,
@@ -467,10 +489,7 @@
                 progress: None,
                 stop: None,
             };
-            let host = self.hosts.entry(placed.worker.clone());
-            let host = host.or_insert_with(|| Host::new(placed.incarnation, expiry));
-            host.used = host.used.plus(&step.demand);
-            host.runs.insert((task, placed.run));
+            self.charge(&entry.spec.account, step.demand.accelerators);
             self.runs.insert((task, placed.run), run);
         }
     }
@@ -584,6 +603,26 @@
         self.replan = true;
     }
 
+    /// Adds accelerators to those in use by an account.
+    pub(crate) fn charge(&mut self, account: &AccountName, accelerators: u64) {
+        match self.usage.get_mut(account) {
+            Some(used) => *used += accelerators,
+            None => {
+                self.usage.insert(account.clone(), accelerators);
+            }
+        }
+    }
+
+    /// Takes accelerators off those in use by an account.
+    pub(crate) fn discharge(&mut self, account: &AccountName, accelerators: u64) {
+        if let Some(used) = self.usage.get_mut(account) {
+            *used = used.saturating_sub(accelerators);
+            if *used == 0 {
+                self.usage.remove(account);
+            }
+        }
+    }
+
     /// Settings of a job's queue: those in force or, if the queue was removed, those at the job's acceptance.
     pub(crate) fn terms<'a>(&'a self, entry: &'a JobEntry) -> &'a QueueSettings {
         let queue = self.rules.queues.get(&entry.spec.queue);
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -1,13 +1,10 @@
 //! Forecast of when capacity becomes free, from the progress that workers report of each run.
 
-use std::collections::BTreeMap;
-
 use crate::clock::Millis;
-use crate::ids::WorkerName;
-use crate::steps::capacity::Candidate;
+use crate::steps::capacity::{Eligible, FreeCapacity, Room};
 use crate::steps::engine::{Context, RunPhase, StepScheduler, TaskRun, step_of};
 use crate::steps::queue::StepKey;
-use crate::steps::spec::{Demand, TaskKey};
+use crate::steps::spec::{Demand, Step, TaskKey};
 
 /// Time until the capacity of a run that is being stopped is free, with the transit of the order and of the report.
 const STOP_TIME: Millis = Millis(250);
@@ -15,75 +12,158 @@
 /// Least remaining time that is assumed for a run whose speed is not known.
 const MIN_UNKNOWN_REMAINING: Millis = Millis(300);
 
-/// Forecast ends of the runs on each worker.
+/// Forecast ends of the runs on the workers that accept new tasks.
 pub(crate) struct Forecast {
-    /// Time from now until each end and the capacity that it frees, earliest first.
-    ends: BTreeMap<WorkerName, Vec<(Millis, Demand)>>,
+    /// Time from now until each end and the capacity that it frees, by the worker's position and earliest first.
+    ends: Vec<(Millis, Demand)>,
+    /// Start of the ends of each position, and the end of the last.
+    bounds: Vec<u32>,
 }
 
 impl Forecast {
     /// Forecasts the ends of all runs. Members of a gang end together, when the slowest of them does.
-    pub(crate) fn new(scheduler: &StepScheduler, cx: &Context<'_>) -> Self {
-        let live = || scheduler.runs.iter().filter(|(_, run)| run.phase != RunPhase::Ended);
-        let mut gangs: BTreeMap<(StepKey, u32), Millis> = BTreeMap::new();
-        for ((task, number), run) in live() {
-            if step_of(cx.book, task).is_some_and(|step| step.gang) {
-                let last = gangs.entry((task.step_key(), *number)).or_default();
-                *last = (*last).max(remaining(cx, task, run));
+    pub(crate) fn new(scheduler: &StepScheduler, cx: &Context<'_>, free: &FreeCapacity<'_>) -> Self {
+        let mut found: Vec<(u32, Millis, Demand)> = Vec::with_capacity(scheduler.runs.len());
+        // Runs of one step are next to each other.
+        let mut current: Option<(StepKey, Option<&Step>)> = None;
+        let mut members: Vec<Member> = Vec::new();
+        for ((task, number), run) in &scheduler.runs {
+            if run.phase == RunPhase::Ended {
+                continue;
             }
+            let key = task.step_key();
+            let step = match current {
+                Some((step_key, step)) if step_key == key => step,
+                _ => {
+                    take_ends(&mut members, current, &mut found);
+                    let step = step_of(cx.book, task);
+                    current = Some((key, step));
+                    step
+                }
+            };
+            members.push(Member {
+                run: *number,
+                position: free.position(run.host),
+                end: remaining_of_step(cx, step, run),
+                demand: run.demand,
+            });
+        }
+        take_ends(&mut members, current, &mut found);
+        Self::sorted(&found, free.len())
+    }
+
+    /// Sorts ends on `count` workers, each with its worker's position.
+    fn sorted(found: &[(u32, Millis, Demand)], count: usize) -> Self {
+        let mut bounds = vec![0; count + 1];
+        for (position, ..) in found {
+            bounds[*position as usize + 1] += 1;
         }
-        let mut ends: BTreeMap<WorkerName, Vec<(Millis, Demand)>> = BTreeMap::new();
-        for ((task, number), run) in live() {
-            let gang_end = gangs.get(&(task.step_key(), *number)).copied();
-            let end = gang_end.unwrap_or_else(|| remaining(cx, task, run));
-            ends.entry(run.worker.clone()).or_default().push((end, run.demand));
+        for position in 0..count {
+            bounds[position + 1] += bounds[position];
         }
-        for ends in ends.values_mut() {
-            ends.sort_unstable_by_key(|(end, _)| *end);
+        let mut next = bounds.clone();
+        let mut ends = vec![(Millis::ZERO, Demand::default()); found.len()];
+        for (position, end, demand) in found {
+            let next = &mut next[*position as usize];
+            ends[*next as usize] = (*end, *demand);
+            *next += 1;
         }
-        Self { ends }
+        for bound in bounds.windows(2) {
+            ends[bound[0] as usize..bound[1] as usize].sort_unstable_by_key(|(end, _)| *end);
+        }
+        Self { ends, bounds }
+    }
+
+    fn ends_on(&self, position: u32) -> &[(Millis, Demand)] {
+        let position = position as usize;
+        &self.ends[self.bounds[position] as usize..self.bounds[position + 1] as usize]
     }
 
-    /// The shortest time from now after which `count` tasks fit on the candidates, and a worker for each of them. None
-    /// if they don't fit even once all current runs have ended.
+    /// The shortest time from now after which `count` tasks fit on the workers, and the position of a worker for each of
+    /// them. None if they don't fit by `latest`.
     pub(crate) fn earliest_start(
         &self,
-        candidates: &[Candidate<'_>],
-        demand: &Demand,
-        count: usize,
-    ) -> Option<(Millis, Vec<WorkerName>)> {
-        let mut slots: Vec<(Millis, &WorkerName)> = Vec::new();
-        for candidate in candidates {
-            let mut candidate = candidate.clone();
-            let ends = self.ends.get(candidate.worker).map_or(&[][..], Vec::as_slice);
-            let now = std::iter::once(&(
-                Millis::ZERO,
-                Demand {
-                    millicores: 0,
-                    memory: 0,
-                    accelerators: 0,
-                },
-            ));
-            for (at, freed) in now.chain(ends) {
-                candidate.release(freed);
-                while candidate.take(demand) {
-                    slots.push((*at, candidate.worker));
+        workers: &[Eligible],
+        free: &FreeCapacity<'_>,
+        (demand, count): (&Demand, u32),
+        mut latest: Millis,
+    ) -> Option<(Millis, Vec<u32>)> {
+        let needed = count as usize;
+        let mut slots: Vec<(Millis, u32)> = Vec::new();
+        for worker in workers {
+            let mut room = free.room(worker.position);
+            let mut limit = worker.limit.min(count);
+            let mut fill = |room: &mut Room, at: Millis| {
+                let fitting = room.fitting(demand, limit);
+                room.free = room.free.minus(&demand.times(fitting.into()));
+                limit -= fitting;
+                slots.extend((0..fitting).map(|_| (at, worker.position)));
+                limit > 0
+            };
+            let mut open = fill(&mut room, Millis::ZERO);
+            for (at, freed) in self.ends_on(worker.position) {
+                if !open || *at > latest {
+                    break;
                 }
+                room.release(freed);
+                open = fill(&mut room, *at);
+            }
+            if needed > 0 && slots.len() >= 2 * needed {
+                // Later slots are of no use.
+                latest = slots.select_nth_unstable(needed - 1).1.0;
+                slots.truncate(needed);
             }
         }
+        let last = needed.checked_sub(1).filter(|last| *last < slots.len())?;
+        slots.select_nth_unstable(last);
+        slots.truncate(needed);
         slots.sort_unstable();
-        slots.truncate(count);
-        let last = slots.last().filter(|_| slots.len() == count)?.0;
-        Some((last, slots.into_iter().map(|(_, worker)| worker.clone()).collect()))
+        Some((slots[last].0, slots.into_iter().map(|(_, position)| position).collect()))
+    }
+}
+
+/// A run of a step, with the forecast of its end if it ended by itself.
+struct Member {
+    run: u32,
+    /// Position of its worker; none if that accepts no new tasks.
+    position: Option<u32>,
+    end: Millis,
+    demand: Demand,
+}
+
+/// Moves the ends of all runs of one step to `found`. Those of a gang end when the last member of the same run does.
+fn take_ends(
+    members: &mut Vec<Member>,
+    step: Option<(StepKey, Option<&Step>)>,
+    found: &mut Vec<(u32, Millis, Demand)>,
+) {
+    let gang = step.and_then(|(_, step)| step).is_some_and(|step| step.gang);
+    let mut last: Vec<(u32, Millis)> = Vec::new();
+    for member in members.iter().filter(|_| gang) {
+        match last.iter_mut().find(|(run, _)| *run == member.run) {
+            Some((_, end)) => *end = member.end.max(*end),
+            None => last.push((member.run, member.end)),
+        }
+    }
+    for member in members.drain(..) {
+        if let Some(position) = member.position {
+            let gang_end = last.iter().find(|(run, _)| *run == member.run);
+            let end = gang_end.map_or(member.end, |(_, end)| *end);
+            found.push((position, end, member.demand));
+        }
     }
 }
 
 /// Forecast of the time from now until a run ends.
 pub(crate) fn remaining(cx: &Context<'_>, task: &TaskKey, run: &TaskRun) -> Millis {
+    remaining_of_step(cx, step_of(cx.book, task), run)
+}
+
+fn remaining_of_step(cx: &Context<'_>, step: Option<&Step>, run: &TaskRun) -> Millis {
     if run.stop.is_some() {
         return STOP_TIME;
     }
-    let estimate = step_of(cx.book, task).map_or(Millis::ZERO, |step| step.estimate);
+    let estimate = step.map_or(Millis::ZERO, |step| step.estimate);
     let known = run.progress.and_then(|progress| progress.remaining(cx.now, estimate));
     known.unwrap_or_else(|| estimate.since(cx.now.since(run.since)).max(MIN_UNKNOWN_REMAINING))
 }
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -91,6 +91,10 @@
 /// A worker that runs tasks of step jobs. Times are by the scheduler's clock unless stated otherwise.
 #[derive(Clone, Debug)]
 pub(crate) struct Host {
+    /// Number by which runs refer to it, never used again under this term.
+    pub(crate) number: u32,
+    /// Number of its rack in [`StepScheduler::racks`](crate::steps::StepScheduler); 0 before it is listed.
+    pub(crate) rack: u32,
     /// Its entry in the platform's list; none for a worker that is known from the journal only.
     pub(crate) info: Option<HostInfo>,
     /// Whether the platform's list has the worker at present.
@@ -129,8 +133,10 @@
 
 impl Host {
     /// A worker whose lists are not read yet and whose runs, if any, may be alive until `expiry`.
-    pub(crate) fn new(incarnation: Incarnation, expiry: Millis) -> Self {
+    pub(crate) fn new(number: u32, incarnation: Incarnation, expiry: Millis) -> Self {
         Self {
+            number,
+            rack: 0,
             info: None,
             listed: false,
             incarnation,
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -48,7 +48,15 @@
     fn update_host(&mut self, cx: &Context<'_>, info: HostInfo) {
         let worker = info.name.clone();
         let host = self.hosts.entry(worker.clone());
-        let host = host.or_insert_with(|| Host::new(info.incarnation, Millis::ZERO));
+        let host = host.or_insert_with(|| {
+            self.last_host += 1;
+            Host::new(self.last_host, info.incarnation, Millis::ZERO)
+        });
+        let next_rack = self.racks.len() as u32;
+        host.rack = match self.racks.get(&info.rack) {
+            Some(rack) => *rack,
+            None => *self.racks.entry(info.rack.clone()).or_insert(next_rack),
+        };
         host.listed = true;
         let left = info.remaining.unwrap_or_default();
         let leaves = host.leaves_at.unwrap_or(Millis::MAX).min(cx.now + left);
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -149,6 +149,7 @@
             confirmed_at: None,
         });
         let planned = run.phase == RunPhase::Planned;
+        self.stopping.insert(key);
         self.log_run("stopping", key, why.text().to_owned());
         if !planned {
             self.send_stop(cx, key);
@@ -270,7 +271,11 @@
         if outcome == RunOutcome::Done {
             self.record_duration(cx, &key);
         }
+        self.stopping.remove(&key);
         let entry = cx.book.job(key.0.job);
+        if let Some(entry) = entry {
+            self.discharge(&entry.spec.account, demand.accelerators);
+        }
         let done = entry.and_then(|entry| entry.task(&key.0)).is_some_and(|task| task.done);
         self.log_run("ended", key, format!("{outcome:?}"));
         if outcome != RunOutcome::Done {
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -3,21 +3,22 @@
 //! Runs whenever something that placement depends on has changed. A step that does not fit may preempt running tasks
 //! or have capacity reserved that is forecast to become free.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::capacity::FreeCapacity;
+use crate::steps::capacity::{Eligible, FreeCapacity};
 use crate::steps::engine::{Context, RunOrigin, RunPhase, StepScheduler, TaskRun};
 use crate::steps::forecast::Forecast;
 use crate::steps::host::RunKey;
 use crate::steps::job_table::JobEntry;
 use crate::steps::place::{place_tasks, preferred_sets};
-use crate::steps::preemption::{Preemption, PreemptionLimits};
+use crate::steps::preemption::{Preemption, PreemptionLimits, Search, Victims};
 use crate::steps::queue::StepKey;
 use crate::steps::record::{StartRecord, StepRecord};
 use crate::steps::reservation::{NewReservation, Reservation, preempted_runs};
-use crate::steps::spec::{JobKey, Step, TaskKey};
+use crate::steps::spec::{JobKey, ServiceName, Step, TaskKey};
 
 /// Factor by which a task's duration grows when it runs outside the rack of its data, or when its gang is spread over
 /// racks. This is the platform's default; only the order of choices and the comparison of runs depend on it.
@@ -39,7 +40,15 @@
 struct PlanningPass<'a> {
     /// Capacity that is left after the placements and reservations made so far.
     free: FreeCapacity<'a>,
-    forecast: Forecast,
+    /// Forecast of ends, once a step needed it.
+    forecast: Option<Forecast>,
+    /// Runs that may be preempted, by the priority that protects runs, once a step needed them; emptied with each new
+    /// reservation.
+    victims: BTreeMap<Option<u32>, Victims>,
+    /// Workers of steps with the same requirements.
+    sets: BTreeMap<Requirements, Rc<WorkerSets>>,
+    /// Forecast starts of tasks at a version of `free`, by requirements, demand and number of tasks.
+    starts: BTreeMap<TaskGroup, (u64, Option<ForecastStart>)>,
     /// Jobs that the guarantees of their accounts cover.
     covered: BTreeSet<JobKey>,
     /// Number of accelerators that may still be kept free for waiting steps.
@@ -48,6 +57,84 @@
     reservations: Vec<NewReservation>,
 }
 
+/// A step that does not fit whole, and the workers that may run it.
+struct Blocked<'a> {
+    key: StepKey,
+    step: &'a Step,
+    entry: &'a JobEntry,
+    /// Number of its tasks that wait.
+    count: u32,
+    requirements: Requirements,
+    sets: Rc<WorkerSets>,
+}
+
+/// What a step requires of the workers, and which it prefers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Requirements {
+    service: ServiceName,
+    label: Option<String>,
+    affinity: Option<String>,
+    same_rack: bool,
+    /// The step itself, if it limits the number of its tasks on a worker.
+    spread: Option<StepKey>,
+}
+
+/// A number of tasks with the same requirements and demand; the demand is in millicores, memory and accelerators.
+type TaskGroup = (Requirements, [u64; 3], u32);
+
+/// The workers that may run a step.
+struct WorkerSets {
+    /// The sets of workers that it prefers; none if it has no preference.
+    preferred: Option<Vec<Vec<Eligible>>>,
+    eligible: Vec<Eligible>,
+}
+
+/// When tasks can start without preemption.
+#[derive(Clone, Debug)]
+struct ForecastStart {
+    /// Time from now.
+    at: Millis,
+    /// Position of a worker for each task.
+    workers: Vec<u32>,
+    /// Whether they are in one of the sets that the step prefers.
+    preferred: bool,
+}
+
+impl Blocked<'_> {
+    /// The shortest time from now after which `count` tasks fit, and a worker for each: within one of the preferred sets
+    /// or, if they never fit there, anywhere. The flag tells whether it is a preferred set.
+    fn earliest_start(
+        &self,
+        scheduler: &StepScheduler,
+        cx: &Context<'_>,
+        pass: &mut PlanningPass<'_>,
+        count: u32,
+    ) -> Option<ForecastStart> {
+        let demand = &self.step.demand;
+        let demand = [demand.millicores, demand.memory, demand.accelerators];
+        let tasks = (self.requirements.clone(), demand, count);
+        if let Some((version, start)) = pass.starts.get(&tasks)
+            && *version == pass.free.version
+        {
+            return start.clone();
+        }
+        let free = &pass.free;
+        let forecast = pass.forecast.get_or_insert_with(|| Forecast::new(scheduler, cx, free));
+        let within =
+            |set: &[Eligible], latest: Millis| forecast.earliest_start(set, free, (&self.step.demand, count), latest);
+        let mut best: Option<(Millis, Vec<u32>)> = None;
+        for set in self.sets.preferred.iter().flatten() {
+            let latest = best.as_ref().map_or(Millis::MAX, |(at, _)| *at);
+            best = best.into_iter().chain(within(set, latest)).min();
+        }
+        let preferred = best.is_some();
+        let best = best.or_else(|| within(&self.sets.eligible, Millis::MAX));
+        let start = best.map(|(at, workers)| ForecastStart { at, workers, preferred });
+        pass.starts.insert(tasks, (pass.free.version, start.clone()));
+        start
+    }
+}
+
 impl StepScheduler {
     /// Runs one planning pass and records its placements and reservations. Does nothing while the scheduler's lease is
     /// not held or the list of workers was not read.
@@ -69,13 +156,15 @@
 
     /// Determines the placements and reservations of a pass without changing any state.
     fn decide(&self, cx: &Context<'_>) -> (Vec<StepPlacement>, Vec<NewReservation>) {
-        let capacity = self.hosts.values().filter_map(|host| host.info.as_ref());
-        let accelerators: u64 = capacity.map(|info| info.capacity.accelerators).sum();
+        let free = FreeCapacity::new(self, cx);
         let mut pass = PlanningPass {
-            free: FreeCapacity::new(self, cx),
-            forecast: Forecast::new(self, cx),
+            reservable: free.accelerators * MAX_RESERVED_PERCENT / 100,
+            free,
+            forecast: None,
+            victims: BTreeMap::new(),
+            sets: BTreeMap::new(),
+            starts: BTreeMap::new(),
             covered: self.guaranteed_jobs(cx),
-            reservable: accelerators * MAX_RESERVED_PERCENT / 100,
             placements: Vec::new(),
             reservations: Vec::new(),
         };
@@ -126,45 +215,64 @@
         entry: &JobEntry,
         (key, step): (StepKey, &Step),
     ) -> u64 {
-        let indices: Vec<u32> = self.waiting[&key].indices.iter().copied().collect();
-        let candidates = self.candidates(&pass.free, &self.terms(entry).service, key, step);
-        let preferred = preferred_sets(step, &candidates);
-        let has_preference = preferred.is_some();
-        let sets = preferred.unwrap_or_else(|| vec![candidates.clone()]);
-        let wanted = (indices.len() as u32, self.terms(entry).priority == 0);
-        let mut workers = place_tasks(step, wanted, sets.clone());
+        let indices = &self.waiting[&key].indices;
+        let count = indices.len() as u32;
+        let requirements = Requirements {
+            service: self.terms(entry).service.clone(),
+            label: step.requires.clone(),
+            affinity: step.affinity.clone(),
+            same_rack: step.gang && step.same_rack,
+            spread: step.spread.map(|_| key),
+        };
+        let sets = match pass.sets.get(&requirements) {
+            Some(sets) => sets.clone(),
+            None => {
+                let eligible = self.eligible(&pass.free, &requirements.service, key, step);
+                let preferred = preferred_sets(step, &eligible, &pass.free, &self.racks);
+                let sets = Rc::new(WorkerSets { preferred, eligible });
+                pass.sets.insert(requirements.clone(), sets.clone());
+                sets
+            }
+        };
+        let blocked = Blocked {
+            key,
+            step,
+            entry,
+            count,
+            requirements,
+            sets,
+        };
+        let everywhere = std::slice::from_ref(&blocked.sets.eligible);
+        let wanted = (count, self.terms(entry).priority == 0);
+        let sets = blocked.sets.preferred.as_deref().unwrap_or(everywhere);
+        let mut workers = place_tasks(step, wanted, sets, &pass.free);
         let mut reason = "best fit";
-        let missing = indices.len() - workers.len();
-        let mut earliest = sets
-            .iter()
-            .filter_map(|candidates| pass.forecast.earliest_start(candidates, &step.demand, missing))
-            .min();
-        if missing > 0 && has_preference {
+        let missing = count - workers.len() as u32;
+        if missing > 0 && blocked.sets.preferred.is_some() {
+            let anywhere = place_tasks(step, wanted, everywhere, &pass.free);
             let max_delay = Millis(step.estimate.0 * (REMOTE_SLOWDOWN - 1));
-            if earliest.as_ref().is_none_or(|(at, _)| *at > max_delay) {
-                let anywhere = place_tasks(step, wanted, vec![candidates.clone()]);
-                if anywhere.len() > workers.len() {
-                    workers = anywhere;
-                    reason = "its preferred rack does not become free soon enough";
-                }
-            }
-            if earliest.is_none() {
-                earliest = pass.forecast.earliest_start(&candidates, &step.demand, missing);
+            let in_time = |pass: &mut PlanningPass<'a>| {
+                let earliest = blocked.earliest_start(self, cx, pass, missing);
+                earliest.is_some_and(|start| start.preferred && start.at <= max_delay)
+            };
+            if anywhere.len() > workers.len() && !in_time(pass) {
+                workers = anywhere;
+                reason = "its preferred rack does not become free soon enough";
             }
         }
         for worker in &workers {
-            pass.free.take(worker, &step.demand);
+            pass.free.take(*worker, &step.demand);
         }
         let placed = workers.len();
         if placed > 0 {
+            let workers = workers.iter().map(|position| pass.free.worker(*position).clone());
             pass.placements.push(StepPlacement {
                 step: key,
                 workers: indices.iter().copied().zip(workers).collect(),
                 reason,
             });
-        }
-        if placed == 0 {
-            self.secure_capacity(cx, pass, entry, (key, step), &indices, earliest);
+        } else {
+            self.secure_capacity(cx, pass, &blocked, indices);
         }
         placed as u64
     }
@@ -172,58 +280,114 @@
     /// Secures capacity for a step of which no task fits. Preempts running tasks if the step would otherwise be late
     /// and the loss of work is within its budget. Otherwise, for a gang or a step of priority 0, keeps the capacity
     /// that is forecast to become free first from other steps for the rest of this pass, if `reservable` allows that.
-    /// `earliest` is the time from now until enough capacity is free without preemption, and the workers; none if it
-    /// never is.
     fn secure_capacity<'a>(
         &'a self,
         cx: &Context<'_>,
         pass: &mut PlanningPass<'a>,
-        entry: &JobEntry,
-        (key, step): (StepKey, &Step),
-        indices: &[u32],
-        earliest: Option<(Millis, Vec<WorkerName>)>,
+        blocked: &Blocked<'_>,
+        indices: &BTreeSet<u32>,
     ) {
+        let Blocked {
+            key,
+            step,
+            entry,
+            count,
+            ..
+        } = *blocked;
         let covered = pass.covered.contains(&key.0);
         let budget = self.preemption_budget(cx, entry, (key.2, step), indices.len(), covered);
+        let needed = step.demand.accelerators * indices.len() as u64;
+        let may_reserve = (step.gang || self.terms(entry).priority == 0) && needed <= pass.reservable;
         let unlimited = budget.max_loss.is_none();
-        if unlimited || earliest.as_ref().is_none_or(|(at, _)| *at > budget.slack) {
-            let preempted = preempted_runs(&pass.reservations);
+        // Only needed if it decides between preemption and a reservation.
+        let forecast = !unlimited || may_reserve;
+        let earliest = if forecast {
+            blocked.earliest_start(self, cx, pass, count)
+        } else {
+            None
+        };
+        let too_late = unlimited || earliest.as_ref().is_none_or(|start| start.at > budget.slack);
+        if too_late && let Some(preemption) = self.find_preemption(cx, pass, blocked, budget.max_loss) {
+            let start = match forecast {
+                true => earliest,
+                false => blocked.earliest_start(self, cx, pass, count),
+            };
+            let reason = format!(
+                "preempts {} runs, losing {} core-ms; slack {}, free without preemption in {:?} ms",
+                preemption.runs.len(),
+                preemption.lost,
+                budget.slack,
+                start.map(|start| start.at.0)
+            );
+            let workers = preemption
+                .workers
+                .iter()
+                .map(|position| pass.free.worker(*position).clone());
+            let reservation = Reservation {
+                workers: indices.iter().copied().zip(workers).collect(),
+                demand: step.demand,
+                since: cx.now,
+            };
+            reservation.reserve(&mut pass.free);
+            pass.victims.clear();
+            pass.reservations.push(NewReservation {
+                step: key,
+                reservation,
+                runs: preemption.runs,
+                reason,
+            });
+            return;
+        }
+        if let Some(start) = earliest.filter(|_| may_reserve) {
+            pass.reservable -= needed;
+            for worker in start.workers {
+                pass.free.reserve(worker, &step.demand);
+            }
+        }
+    }
+
+    /// Finds the preemption with the least lost work that lets all waiting tasks of a step start: within one of its
+    /// preferred sets of workers (near its data, or in one rack) if possible, otherwise anywhere. None if even
+    /// preemption makes too little capacity free, or if more than `max_loss` would be lost.
+    fn find_preemption(
+        &self,
+        cx: &Context<'_>,
+        pass: &mut PlanningPass<'_>,
+        blocked: &Blocked<'_>,
+        max_loss: Option<u64>,
+    ) -> Option<Preemption> {
+        let priority = max_loss.map(|_| self.terms(blocked.entry).priority);
+        if !pass.victims.contains_key(&priority) {
             let limits = PreemptionLimits {
                 protected: &pass.covered,
-                priority: budget.max_loss.map(|_| self.terms(entry).priority),
-                preempted: &preempted,
+                priority,
+                preempted: &preempted_runs(&pass.reservations),
             };
-            let preemption = self.find_preemption(cx, entry, (key, step), &pass.free, &limits);
-            let within_budget = |found: &Preemption| budget.max_loss.is_none_or(|max| found.lost <= max);
-            if let Some(preemption) = preemption.filter(within_budget) {
-                let reason = format!(
-                    "preempts {} runs, losing {} core-ms; slack {}, free without preemption in {:?} ms",
-                    preemption.runs.len(),
-                    preemption.lost,
-                    budget.slack,
-                    earliest.map(|(at, _)| at.0)
-                );
-                let reservation = Reservation {
-                    workers: indices.iter().copied().zip(preemption.workers).collect(),
-                    demand: step.demand,
-                    since: cx.now,
-                };
-                reservation.reserve(&mut pass.free);
-                let runs = preemption.runs;
-                pass.reservations.push(NewReservation {
-                    step: key,
-                    reservation,
-                    runs,
-                    reason,
-                });
-                return;
+            let victims = Victims::new(self, cx, &pass.free, &limits);
+            pass.victims.insert(priority, victims);
+        }
+        let victims = &pass.victims[&priority];
+        let tasks = (&blocked.step.demand, blocked.count);
+        let mut best: Option<Preemption> = None;
+        let mut possible = false;
+        for set in blocked.sets.preferred.iter().flatten() {
+            match victims.find(set, &pass.free, tasks, max_loss) {
+                Search::Impossible => {}
+                Search::TooCostly => possible = true,
+                Search::Found(found) => {
+                    possible = true;
+                    if best.as_ref().is_none_or(|best| found.lost < best.lost) {
+                        best = Some(found);
+                    }
+                }
             }
         }
-        let needed = step.demand.accelerators * indices.len() as u64;
-        let may_reserve = step.gang || self.terms(entry).priority == 0;
-        if let Some((_, workers)) = earliest.filter(|_| may_reserve && needed <= pass.reservable) {
-            pass.reservable -= needed;
-            pass.free.reserve(&workers, &step.demand);
+        if possible {
+            return best;
+        }
+        match victims.find(&blocked.sets.eligible, &pass.free, tasks, max_loss) {
+            Search::Found(found) => Some(found),
+            Search::Impossible | Search::TooCostly => None,
         }
     }
 
@@ -257,7 +421,7 @@
             };
             host.used = host.used.plus(&step.demand);
             host.runs.insert((key(index), run));
-            let incarnation = host.incarnation;
+            let (number, incarnation) = (host.number, host.incarnation);
             starts.push(StartRecord {
                 task: key(index),
                 run,
@@ -266,6 +430,7 @@
             });
             let task_run = TaskRun {
                 worker,
+                host: number,
                 incarnation,
                 demand: step.demand,
                 phase: RunPhase::Planned,
@@ -282,6 +447,7 @@
                 stop: None,
             };
             self.runs.insert((key(index), run), task_run);
+            self.charge(&entry.spec.account, step.demand.accelerators);
         }
         self.remove_waiting(placement.step, starts.iter().map(|start| start.task.index));
         let runs: Vec<RunKey> = starts.iter().map(|start| (start.task, start.run)).collect();
--- a/crates/pistachiostair/src/steps/preemption.rs
+++ b/crates/pistachiostair/src/steps/preemption.rs
@@ -1,12 +1,13 @@
 //! Preemption: finds running tasks whose end makes capacity for a waiting step with the least loss of work.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap};
 
 use crate::clock::Millis;
-use crate::ids::WorkerName;
-use crate::steps::capacity::Candidate;
+use crate::steps::capacity::{Eligible, FreeCapacity, Room};
 use crate::steps::engine::{Context, RunPhase, StepScheduler, TaskRun, step_of};
 use crate::steps::host::RunKey;
+use crate::steps::place::leftover;
 use crate::steps::queue::StepKey;
 use crate::steps::spec::{Demand, JobKey, Step, TaskKey};
 
@@ -25,30 +26,29 @@
 /// Runs that can only be preempted together: one run, or all members of a gang.
 #[derive(Clone, Debug)]
 struct Victim {
-    runs: Vec<RunKey>,
+    /// Each run with its demand and, if its worker accepts new tasks, the worker's position.
+    runs: Vec<(RunKey, Option<u32>, Demand)>,
     /// Order of preemption, lowest first: lower for runs of less urgent queues.
     rank: u32,
     /// Work that their end loses, in core-milliseconds.
     lost: u64,
 }
 
-/// Workers for the tasks of a step, and the runs that must end there first.
+/// Workers for the tasks of a step, by position, and the runs that must end there first.
 pub(crate) struct Preemption {
-    pub(crate) workers: Vec<WorkerName>,
+    pub(crate) workers: Vec<u32>,
     pub(crate) runs: Vec<RunKey>,
     /// Work that their end loses, in core-milliseconds.
     pub(crate) lost: u64,
 }
 
-/// Search for a preemption on a set of workers. Victims are identified by their index in `victims`.
-pub(crate) struct PreemptionSearch<'a> {
-    scheduler: &'a StepScheduler,
-    candidates: Vec<Candidate<'a>>,
-    /// Victims with a run on each worker.
-    by_worker: BTreeMap<&'a WorkerName, Vec<usize>>,
-    victims: Vec<Victim>,
-    /// Victims chosen so far; their capacity counts as free.
-    chosen: BTreeSet<usize>,
+/// Result of a search on a set of workers.
+pub(crate) enum Search {
+    /// The tasks don't all fit, whatever is preempted.
+    Impossible,
+    /// They fit only if more work is lost than allowed.
+    TooCostly,
+    Found(Preemption),
 }
 
 /// Which runs may not be preempted.
@@ -61,145 +61,305 @@
     pub(crate) preempted: &'a BTreeSet<RunKey>,
 }
 
-impl<'a> PreemptionSearch<'a> {
-    /// Collects the runs on the candidate workers that `limits` allows to preempt. The capacity of runs that are
-    /// already being stopped counts as free.
+/// A victim's runs on one worker.
+#[derive(Clone, Copy, Debug)]
+struct LocalVictim {
+    /// Index in [`Victims::all`].
+    victim: usize,
+    /// Demand of its runs on the worker.
+    demand: Demand,
+}
+
+/// All runs that may be preempted under certain limits, on the workers that accept new tasks.
+pub(crate) struct Victims {
+    all: Vec<Victim>,
+    /// By the worker's position, in the order in which they are preempted.
+    by_worker: Vec<Vec<LocalVictim>>,
+    /// Capacity of the runs on each worker that are already being stopped, by its position.
+    stopping: Vec<Demand>,
+}
+
+impl Victims {
+    /// Collects the runs that `limits` allows to preempt.
     pub(crate) fn new(
-        scheduler: &'a StepScheduler,
+        scheduler: &StepScheduler,
         cx: &Context<'_>,
-        candidates: Vec<Candidate<'a>>,
+        free: &FreeCapacity<'_>,
         limits: &PreemptionLimits<'_>,
     ) -> Self {
-        let mut search = Self {
-            scheduler,
-            candidates,
-            by_worker: BTreeMap::new(),
-            victims: Vec::new(),
-            chosen: BTreeSet::new(),
+        let mut victims = Self {
+            all: Vec::new(),
+            by_worker: vec![Vec::new(); free.len()],
+            stopping: vec![Demand::default(); free.len()],
         };
-        let mut gangs: BTreeMap<(StepKey, u32), usize> = BTreeMap::new();
-        // Number of tasks of each long-running step that may still be preempted.
-        let mut allowances: BTreeMap<StepKey, u32> = BTreeMap::new();
+        // Runs of one step are next to each other.
+        let mut current: Option<(StepKey, Option<Preemptible<'_>>)> = None;
         for (key, run) in scheduler.runs.iter().filter(|(_, run)| run.phase != RunPhase::Ended) {
+            let position = free.position(run.host);
             if run.stop.is_some() || limits.preempted.contains(key) {
-                search.release(&run.worker, &run.demand);
+                if let Some(position) = position {
+                    let stopping = &mut victims.stopping[position as usize];
+                    *stopping = stopping.plus(&run.demand);
+                }
                 continue;
             }
             let (task, number) = *key;
-            let (Some(entry), Some(step)) = (cx.book.job(task.job), step_of(cx.book, &task)) else {
+            let step_key = task.step_key();
+            if current.as_ref().is_none_or(|(key, _)| *key != step_key) {
+                current = Some((step_key, Preemptible::new(scheduler, cx, &task, limits)));
+            }
+            let Some(step) = current.as_mut().and_then(|(_, step)| step.as_mut()) else {
                 continue;
             };
-            let priority = scheduler.terms(entry).priority;
-            let protected = limits.priority.is_some_and(|limit| priority <= limit);
-            if protected || limits.protected.contains(&task.job) {
-                continue;
-            }
-            if let Some(max) = step.max_unavailable {
-                let count = || max.saturating_sub(scheduler.unavailable(&task, step, limits.preempted));
-                let allowance = allowances.entry(task.step_key()).or_insert_with(count);
+            if let Some(allowance) = &mut step.allowance {
                 if *allowance == 0 {
                     continue;
                 }
                 *allowance -= 1;
             }
-            let rank = u32::MAX - priority;
-            let victim = if step.gang {
-                let gang = (task.step_key(), number);
-                *gangs.entry(gang).or_insert_with(|| search.add(rank))
-            } else {
-                search.add(rank)
-            };
-            search.victims[victim].runs.push(*key);
-            search.victims[victim].lost += lost_work(cx, run, step);
-            search.by_worker.entry(&run.worker).or_default().push(victim);
+            let known = step.gangs.iter().find(|(run, _)| *run == number);
+            let victim = known.map_or(victims.all.len(), |(_, victim)| *victim);
+            if victim == victims.all.len() {
+                victims.all.push(Victim {
+                    runs: Vec::new(),
+                    rank: step.rank,
+                    lost: 0,
+                });
+                if step.spec.gang {
+                    step.gangs.push((number, victim));
+                }
+            }
+            victims.all[victim].runs.push((*key, position, run.demand));
+            victims.all[victim].lost += lost_work(cx, run, step.spec);
         }
-        search
+        victims.sort();
+        victims
     }
 
-    fn add(&mut self, rank: u32) -> usize {
-        self.victims.push(Victim {
-            runs: Vec::new(),
-            rank,
-            lost: 0,
-        });
-        self.victims.len() - 1
-    }
-
-    fn release(&mut self, worker: &WorkerName, demand: &Demand) {
-        if let Some(candidate) = self.candidates.iter_mut().find(|candidate| candidate.worker == worker) {
-            candidate.release(demand);
+    /// Fills [`Self::by_worker`].
+    fn sort(&mut self) {
+        for (index, victim) in self.all.iter().enumerate() {
+            for (_, position, demand) in &victim.runs {
+                let Some(position) = position else { continue };
+                let local = &mut self.by_worker[*position as usize];
+                match local.last_mut().filter(|last| last.victim == index) {
+                    Some(last) => last.demand = last.demand.plus(demand),
+                    None => local.push(LocalVictim {
+                        victim: index,
+                        demand: *demand,
+                    }),
+                }
+            }
+        }
+        for local in &mut self.by_worker {
+            local.sort_unstable_by_key(|local| {
+                let victim = &self.all[local.victim];
+                (victim.rank, victim.lost, local.victim)
+            });
         }
     }
 
-    /// Finds workers for all `count` tasks, one after the other, each where the least urgent and least work is lost.
-    /// None if they don't all fit.
-    pub(crate) fn find(mut self, demand: &Demand, count: usize) -> Option<Preemption> {
+    /// Finds workers in a set for `count` tasks, one after the other, each where the least urgent and least work is lost.
+    /// Gives up once more than `max_loss` is lost.
+    pub(crate) fn find(
+        &self,
+        set: &[Eligible],
+        free: &FreeCapacity<'_>,
+        (demand, count): (&Demand, u32),
+        max_loss: Option<u64>,
+    ) -> Search {
+        let mut search = PreemptionSearch::new(self, set, free, demand);
+        if !search.can_fit(count) {
+            return Search::Impossible;
+        }
+        for index in 0..search.slots.len() {
+            search.push(index);
+        }
         let mut workers = Vec::new();
-        for _ in 0..count {
-            let options = (0..self.candidates.len()).filter(|index| self.candidates[*index].task_limit > 0);
-            let options = options.filter_map(|index| Some((self.cheapest(index, demand)?, index)));
-            let ((_, victims), index) = options.min_by_key(|((cost, _), index)| {
-                let left = self.candidates[*index].free.minus(demand);
-                (*cost, left.accelerators, left.memory, *index)
-            })?;
-            for victim in victims {
-                self.choose(victim);
+        while workers.len() < count as usize {
+            let Some(position) = search.place() else {
+                return Search::Impossible;
+            };
+            if max_loss.is_some_and(|max| search.lost > max) {
+                return Search::TooCostly;
             }
-            let candidate = &mut self.candidates[index];
-            candidate.take(demand);
-            workers.push(candidate.worker.clone());
+            workers.push(position);
         }
-        let chosen = self.chosen.iter().map(|victim| &self.victims[*victim]);
-        Some(Preemption {
+        let chosen = search.chosen.iter().map(|victim| &self.all[*victim]);
+        Search::Found(Preemption {
             workers,
-            lost: chosen.clone().map(|victim| victim.lost).sum(),
-            runs: chosen.flat_map(|victim| victim.runs.clone()).collect(),
+            lost: search.lost,
+            runs: chosen
+                .flat_map(|victim| victim.runs.iter().map(|(key, ..)| *key))
+                .collect(),
+        })
+    }
+}
+
+/// What the limits say about the runs of one step, and the victims found in it.
+struct Preemptible<'a> {
+    spec: &'a Step,
+    rank: u32,
+    /// Number of tasks of a long-running step that may still be preempted.
+    allowance: Option<u32>,
+    /// The victim of each run of a gang, of which all members are one; empty if the step is not a gang.
+    gangs: Vec<(u32, usize)>,
+}
+
+impl<'a> Preemptible<'a> {
+    /// The step of a task; none if its runs may not be preempted.
+    fn new(scheduler: &StepScheduler, cx: &Context<'a>, task: &TaskKey, limits: &PreemptionLimits<'_>) -> Option<Self> {
+        let (entry, spec) = (cx.book.job(task.job)?, step_of(cx.book, task)?);
+        let priority = scheduler.terms(entry).priority;
+        let protected = limits.priority.is_some_and(|limit| priority <= limit);
+        if protected || limits.protected.contains(&task.job) {
+            return None;
+        }
+        let left = |max: u32| max.saturating_sub(scheduler.unavailable(task, spec, limits.preempted));
+        Some(Self {
+            spec,
+            rank: u32::MAX - priority,
+            allowance: spec.max_unavailable.map(left),
+            gangs: Vec::new(),
+        })
+    }
+}
+
+/// State of a search on a set of workers. Victims are given by their index in [`Victims::all`].
+struct PreemptionSearch<'a> {
+    victims: &'a Victims,
+    demand: &'a Demand,
+    slots: Vec<Slot>,
+    /// The best choice on each worker, best first; entries of an earlier version of a slot no longer count.
+    heap: BinaryHeap<Reverse<(Choice, u32)>>,
+    /// Victims chosen so far; their capacity counts as free.
+    chosen: BTreeSet<usize>,
+    lost: u64,
+}
+
+/// Order of the workers for the next task: rank and loss of the victims, what the task leaves over, index of the slot.
+type Choice = ((u32, u64), (u64, u64), usize);
+
+/// A worker of the set.
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    position: u32,
+    limit: u32,
+    room: Room,
+    version: u32,
+}
+
+impl<'a> PreemptionSearch<'a> {
+    fn new(victims: &'a Victims, set: &[Eligible], free: &FreeCapacity<'_>, demand: &'a Demand) -> Self {
+        let slots = set.iter().map(|worker| {
+            let mut room = free.room(worker.position);
+            room.release(&victims.stopping[worker.position as usize]);
+            Slot {
+                position: worker.position,
+                limit: worker.limit,
+                room,
+                version: 0,
+            }
+        });
+        Self {
+            victims,
+            demand,
+            slots: slots.collect(),
+            heap: BinaryHeap::new(),
+            chosen: BTreeSet::new(),
+            lost: 0,
+        }
+    }
+
+    fn local(&self, slot: &Slot) -> &'a [LocalVictim] {
+        &self.victims.by_worker[slot.position as usize]
+    }
+
+    /// Whether `count` tasks fit once all victims are preempted.
+    fn can_fit(&self, count: u32) -> bool {
+        let mut missing = count;
+        self.slots.iter().any(|slot| {
+            let mut room = slot.room;
+            for local in self.local(slot) {
+                room.release(&local.demand);
+            }
+            missing -= room.fitting(self.demand, slot.limit.min(missing));
+            missing == 0
         })
     }
 
-    /// Victims whose end makes a task fit on the candidate at `index`, with their cost: the highest rank among them,
-    /// then the work lost. None if the task does not fit even then.
-    fn cheapest(&self, index: usize, demand: &Demand) -> Option<((u32, u64), Vec<usize>)> {
-        let candidate = &self.candidates[index];
-        let mut trial = candidate.clone();
-        let mut chosen = Vec::new();
+    /// Chooses the best worker for one more task, takes the capacity there, and returns its position.
+    fn place(&mut self) -> Option<u32> {
+        let index = loop {
+            let Reverse(((.., index), version)) = self.heap.pop()?;
+            if self.slots[index].version == version {
+                break index;
+            }
+        };
+        let mut room = self.slots[index].room;
+        let mut needed = Vec::new();
+        for local in self.local(&self.slots[index]) {
+            if self.demand.fits(&room.free) {
+                break;
+            }
+            if !self.chosen.contains(&local.victim) {
+                room.release(&local.demand);
+                needed.push(local.victim);
+            }
+        }
+        let mut changed = BTreeSet::from([index]);
+        for victim in needed {
+            self.choose(victim, &mut changed);
+        }
+        let slot = &mut self.slots[index];
+        slot.room.free = slot.room.free.minus(self.demand);
+        slot.limit -= 1;
+        let position = slot.position;
+        for index in changed {
+            self.slots[index].version += 1;
+            self.push(index);
+        }
+        Some(position)
+    }
+
+    /// Enters the worker in the heap if a task can be placed there: its cost is the highest rank among the victims that
+    /// must end, then the work lost.
+    fn push(&mut self, index: usize) {
+        let slot = self.slots[index];
+        if slot.limit == 0 {
+            return;
+        }
+        let mut room = slot.room;
         let mut cost = (0, 0);
-        let local = self.by_worker.get(candidate.worker).map_or(&[][..], Vec::as_slice);
-        let mut local: Vec<usize> = local
-            .iter()
-            .copied()
-            .filter(|victim| !self.chosen.contains(victim))
-            .collect();
-        local.sort_unstable_by_key(|victim| (self.victims[*victim].rank, self.victims[*victim].lost, *victim));
-        local.dedup();
-        for victim in local {
-            if demand.fits(&trial.free) {
+        for local in self.local(&slot) {
+            if self.demand.fits(&room.free) {
                 break;
             }
-            let runs = self.victims[victim]
-                .runs
-                .iter()
-                .filter_map(|run| self.scheduler.runs.get(run));
-            for run in runs.filter(|run| run.worker == *candidate.worker) {
-                trial.release(&run.demand);
+            if !self.chosen.contains(&local.victim) {
+                let victim = &self.victims.all[local.victim];
+                room.release(&local.demand);
+                cost = (cost.0.max(victim.rank), cost.1 + victim.lost);
             }
-            cost = (
-                cost.0.max(self.victims[victim].rank),
-                cost.1 + self.victims[victim].lost,
-            );
-            chosen.push(victim);
         }
-        demand.fits(&trial.free).then_some((cost, chosen))
+        if self.demand.fits(&room.free) {
+            let choice = (cost, leftover(&slot.room.free, self.demand), index);
+            self.heap.push(Reverse((choice, slot.version)));
+        }
     }
 
-    /// Counts the capacity of a victim as free on all its workers.
-    fn choose(&mut self, victim: usize) {
+    /// Counts the capacity of a victim as free on all its workers; notes their slots in `changed`.
+    fn choose(&mut self, victim: usize, changed: &mut BTreeSet<usize>) {
         if !self.chosen.insert(victim) {
             return;
         }
-        for key in self.victims[victim].runs.clone() {
-            if let Some(run) = self.scheduler.runs.get(&key) {
-                self.release(&run.worker, &run.demand);
+        let victim = &self.victims.all[victim];
+        self.lost += victim.lost;
+        for (_, position, demand) in &victim.runs {
+            let Some(position) = position else { continue };
+            let slot = self.slots.binary_search_by_key(position, |slot| slot.position);
+            if let Ok(index) = slot {
+                self.slots[index].room.release(demand);
+                changed.insert(index);
             }
         }
     }
@@ -226,7 +386,7 @@
 
 /// Work that the end of a run loses, in core-milliseconds. A run that was started under an earlier term has worked for
 /// longer than this scheduler has observed, so that its reported progress counts if it shows more work.
-fn lost_work(cx: &Context<'_>, run: &TaskRun, step: &Step) -> u64 {
+pub(crate) fn lost_work(cx: &Context<'_>, run: &TaskRun, step: &Step) -> u64 {
     let percent = run.progress.map_or(0, |progress| progress.percent());
     let worked = Millis(step.estimate.0 * u64::from(percent) / 100);
     let span = cx.now.since(run.since).max(worked).max(Millis(1));
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Millis;
 use crate::ids::AccountName;
-use crate::steps::engine::{Context, RunPhase, StepScheduler};
+use crate::steps::engine::{Context, StepScheduler};
 use crate::steps::forecast::remaining;
 use crate::steps::job_table::JobEntry;
 use crate::steps::spec::{JobKey, TaskKey};
@@ -52,26 +52,26 @@
 
 /// The queue of one planning pass. Covered jobs come first, then lower priority numbers; within one priority, the next
 /// step is the oldest one of the account that uses the fewest accelerators.
-pub(crate) struct PlanningQueue {
+pub(crate) struct PlanningQueue<'a> {
     /// Steps by (uncovered, priority) and account. Each list is in reverse order, so that the next step is its last.
-    classes: BTreeMap<(bool, u32), BTreeMap<AccountName, Vec<QueueRank>>>,
+    classes: BTreeMap<(bool, u32), BTreeMap<&'a AccountName, Vec<QueueRank>>>,
     /// Number of accelerators in use by each account.
-    usage: BTreeMap<AccountName, u64>,
+    usage: BTreeMap<&'a AccountName, u64>,
 }
 
-impl PlanningQueue {
+impl<'a> PlanningQueue<'a> {
     /// Removes and returns the next step; none if the queue is empty.
     pub(crate) fn next(&mut self) -> Option<StepKey> {
         let mut class = self.classes.first_entry()?;
         let accounts = class.get_mut();
         let least = accounts
             .keys()
-            .min_by_key(|name| self.usage.get(*name).copied().unwrap_or(0))
-            .cloned()?;
-        let ranks = accounts.get_mut(&least)?;
+            .min_by_key(|name| self.usage.get(**name).copied().unwrap_or(0))
+            .copied()?;
+        let ranks = accounts.get_mut(least)?;
         let rank = ranks.pop();
         if ranks.is_empty() {
-            accounts.remove(&least);
+            accounts.remove(least);
         }
         if accounts.is_empty() {
             class.remove();
@@ -80,17 +80,17 @@
     }
 
     /// Adds accelerators that were assigned to an account in this pass to its usage.
-    pub(crate) fn charge(&mut self, account: &AccountName, accelerators: u64) {
-        *self.usage.entry(account.clone()).or_default() += accelerators;
+    pub(crate) fn charge(&mut self, account: &'a AccountName, accelerators: u64) {
+        *self.usage.entry(account).or_default() += accelerators;
     }
 }
 
 impl StepScheduler {
     /// Builds the queue of a planning pass from all waiting steps; `covered` is from [`Self::guaranteed_jobs`].
-    pub(crate) fn planning_queue(&self, cx: &Context<'_>, covered: &BTreeSet<JobKey>) -> PlanningQueue {
+    pub(crate) fn planning_queue<'a>(&'a self, cx: &Context<'a>, covered: &BTreeSet<JobKey>) -> PlanningQueue<'a> {
         let mut queue = PlanningQueue {
             classes: BTreeMap::new(),
-            usage: self.usage(cx),
+            usage: self.usage.iter().map(|(account, used)| (account, *used)).collect(),
         };
         for step in self.waiting.keys() {
             let Some(entry) = cx.book.job(step.0) else { continue };
@@ -101,7 +101,7 @@
                 step: *step,
             };
             let class = queue.classes.entry((rank.uncovered, rank.priority)).or_default();
-            class.entry(entry.spec.account.clone()).or_default().push(rank);
+            class.entry(&entry.spec.account).or_default().push(rank);
         }
         for ranks in queue.classes.values_mut().flat_map(BTreeMap::values_mut) {
             ranks.sort_unstable_by(|a, b| b.cmp(a));
@@ -109,46 +109,36 @@
         queue
     }
 
-    /// Number of accelerators in use by each account.
-    fn usage(&self, cx: &Context<'_>) -> BTreeMap<AccountName, u64> {
-        let mut usage = BTreeMap::new();
-        for ((task, _), run) in self.runs.iter().filter(|(_, run)| run.phase != RunPhase::Ended) {
-            if let Some(entry) = cx.book.job(task.job) {
-                *usage.entry(entry.spec.account.clone()).or_default() += run.demand.accelerators;
-            }
-        }
-        usage
-    }
-
     /// Jobs of priority 0 that the guarantees of their accounts cover. Each account's jobs are counted against its
     /// guarantee from the oldest on. A job that exceeds it at present is covered all the same once no more than
     /// [`PREEMPTION_LEAD`] of its [`START_LIMIT`] is left, if the older jobs that are forecast to outlast that limit
     /// leave enough of the guarantee.
     pub(crate) fn guaranteed_jobs(&self, cx: &Context<'_>) -> BTreeSet<JobKey> {
-        let mut urgent: Vec<_> = cx
-            .book
-            .jobs()
-            .filter(|entry| !entry.phase.is_final() && self.terms(entry).priority == 0)
-            .collect();
+        let open = cx.book.open_jobs();
+        let mut urgent: Vec<_> = open.filter(|entry| self.terms(entry).priority == 0).collect();
         urgent.sort_unstable_by_key(|entry| (entry.accepted, entry.spec.key));
-        let mut accounts: BTreeMap<&AccountName, Vec<(&JobEntry, u64)>> = BTreeMap::new();
+        let mut accounts: BTreeMap<&AccountName, Coverage<'_>> = BTreeMap::new();
         let mut covered = BTreeSet::new();
         for entry in urgent {
             let account = &entry.spec.account;
             let guaranteed = self.rules.accounts.get(account).map_or(0, |account| account.guaranteed);
             let needed = peak_accelerators(entry);
-            let older = accounts.entry(account).or_default();
-            let sum_of = |counts: &dyn Fn(&JobEntry) -> bool| -> u64 {
-                let counted = older.iter().filter(|(entry, _)| counts(entry));
-                counted.map(|(_, needed)| needed).sum()
-            };
+            let coverage = accounts.entry(account).or_default();
             let left = START_LIMIT.since(cx.wall.since(entry.accepted));
-            let fits_now = sum_of(&|entry| covered.contains(&entry.spec.key)) + needed <= guaranteed;
-            let outlasts = |entry: &JobEntry| self.remaining_time(cx, entry) > left + FORECAST_ERROR;
-            if fits_now || left <= PREEMPTION_LEAD && sum_of(&outlasts) + needed <= guaranteed {
+            let fits_now = coverage.used + needed <= guaranteed;
+            let mut fits_later = || {
+                let mut used = 0;
+                for (entry, needed, remaining) in &mut coverage.older {
+                    let remaining = *remaining.get_or_insert_with(|| self.remaining_time(cx, entry));
+                    used += if remaining > left + FORECAST_ERROR { *needed } else { 0 };
+                }
+                used + needed <= guaranteed
+            };
+            if fits_now || left <= PREEMPTION_LEAD && fits_later() {
                 covered.insert(entry.spec.key);
+                coverage.used += needed;
             }
-            older.push((entry, needed));
+            coverage.older.push((entry, needed, None));
         }
         covered
     }
@@ -166,6 +156,15 @@
     }
 }
 
+/// Jobs of one account that are counted against its guarantee.
+#[derive(Default)]
+struct Coverage<'a> {
+    /// Number of accelerators that the covered jobs need.
+    used: u64,
+    /// Jobs looked at so far, the accelerators that each needs, and its remaining time once that was asked for.
+    older: Vec<(&'a JobEntry, u64, Option<Millis>)>,
+}
+
 /// Number of accelerators that the largest step of a job needs.
 fn peak_accelerators(entry: &JobEntry) -> u64 {
     let steps = entry.spec.steps.iter();
--- a/crates/pistachiostair/src/steps/reservation.rs
+++ b/crates/pistachiostair/src/steps/reservation.rs
@@ -4,14 +4,11 @@
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::capacity::{Candidate, FreeCapacity};
+use crate::steps::capacity::FreeCapacity;
 use crate::steps::engine::{Context, RunStopReason, StepScheduler};
 use crate::steps::host::RunKey;
-use crate::steps::job_table::JobEntry;
-use crate::steps::place::preferred_sets;
-use crate::steps::preemption::{Preemption, PreemptionLimits, PreemptionSearch};
 use crate::steps::queue::StepKey;
-use crate::steps::spec::{Demand, Step};
+use crate::steps::spec::Demand;
 
 /// Time after which a reservation is dropped if its capacity has not become free; the next planning pass may make a
 /// new one.
@@ -31,17 +28,12 @@
 impl Reservation {
     /// Takes the capacity for all tasks if all of it is free; otherwise takes nothing and returns false.
     pub(crate) fn take(&self, free: &mut FreeCapacity<'_>) -> bool {
-        let mut trial = free.clone();
-        let fits = self.workers.values().all(|worker| trial.take(worker, &self.demand));
-        if fits {
-            *free = trial;
-        }
-        fits
+        free.take_all(self.workers.values(), &self.demand)
     }
 
     /// Withholds the capacity from other steps, whether it is free or still in use.
     pub(crate) fn reserve(&self, free: &mut FreeCapacity<'_>) {
-        free.reserve(self.workers.values(), &self.demand);
+        free.reserve_named(self.workers.values(), &self.demand);
     }
 }
 
@@ -56,31 +48,6 @@
 }
 
 impl StepScheduler {
-    /// Finds the preemption with the least lost work that lets all waiting tasks of a step start: within one of its
-    /// preferred sets of workers (near its data, or in one rack) if possible, otherwise anywhere. None if even
-    /// preemption makes too little capacity free.
-    pub(crate) fn find_preemption<'a>(
-        &'a self,
-        cx: &Context<'_>,
-        entry: &JobEntry,
-        (key, step): (StepKey, &Step),
-        free: &FreeCapacity<'a>,
-        limits: &PreemptionLimits<'_>,
-    ) -> Option<Preemption> {
-        let count = self.waiting.get(&key)?.indices.len();
-        let candidates = self.candidates(free, &self.terms(entry).service, key, step);
-        let search = |candidates: Vec<Candidate<'a>>| {
-            PreemptionSearch::new(self, cx, candidates, limits).find(&step.demand, count)
-        };
-        let preferred = preferred_sets(step, &candidates)
-            .into_iter()
-            .flatten()
-            .filter_map(search);
-        preferred
-            .min_by_key(|preemption| preemption.lost)
-            .or_else(|| search(candidates))
-    }
-
     /// Adds the reservations of a planning pass and stops the runs that they preempt.
     pub(crate) fn apply_reservations(&mut self, cx: &Context<'_>, reservations: Vec<NewReservation>) {
         for new in reservations {
