Look only at workers with due work on a tick, and don't tick to place

Cause: each tick copied the names of all workers and walked all runs for stops to repeat, and each time at which only a placement or a batch of records was due was handled as a tick, up to 100 times a second.

Change: a tick takes up the workers whose lease has ended, that leave, or that a hold order is due to, and the runs that are being stopped. Event::Wake is for placements and batches alone.

Ruled out: a queue of workers by time, as the check of 1,000 workers without copies takes 0.06 ms.

--- a/crates/pistachiostair/examples/step_costs.rs
+++ b/crates/pistachiostair/examples/step_costs.rs
@@ -348,7 +348,7 @@
             if self.now.is_multiple_of(TICK_MS) {
                 self.feed("tick", Event::Tick);
             } else if self.scheduler.wake_at().is_some_and(|wake| wake.0 <= self.now) {
-                self.feed("wake", Event::Tick);
+                self.feed("wake", Event::Wake);
             }
         }
     }
--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -305,7 +305,7 @@
                 self.tick(now);
                 self.steps_tick(now);
             }
-            Event::Elected { .. } | Event::Deposed => {}
+            Event::Wake | Event::Elected { .. } | Event::Deposed => {}
         }
         self.process_pending(now);
         std::mem::take(&mut self.actions)
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -98,8 +98,10 @@
     Stored(AppendEvent),
     /// Event for jobs made of steps.
     Steps(StepsEvent),
-    /// Time passed. Comes every 100 ms, and in between at [`Scheduler::wake_at`].
+    /// Time passed. Comes every 100 ms.
     Tick,
+    /// The time of [`Scheduler::wake_at`] has come.
+    Wake,
 }
 
 /// Output of [`Scheduler::on`], for the scheduler service to carry out in order.
@@ -258,7 +260,7 @@
         }
     }
 
-    /// Time at which an [`Event::Tick`] before the regular one is useful, since a batch of records or a placement that
+    /// Time at which an [`Event::Wake`] before the next tick is useful, since a batch of records or a placement that
     /// waits may then be written. `None` if none waits, or while this daemon is not the scheduler.
     pub fn wake_at(&self) -> Option<Millis> {
         self.active.as_ref().and_then(|active| active.wake_at())
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -87,7 +87,7 @@
                 self.tick();
             }
             if self.scheduler.wake_at().is_some_and(|wake| self.now() >= wake) {
-                self.handle_event(Event::Tick);
+                self.handle_event(Event::Wake);
             }
             let wait = self
                 .scheduler
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -35,6 +35,17 @@
 /// Failed calls in a row from which on a host gets no new tasks until it answers.
 const SUSPECT_FAILURES: u32 = 2;
 
+/// Shortest time between two hold orders to a worker that lists ends which are not stored: a fraction of the lease that
+/// they renew.
+const UNSTORED_END_GAP: Millis = Millis(1_000);
+
+/// Shortest time between two hold orders to a worker otherwise.
+const HOLD_GAP: Millis = Millis(20);
+
+/// Time before a draining worker is gone at which its runs are stopped, so that their ends and checkpoints are read
+/// before: a stop of 200 ms, two round trips, and the age of the platform's list.
+const LEAVE_MARGIN: Millis = Millis(900);
+
 record! {
     /// An entry of the platform's list of workers.
     pub struct HostInfo {
@@ -184,6 +195,34 @@
         self.listed && self.synced && !draining && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
     }
 
+    /// Whether a hold order is due: the host has runs, has ends to be acknowledged, or its lists were not read yet, no
+    /// other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
+    /// while some are not stored yet it is asked less often.
+    pub(crate) fn is_hold_due(&self, now: Millis) -> bool {
+        if self.waiting_hold || self.instant_hold || now < self.hold_after {
+            return false;
+        }
+        let needed = !self.runs.is_empty() || self.has_ack_due() || (!self.synced && self.listed);
+        let gap = if self.has_unstored_end() {
+            UNSTORED_END_GAP
+        } else {
+            HOLD_GAP
+        };
+        needed && now >= self.last_hold + gap
+    }
+
+    /// Whether it drains and is about to be gone.
+    pub(crate) fn is_leaving(&self, now: Millis) -> bool {
+        self.leaves_at.is_some_and(|leaves| now + LEAVE_MARGIN >= leaves)
+    }
+
+    /// Whether a tick has something to do: the lease of its runs has ended, it is about to leave with runs on it, or a
+    /// hold order is due.
+    pub(crate) fn has_due_work(&self, now: Millis) -> bool {
+        let busy = !self.runs.is_empty();
+        (busy && (now > self.expiry || self.is_leaving(now))) || self.is_hold_due(now)
+    }
+
     /// Keeps a reading of the host's clock from a reply that arrived at `now`; one lower than the last is ignored.
     pub(crate) fn read_clock(&mut self, remote: Millis, now: Millis) {
         if self.clock.is_none_or(|reading| reading.remote <= remote) {
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -20,13 +20,6 @@
 /// Least number of progress reports of a run during its estimated duration.
 const PROGRESS_REPORTS: u64 = 4;
 
-/// Shortest time between two hold orders to a worker that lists ends which are not stored: a fraction of the lease that
-/// they renew.
-const UNSTORED_END_GAP: Millis = Millis(1_000);
-
-/// Shortest time between two hold orders to a worker otherwise.
-const HOLD_GAP: Millis = Millis(20);
-
 /// Time after which a stop order is repeated: workers stop a task within 200 ms.
 const STOP_REPEAT: Millis = Millis(400);
 
@@ -34,10 +27,6 @@
 /// may acknowledge them too.
 const ACK_DELAY: Millis = Millis(300);
 
-/// Time before a draining worker is gone at which its runs are stopped, so that their ends and checkpoints are read
-/// before: a stop of 200 ms, two round trips, and the age of the platform's list.
-const LEAVE_MARGIN: Millis = Millis(900);
-
 /// Most ended jobs that one record forgets.
 const FORGET_LIMIT: usize = 100;
 
@@ -47,8 +36,9 @@
         self.release_due(cx);
         self.expire_reservations(cx);
         self.update_relative_durations(cx);
-        let workers: Vec<WorkerName> = self.hosts.keys().cloned().collect();
-        for worker in workers {
+        let due = self.hosts.iter().filter(|(_, host)| host.has_due_work(cx.now));
+        let due: Vec<WorkerName> = due.map(|(worker, _)| worker.clone()).collect();
+        for worker in due {
             self.check_host(cx, &worker);
         }
         self.repeat_stops(cx);
@@ -74,7 +64,7 @@
             self.end_expired_runs(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
-        if host.leaves_at.is_some_and(|leaves| cx.now + LEAVE_MARGIN >= leaves) {
+        if host.is_leaving(cx.now) {
             let runs: Vec<RunKey> = host.runs.iter().copied().collect();
             for run in runs {
                 self.stop_run(cx, run, RunStopReason::WorkerLeaves);
@@ -106,23 +96,12 @@
         }
     }
 
-    /// Sends a hold order, which renews a worker's lease and reads its lists, if one is due: the worker has runs, has
-    /// ends to be acknowledged, or its lists were not read yet, no other hold order is unanswered, and the last one is
-    /// long enough ago. A worker that lists ends replies at once, so while some are not stored yet it is asked less
-    /// often.
+    /// Sends a hold order, which renews a worker's lease and reads its lists, if one is due.
     pub(crate) fn hold_if_due(&mut self, cx: &Context<'_>, worker: &WorkerName) {
-        let Some(host) = self.hosts.get(worker) else { return };
-        let busy = !host.runs.is_empty();
-        let needed = busy || host.has_ack_due() || (!host.synced && host.listed);
-        let gap = if host.has_unstored_end() {
-            UNSTORED_END_GAP
-        } else {
-            HOLD_GAP
-        };
-        let too_soon = cx.now < host.last_hold + gap;
-        if !needed || too_soon || host.waiting_hold || host.instant_hold || cx.now < host.hold_after {
+        let Some(host) = self.hosts.get(worker).filter(|host| host.is_hold_due(cx.now)) else {
             return;
-        }
+        };
+        let busy = !host.runs.is_empty();
         let estimates = host.runs.iter().filter_map(|(task, _)| step_of(cx.book, task));
         let shortest = estimates
             .map(|step| step.estimate.0 / PROGRESS_REPORTS)
@@ -189,12 +168,8 @@
                     .stop
                     .is_some_and(|halt| halt.sent_at.is_none_or(|sent| cx.now.since(sent) >= STOP_REPEAT))
         };
-        let runs: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| due(run))
-            .map(|(key, _)| *key)
-            .collect();
+        let stopping = self.stopping.iter().copied();
+        let runs: Vec<RunKey> = stopping.filter(|key| self.runs.get(key).is_some_and(due)).collect();
         for run in runs {
             self.send_stop(cx, run);
         }
