--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -35,6 +35,17 @@
 /// Failed calls in a row from which on a host gets no new tasks until it answers.
 const SUSPECT_FAILURES: u32 = 2;
 
+/// Shortest time between two hold orders to a worker that lists ends which are not stored: a fraction of the lease that
+/// they renew.
+const UNSTORED_END_GAP: Millis = Millis(1_000);
+
+/// Shortest time between two hold orders to a worker otherwise.
+const HOLD_GAP: Millis = Millis(20);
+
+/// Time before a draining worker is gone at which its runs are stopped, so that their ends and checkpoints are read
+/// before: a stop of 200 ms, two round trips, and the age of the platform's list.
+const LEAVE_MARGIN: Millis = Millis(900);
+
 record! {
     /// An entry of the platform's list of workers.
     pub struct HostInfo {
@@ -91,6 +102,10 @@
 /// A worker that runs tasks of step jobs. Times are by the scheduler's clock unless stated otherwise.
 #[derive(Clone, Debug)]
 pub(crate) struct Host {
+    /// Number by which runs refer to it, never used again under this term.
+    pub(crate) number: u32,
+    /// Number of its rack in [`StepScheduler::racks`](crate::steps::StepScheduler); 0 before it is listed.
+    pub(crate) rack: u32,
     /// Its entry in the platform's list; none for a worker that is known from the journal only.
     pub(crate) info: Option<HostInfo>,
     /// Whether the platform's list has the worker at present.
@@ -129,8 +144,10 @@
 
 impl Host {
     /// A worker whose lists are not read yet and whose runs, if any, may be alive until `expiry`.
-    pub(crate) fn new(incarnation: Incarnation, expiry: Millis) -> Self {
+    pub(crate) fn new(number: u32, incarnation: Incarnation, expiry: Millis) -> Self {
         Self {
+            number,
+            rack: 0,
             info: None,
             listed: false,
             incarnation,
@@ -178,6 +195,34 @@
         self.listed && self.synced && !draining && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
     }
 
+    /// Whether a hold order is due: the host has runs, has ends to be acknowledged, or its lists were not read yet, no
+    /// other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
+    /// while some are not stored yet it is asked less often.
+    pub(crate) fn is_hold_due(&self, now: Millis) -> bool {
+        if self.waiting_hold || self.instant_hold || now < self.hold_after {
+            return false;
+        }
+        let needed = !self.runs.is_empty() || self.has_ack_due() || (!self.synced && self.listed);
+        let gap = if self.has_unstored_end() {
+            UNSTORED_END_GAP
+        } else {
+            HOLD_GAP
+        };
+        needed && now >= self.last_hold + gap
+    }
+
+    /// Whether it drains and is about to be gone.
+    pub(crate) fn is_leaving(&self, now: Millis) -> bool {
+        self.leaves_at.is_some_and(|leaves| now + LEAVE_MARGIN >= leaves)
+    }
+
+    /// Whether a tick has something to do: the lease of its runs has ended, it is about to leave with runs on it, or a
+    /// hold order is due.
+    pub(crate) fn has_due_work(&self, now: Millis) -> bool {
+        let busy = !self.runs.is_empty();
+        (busy && (now > self.expiry || self.is_leaving(now))) || self.is_hold_due(now)
+    }
+
     /// Keeps a reading of the host's clock from a reply that arrived at `now`; one lower than the last is ignored.
     pub(crate) fn read_clock(&mut self, remote: Millis, now: Millis) {
         if self.clock.is_none_or(|reading| reading.remote <= remote) {
