--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -42,6 +42,10 @@
 /// Pause before the journal is read again, after it could not be read or folded.
 const LOAD_PAUSE: Millis = Millis(200);
 
+/// Reads of the journal in a row that failed without bringing anything new, after which the lease is given up so that a
+/// daemon that can read takes over.
+const MAX_FRUITLESS_READS: u32 = 5;
+
 /// Time between two log lines about the load of the scheduler.
 const LOAD_INTERVAL: Millis = Millis(2_000);
 
@@ -306,7 +310,7 @@
     }
 
     /// Reads the snapshot and the journal rows after it, after `pause`. Repeats until it succeeds or this daemon is no
-    /// longer the scheduler.
+    /// longer the scheduler, and gives the lease up if nothing can be read.
     fn load_journal(&mut self, term: Term, fence: u64, pause: Millis) {
         let (loading, deposed) = async_channel::bounded::<()>(1);
         self.loading = Some(loading);
@@ -322,7 +326,9 @@
             let load = async {
                 Timer::after(pause.duration()).await;
                 let begun = clock.now();
+                let mut fruitless = 0;
                 loop {
+                    let before = loader.bytes();
                     match loader.load(&storage, &held).await {
                         Ok((snapshot, rows)) => {
                             slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
@@ -332,6 +338,12 @@
                         Err(error) => slog::warn!(log, "journal not read for the takeover; trying again";
                             "error" => %error, "bytes" => loader.bytes()),
                     }
+                    fruitless = if loader.bytes() > before { 0 } else { fruitless + 1 };
+                    if fruitless >= MAX_FRUITLESS_READS && held() {
+                        slog::warn!(log, "takeover: journal can't be read; the lease is given up"; "term" => term.0);
+                        let _ = inbox.send(Input::Election(ElectionEvent::Yield)).await;
+                        return None;
+                    }
                     Timer::after(LOAD_PAUSE.duration()).await;
                 }
             };
@@ -341,7 +353,7 @@
                 None
             };
             let Some((snapshot, rows)) = future::or(load, deposed).await else {
-                return slog::info!(log, "takeover: reading stopped"; "term" => term.0);
+                return slog::info!(log, "takeover: read ended without a state"; "term" => term.0);
             };
             let loaded = Box::new(Event::Elected {
                 term,
