Build the forecast of ends with fewer copies

Cause: the forecast copied each run into a list of its step's runs, also where there is no gang, and a release of capacity computed with reservations also where there are none.

Change: only members of gangs are collected; a worker without reservations adds what a run frees.

--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -40,6 +40,10 @@
 
     /// Returns the capacity of a run, first to reservations that wait for it, the rest as free.
     pub(crate) fn release(&mut self, demand: &Demand) {
+        if self.reserved_in_use == Demand::default() {
+            self.free = self.free.plus(demand);
+            return;
+        }
         self.free = self.free.plus(&demand.minus(&self.reserved_in_use));
         self.reserved_in_use = self.reserved_in_use.minus(demand);
     }
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -35,20 +35,25 @@
             let step = match current {
                 Some((step_key, step)) if step_key == key => step,
                 _ => {
-                    take_ends(&mut members, current, &mut found);
+                    take_ends(&mut members, &mut found);
                     let step = step_of(cx.book, task);
                     current = Some((key, step));
                     step
                 }
             };
-            members.push(Member {
-                run: *number,
-                position: free.position(run.host),
-                end: remaining_of_step(cx, step, run),
-                demand: run.demand,
-            });
+            let (position, end) = (free.position(run.host), remaining_of_step(cx, step, run));
+            if step.is_some_and(|step| step.gang) {
+                members.push(Member {
+                    run: *number,
+                    position,
+                    end,
+                    demand: run.demand,
+                });
+            } else if let Some(position) = position {
+                found.push((position, end, run.demand));
+            }
         }
-        take_ends(&mut members, current, &mut found);
+        take_ends(&mut members, &mut found);
         Self::sorted(&found, free.len())
     }
 
@@ -122,7 +127,7 @@
     }
 }
 
-/// A run of a step, with the forecast of its end if it ended by itself.
+/// A member of a gang, with the forecast of its end if it ended by itself.
 struct Member {
     run: u32,
     /// Position of its worker; none if that accepts no new tasks.
@@ -131,15 +136,10 @@
     demand: Demand,
 }
 
-/// Moves the ends of all runs of one step to `found`. Those of a gang end when the last member of the same run does.
-fn take_ends(
-    members: &mut Vec<Member>,
-    step: Option<(StepKey, Option<&Step>)>,
-    found: &mut Vec<(u32, Millis, Demand)>,
-) {
-    let gang = step.and_then(|(_, step)| step).is_some_and(|step| step.gang);
+/// Moves the ends of the members of a gang to `found`: each ends when the last member of the same run does.
+fn take_ends(members: &mut Vec<Member>, found: &mut Vec<(u32, Millis, Demand)>) {
     let mut last: Vec<(u32, Millis)> = Vec::new();
-    for member in members.iter().filter(|_| gang) {
+    for member in members.iter() {
         match last.iter_mut().find(|(run, _)| *run == member.run) {
             Some((_, end)) => *end = member.end.max(*end),
             None => last.push((member.run, member.end)),
