Set the scheduler's timer only when its time changes

Cause: the task of the scheduler made a timer for each input, several hundred a second. Inserting a timer wakes the thread that waits for I/O.

Change: the task takes all inputs that are there before it waits, and keeps one timer, which it sets only if the time of the next work changed.

--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -81,6 +81,7 @@
     /// Runs until the inbox is closed.
     pub(crate) async fn run(mut self, inbox: Receiver<Input>) {
         let mut next = self.now();
+        let (mut timer, mut set_to) = (async_io::Timer::never(), None);
         loop {
             if self.now() >= next {
                 next = self.now() + TICK;
@@ -89,19 +90,24 @@
             if self.scheduler.wake_at().is_some_and(|wake| self.now() >= wake) {
                 self.handle_event(Event::Wake);
             }
-            let wait = self
-                .scheduler
-                .wake_at()
-                .map_or(next, |wake| next.min(wake))
-                .since(self.now());
-            let timer = async {
-                async_io::Timer::after(wait.duration()).await;
+            if let Ok(input) = inbox.try_recv() {
+                self.handle_input(input);
+                continue;
+            }
+            let wake = self.scheduler.wake_at().map_or(next, |wake| next.min(wake));
+            // Each change of the timer wakes the thread that waits for I/O.
+            if set_to != Some(wake) {
+                timer.set_after(wake.since(self.now()).duration());
+                set_to = Some(wake);
+            }
+            let due = async {
+                (&mut timer).await;
                 None
             };
-            match future::or(async { inbox.recv().await.ok() }, timer).await {
+            match future::or(async { inbox.recv().await.ok() }, due).await {
                 Some(input) => self.handle_input(input),
                 None if inbox.is_closed() => return,
-                None => {}
+                None => set_to = None,
             }
         }
     }
