Start daemons and workers of a second build in process tests

Cause: the process tests could start programs of their own build only, so that daemons of two builds were tried by hand. A test can choose the build of each daemon.

--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -11,6 +11,7 @@
 use pistachiostair::{HttpAnswer, HttpCall, HttpClient, MemberState, Millis, Row, Vm, VmRole};
 use serde_json::Value;
 
+use crate::build::Build;
 use crate::caller::Caller;
 use crate::check::read_log;
 use crate::inventory::LogEntry;
@@ -159,14 +160,23 @@
     ///
     /// If there is no lease or its holder is not among the daemons.
     pub fn leader(&self) -> Result<usize> {
-        let path = format!("/v1/rows/lease%2F{REGION}");
-        let row: Row = self.ask_platform(Method::GET, &path, &())?;
+        let row = self.platform_row(&format!("lease/{REGION}"))?;
         let lease: Value = serde_json::from_str(&row.value)?;
         let holder = lease["holder"].as_str().context("the lease names no holder")?;
         let index = holder.strip_prefix('d').and_then(|digits| digits.parse().ok());
         index.with_context(|| format!("{holder} is not one of the daemons"))
     }
 
+    /// A row of the platform's table.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such row, or the platform does not respond.
+    pub fn platform_row(&self, key: &str) -> Result<Row> {
+        let path = format!("/v1/rows/{}", key.replace('/', "%2F"));
+        self.ask_platform(Method::GET, &path, &())
+    }
+
     /// Replaces the process of a daemon, which has ended, by a new one on new ports. Callers are
     /// not sent there yet.
     ///
@@ -179,6 +189,11 @@
         Ok(())
     }
 
+    /// Sets the build of a daemon from its next start on.
+    pub fn set_build(&mut self, index: usize, build: Build) {
+        self.setup.builds.insert(index, build);
+    }
+
     /// Stops sending callers to a daemon, or sends them there again.
     pub fn set_entry(&self, index: usize, used: bool) {
         let mut entries = self.entries.lock().expect("entries lock");
--- a/crates/standin/src/capacity.rs
+++ b/crates/standin/src/capacity.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use crate::bench::Bench;
+use crate::build::Build;
 use crate::caller::Order;
 use crate::launch::{REGION, START, Setup};
 use crate::process::Process;
@@ -138,7 +139,7 @@
         "--threads",
         "2",
     ];
-    let process = Process::start("workers", "standin-worker", &args, bench.dir())?;
+    let process = Process::start("workers", Build::Own, "standin-worker", &args, bench.dir())?;
     for _ in 0..count {
         process.value("listening ", START)?;
     }
--- a/crates/standin/src/launch.rs
+++ b/crates/standin/src/launch.rs
@@ -1,5 +1,6 @@
 //! Starts the processes of a bench.
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,6 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::bench::Bench;
+use crate::build::Build;
 use crate::process::Process;
 use crate::udp_relay::Impairment;
 
@@ -49,6 +51,8 @@
     pub worker_relays: bool,
     /// What the links to each daemon go through, if through a relay of its own.
     pub peer_relays: Option<Impairment>,
+    /// Builds of daemons whose number does not decide it, see [`Build::of`].
+    pub builds: BTreeMap<usize, Build>,
 }
 
 impl Default for Setup {
@@ -65,6 +69,7 @@
             platform_relays: false,
             worker_relays: false,
             peer_relays: None,
+            builds: BTreeMap::new(),
         }
     }
 }
@@ -78,6 +83,10 @@
         region(index >= self.workers)
     }
 
+    fn daemon_build(&self, index: usize) -> Build {
+        self.builds.get(&index).copied().unwrap_or_else(|| Build::of(index))
+    }
+
     /// What the links to each daemon go through. Between regions there is always a relay that can be cut.
     fn link_relays(&self) -> Option<Impairment> {
         let between = (self.far_daemons > 0).then(Impairment::default);
@@ -151,7 +160,9 @@
         if !self.setup.worker_relays {
             args.extend(["--platform", &platform]);
         }
-        let server = start_server(&name, "standin-worker", &args, self.dir())?;
+        let process = Process::start(&name, Build::of(index), "standin-worker", &args, self.dir())?;
+        let address = process.value("listening ", START)?;
+        let server = Server { process, address };
         if self.setup.worker_relays {
             let relay = self.start_relay(&format!("{name}-relay"), &server.address)?;
             let region = self.setup.worker_region(index);
@@ -207,7 +218,14 @@
         let path = self.dir().join(format!("{name}.yaml"));
         let advertised = relay.as_ref().map(|relay| relay.address.as_str());
         std::fs::write(&path, self.settings(index, advertised).to_string())?;
-        let process = Process::start(&name, "pistachiostaird", &[&path.display().to_string()], self.dir())?;
+        let build = self.setup.daemon_build(index);
+        let process = Process::start(
+            &name,
+            build,
+            "pistachiostaird",
+            &[&path.display().to_string()],
+            self.dir(),
+        )?;
         let line = process.line(START)?;
         let address = |key: &str| -> Result<String> {
             let field = line.split_whitespace().find_map(|word| word.strip_prefix(key));
@@ -277,7 +295,7 @@
 }
 
 pub(crate) fn start_server(name: &str, binary: &str, args: &[&str], dir: &Path) -> Result<Server> {
-    let process = Process::start(name, binary, args, dir)?;
+    let process = Process::start(name, Build::Own, binary, args, dir)?;
     let address = process.value("listening ", START)?;
     Ok(Server { process, address })
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Used by tests, demos and measurements only; never shipped.
 
 mod bench;
+mod build;
 mod caller;
 mod capacity;
 mod check;
@@ -22,6 +23,7 @@
 mod worker;
 
 pub use bench::Bench;
+pub use build::Build;
 pub use caller::{Caller, Order, Settled, Told};
 pub use capacity::{CAPACITY_HEADER, measure_capacity};
 pub use check::{Gang, check_gangs, check_settled, gang_parts, read_log, runs_of};
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -13,6 +13,8 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 
+use crate::build::Build;
+
 /// Pause between looks at whether a process has ended.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -56,13 +58,13 @@
 }
 
 impl Process {
-    /// Starts a binary of this workspace; its error output goes to a file in `dir`.
+    /// Starts a program of a build; its error output goes to a file in `dir`.
     ///
     /// # Errors
     ///
-    /// If the binary is not built or can't be started.
-    pub fn start(name: &str, binary: &str, args: &[&str], dir: &Path) -> Result<Self> {
-        let program = binary_path(binary)?;
+    /// If the program is not built or can't be started.
+    pub fn start(name: &str, build: Build, program: &str, args: &[&str], dir: &Path) -> Result<Self> {
+        let program = build.program(program)?;
         let errors = dir.join(format!("{name}.err"));
         let file = File::options().create(true).append(true).open(&errors)?;
         let mut child = Command::new(&program)
@@ -175,14 +177,3 @@
         let _ = self.kill();
     }
 }
-
-/// Path of a binary of this workspace, next to the running one or in the directory above.
-fn binary_path(name: &str) -> Result<PathBuf> {
-    let own = std::env::current_exe()?;
-    own.ancestors()
-        .skip(1)
-        .take(2)
-        .map(|dir| dir.join(name))
-        .find(|path| path.is_file())
-        .with_context(|| format!("{name} is not built next to {}", own.display()))
-}
