Test changes between builds and takeovers from one to the other

The tests need a second build and are ignored without one: all daemons replaced after SIGKILL, each way; five takeovers each way by SIGKILL and by SIGTERM, with clients of both builds at the holder and the follower.

--- a/crates/standin/tests/processes/main.rs
+++ b/crates/standin/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod ejection;
 mod links;
+mod mixed;
 mod network;
 mod operation;
 mod pressure;
