Count the takeovers from each build to the other

Cause: the tests took for granted that the scheduler changes builds each time one ends. A build that hands the lease back by itself would have left takeovers in one direction out without a failure.

--- a/crates/standin/tests/processes/mixed.rs
+++ b/crates/standin/tests/processes/mixed.rs
@@ -183,8 +183,13 @@
         ..Setup::default()
     });
     let mut tasks = Vec::new();
-    for round in 0..2 * TAKEOVERS {
+    let mut ended = [0; 2];
+    for round in 0..4 * TAKEOVERS {
+        if ended.iter().all(|count| *count >= TAKEOVERS) {
+            break;
+        }
         let leader = ready.leader().expect("leader");
+        ended[leader] += 1;
         let follower = 1 - leader;
         let gang = format!("gang-{round}");
         tasks.extend(ready.settle(orders(&gang, 1, "2x2", 2_000)));
@@ -202,11 +207,13 @@
             })
             .expect("takeover");
         ready.await_run(&format!("urgent-{round}"));
-        let ended = ready.bench.daemon_process(leader).wait(SHUTDOWN).expect("end");
-        assert_eq!(ended.success(), signal == "TERM", "{ended}");
+        let status = ready.bench.daemon_process(leader).wait(SHUTDOWN).expect("end");
+        assert_eq!(status.success(), signal == "TERM", "{status}");
         ready.bench.restart_daemon(leader).expect("restart");
         ready.await_ready(leader).expect("ready");
         ready.set_entry(leader, true);
     }
     all_succeeded(&ready.verify(tasks));
+    let enough = ended.iter().all(|count| *count >= TAKEOVERS);
+    assert!(enough, "schedulers that ended, by daemon: {ended:?}");
 }
