Wake the simulated scheduler of step jobs as the daemon does

The simulation of tests/steps ticked the scheduler at the times of wake_at, as the daemon did before Event::Wake. It now sends that event, and the test that a scheduler does not spin checks it too.

--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -233,15 +233,18 @@
                 let delivery = entry.remove();
                 self.deliver(delivery);
             }
-            if self.now.is_multiple_of(100) || self.scheduler.wake_at().is_some_and(|wake| wake.0 <= self.now) {
+            if self.now.is_multiple_of(100) {
                 self.feed(Event::Tick);
+            } else if self.scheduler.wake_at().is_some_and(|wake| wake.0 <= self.now) {
+                self.feed(Event::Wake);
             }
         }
     }
 
-    /// Whether the scheduler, after a tick, asks for another one at once, and so would spin.
+    /// Whether the scheduler, after a tick and after it was woken, asks to be woken at once, and so would spin.
     pub(crate) fn spins(&mut self) -> bool {
         self.feed(Event::Tick);
+        self.feed(Event::Wake);
         self.scheduler.wake_at().is_some_and(|wake| wake.0 <= self.now)
     }
 
