--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
 use crate::snapshot::SnapshotLimits;
-use crate::steps::{StepAnswer, StepsAction, StepsEvent};
+use crate::steps::{StepAnswer, StepLoad, StepsAction, StepsEvent};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 number_id! {
@@ -98,8 +98,10 @@
     Stored(AppendEvent),
     /// Event for jobs made of steps.
     Steps(StepsEvent),
-    /// Time passed. Comes every 100 ms, and in between at [`Scheduler::wake_at`].
+    /// Time passed. Comes every 100 ms.
     Tick,
+    /// The time of [`Scheduler::wake_at`] has come.
+    Wake,
 }
 
 /// Output of [`Scheduler::on`], for the scheduler service to carry out in order.
@@ -258,7 +260,7 @@
         }
     }
 
-    /// Time at which an [`Event::Tick`] before the regular one is useful, since a batch of records or a placement that
+    /// Time at which an [`Event::Wake`] before the next tick is useful, since a batch of records or a placement that
     /// waits may then be written. `None` if none waits, or while this daemon is not the scheduler.
     pub fn wake_at(&self) -> Option<Millis> {
         self.active.as_ref().and_then(|active| active.wake_at())
@@ -269,6 +271,11 @@
         self.active.as_ref().map(|active| active.stats())
     }
 
+    /// How much the scheduler of step jobs has to do; `None` while this daemon is not the scheduler.
+    pub fn step_load(&self) -> Option<StepLoad> {
+        self.active.as_ref().map(|active| active.steps.load())
+    }
+
     /// What the journal's writer holds; `None` while this daemon is not the scheduler.
     pub(crate) fn journal_load(&self) -> Option<JournalLoad> {
         self.active.as_ref().map(|active| active.appender.load())
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use futures_lite::future;
 
 use crate::appender::AppendAction;
@@ -28,6 +29,7 @@
 use crate::scheduler_updates::Forwarded;
 use crate::steps::{StepAnswer, StepsEvent};
 use crate::storage::Storage;
+use crate::takeover::Loader;
 use crate::worker::{Changes, CommandBatch};
 use crate::{logging, takeover};
 
@@ -40,6 +42,10 @@
 /// Pause before the journal is read again, after it could not be read or folded.
 const LOAD_PAUSE: Millis = Millis(200);
 
+/// Reads of the journal in a row that failed without bringing anything new, after which the lease is given up so that a
+/// daemon that can read takes over.
+const MAX_FRUITLESS_READS: u32 = 5;
+
 /// Time between two log lines about the load of the scheduler.
 const LOAD_INTERVAL: Millis = Millis(2_000);
 
@@ -73,6 +79,8 @@
     pub(crate) open_orders: Arc<AtomicUsize>,
     /// Term and version of the term row since this daemon was elected; `None` while it is not the scheduler.
     pub(crate) elected: Option<(Term, u64)>,
+    /// Held while the journal is read for a takeover; dropping it ends the read.
+    pub(crate) loading: Option<Sender<()>>,
     /// Signalled once a resignation that the daemon asked for is done.
     pub(crate) resign_reply: Option<Sender<()>>,
 }
@@ -87,7 +95,7 @@
                 self.tick();
             }
             if self.scheduler.wake_at().is_some_and(|wake| self.now() >= wake) {
-                self.handle_event(Event::Tick);
+                self.handle_event(Event::Wake);
             }
             let wait = self
                 .scheduler
@@ -95,7 +103,7 @@
                 .map_or(next, |wake| next.min(wake))
                 .since(self.now());
             let timer = async {
-                async_io::Timer::after(wait.duration()).await;
+                Timer::after(wait.duration()).await;
                 None
             };
             match future::or(async { inbox.recv().await.ok() }, timer).await {
@@ -116,7 +124,11 @@
             self.refreshed_at = self.now();
             self.refresh();
         }
-        self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
+        let now = self.now();
+        let mut shared = self.shared.lock().expect("leader lock");
+        shared.lease = self.election.valid_lease(now);
+        shared.penalized = self.election.is_penalized(now);
+        drop(shared);
         self.handle_event(Event::Tick);
         self.send_renewals();
         self.report_load();
@@ -137,7 +149,9 @@
         let Some((term, _)) = self.elected else { return };
         let usage = process_usage();
         let journal = self.scheduler.journal_load();
-        slog::info!(self.log, "load"; "term" => term.0, "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
+        let steps = self.scheduler.step_load();
+        slog::info!(self.log, "load"; "term" => term.0, "passes" => steps.map(|load| load.passes),
+            "waiting" => steps.map(|load| load.waiting), "runs" => steps.map(|load| load.runs), "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
             "calls" => self.step_calls.len(), "records" => journal.map(|load| load.backlog),
             "snapshot_bytes" => journal.map(|load| load.snapshot_bytes),
             "row_bytes" => journal.map(|load| load.row_bytes), "tick_late" => late.0,
@@ -214,12 +228,22 @@
             }
             ElectionAction::LeaseValid(held) => {
                 slog::info!(self.log, "tenure changed"; "region" => %self.region, "held" => held);
+                self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
                 self.handle_event(Event::LeaseChanged { held });
             }
             ElectionAction::Deposed => {
                 slog::warn!(self.log, "deposed"; "region" => %self.region);
                 self.handle_deposed();
             }
+            ElectionAction::ClaimDelayed { rank, delay } => {
+                slog::info!(self.log, "claim delayed because other daemons come first"; "region" => %self.region,
+                    "stronger" => rank, "delay" => delay.0);
+            }
+            ElectionAction::HandingOver { to } => {
+                if let Ok(probe) = self.kernel.find::<LeaderProbe>() {
+                    probe.log_handover(&to);
+                }
+            }
             ElectionAction::Resigned => {
                 self.handle_deposed();
                 if let Ok(probe) = self.kernel.find::<LeaderProbe>() {
@@ -237,6 +261,7 @@
 
     fn handle_deposed(&mut self) {
         self.elected = None;
+        self.loading = None;
         self.shared.lock().expect("leader lock").term = None;
         self.handle_event(Event::Deposed);
         self.calls.clear();
@@ -284,35 +309,60 @@
         });
     }
 
-    /// Reads the snapshot and the journal rows after it. Waits for `pause` first, and repeats until it succeeds.
-    fn load_journal(&self, term: Term, fence: u64, mut pause: Millis) {
+    /// Reads the snapshot and the journal rows after it, after `pause`. Repeats until it succeeds or this daemon is no
+    /// longer the scheduler, and gives the lease up if nothing can be read.
+    fn load_journal(&mut self, term: Term, fence: u64, pause: Millis) {
+        let (loading, deposed) = async_channel::bounded::<()>(1);
+        self.loading = Some(loading);
         let storage = self.storage.clone();
-        let region = self.region.clone();
-        let (log, clock) = (self.log.clone(), self.kernel.clock);
-        self.spawn_input(async move {
-            loop {
-                async_io::Timer::after(pause.duration()).await;
-                pause = LOAD_PAUSE;
-                let asked = clock.now();
-                match takeover::load(&storage, &region, (&log, clock)).await {
-                    Ok((snapshot, rows)) => {
-                        let took = clock.now().since(asked);
-                        slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
-                            "snapshot" => snapshot.is_some(), "took" => took.0);
-                        let loaded = Box::new(Event::Elected {
-                            term,
-                            fence,
-                            snapshot,
-                            rows,
-                            wall: wall_time(),
-                        });
-                        return Input::Loaded { term, loaded };
+        let (log, clock, inbox) = (self.log.clone(), self.kernel.clock, self.inbox.clone());
+        let mut loader = Loader::new(self.region.clone(), log.clone(), clock);
+        let shared = self.shared.clone();
+        let held = move || {
+            let lease = shared.lock().expect("leader lock").lease;
+            lease.is_some_and(|(_, until)| clock.now() < until)
+        };
+        self.kernel.spawn_until_stop(async move {
+            let load = async {
+                Timer::after(pause.duration()).await;
+                let begun = clock.now();
+                let mut fruitless = 0;
+                loop {
+                    let before = loader.bytes();
+                    match loader.load(&storage, &held).await {
+                        Ok((snapshot, rows)) => {
+                            slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
+                                "snapshot" => snapshot.is_some(), "took" => clock.now().since(begun).0);
+                            return Some((snapshot, rows));
+                        }
+                        Err(error) => slog::warn!(log, "journal not read for the takeover; trying again";
+                            "error" => %error, "bytes" => loader.bytes()),
                     }
-                    Err(error) => {
-                        slog::warn!(log, "journal can't be read for the takeover; trying again"; "error" => %error)
+                    fruitless = if loader.bytes() > before { 0 } else { fruitless + 1 };
+                    if fruitless >= MAX_FRUITLESS_READS && held() {
+                        slog::warn!(log, "takeover: journal can't be read; the lease is given up"; "term" => term.0);
+                        let _ = inbox.send(Input::Election(ElectionEvent::Yield)).await;
+                        return None;
                     }
+                    Timer::after(LOAD_PAUSE.duration()).await;
                 }
-            }
+            };
+            let deposed = async {
+                // Fails once the sender is dropped.
+                let _ = deposed.recv().await;
+                None
+            };
+            let Some((snapshot, rows)) = future::or(load, deposed).await else {
+                return slog::info!(log, "takeover: read ended without a state"; "term" => term.0);
+            };
+            let loaded = Box::new(Event::Elected {
+                term,
+                fence,
+                snapshot,
+                rows,
+                wall: wall_time(),
+            });
+            let _ = inbox.send(Input::Loaded { term, loaded }).await;
         });
     }
 
--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -3,7 +3,8 @@
 //! It changes only through [`StepJobTable::apply`], so that every scheduler that reads the same journal has the same
 //! table.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
+use std::collections::btree_map::{BTreeMap, Entry};
 
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
@@ -68,7 +69,8 @@
         pub phase: StepJobPhase,
         /// When it ended, in milliseconds since the Unix epoch; absent until then.
         pub ended: Option<Millis>,
-        /// Steps by occurrence and number, both counted from 0. Steps without a started task are absent.
+        /// Steps by occurrence and number, both counted from 0. Steps without a started task are absent and, once the job
+        /// has ended, tasks and steps without a run that may be alive.
         #[serde(with = "pairs")]
         pub steps: BTreeMap<(u32, u32), StepEntry>,
         /// Number of tasks of all occurrences that are not done.
@@ -150,6 +152,15 @@
         }
     }
 
+    /// Drops what nothing needs of a job that has ended: its payload, and tasks without a run that may be alive.
+    fn drop_ended(&mut self) {
+        self.spec.payload = String::new();
+        for step in self.steps.values_mut() {
+            step.tasks.retain(|_, task| !task.placed.is_empty());
+        }
+        self.steps.retain(|_, step| !step.tasks.is_empty());
+    }
+
     /// Marks a task as done, or all tasks of the step if it is a gang. The job completes with its last task.
     fn mark_done(&mut self, task: &TaskKey, gang: bool) {
         let count = self.spec.steps.get(task.step as usize).map_or(0, |step| step.count);
@@ -174,14 +185,18 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StepJobTable {
     jobs: BTreeMap<JobKey, JobEntry>,
+    /// Jobs that have not ended.
+    open: BTreeSet<JobKey>,
     ended: BTreeSet<(Millis, JobKey)>,
 }
 
 impl StepJobTable {
     /// The table with the jobs of a snapshot.
     pub(crate) fn restore(jobs: Vec<JobEntry>) -> Self {
+        let open = jobs.iter().filter(|entry| !entry.phase.is_final());
         let ended = jobs.iter().filter_map(|entry| Some((entry.ended?, entry.spec.key)));
         Self {
+            open: open.map(|entry| entry.spec.key).collect(),
             ended: ended.collect(),
             jobs: jobs.into_iter().map(|entry| (entry.spec.key, entry)).collect(),
         }
@@ -197,6 +212,16 @@
         self.jobs.values()
     }
 
+    /// The jobs that have not ended, in order of their keys.
+    pub fn open_jobs(&self) -> impl Iterator<Item = &JobEntry> {
+        self.open.iter().filter_map(|key| self.jobs.get(key))
+    }
+
+    /// Number of jobs that have not ended.
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
     /// Applies one record. `wall` is the wall clock of its journal row, in milliseconds since the Unix epoch. A record
     /// of an unknown job changes nothing.
     pub fn apply(&mut self, wall: Millis, record: &StepRecord) {
@@ -221,8 +246,10 @@
             StepRecord::Exhausted { job } => self.end_job(wall, *job, StepJobPhase::Failed),
             StepRecord::Forgotten { jobs } => {
                 for job in jobs {
-                    let ended = self.jobs.remove(job).and_then(|entry| entry.ended);
-                    self.ended.retain(|(at, key)| key != job || Some(*at) != ended);
+                    self.open.remove(job);
+                    if let Some(ended) = self.jobs.remove(job).and_then(|entry| entry.ended) {
+                        self.ended.remove(&(ended, *job));
+                    }
                 }
             }
         }
@@ -237,7 +264,10 @@
             ended: None,
             steps: BTreeMap::new(),
         };
-        self.jobs.entry(job.key).or_insert(entry);
+        if let Entry::Vacant(vacant) = self.jobs.entry(job.key) {
+            vacant.insert(entry);
+            self.open.insert(job.key);
+        }
     }
 
     /// Ends a job with this phase unless it has ended already.
@@ -249,16 +279,19 @@
         });
     }
 
-    /// Changes a job and, if that ended it, sets its end time and drops its payload.
+    /// Changes a job and, if it has ended, sets its end time and drops what is no longer needed of it.
     fn update(&mut self, wall: Millis, job: JobKey, edit: impl FnOnce(&mut JobEntry)) {
         let Some(entry) = self.jobs.get_mut(&job) else {
             return;
         };
         edit(entry);
-        if entry.phase.is_final() && entry.ended.is_none() {
-            entry.ended = Some(wall);
-            entry.spec.payload = String::new();
-            self.ended.insert((wall, job));
+        if entry.phase.is_final() {
+            entry.drop_ended();
+            if entry.ended.is_none() {
+                entry.ended = Some(wall);
+                self.open.remove(&job);
+                self.ended.insert((wall, job));
+            }
         }
     }
 
