--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -9,6 +9,7 @@
 use async_net::TcpListener;
 use hyper::StatusCode;
 
+use crate::active::Retention;
 use crate::api::{Api, error_reply};
 use crate::clock::{Millis, within};
 use crate::config::Config;
@@ -260,6 +261,7 @@
         ranked: false,
         times: ElectionTimes::default(),
         row_bytes: usize::MAX,
+        retention: Retention::default(),
     };
     SchedulerService::start(kernel, govern, log).map(drop)
 }
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -7,6 +7,7 @@
 use async_executor::Executor;
 use async_io::Timer;
 
+use crate::active::Retention;
 use crate::capacity::Capacity;
 use crate::clock::{Millis, within};
 use crate::edge::{HostList, Hosts, Objects, RulesSource, Table};
@@ -74,6 +75,8 @@
     pub key_age: Option<Millis>,
     /// Most bytes in a row of the table service.
     pub row_bytes: usize,
+    /// How long a job that has ended can be read.
+    pub job_retention: Millis,
     /// Resources of this daemon; all daemons without them count as equal.
     pub capacity: Option<Capacity>,
 }
@@ -197,6 +200,10 @@
             times: TIMES,
             ranked: settings.capacity.is_some(),
             row_bytes: settings.row_bytes,
+            retention: Retention {
+                span: settings.job_retention,
+                ..Retention::default()
+            },
         };
         SchedulerService::start(&self.kernel, govern, component_logger(&self.log, Component::Scheduler))?;
         let log = component_logger(&self.log, Component::Members);
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -7,6 +7,7 @@
 
 use async_channel::{Sender, TrySendError};
 
+use crate::active::Retention;
 use crate::clock::{Millis, within};
 use crate::commands::CommandQueues;
 use crate::edge::BoxFuture;
@@ -82,6 +83,8 @@
     pub(crate) ranked: bool,
     /// Most bytes that a row of the table service holds.
     pub(crate) row_bytes: usize,
+    /// How long ended jobs are kept.
+    pub(crate) retention: Retention,
 }
 
 /// State that the actor shares with the service.
@@ -135,7 +138,9 @@
             inbox: inbox.clone(),
             shared: shared.clone(),
             election,
-            scheduler: Scheduler::new(region.clone()).with_row_bytes(settings.row_bytes),
+            scheduler: Scheduler::new(region.clone())
+                .with_row_bytes(settings.row_bytes)
+                .with_retention(settings.retention),
             calls: BTreeMap::new(),
             step_calls: BTreeMap::new(),
             orders: CommandQueues::default(),
