--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -310,7 +310,7 @@
                 self.tick(now);
                 self.steps_tick(now);
             }
-            Event::Wake | Event::Elected { .. } | Event::Deposed => {}
+            Event::Wake | Event::Elected { .. } | Event::Deposed | Event::Outcome { .. } => {}
         }
         self.process_pending(now);
         std::mem::take(&mut self.actions)
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -96,6 +96,14 @@
     Policy(Policy),
     /// Outcome of [`Action::Append`].
     Stored(AppendEvent),
+    /// Outcome of an action that this scheduler returned under a term; dropped if that term is over, since its journal
+    /// and runs are not those of the present one.
+    Outcome {
+        /// The term.
+        term: Term,
+        /// The outcome.
+        event: Box<Event>,
+    },
     /// Event for jobs made of steps.
     Steps(StepsEvent),
     /// Time passed. Comes every 100 ms.
@@ -246,6 +254,10 @@
                 actions
             }
             Event::Deposed => self.depose(),
+            Event::Outcome { term, event } => match &self.active {
+                Some(active) if active.term == term => self.on(now, *event),
+                _ => Vec::new(),
+            },
             event => {
                 let Some(active) = &mut self.active else {
                     return self.refuse(event);
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -28,6 +28,7 @@
 use crate::scheduler_service::{Input, Shared, failed, wall_time};
 use crate::scheduler_updates::Forwarded;
 use crate::steps::{StepAnswer, StepsEvent};
+use crate::steps_io::outcome_of;
 use crate::storage::Storage;
 use crate::takeover::Loader;
 use crate::worker::{Changes, CommandBatch};
@@ -471,8 +472,8 @@
         let storage = self.storage.clone();
         let inbox = self.inbox.clone();
         self.kernel.spawn_until_stop(async move {
-            if let Some(event) = takeover::perform(&storage, action).await {
-                let _ = inbox.send(Input::Event(Box::new(Event::Stored(event)))).await;
+            if let Some(event) = takeover::perform(&storage, action, &log).await {
+                let _ = inbox.send(outcome_of(term, Event::Stored(event))).await;
             }
         });
     }
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -53,14 +53,14 @@
         match clients {
             Ok(clients) => {
                 let (metrics, clock) = (self.metrics.clone(), self.kernel.clock);
-                let open_orders = self.open_orders.clone();
+                let (open_orders, term) = (self.open_orders.clone(), self.elected.map(|(term, _)| term));
                 open_orders.fetch_add(1, Ordering::Relaxed);
                 self.spawn_input(async move {
                     let sent = clock.now();
                     let event = send_order(clients.hosts.as_ref(), action).await;
                     open_orders.fetch_sub(1, Ordering::Relaxed);
                     count_order(&metrics, &event, clock.now().since(sent));
-                    Input::Event(Box::new(Event::Steps(event)))
+                    outcome_of(term, Event::Steps(event))
                 });
             }
             Err(error) => {
@@ -118,6 +118,13 @@
     }
 }
 
+/// The outcome of an action that was returned under `term`; none while this daemon was not the scheduler.
+pub(crate) fn outcome_of(term: Option<Term>, event: Event) -> Input {
+    let event = Box::new(event);
+    let term = term.unwrap_or_default();
+    Input::Event(Box::new(Event::Outcome { term, event }))
+}
+
 /// Counts the outcome of an order and its duration in the metrics.
 fn count_order(metrics: &Metrics, event: &StepsEvent, took: Millis) {
     let (kind, outcome) = match event {
--- a/crates/pistachiostair/src/takeover.rs
+++ b/crates/pistachiostair/src/takeover.rs
@@ -25,41 +25,65 @@
 const READ_SNAPSHOT: &str = "read snapshot";
 
 /// Carries out an action and returns its outcome; `None` for an action whose outcome is not reported.
-pub(crate) async fn perform(store: &Storage, action: AppendAction) -> Option<AppendEvent> {
+pub(crate) async fn perform(store: &Storage, action: AppendAction, log: &slog::Logger) -> Option<AppendEvent> {
+    let failed = |what: &'static str, error: &Error| slog::info!(log, "journal: {}", what; "error" => %error);
     Some(match action {
         AppendAction::Commit { seq, transaction } => match store.table.commit(&transaction).await {
             Ok(Commit::Done { .. }) => AppendEvent::Committed(seq),
             Ok(Commit::Conflict { .. }) => AppendEvent::Conflict(seq),
-            Err(_) => AppendEvent::Unknown(seq),
+            Err(error) => {
+                failed("commit not answered; its row is read back", &error);
+                AppendEvent::Unknown(seq)
+            }
         },
         AppendAction::ReadBack { seq, key } => match store.table.get(&key).await {
             Ok(row) => AppendEvent::ReadBack(seq, row.map(|row| row.value)),
-            Err(_) => AppendEvent::ReadBackFailed(seq),
+            Err(error) => {
+                failed("row not read back; trying again", &error);
+                AppendEvent::ReadBackFailed(seq)
+            }
         },
         AppendAction::ReadSnapshotRow { key } => match store.table.get(&key).await {
             Ok(row) => AppendEvent::SnapshotRow { answered: true, row },
-            Err(_) => AppendEvent::SnapshotRow {
-                answered: false,
-                row: None,
-            },
+            Err(error) => {
+                failed("row of the snapshots not read; the snapshot is put off", &error);
+                AppendEvent::SnapshotRow {
+                    answered: false,
+                    row: None,
+                }
+            }
         },
         AppendAction::DeleteObject { key } => {
-            // An object that could not be deleted only takes up space.
-            let _ = store.objects.delete(&key).await;
+            if let Err(error) = store.objects.delete(&key).await {
+                failed("old object not deleted; it only takes up space", &error);
+            }
             return None;
         }
         AppendAction::WriteObject { key, body } => {
-            let done = store.objects.write(&key, &body).await.is_ok();
+            let written = store.objects.write(&key, &body).await;
+            if let Err(error) = &written {
+                failed("object not written", error);
+            }
+            let done = written.is_ok();
             AppendEvent::ObjectWritten { key, done }
         }
         AppendAction::ReadObject { key } => {
-            let body = store.objects.read(&key).await.ok().flatten();
+            let body = store.objects.read(&key).await.unwrap_or_else(|error| {
+                failed("object not read", &error);
+                None
+            });
             AppendEvent::ObjectRead { key, body }
         }
-        AppendAction::Maintain { transaction } => AppendEvent::Maintained(matches!(
-            store.table.commit(&transaction).await,
-            Ok(Commit::Done { .. })
-        )),
+        AppendAction::Maintain { transaction } => {
+            AppendEvent::Maintained(match store.table.commit(&transaction).await {
+                Ok(Commit::Done { .. }) => true,
+                Ok(Commit::Conflict { .. }) => false,
+                Err(error) => {
+                    failed("rows not maintained", &error);
+                    false
+                }
+            })
+        }
     })
 }
 
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -1,6 +1,6 @@
 //! Failures of workers, schedulers and the store while jobs run.
 
-use pistachiostair::{StepAnswer, StepJobPhase};
+use pistachiostair::{Event, Incarnation, OrderReply, StepAnswer, StepJobPhase, StepsEvent, Target};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -151,3 +151,32 @@
     ));
     world.check();
 }
+
+/// Guards against a reply from an earlier term that reaches the next one on the same daemon: workers that refuse the
+/// earlier term would make the present scheduler step down.
+#[test]
+fn earlier_reply_dropped() {
+    let mut world = World::new(2);
+    world.submit(job(1, "normal", 4, 1, 2_000));
+    world.run(100);
+    let earlier = world.term;
+    world.take_over();
+    for number in 0..2 {
+        let target = Target {
+            worker: worker(number),
+            incarnation: Incarnation(1),
+            address: format!("10.0.0.{number}:80"),
+        };
+        let held = StepsEvent::Held {
+            target,
+            ack: 0,
+            long_poll: true,
+            reply: Err(OrderReply::OldTerm),
+        };
+        let event = Box::new(Event::Steps(held));
+        world.feed(Event::Outcome { term: earlier, event });
+    }
+    world.run(4_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -51,7 +51,7 @@
     /// Draining workers, with the time at which each will be gone.
     pub(crate) leaving: BTreeMap<WorkerName, u64>,
     scheduler: Scheduler,
-    term: Term,
+    pub(crate) term: Term,
     rows: Vec<(Seq, String)>,
     queue: BTreeMap<(u64, u64), Delivery>,
     sent: u64,
@@ -254,7 +254,7 @@
     }
 
     /// Passes an event to the scheduler and performs its actions.
-    fn feed(&mut self, event: Event) {
+    pub(crate) fn feed(&mut self, event: Event) {
         for action in self.scheduler.on(Millis(self.now), event) {
             match action {
                 Action::Append(append) => self.deliver_after(COMMIT_MS / 2, Delivery::Store(self.term, append)),
@@ -301,8 +301,7 @@
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Order(action, arrived) => self.execute(action, arrived),
-            Delivery::Event(term, event) if term == self.term => self.feed(*event),
-            Delivery::Event(..) => {}
+            Delivery::Event(term, event) => self.feed(Event::Outcome { term, event }),
             Delivery::Store(term, action) => self.store(term, action),
         }
     }
