Give the lease up when the state can't be restored

It reads once more and then yields. Failed reads count towards giving up only while the lease is valid, since an outage of the store concerns every daemon.

unreadable_gives_up::garbled failed before: 'a job is accepted: not within 10s'.

--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -80,6 +80,8 @@
     pub(crate) open_orders: Arc<AtomicUsize>,
     /// Term and version of the term row since this daemon was elected; `None` while it is not the scheduler.
     pub(crate) elected: Option<(Term, u64)>,
+    /// How many times the journal was read under this term and could not be folded.
+    pub(crate) failed_folds: u32,
     /// Held while the journal is read for a takeover; dropping it ends the read.
     pub(crate) loading: Option<Sender<()>>,
     /// Signalled once a resignation that the daemon asked for is done.
@@ -231,6 +233,7 @@
             ElectionAction::Elected { term, fence } => {
                 slog::info!(self.log, "elected"; "region" => %self.region, "term" => term.0);
                 self.elected = Some((term, fence));
+                self.failed_folds = 0;
                 self.load_journal(term, fence, Millis::ZERO);
             }
             ElectionAction::LeaseValid(held) => {
@@ -277,14 +280,21 @@
         self.last_changes.clear();
     }
 
-    /// Handles a scheduler that stepped down by itself. If it could not fold the journal, the journal is read again
-    /// under the same term, since nothing was written yet. After that, only a new term is safe: a second writer in one
+    /// Handles a scheduler that stepped down by itself. If it could not fold the journal, the journal is read once more
+    /// under the same term, since nothing was written yet, and then left to other daemons. After that, only a new term is safe: a second writer in one
     /// term could take a late transaction of the first for its own, and a worker that saw a newer term refuses this
     /// one.
     fn step_down(&mut self) {
         let serving = self.shared.lock().expect("leader lock").term.is_some();
         match self.elected {
-            Some((term, fence)) if !serving => self.load_journal(term, fence, LOAD_PAUSE),
+            Some(_) if !serving && self.failed_folds > 0 => {
+                slog::warn!(self.log, "takeover: state can't be restored; the lease is given up");
+                self.handle_election(ElectionEvent::Yield);
+            }
+            Some((term, fence)) if !serving => {
+                self.failed_folds += 1;
+                self.load_journal(term, fence, LOAD_PAUSE);
+            }
             Some(_) => self.handle_election(ElectionEvent::Resign),
             None => {}
         }
@@ -345,7 +355,12 @@
                         Err(error) => slog::warn!(log, "journal not read for the takeover; trying again";
                             "error" => %error, "bytes" => loader.bytes()),
                     }
-                    fruitless = if loader.bytes() > before { 0 } else { fruitless + 1 };
+                    fruitless = match (loader.bytes() > before, held()) {
+                        (true, _) => 0,
+                        (false, true) => fruitless + 1,
+                        // The store may be out of reach for every daemon.
+                        (false, false) => fruitless,
+                    };
                     if fruitless >= MAX_FRUITLESS_READS && held() {
                         slog::warn!(log, "takeover: journal can't be read; the lease is given up"; "term" => term.0);
                         let _ = inbox.send(Input::Election(ElectionEvent::Yield)).await;
@@ -469,8 +484,8 @@
     }
 
     fn perform_append(&self, action: AppendAction) {
-        let storage = self.storage.clone();
-        let inbox = self.inbox.clone();
+        let (storage, log) = (self.storage.clone(), self.log.clone());
+        let (inbox, term) = (self.inbox.clone(), self.elected.map(|(term, _)| term));
         self.kernel.spawn_until_stop(async move {
             if let Some(event) = takeover::perform(&storage, action, &log).await {
                 let _ = inbox.send(outcome_of(term, Event::Stored(event))).await;
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -150,6 +150,7 @@
             load_reported: Millis::ZERO,
             open_orders: Arc::default(),
             elected: None,
+            failed_folds: 0,
             loading: None,
             resign_reply: None,
         };
