--- a/platform/tests/path/fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -22,16 +22,17 @@
 };
 use platform::parse_task;
 use serde_json::{Value, json};
-use standin::StepWorkers;
 
-use crate::store::FakeStore;
+use crate::node_store::FakeStore;
+use crate::process::binary_path;
+use crate::step_worker::StepWorkers;
 
 /// Host name in callers' requests.
 const HOST: &str = "orders.example";
 /// API key of the only account.
-pub(crate) const API_KEY: &str = "key-of-court";
+pub const API_KEY: &str = "key-of-court";
 /// URL prefix of the only queue, for urgent jobs.
-pub(crate) const URGENT: &str = "/urgent/";
+pub const URGENT: &str = "/urgent/";
 /// Interval at which the simulated workers advance.
 const TICK: Duration = Duration::from_millis(10);
 /// Time within which the daemons must accept a job, or complete it.
@@ -42,9 +43,11 @@
 static NEXT_NET: AtomicU8 = AtomicU8::new(10);
 
 /// A running fleet; dropping it kills its processes. Its files are kept if the test fails.
-pub(crate) struct Fleet {
-    pub(crate) store: FakeStore,
-    pub(crate) workers: Arc<Mutex<StepWorkers>>,
+pub struct Fleet {
+    /// The simulated store.
+    pub store: FakeStore,
+    /// The simulated workers and the violations that they saw.
+    pub workers: Arc<Mutex<StepWorkers>>,
     /// Running daemons by number, counted from 0.
     daemons: BTreeMap<usize, Child>,
     /// Second byte of the daemons' loopback addresses.
@@ -60,7 +63,7 @@
 
 impl Fleet {
     /// Starts `daemons` daemons and `workers` workers, and waits until daemon 0 accepts a job.
-    pub(crate) fn start(daemons: usize, workers: usize) -> Self {
+    pub fn start(daemons: usize, workers: usize) -> Self {
         let executor: Arc<Executor<'static>> = Arc::new(Executor::new());
         let runner = executor.clone();
         std::thread::spawn(move || block_on(runner.run(std::future::pending::<()>())));
@@ -85,7 +88,7 @@
             started: Instant::now(),
             stop: stop.clone(),
         };
-        fleet.store.put("op", "config", &config(3, &[API_KEY]));
+        fleet.store.put("op", "config", &node_config(3, &[API_KEY]));
         for number in 0..workers {
             fleet.start_worker(&executor, number);
         }
@@ -150,7 +153,7 @@
     }
 
     /// Starts a daemon that does not run, for the first time or again.
-    pub(crate) fn start_daemon(&mut self, number: usize) {
+    pub fn start_daemon(&mut self, number: usize) {
         let ip = self.ip(number);
         let settings = json!({
             "node_name": format!("front-{number}"), "role": "node", "ip": ip.to_string(), "zone": "helsinki",
@@ -162,7 +165,7 @@
         let path = self.dir.join(format!("{number}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings written");
         let log = std::fs::File::create(self.dir.join(format!("{number}.log"))).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_pistachiostair-node"))
+        let child = Command::new(binary_path("pistachiostair-node").expect("the daemon is built"))
             .env("PISTACHIOSTAIR_NODE_FILE", &path)
             .stdout(Stdio::from(log))
             .spawn()
@@ -171,7 +174,7 @@
     }
 
     /// Kills a daemon with SIGKILL, if it runs, and waits for its exit.
-    pub(crate) fn kill(&mut self, number: usize) {
+    pub fn kill(&mut self, number: usize) {
         if let Some(mut child) = self.daemons.remove(&number) {
             child.kill().expect("the daemon is killed");
             child.wait().expect("the daemon has ended");
@@ -179,7 +182,7 @@
     }
 
     /// Sends SIGTERM to a daemon and waits for its exit, which must be successful.
-    pub(crate) fn terminate(&mut self, number: usize) {
+    pub fn terminate(&mut self, number: usize) {
         let mut child = self.daemons.remove(&number).expect("a running daemon");
         let killed = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
         assert!(killed.expect("kill runs").success());
@@ -187,25 +190,18 @@
     }
 
     /// Number of the daemon that holds the scheduler's lease, by the store; none if there is no lease.
-    pub(crate) fn leader(&self) -> Option<usize> {
+    pub fn leader(&self) -> Option<usize> {
         let lease = self.store.value("lease", "fi-south", "current")?;
         lease["holder"].as_str()?.strip_prefix("front-")?.parse().ok()
     }
 
     /// Sends a request to a daemon. Returns status and body: 502 if there was no answer, null if the body is not JSON.
-    pub(crate) fn ask(&self, daemon: usize, method: Method, path: &str, body: &Value) -> (StatusCode, Value) {
+    pub fn ask(&self, daemon: usize, method: Method, path: &str, body: &Value) -> (StatusCode, Value) {
         self.ask_with(daemon, method, path, body.to_string().into_bytes(), API_KEY)
     }
 
     /// Sends a request with an arbitrary body and API key, see [`Self::ask`].
-    pub(crate) fn ask_with(
-        &self,
-        daemon: usize,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-        key: &str,
-    ) -> (StatusCode, Value) {
+    pub fn ask_with(&self, daemon: usize, method: Method, path: &str, body: Vec<u8>, key: &str) -> (StatusCode, Value) {
         let peer = format!("{}:8000", self.ip(daemon));
         let headers = [("api-key", key), ("deadline-ms", "3000"), ("host", HOST)];
         let call = HttpCall {
@@ -225,7 +221,7 @@
     }
 
     /// Submits a job to the daemons in turn until one accepts it.
-    pub(crate) fn submit(&self, key: u64, body: &Value) {
+    pub fn submit(&self, key: u64, body: &Value) {
         self.wait_until("the job is accepted", SERVE_TIMEOUT, |fleet| {
             let daemons: Vec<usize> = fleet.daemons.keys().copied().collect();
             let path = format!("{URGENT}{key:016x}");
@@ -236,7 +232,7 @@
     }
 
     /// State of a job from the first daemon that knows it; none if none does.
-    pub(crate) fn state(&self, key: u64) -> Option<String> {
+    pub fn state(&self, key: u64) -> Option<String> {
         let path = format!("{URGENT}{key:016x}");
         self.daemons.keys().find_map(|daemon| {
             let (status, body) = self.ask(*daemon, Method::GET, &path, &Value::Null);
@@ -245,14 +241,14 @@
     }
 
     /// Waits until a job is completed, and fails the test if it is not in time.
-    pub(crate) fn wait_completed(&self, key: u64) {
+    pub fn wait_completed(&self, key: u64) {
         self.wait_until("the job is completed", SERVE_TIMEOUT, |fleet| {
             fleet.state(key).as_deref() == Some("completed")
         });
     }
 
     /// Waits until `check` holds, and fails the test with `what` if it does not within `limit`.
-    pub(crate) fn wait_until(&self, what: &str, limit: Duration, check: impl Fn(&Self) -> bool) {
+    pub fn wait_until(&self, what: &str, limit: Duration, check: impl Fn(&Self) -> bool) {
         let end = Instant::now() + limit;
         while !check(self) {
             assert!(
@@ -265,13 +261,13 @@
     }
 
     /// Fails the test if a worker saw a violation, such as a task that runs twice.
-    pub(crate) fn check(&self) {
+    pub fn check(&self) {
         let workers = self.workers.lock().expect("workers lock");
         assert_eq!(workers.violations, Vec::<String>::new());
     }
 
     /// Text of a daemon's log.
-    pub(crate) fn log(&self, daemon: usize) -> String {
+    pub fn log(&self, daemon: usize) -> String {
         std::fs::read_to_string(self.dir.join(format!("{daemon}.log"))).expect("a log")
     }
 }
@@ -291,7 +287,7 @@
 }
 
 /// A configuration with one queue, and one account that has these API keys.
-pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
+pub fn node_config(version: u64, keys: &[&str]) -> Value {
     json!({
         "version": version,
         "routes": [{
--- a/platform/tests/path/store.rs
+++ b/crates/standin/src/node_store.rs
@@ -14,7 +14,7 @@
 
 /// How the store behaves, until the mode is changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Mode {
+pub enum StoreMode {
     /// It answers all requests.
     #[default]
     Healthy,
@@ -33,7 +33,7 @@
 
 #[derive(Default)]
 struct Rows {
-    mode: Mode,
+    mode: StoreMode,
     /// Version of the last change; each has a higher one.
     version: u64,
     /// Values in base64, with the versions of the rows.
@@ -48,21 +48,21 @@
 
 /// The simulated store; clones share their state.
 #[derive(Clone, Default)]
-pub(crate) struct FakeStore(Arc<Mutex<Rows>>);
+pub struct FakeStore(Arc<Mutex<Rows>>);
 
 impl FakeStore {
     /// Sets the mode for the requests that follow.
-    pub(crate) fn set_mode(&self, mode: Mode) {
+    pub fn set_mode(&self, mode: StoreMode) {
         self.0.lock().expect("store lock").mode = mode;
     }
 
     /// Writes a JSON row in the empty part of a table, where operators and workers write.
-    pub(crate) fn put(&self, table: &str, key: &str, value: &Value) {
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().as_bytes());
     }
 
     /// Writes a row of arbitrary bytes in the empty part of a table.
-    pub(crate) fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
         let mut rows = self.0.lock().expect("store lock");
         rows.version += 1;
         let id = (table.to_owned(), String::new(), key.to_owned());
@@ -70,7 +70,7 @@
     }
 
     /// Drops all changes from the history, so that clients must read the tables again before they follow the feed.
-    pub(crate) fn drop_history(&self) {
+    pub fn drop_history(&self) {
         let mut rows = self.0.lock().expect("store lock");
         rows.version += 1;
         rows.dropped = rows.version;
@@ -78,20 +78,20 @@
     }
 
     /// JSON value of a row; none if there is no such row or it is not JSON.
-    pub(crate) fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
         let rows = self.0.lock().expect("store lock");
         let (value, _) = rows.rows.get(&(table.to_owned(), part.to_owned(), key.to_owned()))?;
         serde_json::from_slice(&STANDARD.decode(value).ok()?).ok()
     }
 
     /// Answers a request, or never returns if the mode says so.
-    pub(crate) async fn answer(&self, request: HttpRequest) -> HttpReply {
+    pub async fn answer(&self, request: HttpRequest) -> HttpReply {
         let mode = self.0.lock().expect("store lock").mode;
         match mode {
-            Mode::Refuses => return HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, ""),
-            Mode::Silent => std::future::pending().await,
-            Mode::Slow(delay) => drop(Timer::after(Duration::from_millis(delay)).await),
-            Mode::Healthy | Mode::LosesReplies => {}
+            StoreMode::Refuses => return HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, ""),
+            StoreMode::Silent => std::future::pending().await,
+            StoreMode::Slow(delay) => drop(Timer::after(Duration::from_millis(delay)).await),
+            StoreMode::Healthy | StoreMode::LosesReplies => {}
         }
         match (&request.method, request.path.as_str()) {
             (&Method::POST, "/-/rows-tx") => {
@@ -108,7 +108,7 @@
     }
 
     /// Carries out a transaction. Returns the reply, and whether it is to be lost.
-    fn transact(&self, body: &[u8], mode: Mode) -> (HttpReply, bool) {
+    fn transact(&self, body: &[u8], mode: StoreMode) -> (HttpReply, bool) {
         let Ok(body) = serde_json::from_slice::<Value>(body) else {
             return (HttpReply::text(StatusCode::BAD_REQUEST, ""), false);
         };
@@ -136,7 +136,7 @@
             rows.set(row_id(&removed), None);
         }
         rows.commits += 1;
-        let lost = mode == Mode::LosesReplies && rows.commits.is_multiple_of(3);
+        let lost = mode == StoreMode::LosesReplies && rows.commits.is_multiple_of(3);
         let body = json!({"row_version": rows.version, "now_ms": 1});
         (HttpReply::json(StatusCode::OK, body.to_string()), lost)
     }
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -177,7 +177,7 @@
 }
 
 /// Path of a binary of this workspace, next to the running one or in the directory above.
-fn binary_path(name: &str) -> Result<PathBuf> {
+pub(crate) fn binary_path(name: &str) -> Result<PathBuf> {
     let own = std::env::current_exe()?;
     own.ancestors()
         .skip(1)
