--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -37,7 +37,7 @@
 pub use path::measure_path;
 pub use platform::{Counts, Platform, Tables};
 pub use process::Process;
-pub use relay::Relay;
+pub use relay::{Link, Relay};
 pub use server::{Client, Fault, Mode, ask, new_client, run, serve};
 pub use step_worker::{StepWorker, StepWorkers, TaskPlan};
 pub use udp_relay::{Impairment, UdpRelay};
