--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -99,6 +99,8 @@
     pub refused: u32,
     /// Promises that were broken.
     pub violations: Vec<String>,
+    /// Starts and ends of runs in their order, with the run's number and, for an end, how it ended.
+    pub log: Vec<(Millis, TaskKey, u32, Option<RunOutcome>)>,
 }
 
 impl StepWorker {
@@ -130,10 +132,8 @@
         self.deadline = self.deadline.max(deadline.min(longest));
     }
 
-    fn end(&mut self, task: TaskKey, fate: RunOutcome) {
-        let Some(running) = self.tasks.remove(&task) else {
-            return;
-        };
+    fn end(&mut self, task: TaskKey, fate: RunOutcome) -> Option<u32> {
+        let running = self.tasks.remove(&task)?;
         self.barred.insert(task, running.run);
         let saved = if running.saved > Millis::ZERO && fate != RunOutcome::Done {
             running.saved.0.to_string()
@@ -148,6 +148,7 @@
             checkpoint: saved,
         });
         self.next += 1;
+        Some(running.run)
     }
 }
 
@@ -222,6 +223,7 @@
             return OrderReply::NoRoom;
         }
         self.starts += 1;
+        self.log.push((now, order.task, order.run, None));
         if elsewhere {
             self.violations
                 .push(format!("{} runs twice at the same time", order.task));
@@ -301,7 +303,7 @@
             .ends
             .iter()
             .filter(|end| end.number <= order.ack && end.outcome == RunOutcome::Done);
-        self.noted.extend(noted.map(|end| end.task));
+        let noted: Vec<TaskKey> = noted.map(|end| end.task).collect();
         worker.ends.retain(|end| end.number > order.ack);
         let line = |(task, running): (&TaskKey, &Running)| RunReport {
             task: *task,
@@ -312,12 +314,20 @@
             },
             percent: (running.worked.0 * 100 / running.plan.work.0.max(1)).min(100) as u32,
         };
-        Ok(HoldReply {
+        let reply = HoldReply {
             clock: worker.clock(now),
             incarnation: worker.incarnation,
             running: worker.tasks.iter().map(line).collect(),
             finished: worker.ends.clone(),
-        })
+        };
+        for task in noted {
+            if self.workers.values().any(|worker| worker.tasks.contains_key(&task)) {
+                self.violations
+                    .push(format!("{task} runs while its end as done is acknowledged"));
+            }
+            self.noted.insert(task);
+        }
+        Ok(reply)
     }
 
     /// Lets all tasks work until `now`, for `span` since the last call.
@@ -360,7 +370,7 @@
             }
         }
         for (name, task, fate) in ends {
-            self.end(&name, task, fate);
+            self.end(now, &name, task, fate);
         }
     }
 
@@ -372,7 +382,7 @@
             }
         }
         for (name, task) in lapsed {
-            self.end(&name, task, RunOutcome::Lapsed);
+            self.end(now, &name, task, RunOutcome::Lapsed);
         }
     }
 
@@ -387,14 +397,16 @@
     }
 
     /// Ends a task; the other members of its gang end with it.
-    fn end(&mut self, name: &WorkerName, task: TaskKey, fate: RunOutcome) {
+    fn end(&mut self, now: Millis, name: &WorkerName, task: TaskKey, fate: RunOutcome) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
         let Some(running) = worker.tasks.get(&task).cloned() else {
             return;
         };
-        worker.end(task, fate);
+        if let Some(run) = worker.end(task, fate) {
+            self.log.push((now, task, run, Some(fate)));
+        }
         if running.plan.gang == 0 {
             return;
         }
@@ -411,7 +423,9 @@
                 .filter(|(task, running)| gang_of(task, running.run) == gang);
             let members: Vec<TaskKey> = members.map(|(task, _)| *task).collect();
             for member in members {
-                worker.end(member, others);
+                if let Some(run) = worker.end(member, others) {
+                    self.log.push((now, member, run, Some(others)));
+                }
             }
         }
     }
