--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -32,7 +32,7 @@
 pub use keys::write_keys;
 pub use launch::{FAR_REGION, Setup};
 pub use load::{Load, run_load};
-pub use node_fleet::{API_KEY, Fleet, URGENT, node_config};
+pub use node_fleet::{API_KEY, Fleet, FleetSetup, NodeCaller, URGENT, WorkerMode, node_config};
 pub use node_store::{FakeStore, StoreMode};
 pub use path::measure_path;
 pub use platform::{Counts, Platform, Tables};
--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -2,10 +2,11 @@
 //! process of the test.
 
 use std::collections::BTreeMap;
+use std::fs::File;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -24,7 +25,8 @@
 use serde_json::{Value, json};
 
 use crate::node_store::FakeStore;
-use crate::process::binary_path;
+use crate::process::{binary_path, send_signal};
+use crate::relay::Relay;
 use crate::step_worker::StepWorkers;
 
 /// Host name in callers' requests.
@@ -33,15 +35,54 @@
 pub const API_KEY: &str = "key-of-court";
 /// URL prefix of the only queue, for urgent jobs.
 pub const URGENT: &str = "/urgent/";
+/// Time in which the daemons must answer a request, in milliseconds, as text.
+const DEADLINE: &str = "3000";
 /// Interval at which the simulated workers advance.
 const TICK: Duration = Duration::from_millis(10);
 /// Time within which the daemons must accept a job, or complete it.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Incarnation of a worker that was not restarted.
+const FIRST_INCARNATION: u64 = 1_000;
+/// Total resources of each worker.
+const WORKER_CAPACITY: Demand = Demand {
+    millicores: 32_000,
+    memory: 65_536,
+    accelerators: 8,
+};
+
 /// Offset for the second byte of the next fleet's loopback addresses: tests of one process run at the same time and
 /// need addresses of their own.
 static NEXT_NET: AtomicU8 = AtomicU8::new(10);
 
+/// Memory limit in the daemons' settings, in megabytes.
+const MEMORY_MB: u64 = 512;
+
+/// Size of a fleet, and what its connections pass through.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSetup {
+    /// Number of daemons.
+    pub daemons: usize,
+    /// Number of workers.
+    pub workers: usize,
+    /// Whether connections to the store, to workers and from callers pass through relays.
+    pub relays: bool,
+}
+
+/// How a simulated worker carries out orders, until the mode is changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WorkerMode {
+    /// It carries them out and answers.
+    #[default]
+    Healthy,
+    /// All tasks that it starts fail after 50 ms.
+    FailsAll,
+    /// It answers status 503, and orders have no effect.
+    Refuses,
+    /// It carries them out after this many milliseconds, and does not answer.
+    Late(u64),
+}
+
 /// A running fleet; dropping it kills its processes. Its files are kept if the test fails.
 pub struct Fleet {
     /// The simulated store.
@@ -52,10 +93,25 @@
     daemons: BTreeMap<usize, Child>,
     /// Second byte of the daemons' loopback addresses.
     net: u8,
-    store_address: SocketAddr,
+    /// Addresses at which the daemons reach the store, by daemon.
+    store_addresses: Vec<SocketAddr>,
+    /// Addresses at which callers reach the daemons, by daemon.
+    fronts: Vec<String>,
+    /// Addresses at which the daemons reach the workers.
+    worker_addresses: Vec<SocketAddr>,
+    worker_modes: Arc<Mutex<BTreeMap<WorkerName, WorkerMode>>>,
+    /// Relays between the daemons and the store, by daemon; none if the fleet has no relays.
+    pub store_links: Vec<Arc<Relay>>,
+    /// Relays between the callers and the daemons.
+    pub front_links: Vec<Arc<Relay>>,
+    /// Relays between the daemons and the workers, by worker.
+    pub worker_links: Vec<Arc<Relay>>,
     /// Directory of the daemons' settings and logs.
     dir: PathBuf,
-    client: HttpClient,
+    files_kept: bool,
+    client: Arc<HttpClient>,
+    /// Runs the simulations, the relays and the client.
+    pub executor: Arc<Executor<'static>>,
     /// When the fleet was created.
     started: Instant,
     stop: Stop,
@@ -64,9 +120,20 @@
 impl Fleet {
     /// Starts `daemons` daemons and `workers` workers, and waits until daemon 0 accepts a job.
     pub fn start(daemons: usize, workers: usize) -> Self {
+        Self::start_with(FleetSetup {
+            daemons,
+            workers,
+            relays: false,
+        })
+    }
+
+    /// Starts a fleet, and waits until daemon 0 accepts a job.
+    pub fn start_with(setup: FleetSetup) -> Self {
         let executor: Arc<Executor<'static>> = Arc::new(Executor::new());
-        let runner = executor.clone();
-        std::thread::spawn(move || block_on(runner.run(std::future::pending::<()>())));
+        for _ in 0..if setup.relays { 3 } else { 1 } {
+            let runner = executor.clone();
+            std::thread::spawn(move || block_on(runner.run(std::future::pending::<()>())));
+        }
         let stop = Stop::new();
         let store = FakeStore::default();
         let shared = store.clone();
@@ -74,7 +141,7 @@
             let store = shared.clone();
             async move { store.answer(request).await }
         });
-        let net = std::process::id() as u8 / 2 + NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        let net = free_net();
         let dir = std::env::temp_dir().join(format!("pistachiostair-path-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let mut fleet = Self {
@@ -82,18 +149,39 @@
             workers: Arc::default(),
             daemons: BTreeMap::new(),
             net,
-            store_address,
+            store_addresses: vec![store_address; setup.daemons],
+            fronts: (0..setup.daemons)
+                .map(|number| format!("{}:8000", daemon_ip(net, number)))
+                .collect(),
+            worker_addresses: Vec::new(),
+            worker_modes: Arc::default(),
+            store_links: Vec::new(),
+            front_links: Vec::new(),
+            worker_links: Vec::new(),
             dir,
-            client: HttpClient::new(executor.clone(), 64, 1 << 20),
+            files_kept: false,
+            client: Arc::new(HttpClient::new(executor.clone(), 256, 1 << 20)),
+            executor: executor.clone(),
             started: Instant::now(),
             stop: stop.clone(),
         };
         fleet.store.put("op", "config", &node_config(3, &[API_KEY]));
-        for number in 0..workers {
-            fleet.start_worker(&executor, number);
+        if setup.relays {
+            for number in 0..setup.daemons {
+                let (link, address) = relay(&executor, &store_address.to_string());
+                fleet.store_links.push(link);
+                fleet.store_addresses[number] = address;
+                let (link, address) = relay(&executor, &fleet.fronts[number]);
+                fleet.front_links.push(link);
+                fleet.fronts[number] = address.to_string();
+            }
+        }
+        for number in 0..setup.workers {
+            fleet.serve_worker(number, setup.relays);
+            fleet.start_worker(number, FIRST_INCARNATION);
         }
         fleet.run_workers(&executor);
-        for number in 0..daemons {
+        for number in 0..setup.daemons {
             fleet.start_daemon(number);
         }
         fleet.wait_until("a job is accepted", SERVE_TIMEOUT, |fleet| {
@@ -103,29 +191,84 @@
         fleet
     }
 
-    /// Serves a simulated worker and enters it in the platform's list.
-    fn start_worker(&self, executor: &Arc<Executor<'static>>, number: usize) {
-        let name = WorkerName::from(format!("w{number}"));
-        let capacity = Demand {
-            millicores: 32_000,
-            memory: 65_536,
-            accelerators: 8,
-        };
-        self.workers
-            .lock()
-            .expect("workers lock")
-            .start_worker(&name, Incarnation(1_000), capacity, self.now());
-        let (workers, started, own) = (self.workers.clone(), self.started, name.clone());
-        let address = serve(executor, &self.stop, move |request| {
-            let (workers, name) = (workers.clone(), own.clone());
-            async move { answer_worker(&workers, started, &name, &request).await }
+    /// Serves the orders to a simulated worker, whether or not it runs.
+    fn serve_worker(&mut self, number: usize, relayed: bool) {
+        let name = worker_name(number);
+        let (workers, modes, started) = (self.workers.clone(), self.worker_modes.clone(), self.started);
+        let executor = self.executor.clone();
+        let mut address = serve(&self.executor, &self.stop, move |request| {
+            let (workers, name, executor) = (workers.clone(), name.clone(), executor.clone());
+            let mode = modes
+                .lock()
+                .expect("modes lock")
+                .get(&name)
+                .copied()
+                .unwrap_or_default();
+            async move {
+                match mode {
+                    WorkerMode::Refuses => HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, ""),
+                    WorkerMode::Late(delay) => {
+                        // Carried out in the background, since the caller closes the connection before.
+                        let order = async move {
+                            Timer::after(Duration::from_millis(delay)).await;
+                            answer_worker(&workers, started, &name, &request, mode).await;
+                        };
+                        executor.spawn(order).detach();
+                        std::future::pending().await
+                    }
+                    WorkerMode::Healthy | WorkerMode::FailsAll => {
+                        answer_worker(&workers, started, &name, &request, mode).await
+                    }
+                }
+            }
         });
+        if relayed {
+            let (link, relayed) = relay(&self.executor, &address.to_string());
+            self.worker_links.push(link);
+            address = relayed;
+        }
+        self.worker_addresses.push(address);
+    }
+
+    /// Starts a simulated worker, for the first time or again, and enters it in the platform's list.
+    pub fn start_worker(&self, number: usize, incarnation: u64) {
+        self.workers.lock().expect("workers lock").start_worker(
+            &worker_name(number),
+            Incarnation(incarnation),
+            WORKER_CAPACITY,
+            self.now(),
+        );
+        self.list_worker(number, incarnation, "ready");
+    }
+
+    /// Ends a simulated worker with all that runs there. The platform's list still has it, see [`Self::unlist_worker`].
+    pub fn crash_worker(&self, number: usize) {
+        self.workers.lock().expect("workers lock").crash(&worker_name(number));
+    }
+
+    /// Writes the entry of a worker in the platform's list.
+    pub fn list_worker(&self, number: usize, incarnation: u64, state: &str) {
+        let capacity = WORKER_CAPACITY;
         let entry = json!({
-            "service": "svc", "address": address.to_string(), "zone": "helsinki", "version": "v1", "slots": 8,
-            "state": "ready", "cold_left_ms": 0, "capacity": {"cpu": 32_000, "mem_mb": 65_536, "gpu": 8},
-            "labels": ["a", "r1"], "clock_ms": 1, "seq": 1, "born": 1_000, "machine": format!("m{number}"),
+            "service": "svc", "address": self.worker_addresses[number].to_string(), "zone": "helsinki",
+            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "labels": ["a", "r1"],
+            "capacity": {"cpu": capacity.millicores, "mem_mb": capacity.memory, "gpu": capacity.accelerators},
+            "clock_ms": 1, "seq": 1, "born": incarnation, "machine": format!("m{number}"),
         });
-        self.store.put("servers", name.as_str(), &entry);
+        self.store.put("servers", worker_name(number).as_str(), &entry);
+    }
+
+    /// Removes a worker from the platform's list.
+    pub fn unlist_worker(&self, number: usize) {
+        self.store.remove("servers", worker_name(number).as_str());
+    }
+
+    /// Sets how a worker carries out the orders that follow.
+    pub fn set_worker(&self, number: usize, mode: WorkerMode) {
+        self.worker_modes
+            .lock()
+            .expect("modes lock")
+            .insert(worker_name(number), mode);
     }
 
     /// Advances the simulated workers in the background until the fleet is dropped.
@@ -144,30 +287,29 @@
     }
 
     /// Time since the fleet was created, by which the simulated workers advance.
-    fn now(&self) -> Millis {
+    pub fn now(&self) -> Millis {
         Millis(self.started.elapsed().as_millis() as u64)
     }
 
-    fn ip(&self, number: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.net, 0, number as u8 + 1)
-    }
-
     /// Starts a daemon that does not run, for the first time or again.
     pub fn start_daemon(&mut self, number: usize) {
-        let ip = self.ip(number);
+        let ip = daemon_ip(self.net, number);
         let settings = json!({
             "node_name": format!("front-{number}"), "role": "node", "ip": ip.to_string(), "zone": "helsinki",
             "region": "fi-south", "listen": {"front": format!("{ip}:8000"), "ready_address": format!("{ip}:8001")},
-            "port_range": [7000, 7015], "control_mode": "rpc", "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": 512, "link_mbps": 200.0},
+            "port_range": [7000, 7015], "control_mode": "rpc", "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": MEMORY_MB, "link_mbps": 200.0},
             "bounds": {"revoke_fail_closed": true, "revoke_ms": 5_000, "grace_s": 6},
-            "platform": {"address": self.store_address.to_string(), "row_bytes": 65_536},
+            "platform": {"address": self.store_addresses[number].to_string(), "row_bytes": 65_536},
         });
         let path = self.dir.join(format!("{number}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings written");
-        let log = std::fs::File::create(self.dir.join(format!("{number}.log"))).expect("a log file");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.dir.join(format!("{number}.log")));
         let child = Command::new(binary_path("pistachiostair-node").expect("the daemon is built"))
             .env("PISTACHIOSTAIR_NODE_FILE", &path)
-            .stdout(Stdio::from(log))
+            .stdout(Stdio::from(log.expect("a log file")))
             .spawn()
             .expect("a daemon");
         self.daemons.insert(number, child);
@@ -184,11 +326,50 @@
     /// Sends SIGTERM to a daemon and waits for its exit, which must be successful.
     pub fn terminate(&mut self, number: usize) {
         let mut child = self.daemons.remove(&number).expect("a running daemon");
-        let killed = Command::new("kill").arg("-TERM").arg(child.id().to_string()).status();
-        assert!(killed.expect("kill runs").success());
+        send_signal(child.id(), "TERM").expect("the daemon is told to end");
         assert!(child.wait().expect("the daemon ends").success());
     }
 
+    /// Whether a daemon was started and its exit has not been noticed.
+    pub fn is_running(&self, number: usize) -> bool {
+        self.daemons.contains_key(&number)
+    }
+
+    /// Sends a signal, such as `STOP`, to a daemon, if it runs.
+    pub fn signal(&self, number: usize, signal: &str) {
+        if let Some(child) = self.daemons.get(&number) {
+            // Fails if the daemon has exited already.
+            let _ = send_signal(child.id(), signal);
+        }
+    }
+
+    /// Daemons that have exited since the last call, with their exit statuses.
+    pub fn exited(&mut self) -> Vec<(usize, ExitStatus)> {
+        let ended = |(number, child): (&usize, &mut Child)| Some((*number, child.try_wait().ok()??));
+        let ended: Vec<_> = self.daemons.iter_mut().filter_map(ended).collect();
+        self.daemons
+            .retain(|number, _| ended.iter().all(|(other, _)| other != number));
+        ended
+    }
+
+    /// Largest memory that a daemon has had resident, in kilobytes; none if it does not run.
+    pub fn peak_memory(&self, number: usize) -> Option<u64> {
+        let id = self.daemons.get(&number)?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().strip_suffix(" kB")?.parse().ok()
+    }
+
+    /// Directory of the daemons' settings and logs.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Keeps the files when the fleet is dropped.
+    pub fn keep_files(&mut self) {
+        self.files_kept = true;
+    }
+
     /// Number of the daemon that holds the scheduler's lease, by the store; none if there is no lease.
     pub fn leader(&self) -> Option<usize> {
         let lease = self.store.value("lease", "fi-south", "current")?;
@@ -202,21 +383,16 @@
 
     /// Sends a request with an arbitrary body and API key, see [`Self::ask`].
     pub fn ask_with(&self, daemon: usize, method: Method, path: &str, body: Vec<u8>, key: &str) -> (StatusCode, Value) {
-        let peer = format!("{}:8000", self.ip(daemon));
-        let headers = [("api-key", key), ("deadline-ms", "3000"), ("host", HOST)];
-        let call = HttpCall {
-            method,
-            path,
-            headers: &headers,
-            body: Bytes::from(body),
-            timeout: Millis(3_500),
-        };
-        match block_on(self.client.send(&peer, call)) {
-            Ok(answer) => (
-                answer.status,
-                serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
-            ),
-            Err(_) => (StatusCode::BAD_GATEWAY, Value::Null),
+        let caller = self.caller();
+        block_on(caller.send(daemon, (method, path), body, key, Millis(3_500)))
+            .unwrap_or((StatusCode::BAD_GATEWAY, Value::Null))
+    }
+
+    /// A caller of this fleet's daemons. All share their connections, which stay open.
+    pub fn caller(&self) -> NodeCaller {
+        NodeCaller {
+            client: self.client.clone(),
+            fronts: self.fronts.clone(),
         }
     }
 
@@ -272,6 +448,40 @@
     }
 }
 
+/// Sends requests to the daemons of a fleet.
+#[derive(Clone)]
+pub struct NodeCaller {
+    client: Arc<HttpClient>,
+    fronts: Vec<String>,
+}
+
+impl NodeCaller {
+    /// Sends a request to a daemon. Returns status and body, null if that is not JSON, or none if there was no answer
+    /// within `timeout`.
+    pub async fn send(
+        &self,
+        daemon: usize,
+        (method, path): (Method, &str),
+        body: Vec<u8>,
+        key: &str,
+        timeout: Millis,
+    ) -> Option<(StatusCode, Value)> {
+        let headers = [("api-key", key), ("deadline-ms", DEADLINE), ("host", HOST)];
+        let call = HttpCall {
+            method,
+            path,
+            headers: &headers,
+            body: Bytes::from(body),
+            timeout,
+        };
+        let answer = self.client.send(&self.fronts[daemon], call).await.ok()?;
+        Some((
+            answer.status,
+            serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
+        ))
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         for child in self.daemons.values_mut() {
@@ -280,7 +490,7 @@
             let _ = child.wait();
         }
         self.stop.raise();
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.files_kept {
             let _ = std::fs::remove_dir_all(&self.dir);
         }
     }
@@ -327,28 +537,63 @@
     address
 }
 
+/// Second byte of loopback addresses that no other fleet uses.
+fn free_net() -> u8 {
+    loop {
+        let net = (std::process::id() as u8 / 2).wrapping_add(NEXT_NET.fetch_add(1, Ordering::Relaxed));
+        if net > 0 && std::net::TcpListener::bind((daemon_ip(net, 0), 8000)).is_ok() {
+            return net;
+        }
+    }
+}
+
+fn daemon_ip(net: u8, number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, net, 0, number as u8 + 1)
+}
+
+fn worker_name(number: usize) -> WorkerName {
+    WorkerName::from(format!("w{number}"))
+}
+
+/// Relays to `target` from a free port of 127.0.0.1, which is returned.
+fn relay(executor: &Arc<Executor<'static>>, target: &str) -> (Arc<Relay>, SocketAddr) {
+    let relay = Relay::new(target);
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let address = block_on(relay.listen(executor, free)).expect("a free port");
+    (relay, address)
+}
+
 /// Answers an order to the worker `name`: decodes it from the platform's format and passes it to the simulation.
 async fn answer_worker(
     workers: &Mutex<StepWorkers>,
     started: Instant,
     name: &WorkerName,
     request: &HttpRequest,
+    mode: WorkerMode,
 ) -> HttpReply {
     let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
         return HttpReply::text(StatusCode::BAD_REQUEST, "");
     };
     let number = |field: &str| body[field].as_u64().unwrap_or(0);
     let now = || Millis(started.elapsed().as_millis() as u64);
-    let incarnation = Incarnation(1_000);
+    let incarnation = workers.lock().expect("workers lock").incarnation(name);
+    let Some(incarnation) = incarnation else {
+        return HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "");
+    };
     let term = Term(number("fencing_token"));
     let task = parse_task(body["task"].as_str().unwrap_or("0000000000000000.0.0.0")).expect("the name of a task");
     let run = number("run") as u32;
+    let payload = body["spec"].as_str().unwrap_or_default();
     match request.path.as_str() {
         "/-/run-start" => {
             let order = StartOrder {
                 task,
                 run,
-                payload: body["spec"].as_str().unwrap_or_default().to_owned(),
+                payload: match mode {
+                    // The first value of a name counts.
+                    WorkerMode::FailsAll => format!("work=50 fails={} {payload}", u32::MAX),
+                    _ => payload.to_owned(),
+                },
                 deadline: Millis(number("deadline_ms")),
                 term,
                 checkpoint: body["checkpoint"].as_str().unwrap_or_default().to_owned(),
@@ -373,7 +618,7 @@
                 deadline: body["deadline_ms"].as_u64().map(Millis),
                 wait: Millis(number("wait_ms")),
             };
-            hold(workers, now, name, &order).await
+            hold(workers, now, (name, incarnation), &order).await
         }
         _ => HttpReply::text(StatusCode::NOT_FOUND, ""),
     }
@@ -383,7 +628,7 @@
 async fn hold(
     workers: &Mutex<StepWorkers>,
     now: impl Fn() -> Millis,
-    name: &WorkerName,
+    (name, incarnation): (&WorkerName, Incarnation),
     order: &HoldOrder,
 ) -> HttpReply {
     let until = now() + order.wait;
@@ -391,7 +636,7 @@
         let lists = workers
             .lock()
             .expect("workers lock")
-            .hold(now(), name, Incarnation(1_000), order);
+            .hold(now(), name, incarnation, order);
         let lists = match lists {
             Ok(lists) if lists.finished.is_empty() && now() < until => {
                 Timer::after(TICK).await;
--- a/crates/standin/src/node_store.rs
+++ b/crates/standin/src/node_store.rs
@@ -69,6 +69,13 @@
         rows.set(id, Some(STANDARD.encode(value)));
     }
 
+    /// Removes a row of the empty part of a table.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.0.lock().expect("store lock");
+        rows.version += 1;
+        rows.set((table.to_owned(), String::new(), key.to_owned()), None);
+    }
+
     /// Drops all changes from the history, so that clients must read the tables again before they follow the feed.
     pub fn drop_history(&self) {
         let mut rows = self.0.lock().expect("store lock");
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -38,7 +38,8 @@
     });
 }
 
-fn send_signal(id: u32, signal: &str) -> Result<()> {
+/// Sends a signal, such as `STOP`, to a process.
+pub(crate) fn send_signal(id: u32, signal: &str) -> Result<()> {
     let status = Command::new("kill")
         .args([&format!("-{signal}"), &id.to_string()])
         .status()?;
