--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -151,3 +151,21 @@
     ));
     world.check();
 }
+
+/// Guards against members of a broken gang that run on, so that the job never ends, when another daemon becomes the
+/// scheduler after the end of one member was stored and before the others were stopped.
+#[test]
+fn take_over_broken_gang() {
+    let mut world = World::new(4);
+    world.submit(gang(1, "urgent", 3, ACCELERATORS, 4_000));
+    world.run(1_500);
+    world.unreachable.extend((1..4).map(worker));
+    world.add_worker(0, 2);
+    world.send_list();
+    world.run(100);
+    world.take_over();
+    world.unreachable.clear();
+    world.run(20_000);
+    assert_eq!(world.phase(1, "urgent"), StepJobPhase::Completed);
+    world.check();
+}
