--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -25,9 +25,10 @@
 use serde_json::{Value, json};
 
 use crate::node_store::FakeStore;
-use crate::process::{binary_path, send_signal};
+use crate::process::{binary_path, register, send_signal, unregister};
 use crate::relay::Relay;
 use crate::step_worker::StepWorkers;
+use crate::udp_relay::{Impairment, UdpRelay};
 
 /// Host name in callers' requests.
 const HOST: &str = "orders.example";
@@ -37,6 +38,8 @@
 pub const URGENT: &str = "/urgent/";
 /// Time in which the daemons must answer a request, in milliseconds, as text.
 const DEADLINE: &str = "3000";
+/// Address that nothing listens on.
+const NOWHERE: &str = "127.0.0.1:9";
 /// Interval at which the simulated workers advance.
 const TICK: Duration = Duration::from_millis(10);
 /// Time within which the daemons must accept a job, or complete it.
@@ -51,9 +54,12 @@
     accelerators: 8,
 };
 
-/// Offset for the second byte of the next fleet's loopback addresses: tests of one process run at the same time and
-/// need addresses of their own.
-static NEXT_NET: AtomicU8 = AtomicU8::new(10);
+/// Lowest second byte of the fleets' loopback addresses, and their number.
+const FIRST_NET: u8 = 170;
+const NETS: u8 = 80;
+
+/// Counts the fleets of this process: they run at the same time and need addresses of their own.
+static NEXT_NET: AtomicU8 = AtomicU8::new(0);
 
 /// Memory limit in the daemons' settings, in megabytes.
 const MEMORY_MB: u64 = 512;
@@ -67,6 +73,9 @@
     pub workers: usize,
     /// Whether connections to the store, to workers and from callers pass through relays.
     pub relays: bool,
+    /// Whether requests between daemons pass through relays. New schedulers then are found by the lease row only,
+    /// since announcements, which tell the address itself, get lost.
+    pub peer_relays: bool,
 }
 
 /// How a simulated worker carries out orders, until the mode is changed.
@@ -93,6 +102,8 @@
     daemons: BTreeMap<usize, Child>,
     /// Second byte of the daemons' loopback addresses.
     net: u8,
+    /// Keeps the processes of other tests from using the same addresses.
+    _reserved: std::net::TcpListener,
     /// Addresses at which the daemons reach the store, by daemon.
     store_addresses: Vec<SocketAddr>,
     /// Addresses at which callers reach the daemons, by daemon.
@@ -106,6 +117,8 @@
     pub front_links: Vec<Arc<Relay>>,
     /// Relays between the daemons and the workers, by worker.
     pub worker_links: Vec<Arc<Relay>>,
+    /// Relays from the other daemons to a daemon; none without [`FleetSetup::peer_relays`].
+    pub peer_links: Vec<Arc<UdpRelay>>,
     /// Directory of the daemons' settings and logs.
     dir: PathBuf,
     files_kept: bool,
@@ -124,6 +137,7 @@
             daemons,
             workers,
             relays: false,
+            peer_relays: false,
         })
     }
 
@@ -141,7 +155,7 @@
             let store = shared.clone();
             async move { store.answer(request).await }
         });
-        let net = free_net();
+        let (net, reserved) = reserve_net();
         let dir = std::env::temp_dir().join(format!("pistachiostair-path-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let mut fleet = Self {
@@ -149,6 +163,7 @@
             workers: Arc::default(),
             daemons: BTreeMap::new(),
             net,
+            _reserved: reserved,
             store_addresses: vec![store_address; setup.daemons],
             fronts: (0..setup.daemons)
                 .map(|number| format!("{}:8000", daemon_ip(net, number)))
@@ -158,6 +173,7 @@
             store_links: Vec::new(),
             front_links: Vec::new(),
             worker_links: Vec::new(),
+            peer_links: Vec::new(),
             dir,
             files_kept: false,
             client: Arc::new(HttpClient::new(executor.clone(), 256, 1 << 20)),
@@ -176,6 +192,18 @@
                 fleet.fronts[number] = address.to_string();
             }
         }
+        if setup.peer_relays {
+            for number in 0..setup.daemons {
+                let real = SocketAddr::from((daemon_ip(net, number), 7000));
+                let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+                let relay = UdpRelay::listen(Impairment::default(), &executor, free);
+                let (link, address) = block_on(relay).expect("a free port");
+                link.set_target(real);
+                fleet.peer_links.push(link);
+                fleet.store.replace("lease", &real.to_string(), &address.to_string());
+                fleet.store.replace("daemon", &real.to_string(), NOWHERE);
+            }
+        }
         for number in 0..setup.workers {
             fleet.serve_worker(number, setup.relays);
             fleet.start_worker(number, FIRST_INCARNATION);
@@ -312,6 +340,7 @@
             .stdout(Stdio::from(log.expect("a log file")))
             .spawn()
             .expect("a daemon");
+        register(child.id());
         self.daemons.insert(number, child);
     }
 
@@ -320,6 +349,7 @@
         if let Some(mut child) = self.daemons.remove(&number) {
             child.kill().expect("the daemon is killed");
             child.wait().expect("the daemon has ended");
+            unregister(child.id());
         }
     }
 
@@ -328,6 +358,7 @@
         let mut child = self.daemons.remove(&number).expect("a running daemon");
         send_signal(child.id(), "TERM").expect("the daemon is told to end");
         assert!(child.wait().expect("the daemon ends").success());
+        unregister(child.id());
     }
 
     /// Whether a daemon was started and its exit has not been noticed.
@@ -347,8 +378,12 @@
     pub fn exited(&mut self) -> Vec<(usize, ExitStatus)> {
         let ended = |(number, child): (&usize, &mut Child)| Some((*number, child.try_wait().ok()??));
         let ended: Vec<_> = self.daemons.iter_mut().filter_map(ended).collect();
-        self.daemons
-            .retain(|number, _| ended.iter().all(|(other, _)| other != number));
+        for (number, _) in &ended {
+            self.daemons
+                .remove(number)
+                .iter()
+                .for_each(|child| unregister(child.id()));
+        }
         ended
     }
 
@@ -488,6 +523,7 @@
             // Fails if the daemon has exited already.
             let _ = child.kill();
             let _ = child.wait();
+            unregister(child.id());
         }
         self.stop.raise();
         if !std::thread::panicking() && !self.files_kept {
@@ -537,12 +573,13 @@
     address
 }
 
-/// Second byte of loopback addresses that no other fleet uses.
-fn free_net() -> u8 {
+/// Second byte of loopback addresses that no other fleet uses, and the listener that reserves it.
+fn reserve_net() -> (u8, std::net::TcpListener) {
     loop {
-        let net = (std::process::id() as u8 / 2).wrapping_add(NEXT_NET.fetch_add(1, Ordering::Relaxed));
-        if net > 0 && std::net::TcpListener::bind((daemon_ip(net, 0), 8000)).is_ok() {
-            return net;
+        let number = std::process::id() as u8 % NETS + NEXT_NET.fetch_add(1, Ordering::Relaxed) % NETS;
+        let net = FIRST_NET + number % NETS;
+        if let Ok(listener) = std::net::TcpListener::bind((Ipv4Addr::new(127, net, 1, 1), 8000)) {
+            return (net, listener);
         }
     }
 }
--- a/crates/standin/src/node_store.rs
+++ b/crates/standin/src/node_store.rs
@@ -44,6 +44,8 @@
     dropped: u64,
     /// Number of transactions that took effect.
     commits: u64,
+    /// Texts that are replaced in the values of a table, by table.
+    replaced: BTreeMap<String, Vec<(String, String)>>,
 }
 
 /// The simulated store; clones share their state.
@@ -56,6 +58,13 @@
         self.0.lock().expect("store lock").mode = mode;
     }
 
+    /// Replaces a text in all values that daemons write to a table from now on, so that an address leads to a relay.
+    pub fn replace(&self, table: &str, from: &str, to: &str) {
+        let mut rows = self.0.lock().expect("store lock");
+        let texts = rows.replaced.entry(table.to_owned()).or_default();
+        texts.push((from.to_owned(), to.to_owned()));
+    }
+
     /// Writes a JSON row in the empty part of a table, where operators and workers write.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().as_bytes());
@@ -136,8 +145,10 @@
         }
         rows.version += 1;
         for write in entries("writes") {
-            let value = write["value"].as_str().unwrap_or_default().to_owned();
-            rows.set(row_id(&write), Some(value));
+            let value = write["value"].as_str().unwrap_or_default();
+            let id = row_id(&write);
+            let value = rows.replace(&id.0, value);
+            rows.set(id, Some(value));
         }
         for removed in entries("remove") {
             rows.set(row_id(&removed), None);
@@ -210,6 +221,19 @@
         self.history.push((self.version, id, value));
     }
 
+    /// A value with the texts replaced that are replaced in its table.
+    fn replace(&self, table: &str, value: &str) -> String {
+        let texts = self.replaced.get(table).map_or(&[][..], Vec::as_slice);
+        let decoded = STANDARD
+            .decode(value)
+            .ok()
+            .and_then(|bytes| String::from_utf8(bytes).ok());
+        match decoded.filter(|_| !texts.is_empty()) {
+            Some(text) => STANDARD.encode(texts.iter().fold(text, |text, (from, to)| text.replace(from, to))),
+            None => value.to_owned(),
+        }
+    }
+
     /// The row as it is in a reply; none if there is no such row.
     fn encode(&self, id: &RowId) -> Option<Value> {
         let (value, version) = self.rows.get(id)?;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -38,6 +38,17 @@
     });
 }
 
+/// Adds a process to those that end with this one when a signal ends it.
+pub(crate) fn register(id: u32) {
+    end_on_signal();
+    RUNNING.lock().expect("process lock").insert(id);
+}
+
+/// Removes a process that has ended from those.
+pub(crate) fn unregister(id: u32) {
+    RUNNING.lock().expect("process lock").remove(&id);
+}
+
 /// Sends a signal, such as `STOP`, to a process.
 pub(crate) fn send_signal(id: u32, signal: &str) -> Result<()> {
     let status = Command::new("kill")
@@ -161,7 +172,7 @@
     }
 
     fn unregister(&self) {
-        RUNNING.lock().expect("process lock").remove(&self.id());
+        unregister(self.id());
     }
 
     /// Leaves the process running when this value is dropped.
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -18,10 +18,11 @@
 
 use self::calls::{JobCaller, PATIENCE, Record, pause};
 use self::judge::{Disturbance, judge};
-use self::plan::{Fault, LinkFault, Plan, PlannedFault, Victim};
+use self::plan::{Fault, LinkFault, PeerFault, Plan, PlannedFault, Victim};
 use crate::node_fleet::{API_KEY, Fleet, FleetSetup, NodeCaller, URGENT, WorkerMode, node_config};
 use crate::node_store::StoreMode;
 use crate::relay::{Link, Relay};
+use crate::udp_relay::Impairment;
 
 pub use self::plan::SoakSetup;
 
@@ -97,6 +98,8 @@
         daemons: setup.daemons,
         workers: setup.workers,
         relays: true,
+        // Announcements work in every second run only.
+        peer_relays: seed % 2 == 1,
     });
     let mut soak = Soak::new(fleet, seed, *setup);
     soak.run(&plan)
@@ -111,6 +114,7 @@
     /// Ends a fault of connections.
     Restore(Connection, LinkFault),
     RestoreStore,
+    RestorePeer(usize),
     RestoreWorker(usize),
     EndWorker(usize, Millis),
     StartWorker(usize),
@@ -308,6 +312,11 @@
                 }
             }
             Action::RestoreStore => self.fleet.store.set_mode(StoreMode::Healthy),
+            Action::RestorePeer(daemon) => {
+                let link = &self.fleet.peer_links[daemon];
+                link.set_cut(false);
+                link.impair(Impairment::default());
+            }
             Action::RestoreWorker(worker) => {
                 self.fleet.set_worker(worker, WorkerMode::Healthy);
                 self.pace(worker, 100);
@@ -358,6 +367,24 @@
                 let daemon = self.resolve(victim);
                 self.strike(Connection::Store(daemon), fault, end);
             }
+            Fault::PeerLink(victim, fault) => {
+                let daemon = self.resolve(victim);
+                let Some(link) = self.fleet.peer_links.get(daemon) else {
+                    return;
+                };
+                match fault {
+                    PeerFault::Cut => link.set_cut(true),
+                    PeerFault::Lossy(percent) => link.impair(Impairment {
+                        loss: f64::from(percent) / 100.0,
+                        ..Impairment::default()
+                    }),
+                    PeerFault::Delayed(longest) => link.impair(Impairment {
+                        delay: (0, longest.0),
+                        ..Impairment::default()
+                    }),
+                }
+                self.enter(end, Action::RestorePeer(daemon));
+            }
             Fault::FrontLink(daemon, fault) => {
                 self.disturb(daemon, now, end + SETTLE_TIME);
                 self.strike(Connection::Front(daemon), fault, end);
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -48,6 +48,17 @@
     Cut,
 }
 
+/// What happens to the datagrams that other daemons exchange with a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerFault {
+    /// All are lost.
+    Cut,
+    /// This share of them is lost, in percent.
+    Lossy(u8),
+    /// They are delayed by up to this time, and overtake each other.
+    Delayed(Millis),
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
     /// A daemon is stopped with SIGSTOP and continued.
@@ -59,6 +70,7 @@
     /// A daemon is ended with SIGTERM and started again.
     Terminate(Victim),
     StoreLink(Victim, LinkFault),
+    PeerLink(Victim, PeerFault),
     FrontLink(usize, LinkFault),
     WorkerLink(usize, LinkFault),
     Store(StoreMode),
@@ -192,7 +204,7 @@
         true => Victim::Scheduler(daemon),
         false => Victim::Daemon(daemon),
     };
-    match rng.u8(..24) {
+    match rng.u8(..26) {
         0 | 1 => Fault::Pause(victim),
         2 | 3 => Fault::Kill(victim),
         4 => Fault::KillAll,
@@ -216,7 +228,8 @@
             true => Fault::WorkerCrash(worker),
             false => Fault::WorkerRestart(worker),
         },
-        _ => Fault::WorkerDrain(worker),
+        23 => Fault::WorkerDrain(worker),
+        _ => Fault::PeerLink(victim, draw_peer_fault(rng)),
     }
 }
 
@@ -230,3 +243,11 @@
         _ => LinkFault::Cut,
     }
 }
+
+fn draw_peer_fault(rng: &mut Rng) -> PeerFault {
+    match rng.u8(..3) {
+        0 => PeerFault::Cut,
+        1 => PeerFault::Lossy(rng.u8(5..60)),
+        _ => PeerFault::Delayed(Millis(rng.u64(10..500))),
+    }
+}
--- a/crates/standin/src/udp_relay.rs
+++ b/crates/standin/src/udp_relay.rs
@@ -37,11 +37,11 @@
     /// Hosts whose datagrams are dropped, or all. The links of a daemon use many ports.
     blocked: BTreeSet<IpAddr>,
     cut: bool,
+    impairment: Impairment,
 }
 
 /// A relay to one target, which is set once it is known.
 pub struct UdpRelay {
-    impairment: Impairment,
     executor: Arc<Executor<'static>>,
     state: Mutex<State>,
 }
@@ -58,23 +58,51 @@
         listen: SocketAddr,
         control: SocketAddr,
     ) -> anyhow::Result<(SocketAddr, SocketAddr)> {
-        let rng = fastrand::Rng::with_seed(impairment.seed);
+        let (relay, address) = Self::listen(impairment, executor, listen).await?;
+        let handler = Arc::new(move |request: HttpRequest| {
+            let reply = relay.control(&request);
+            Box::pin(async move { reply }) as _
+        });
+        Ok((address, serve(executor, control, 16, handler).await?))
+    }
+
+    /// Relays in the background without a control server; returns the relay and its address.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub async fn listen(
+        impairment: Impairment,
+        executor: &Arc<Executor<'static>>,
+        listen: SocketAddr,
+    ) -> anyhow::Result<(Arc<Self>, SocketAddr)> {
         let relay = Arc::new(Self {
-            impairment,
             executor: executor.clone(),
             state: Mutex::new(State {
-                rng,
+                rng: fastrand::Rng::with_seed(impairment.seed),
+                impairment,
                 ..State::default()
             }),
         });
         let socket = UdpSocket::bind(listen).await?;
         let address = socket.local_addr()?;
         executor.spawn(relay.clone().receive(socket)).detach();
-        let handler = Arc::new(move |request: HttpRequest| {
-            let reply = relay.control(&request);
-            Box::pin(async move { reply }) as _
-        });
-        Ok((address, serve(executor, control, 16, handler).await?))
+        Ok((relay, address))
+    }
+
+    /// Sets the target.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.state.lock().expect("relay lock").target = Some(target);
+    }
+
+    /// Drops all datagrams, or none because of this.
+    pub fn set_cut(&self, cut: bool) {
+        self.state.lock().expect("relay lock").cut = cut;
+    }
+
+    /// Changes what the path does to each datagram; the seed has no effect.
+    pub fn impair(&self, impairment: Impairment) {
+        self.state.lock().expect("relay lock").impairment = impairment;
     }
 
     fn control(&self, request: &HttpRequest) -> HttpReply {
@@ -131,7 +159,7 @@
     /// Sends a datagram of the exchange with `sender`.
     fn pass(&self, sender: SocketAddr, datagram: &[u8], socket: &UdpSocket, to: SocketAddr) {
         let mut state = self.state.lock().expect("relay lock");
-        let faults = &self.impairment;
+        let faults = state.impairment;
         if state.cut || state.blocked.contains(&sender.ip()) || state.rng.f64() < faults.loss {
             return;
         }
