--- a/crates/standin/src/bin/standin-soak.rs
+++ b/crates/standin/src/bin/standin-soak.rs
@@ -31,6 +31,9 @@
     /// Largest memory that a daemon may use, in megabytes.
     #[arg(long, default_value_t = 256)]
     memory_mb: u64,
+    /// Keep logs although no promise was broken.
+    #[arg(long)]
+    keep: bool,
 }
 
 fn parse_seeds(text: &str) -> Result<RangeInclusive<u64>, std::num::ParseIntError> {
@@ -47,6 +50,7 @@
         jobs: args.jobs,
         slow_links: args.slow_links,
         memory_mb: args.memory_mb,
+        logs_kept: args.keep,
     };
     let mut failed = false;
     for seed in args.seeds {
--- a/crates/standin/src/node_store.rs
+++ b/crates/standin/src/node_store.rs
@@ -26,6 +26,8 @@
     LosesReplies,
     /// Each answer is delayed by this many milliseconds.
     Slow(u64),
+    /// Every third transaction is carried out after this many milliseconds, and never answered.
+    Late(u64),
 }
 
 /// Table, part and key of a row.
@@ -44,6 +46,8 @@
     dropped: u64,
     /// Number of transactions that took effect.
     commits: u64,
+    /// Number of transactions that arrived in [`StoreMode::Late`].
+    late: u64,
     /// Texts that are replaced in the values of a table, by table.
     replaced: BTreeMap<String, Vec<(String, String)>>,
 }
@@ -107,10 +111,21 @@
             StoreMode::Refuses => return HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, ""),
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Slow(delay) => drop(Timer::after(Duration::from_millis(delay)).await),
-            StoreMode::Healthy | StoreMode::LosesReplies => {}
+            StoreMode::Healthy | StoreMode::LosesReplies | StoreMode::Late(_) => {}
         }
         match (&request.method, request.path.as_str()) {
             (&Method::POST, "/-/rows-tx") => {
+                if let StoreMode::Late(delay) = mode
+                    && self.count_late()
+                {
+                    let store = self.clone();
+                    // In a thread of its own: the request's future ends with its connection.
+                    std::thread::spawn(move || {
+                        std::thread::sleep(Duration::from_millis(delay));
+                        store.transact(&request.body, StoreMode::Healthy);
+                    });
+                    return std::future::pending().await;
+                }
                 let (reply, lost) = self.transact(&request.body, mode);
                 if lost {
                     std::future::pending().await
@@ -123,6 +138,13 @@
         }
     }
 
+    /// Counts a transaction. Returns whether it is to be carried out late.
+    fn count_late(&self) -> bool {
+        let mut rows = self.0.lock().expect("store lock");
+        rows.late += 1;
+        rows.late.is_multiple_of(3)
+    }
+
     /// Carries out a transaction. Returns the reply, and whether it is to be lost.
     fn transact(&self, body: &[u8], mode: StoreMode) -> (HttpReply, bool) {
         let Ok(body) = serde_json::from_slice::<Value>(body) else {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -64,7 +64,7 @@
     pub memory: u64,
     /// Broken promises.
     pub broken: Vec<String>,
-    /// Directory of the logs, if a promise was broken.
+    /// Directory of the logs, if they were kept: when a promise was broken, or always if the setup says so.
     pub dir: Option<PathBuf>,
 }
 
@@ -363,6 +363,7 @@
                     self.disturb(daemon, now + DRAIN_TIME, now + GRACE_TIME + SETTLE_TIME);
                 }
             }
+            Fault::Reload(daemon) => self.fleet.signal(daemon, "HUP"),
             Fault::StoreLink(victim, fault) => {
                 let daemon = self.resolve(victim);
                 self.strike(Connection::Store(daemon), fault, end);
@@ -555,7 +556,7 @@
         for entry in &workers.log {
             let _ = writeln!(self.journal, "{entry:?}");
         }
-        if !report.broken.is_empty() {
+        if !report.broken.is_empty() || self.setup.logs_kept {
             let dir = self.fleet.dir().to_owned();
             // The report itself tells what was broken.
             let _ = std::fs::write(dir.join("soak.log"), &self.journal);
--- a/crates/standin/src/soak/calls.rs
+++ b/crates/standin/src/soak/calls.rs
@@ -13,8 +13,6 @@
 
 /// Time for which a caller waits for an answer: its deadline and the slack that the daemons have.
 pub(crate) const PATIENCE: Millis = Millis(4_500);
-/// Times that a job is submitted before its caller gives up.
-const TRIES: usize = 6;
 /// Pause after an attempt without effect, and between two questions for a job's state.
 const PAUSE: Millis = Millis(400);
 
@@ -125,7 +123,7 @@
 
     /// Whether the job was accepted.
     async fn submit(&self, job: &PlannedJob) -> bool {
-        for turn in 0..TRIES {
+        for turn in 0..job.tries {
             let patience = job.patience.filter(|_| turn == 0).unwrap_or(PATIENCE);
             let daemon = (job.daemon + turn) % self.daemons;
             if self.send(daemon, Method::POST, job, patience).await == Some(StatusCode::OK) {
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -7,6 +7,9 @@
 use crate::node_fleet::WorkerMode;
 use crate::node_store::StoreMode;
 
+/// Times that callers who do not give up at once submit a job.
+const MAX_TRIES: usize = 6;
+
 /// Size of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakSetup {
@@ -22,6 +25,8 @@
     pub slow_links: usize,
     /// Largest memory that a daemon may use, in megabytes.
     pub memory_mb: u64,
+    /// Whether logs are kept although no promise was broken.
+    pub logs_kept: bool,
 }
 
 /// The daemon that a fault strikes.
@@ -69,6 +74,8 @@
     KillAll,
     /// A daemon is ended with SIGTERM and started again.
     Terminate(Victim),
+    /// A daemon is told with SIGHUP to read its settings again.
+    Reload(usize),
     StoreLink(Victim, LinkFault),
     PeerLink(Victim, PeerFault),
     FrontLink(usize, LinkFault),
@@ -109,6 +116,8 @@
     pub(crate) work: Millis,
     /// Runs of each task that fail by the task's fault.
     pub(crate) fails: u32,
+    /// Times that it is submitted before its caller gives up.
+    pub(crate) tries: usize,
     /// Time after which the caller breaks off the first attempt.
     pub(crate) patience: Option<Millis>,
     /// Whether it is submitted once more after it was accepted.
@@ -185,12 +194,16 @@
         daemon: rng.usize(..setup.daemons),
         steps: [if gang { rng.u32(2..=3) } else { rng.u32(1..=4) }, second],
         gang,
-        work: Millis(rng.u64(50..2_000)),
+        work: Millis(match one_in(rng, 10) {
+            true => rng.u64(2_000..7_000),
+            false => rng.u64(50..2_000),
+        }),
         fails: match rng.u8(..20) {
             0 => 9,
             1 | 2 => 1,
             _ => 0,
         },
+        tries: if one_in(rng, 3) { 1 } else { MAX_TRIES },
         patience: one_in(rng, 10).then(|| Millis(rng.u64(1..500))),
         repeated: one_in(rng, 6),
         cancel: one_in(rng, 6).then(|| Millis(rng.u64(0..2_500))),
@@ -204,7 +217,7 @@
         true => Victim::Scheduler(daemon),
         false => Victim::Daemon(daemon),
     };
-    match rng.u8(..26) {
+    match rng.u8(..28) {
         0 | 1 => Fault::Pause(victim),
         2 | 3 => Fault::Kill(victim),
         4 => Fault::KillAll,
@@ -229,6 +242,8 @@
             false => Fault::WorkerRestart(worker),
         },
         23 => Fault::WorkerDrain(worker),
+        24 => Fault::Store(StoreMode::Late(rng.u64(300..4_000))),
+        25 => Fault::Reload(daemon),
         _ => Fault::PeerLink(victim, draw_peer_fault(rng)),
     }
 }
