--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -8,7 +8,7 @@
 use crate::node_store::StoreMode;
 
 /// Times that callers who do not give up at once submit a job.
-const MAX_TRIES: usize = 6;
+const MAX_TRIES: usize = 12;
 
 /// Size of a soak.
 #[derive(Clone, Copy, Debug)]
@@ -167,7 +167,7 @@
             let mut next = at;
             for _ in 0..times {
                 // Some outlast the leases and the age at which keys are refused.
-                let longest = if rng.u8(..8) == 0 { 9_000 } else { 2_500 };
+                let longest = if rng.u8(..5) == 0 { 9_000 } else { 2_000 };
                 let lasts = Millis(rng.u64(100..longest).min(setup.span.0.saturating_sub(next)));
                 faults.push(PlannedFault {
                     at: Millis(next),
@@ -181,6 +181,16 @@
             }
             at += rng.u64(50..1_000);
         }
+        // Configurations follow each other all the time, so that keys are removed during other faults.
+        let mut at = 0;
+        while at < setup.span.0 {
+            faults.push(PlannedFault {
+                at: Millis(at),
+                lasts: Millis::ZERO,
+                fault: Fault::Config,
+            });
+            at += rng.u64(200..2_000);
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, jobs }
     }
@@ -219,33 +229,30 @@
         true => Victim::Scheduler(daemon),
         false => Victim::Daemon(daemon),
     };
-    match rng.u8(..28) {
+    match rng.u8(..30) {
         0 | 1 => Fault::Pause(victim),
         2 | 3 => Fault::Kill(victim),
         4 => Fault::KillAll,
-        5..=7 => Fault::Terminate(victim),
-        8..=10 => Fault::StoreLink(victim, draw_link(rng)),
-        11 => Fault::FrontLink(daemon, draw_link(rng)),
-        12 | 13 => Fault::WorkerLink(worker, draw_link(rng)),
-        14 => Fault::Store(StoreMode::Refuses),
-        15 => Fault::Store(StoreMode::Silent),
-        16 => Fault::Store(StoreMode::LosesReplies),
-        17 => Fault::Store(StoreMode::Slow(rng.u64(20..400))),
-        18 => Fault::DropHistory,
-        19 => Fault::Config,
-        20 => match rng.u8(..3) {
+        5 | 6 => Fault::Terminate(victim),
+        7..=12 => Fault::StoreLink(victim, draw_link(rng)),
+        13 => Fault::FrontLink(daemon, draw_link(rng)),
+        14 | 15 => Fault::WorkerLink(worker, draw_link(rng)),
+        16 => Fault::Store(StoreMode::Refuses),
+        17 => Fault::Store(StoreMode::Silent),
+        18 => Fault::Store(StoreMode::LosesReplies),
+        19 => Fault::Store(StoreMode::Slow(rng.u64(20..400))),
+        20 => Fault::Store(StoreMode::Late(rng.u64(300..4_000))),
+        21 => Fault::DropHistory,
+        22 => match rng.u8(..3) {
             0 => Fault::Worker(worker, WorkerMode::FailsAll),
             1 => Fault::Worker(worker, WorkerMode::Refuses),
             _ => Fault::Worker(worker, WorkerMode::Late(rng.u64(300..4_000))),
         },
-        21 => Fault::WorkerSlow(worker, rng.u64(..50)),
-        22 => match rng.bool() {
-            true => Fault::WorkerCrash(worker),
-            false => Fault::WorkerRestart(worker),
-        },
-        23 => Fault::WorkerDrain(worker),
-        24 => Fault::Store(StoreMode::Late(rng.u64(300..4_000))),
-        25 => Fault::Reload(daemon),
+        23 => Fault::WorkerSlow(worker, rng.u64(..50)),
+        24 => Fault::WorkerCrash(worker),
+        25 => Fault::WorkerRestart(worker),
+        26 => Fault::WorkerDrain(worker),
+        27 => Fault::Reload(daemon),
         _ => Fault::PeerLink(victim, draw_peer_fault(rng)),
     }
 }
