--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -260,13 +260,18 @@
 
     /// Starts a simulated worker, for the first time or again, and enters it in the platform's list.
     pub fn start_worker(&self, number: usize, incarnation: u64) {
+        self.restart_worker(number, incarnation);
+        self.list_worker(number, incarnation, "ready");
+    }
+
+    /// Starts a simulated worker again. The platform's list still has its last incarnation.
+    pub fn restart_worker(&self, number: usize, incarnation: u64) {
         self.workers.lock().expect("workers lock").start_worker(
             &worker_name(number),
             Incarnation(incarnation),
             WORKER_CAPACITY,
             self.now(),
         );
-        self.list_worker(number, incarnation, "ready");
     }
 
     /// Ends a simulated worker with all that runs there. The platform's list still has it, see [`Self::unlist_worker`].
