--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -12,15 +12,17 @@
 /// Guards against broken promises under the faults of a schedule: jobs that are lost or run twice, refused jobs that
 /// run, removed keys that are accepted, calls without an answer, daemons that end by themselves or do not recover.
 #[rstest]
-#[case::scheduler_killed(1)]
-#[case::store_late(2)]
-#[case::store_slow(3)]
+#[case::relayed_peers(1)]
+#[case::announced_scheduler(2)]
+#[case::store_cut_long(3)]
+// A start order was carried out by a worker that had restarted, and its task placed again at once.
+#[case::restarted_worker(4)]
 fn soak_seed(#[case] seed: u64) {
     let setup = SoakSetup {
-        daemons: 4,
-        workers: 6,
+        daemons: 5,
+        workers: 8,
         span: Millis(10_000),
-        jobs: 80,
+        jobs: 120,
         slow_links: 0,
         memory_mb: 256,
         logs_kept: false,
