--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -32,6 +32,8 @@
 mod best_fit;
 mod bookkeeping;
 mod calls;
+mod capacity;
+mod claim_order;
 mod clock;
 mod commands;
 mod commits;
@@ -47,6 +49,7 @@
 mod failures;
 mod fair;
 mod finish;
+mod followers;
 mod gang;
 mod gateway;
 mod guarantee;
@@ -115,6 +118,7 @@
 
 pub use active::Retention;
 pub use appender::{AppendAction, AppendEvent, Appender};
+pub use capacity::Capacity;
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
 pub use edge::{
@@ -123,6 +127,7 @@
 pub use ejection::Ejector;
 pub use election::{Election, ElectionAction, ElectionEvent, ElectionTimes};
 pub use error::{Error, ErrorKind, Ran, Result};
+pub use followers::Followers;
 pub use http_client::{HttpAnswer, HttpCall, HttpClient};
 pub use http_lines::HttpLines;
 pub use http_server::{
@@ -164,8 +169,8 @@
 pub use steps::{
     AccountRule, Demand, HoldOrder, HoldReply, HostInfo, HostUpdate, JobEntry, JobKey, OrderReply, PlacedRun, Queue,
     QueueName, QueueSettings, Recurrence, Rules, RunEnd, RunOutcome, RunReport, ServiceName, ServiceRule, StartOrder,
-    StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepRecord, StepScheduler,
-    StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
+    StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepLoad, StepRecord,
+    StepScheduler, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
 };
 pub use store::Store;
 pub use traffic::Traffic;
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -91,7 +91,7 @@
                 self.tick();
             }
             if self.scheduler.wake_at().is_some_and(|wake| self.now() >= wake) {
-                self.handle_event(Event::Tick);
+                self.handle_event(Event::Wake);
             }
             let wait = self
                 .scheduler
@@ -120,7 +120,11 @@
             self.refreshed_at = self.now();
             self.refresh();
         }
-        self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
+        let now = self.now();
+        let mut shared = self.shared.lock().expect("leader lock");
+        shared.lease = self.election.valid_lease(now);
+        shared.penalized = self.election.is_penalized(now);
+        drop(shared);
         self.handle_event(Event::Tick);
         self.send_renewals();
         self.report_load();
@@ -141,7 +145,9 @@
         let Some((term, _)) = self.elected else { return };
         let usage = process_usage();
         let journal = self.scheduler.journal_load();
-        slog::info!(self.log, "load"; "term" => term.0, "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
+        let steps = self.scheduler.step_load();
+        slog::info!(self.log, "load"; "term" => term.0, "passes" => steps.map(|load| load.passes),
+            "waiting" => steps.map(|load| load.waiting), "runs" => steps.map(|load| load.runs), "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
             "calls" => self.step_calls.len(), "records" => journal.map(|load| load.backlog),
             "snapshot_bytes" => journal.map(|load| load.snapshot_bytes),
             "row_bytes" => journal.map(|load| load.row_bytes), "tick_late" => late.0,
@@ -218,12 +224,22 @@
             }
             ElectionAction::LeaseValid(held) => {
                 slog::info!(self.log, "tenure changed"; "region" => %self.region, "held" => held);
+                self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
                 self.handle_event(Event::LeaseChanged { held });
             }
             ElectionAction::Deposed => {
                 slog::warn!(self.log, "deposed"; "region" => %self.region);
                 self.handle_deposed();
             }
+            ElectionAction::ClaimDelayed { rank, delay } => {
+                slog::info!(self.log, "claim delayed because other daemons come first"; "region" => %self.region,
+                    "stronger" => rank, "delay" => delay.0);
+            }
+            ElectionAction::HandingOver { to } => {
+                if let Ok(probe) = self.kernel.find::<LeaderProbe>() {
+                    probe.log_handover(&to);
+                }
+            }
             ElectionAction::Resigned => {
                 self.handle_deposed();
                 if let Ok(probe) = self.kernel.find::<LeaderProbe>() {
@@ -297,12 +313,17 @@
         let storage = self.storage.clone();
         let (log, clock, inbox) = (self.log.clone(), self.kernel.clock, self.inbox.clone());
         let mut loader = Loader::new(self.region.clone(), log.clone(), clock);
+        let shared = self.shared.clone();
+        let held = move || {
+            let lease = shared.lock().expect("leader lock").lease;
+            lease.is_some_and(|(_, until)| clock.now() < until)
+        };
         self.kernel.spawn_until_stop(async move {
             let load = async {
                 Timer::after(pause.duration()).await;
                 let begun = clock.now();
                 loop {
-                    match loader.load(&storage).await {
+                    match loader.load(&storage, &held).await {
                         Ok((snapshot, rows)) => {
                             slog::info!(log, "journal read"; "term" => term.0, "rows" => rows.len(),
                                 "snapshot" => snapshot.is_some(), "took" => clock.now().since(begun).0);
--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -61,8 +61,8 @@
 /// Counts the fleets of this process: they run at the same time and need addresses of their own.
 static NEXT_NET: AtomicU8 = AtomicU8::new(0);
 
-/// Memory limit in the daemons' settings, in megabytes.
-const MEMORY_MB: u64 = 512;
+/// Largest body of a request: an object of the store.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Size of a fleet, and what its connections pass through.
 #[derive(Clone, Copy, Debug)]
@@ -71,7 +71,7 @@
     pub daemons: usize,
     /// Number of workers.
     pub workers: usize,
-    /// Whether connections to the store, to workers and from callers pass through relays.
+    /// Whether connections to workers and from callers pass through relays, as those to the store always do.
     pub relays: bool,
     /// Whether requests between daemons pass through relays. New schedulers then are found by the lease row only,
     /// since announcements, which tell the address itself, get lost.
@@ -104,21 +104,20 @@
     net: u8,
     /// Keeps the processes of other tests from using the same addresses.
     _reserved: std::net::TcpListener,
-    /// Addresses at which the daemons reach the store, by daemon.
-    store_addresses: Vec<SocketAddr>,
-    /// Addresses at which callers reach the daemons, by daemon.
-    fronts: Vec<String>,
+    setup: FleetSetup,
+    /// Links between daemons and the store, with the addresses at which they accept connections.
+    links: BTreeMap<usize, (Arc<Relay>, SocketAddr)>,
+    /// Addresses at which callers reach the daemons.
+    fronts: BTreeMap<usize, String>,
     /// Addresses at which the daemons reach the workers.
     worker_addresses: Vec<SocketAddr>,
     worker_modes: Arc<Mutex<BTreeMap<WorkerName, WorkerMode>>>,
-    /// Relays between the daemons and the store, by daemon; none if the fleet has no relays.
-    pub store_links: Vec<Arc<Relay>>,
-    /// Relays between the callers and the daemons.
-    pub front_links: Vec<Arc<Relay>>,
+    /// Relays between the callers and the daemons; none without [`FleetSetup::relays`].
+    pub front_links: BTreeMap<usize, Arc<Relay>>,
     /// Relays between the daemons and the workers, by worker.
     pub worker_links: Vec<Arc<Relay>>,
     /// Relays from the other daemons to a daemon; none without [`FleetSetup::peer_relays`].
-    pub peer_links: Vec<Arc<UdpRelay>>,
+    pub peer_links: BTreeMap<usize, Arc<UdpRelay>>,
     /// Directory of the daemons' settings and logs.
     dir: PathBuf,
     files_kept: bool,
@@ -143,18 +142,32 @@
 
     /// Starts a fleet, and waits until daemon 0 accepts a job.
     pub fn start_with(setup: FleetSetup) -> Self {
+        let mut fleet = Self::create_with(FakeStore::default(), setup);
+        for number in 0..setup.daemons {
+            fleet.start_daemon(number);
+        }
+        fleet.wait_serving(0, SERVE_TIMEOUT);
+        fleet
+    }
+
+    /// A fleet without daemons, with `workers` workers, on a store that may have the rows of a fleet that has ended.
+    pub fn create(store: FakeStore, workers: usize) -> Self {
+        let setup = FleetSetup {
+            daemons: 0,
+            workers,
+            relays: false,
+            peer_relays: false,
+        };
+        Self::create_with(store, setup)
+    }
+
+    /// A fleet without daemons, see [`Self::create`].
+    fn create_with(store: FakeStore, setup: FleetSetup) -> Self {
         let executor: Arc<Executor<'static>> = Arc::new(Executor::new());
         for _ in 0..if setup.relays { 3 } else { 1 } {
             let runner = executor.clone();
             std::thread::spawn(move || block_on(runner.run(std::future::pending::<()>())));
         }
-        let stop = Stop::new();
-        let store = FakeStore::default();
-        let shared = store.clone();
-        let store_address = serve(&executor, &stop, move |request| {
-            let store = shared.clone();
-            async move { store.answer(request).await }
-        });
         let (net, reserved) = reserve_net();
         let dir = std::env::temp_dir().join(format!("pistachiostair-path-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
@@ -164,63 +177,40 @@
             daemons: BTreeMap::new(),
             net,
             _reserved: reserved,
-            store_addresses: vec![store_address; setup.daemons],
-            fronts: (0..setup.daemons)
-                .map(|number| format!("{}:8000", daemon_ip(net, number)))
-                .collect(),
+            setup,
+            links: BTreeMap::new(),
+            fronts: BTreeMap::new(),
             worker_addresses: Vec::new(),
             worker_modes: Arc::default(),
-            store_links: Vec::new(),
-            front_links: Vec::new(),
+            front_links: BTreeMap::new(),
             worker_links: Vec::new(),
-            peer_links: Vec::new(),
+            peer_links: BTreeMap::new(),
             dir,
             files_kept: false,
             client: Arc::new(HttpClient::new(executor.clone(), 256, 1 << 20)),
-            executor: executor.clone(),
+            executor,
             started: Instant::now(),
-            stop: stop.clone(),
+            stop: Stop::new(),
         };
         fleet.store.put("op", "config", &node_config(3, &[API_KEY]));
-        if setup.relays {
-            for number in 0..setup.daemons {
-                let (link, address) = relay(&executor, &store_address.to_string());
-                fleet.store_links.push(link);
-                fleet.store_addresses[number] = address;
-                let (link, address) = relay(&executor, &fleet.fronts[number]);
-                fleet.front_links.push(link);
-                fleet.fronts[number] = address.to_string();
-            }
-        }
-        if setup.peer_relays {
-            for number in 0..setup.daemons {
-                let real = SocketAddr::from((daemon_ip(net, number), 7000));
-                let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-                let relay = UdpRelay::listen(Impairment::default(), &executor, free);
-                let (link, address) = block_on(relay).expect("a free port");
-                link.set_target(real);
-                fleet.peer_links.push(link);
-                fleet.store.replace("lease", &real.to_string(), &address.to_string());
-                fleet.store.replace("daemon", &real.to_string(), NOWHERE);
-            }
-        }
         for number in 0..setup.workers {
-            fleet.serve_worker(number, setup.relays);
+            fleet.serve_worker(number);
             fleet.start_worker(number, FIRST_INCARNATION);
         }
-        fleet.run_workers(&executor);
-        for number in 0..setup.daemons {
-            fleet.start_daemon(number);
-        }
-        fleet.wait_until("a job is accepted", SERVE_TIMEOUT, |fleet| {
+        fleet.run_workers();
+        fleet
+    }
+
+    /// Waits until a daemon accepts a job, and fails the test if it does not within `limit`.
+    pub fn wait_serving(&self, daemon: usize, limit: Duration) {
+        self.wait_until("a job is accepted", limit, |fleet| {
             let body = json!({"spec": "work=1 gpu=1", "steps": [{"count": 1, "gpu": 1}]});
-            fleet.ask(0, Method::POST, &format!("{URGENT}{:016x}", 1), &body).0 == StatusCode::OK
+            fleet.ask(daemon, Method::POST, &format!("{URGENT}{:016x}", 1), &body).0 == StatusCode::OK
         });
-        fleet
     }
 
     /// Serves the orders to a simulated worker, whether or not it runs.
-    fn serve_worker(&mut self, number: usize, relayed: bool) {
+    fn serve_worker(&mut self, number: usize) {
         let name = worker_name(number);
         let (workers, modes, started) = (self.workers.clone(), self.worker_modes.clone(), self.started);
         let executor = self.executor.clone();
@@ -250,7 +240,7 @@
                 }
             }
         });
-        if relayed {
+        if self.setup.relays {
             let (link, relayed) = relay(&self.executor, &address.to_string());
             self.worker_links.push(link);
             address = relayed;
@@ -305,7 +295,7 @@
     }
 
     /// Advances the simulated workers in the background until the fleet is dropped.
-    fn run_workers(&self, executor: &Arc<Executor<'static>>) {
+    fn run_workers(&self) {
         let (workers, started, stop) = (self.workers.clone(), self.started, self.stop.clone());
         let ticking = async move {
             let mut last = Millis(started.elapsed().as_millis() as u64);
@@ -316,7 +306,7 @@
                 last = now;
             }
         };
-        executor.spawn(ticking).detach();
+        self.executor.spawn(ticking).detach();
     }
 
     /// Time since the fleet was created, by which the simulated workers advance.
@@ -324,15 +314,56 @@
         Millis(self.started.elapsed().as_millis() as u64)
     }
 
+    /// Link between a daemon that was started once and the store.
+    pub fn link(&self, number: usize) -> &Relay {
+        &self.links[&number].0
+    }
+
+    /// Connects the links of a daemon that starts for the first time.
+    fn connect_links(&mut self, number: usize) {
+        let store = self.store.clone();
+        let address = serve(&self.executor, &self.stop, move |request| {
+            let store = store.clone();
+            async move { store.answer(number, request).await }
+        });
+        self.links.insert(number, relay(&self.executor, &address.to_string()));
+        let mut front = format!("{}:8000", daemon_ip(self.net, number));
+        if self.setup.relays {
+            let (link, address) = relay(&self.executor, &front);
+            self.front_links.insert(number, link);
+            front = address.to_string();
+        }
+        self.fronts.insert(number, front);
+        if self.setup.peer_relays {
+            let real = SocketAddr::from((daemon_ip(self.net, number), 7000));
+            let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+            let relay = UdpRelay::listen(Impairment::default(), &self.executor, free);
+            let (link, address) = block_on(relay).expect("a free port");
+            link.set_target(real);
+            self.peer_links.insert(number, link);
+            self.store.replace("lease", &real.to_string(), &address.to_string());
+            self.store.replace("daemon", &real.to_string(), NOWHERE);
+        }
+    }
+
     /// Starts a daemon that does not run, for the first time or again.
     pub fn start_daemon(&mut self, number: usize) {
+        let limits = json!({"cpu_share": 0.5, "cores": 1, "memory_mb": 512, "link_mbps": 200.0});
+        self.start_daemon_with(number, &limits);
+    }
+
+    /// Starts a daemon on a VM with these `limits`, see [`Self::start_daemon`].
+    pub fn start_daemon_with(&mut self, number: usize, limits: &Value) {
+        if !self.links.contains_key(&number) {
+            self.connect_links(number);
+        }
         let ip = daemon_ip(self.net, number);
         let settings = json!({
             "node_name": format!("front-{number}"), "role": "node", "ip": ip.to_string(), "zone": "helsinki",
             "region": "fi-south", "listen": {"front": format!("{ip}:8000"), "ready_address": format!("{ip}:8001")},
-            "port_range": [7000, 7015], "control_mode": "rpc", "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": MEMORY_MB, "link_mbps": 200.0},
+            "port_range": [7000, 7015], "control_mode": "rpc", "limits": limits,
             "bounds": {"revoke_fail_closed": true, "revoke_ms": 5_000, "grace_s": 6},
-            "platform": {"address": self.store_addresses[number].to_string(), "row_bytes": 65_536},
+            "platform": {"address": self.links[&number].1.to_string(), "row_bytes": 65_536},
         });
         let path = self.dir.join(format!("{number}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings written");
@@ -438,7 +469,12 @@
 
     /// Submits a job to the daemons in turn until one accepts it.
     pub fn submit(&self, key: u64, body: &Value) {
-        self.wait_until("the job is accepted", SERVE_TIMEOUT, |fleet| {
+        self.submit_within(key, body, SERVE_TIMEOUT);
+    }
+
+    /// As [`Self::submit`], and fails the test if no daemon accepts the job within `limit`.
+    pub fn submit_within(&self, key: u64, body: &Value, limit: Duration) {
+        self.wait_until("the job is accepted", limit, |fleet| {
             let daemons: Vec<usize> = fleet.daemons.keys().copied().collect();
             let path = format!("{URGENT}{key:016x}");
             daemons
@@ -492,7 +528,7 @@
 #[derive(Clone)]
 pub struct NodeCaller {
     client: Arc<HttpClient>,
-    fronts: Vec<String>,
+    fronts: BTreeMap<usize, String>,
 }
 
 impl NodeCaller {
@@ -514,7 +550,7 @@
             body: Bytes::from(body),
             timeout,
         };
-        let answer = self.client.send(&self.fronts[daemon], call).await.ok()?;
+        let answer = self.client.send(&self.fronts[&daemon], call).await.ok()?;
         Some((
             answer.status,
             serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
@@ -566,7 +602,7 @@
     let server = HttpServer {
         executor: executor.clone(),
         limits: HttpLimits {
-            body: 1 << 20,
+            body: MAX_BODY_BYTES,
             ..HttpLimits::default()
         },
         handler,
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,6 +1,8 @@
-//! A TCP relay whose connections can be delayed, throttled, held one way, go silent, be reset or refused.
+//! A TCP relay whose connections can be delayed, held one way, go silent, be reset or refused, and whose bandwidth can
+//! be limited.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,9 +16,15 @@
 
 use crate::server::{reply_status, segments, serve};
 
-/// Bytes that are forwarded at once.
+/// Largest number of bytes that are forwarded at once.
 const BLOCK: usize = 64 * 1024;
 
+/// Smallest number of bytes that are forwarded at once.
+const MIN_BLOCK: usize = 1_500;
+
+/// Time that a block takes at the limit of the bandwidth, and by which a sender may be late without losing bandwidth.
+const BLOCK_TIME: Duration = Duration::from_millis(5);
+
 /// Pause between looks at whether data that is held may pass.
 const HOLD_POLL: Duration = Duration::from_millis(10);
 
@@ -25,26 +33,34 @@
 pub struct Link {
     /// Delay of each block, in each direction.
     pub delay: Millis,
-    /// Bandwidth in bytes per millisecond, in each direction; 0 if unlimited.
-    pub rate: u64,
     /// Whether data towards the target and data from it are held until this is changed, as by a partition.
     pub held: [bool; 2],
 }
 
+/// One direction of the link that all connections of a relay share.
+struct Lane {
+    /// When all bytes that were forwarded so far have left.
+    free_at: Instant,
+}
+
 struct State {
     link: Link,
-    /// When the link is free again, in each direction.
-    free: [Instant; 2],
     /// Raised to make the connections of now silent, and then replaced.
     silence: Stop,
     /// Raised to close the connections of now; new ones are refused until it is replaced.
     cut: Stop,
+    /// Bytes a second in each direction; unlimited if there is none.
+    bandwidth: Option<u64>,
+    /// Bytes of a response after which its connection goes silent; applies to one connection.
+    stall: Option<usize>,
 }
 
 /// A relay to one target.
 pub struct Relay {
     target: String,
     state: Mutex<State>,
+    /// The directions towards the target and back.
+    lanes: [Mutex<Lane>; 2],
 }
 
 impl Relay {
@@ -54,13 +70,34 @@
             target: target.into(),
             state: Mutex::new(State {
                 link: Link::default(),
-                free: [Instant::now(); 2],
                 silence: Stop::new(),
                 cut: Stop::new(),
+                bandwidth: None,
+                stall: None,
+            }),
+            lanes: [(); 2].map(|()| {
+                Mutex::new(Lane {
+                    free_at: Instant::now(),
+                })
             }),
         })
     }
 
+    /// Limits the bandwidth in each direction to this many bytes a second; removes the limit if there is none.
+    pub fn limit(&self, bandwidth: Option<u64>) {
+        self.state.lock().expect("relay lock").bandwidth = bandwidth;
+    }
+
+    /// Makes the next connection silent for good that forwards more than `bytes` bytes of one response.
+    pub fn stall_after(&self, bytes: usize) {
+        self.state.lock().expect("relay lock").stall = Some(bytes);
+    }
+
+    /// Whether a connection went silent since the last [`Self::stall_after`].
+    pub fn has_stalled(&self) -> bool {
+        self.state.lock().expect("relay lock").stall.is_none()
+    }
+
     /// Changes what happens to the data of all connections.
     pub fn change_link(&self, change: impl FnOnce(&mut Link)) {
         change(&mut self.state.lock().expect("relay lock").link);
@@ -76,7 +113,7 @@
         std::mem::take(&mut self.state.lock().expect("relay lock").cut).raise();
     }
 
-    /// Resets the connections of now, and refuses new ones until [`Self::open`].
+    /// Resets all connections and refuses new ones until [`Self::open`].
     pub fn cut(&self) {
         self.state.lock().expect("relay lock").cut.raise();
     }
@@ -163,13 +200,11 @@
             return;
         };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let response = AtomicUsize::new(0);
         let ended = async {
-            future::race(
-                self.copy(near.clone(), far.clone(), 0),
-                self.copy(far.clone(), near.clone(), 1),
-            )
-            .await;
-            false
+            let requests = self.copy(near.clone(), far.clone(), 0, &response);
+            let responses = self.copy(far.clone(), near.clone(), 1, &response);
+            future::race(requests, responses).await
         };
         let silenced = async {
             silence.wait().await;
@@ -195,49 +230,68 @@
         }
     }
 
-    /// Copies in one direction until one side ends; then both directions are closed by dropping the streams.
-    async fn copy(&self, mut from: TcpStream, mut to: TcpStream, direction: usize) {
+    /// Copies until one side ends, or the connection is to go silent; returns whether it is. In the first case both
+    /// directions are closed by dropping the streams. `response` counts the bytes of the response since the last request.
+    async fn copy(&self, mut from: TcpStream, mut to: TcpStream, lane: usize, response: &AtomicUsize) -> bool {
         let mut block = vec![0; BLOCK];
         loop {
-            match from.read(&mut block).await {
+            let size = self.block_size();
+            match from.read(&mut block[..size]).await {
                 Ok(count) if count > 0 => {
-                    self.pass(count, direction).await;
+                    match lane {
+                        0 => response.store(0, Ordering::Relaxed),
+                        _ if self.stalls(response.fetch_add(count, Ordering::Relaxed) + count) => return true,
+                        _ => {}
+                    }
+                    self.wait_turn(lane, count).await;
+                    self.wait_link(lane).await;
                     if to.write_all(&block[..count]).await.is_err() {
-                        return;
+                        return false;
                     }
                 }
-                _ => return,
+                _ => return false,
             }
         }
     }
 
-    /// Waits until the link lets a block pass.
-    async fn pass(&self, count: usize, direction: usize) {
-        loop {
-            match self.reserve(count, direction) {
-                Some(at) => {
-                    if at > Instant::now() {
-                        Timer::at(at).await;
-                    }
-                    return;
-                }
-                None => drop(Timer::after(HOLD_POLL).await),
-            }
+    /// Waits for the delay of a block, and until its direction is not held.
+    async fn wait_link(&self, lane: usize) {
+        let link = || self.state.lock().expect("relay lock").link;
+        while link().held[lane] {
+            Timer::after(HOLD_POLL).await;
+        }
+        let delay = link().delay;
+        if delay > Millis::ZERO {
+            Timer::after(delay.duration()).await;
         }
     }
 
-    /// Reserves the link for a block; returns when the block has passed, or none while the direction is held.
-    fn reserve(&self, count: usize, direction: usize) -> Option<Instant> {
+    /// Bytes that are forwarded at once.
+    fn block_size(&self) -> usize {
+        let bandwidth = self.state.lock().expect("relay lock").bandwidth;
+        bandwidth.map_or(BLOCK, |bandwidth| {
+            ((bandwidth as f64 * BLOCK_TIME.as_secs_f64()) as usize).clamp(MIN_BLOCK, BLOCK)
+        })
+    }
+
+    /// Whether a connection goes silent that has read this many bytes of a response.
+    fn stalls(&self, bytes: usize) -> bool {
         let mut state = self.state.lock().expect("relay lock");
-        let link = state.link;
-        if link.held[direction] {
-            return None;
-        }
-        let mut sent = Instant::now();
-        if let Some(millis) = (count as u64).checked_div(link.rate) {
-            sent = sent.max(state.free[direction]) + Duration::from_millis(millis);
-            state.free[direction] = sent;
-        }
-        Some(sent + link.delay.duration())
+        state.stall.take_if(|limit| bytes > *limit).is_some()
+    }
+
+    /// Waits until these bytes have passed the link after those of other connections.
+    async fn wait_turn(&self, lane: usize, bytes: usize) {
+        let Some(bandwidth) = self.state.lock().expect("relay lock").bandwidth else {
+            return;
+        };
+        let time = Duration::from_secs_f64(bytes as f64 / bandwidth as f64);
+        let until = {
+            let mut lane = self.lanes[lane].lock().expect("lane lock");
+            let begin = Instant::now().checked_sub(BLOCK_TIME).unwrap_or(lane.free_at);
+            lane.free_at = lane.free_at.max(begin) + time;
+            lane.free_at
+        };
+        Timer::at(until).await;
     }
 }
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -42,8 +42,8 @@
 const REVOKE_TIME: Millis = Millis(5_000);
 /// Time after the start of a daemon, or the end of a fault of its connections, before it has to answer.
 const SETTLE_TIME: Millis = Millis(1_000);
-/// Bandwidth of a slow link, in bytes per millisecond: 10 Mbit/s.
-const SLOW_RATE: u64 = 1_250;
+/// Bandwidth of a slow link, in bytes a second: 10 Mbit/s.
+const SLOW_RATE: u64 = 1_250_000;
 /// Time from the notice that a worker drains to its end.
 const DRAIN_TIME: Millis = Millis(2_500);
 
@@ -156,8 +156,8 @@
 
 impl Soak {
     fn new(fleet: Fleet, seed: u64, setup: SoakSetup) -> Self {
-        for link in fleet.store_links.iter().take(setup.slow_links) {
-            link.change_link(|link| link.rate = SLOW_RATE);
+        for daemon in 0..setup.slow_links.min(setup.daemons) {
+            fleet.link(daemon).limit(Some(SLOW_RATE));
         }
         Self {
             origin: fleet.now(),
@@ -313,7 +313,7 @@
             }
             Action::RestoreStore => self.fleet.store.set_mode(StoreMode::Healthy),
             Action::RestorePeer(daemon) => {
-                let link = &self.fleet.peer_links[daemon];
+                let link = &self.fleet.peer_links[&daemon];
                 link.set_cut(false);
                 link.impair(Impairment::default());
             }
@@ -370,7 +370,7 @@
             }
             Fault::PeerLink(victim, fault) => {
                 let daemon = self.resolve(victim);
-                let Some(link) = self.fleet.peer_links.get(daemon) else {
+                let Some(link) = self.fleet.peer_links.get(&daemon) else {
                     return;
                 };
                 match fault {
@@ -438,8 +438,8 @@
 
     fn relay(&self, connection: Connection) -> &Relay {
         match connection {
-            Connection::Store(daemon) => &self.fleet.store_links[daemon],
-            Connection::Front(daemon) => &self.fleet.front_links[daemon],
+            Connection::Store(daemon) => self.fleet.link(daemon),
+            Connection::Front(daemon) => &self.fleet.front_links[&daemon],
             Connection::Worker(worker) => &self.fleet.worker_links[worker],
         }
     }
@@ -482,23 +482,17 @@
     fn heal(&mut self) {
         self.note("all faults end");
         self.fleet.store.set_mode(StoreMode::Healthy);
+        let stores = (0..self.setup.daemons).map(Connection::Store);
+        let fronts = (0..self.setup.daemons).map(Connection::Front);
+        let workers = (0..self.setup.workers).map(Connection::Worker);
+        for connection in stores.chain(fronts).chain(workers) {
+            let relay = self.relay(connection);
+            relay.open();
+            relay.change_link(|link| *link = Link::default());
+        }
         for daemon in 0..self.setup.daemons {
             self.fleet.signal(daemon, "CONT");
         }
-        let links = [
-            &self.fleet.store_links,
-            &self.fleet.front_links,
-            &self.fleet.worker_links,
-        ];
-        for relay in links.into_iter().flatten() {
-            relay.open();
-            relay.change_link(|link| {
-                *link = Link {
-                    rate: link.rate,
-                    ..Link::default()
-                };
-            });
-        }
         self.configure();
     }
 
