--- a/crates/standin/src/bin/standin-soak.rs
+++ b/crates/standin/src/bin/standin-soak.rs
@@ -5,7 +5,7 @@
 
 use clap::Parser;
 use pistachiostair::Millis;
-use standin::{SoakSetup, run_soak};
+use standin::{SoakSetup, run_soak, soak_schedule};
 
 /// Injects faults into real daemons from outside, and checks the promises from what callers and workers see.
 #[derive(Parser)]
@@ -34,6 +34,9 @@
     /// Keep logs although no promise was broken.
     #[arg(long)]
     keep: bool,
+    /// Print the faults with their times and durations in milliseconds, and inject none.
+    #[arg(long)]
+    dry_run: bool,
 }
 
 fn parse_seeds(text: &str) -> Result<RangeInclusive<u64>, std::num::ParseIntError> {
@@ -54,6 +57,10 @@
     };
     let mut failed = false;
     for seed in args.seeds {
+        if args.dry_run {
+            print!("seed {seed}\n{}", soak_schedule(seed, &setup));
+            continue;
+        }
         let report = run_soak(seed, &setup);
         println!("{report}");
         failed |= !report.broken.is_empty();
--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -514,8 +514,8 @@
 
     /// Fails the test if a worker saw a violation, such as a task that runs twice.
     pub fn check(&self) {
-        let workers = self.workers.lock().expect("workers lock");
-        assert_eq!(workers.violations, Vec::<String>::new());
+        let violations = self.workers.lock().expect("workers lock").violations.clone();
+        assert_eq!(violations, Vec::<String>::new());
     }
 
     /// Text of a daemon's log.
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -91,6 +91,15 @@
     }
 }
 
+/// The faults of a seed's schedule, a line each.
+pub fn soak_schedule(seed: u64, setup: &SoakSetup) -> String {
+    let mut text = String::new();
+    for planned in Plan::draw(seed, setup).faults {
+        let _ = writeln!(text, "{:6} {:5} {:?}", planned.at.0, planned.lasts.0, planned.fault);
+    }
+    text
+}
+
 /// Runs the schedule of a seed.
 pub fn run_soak(seed: u64, setup: &SoakSetup) -> SoakReport {
     let plan = Plan::draw(seed, setup);
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -174,6 +174,12 @@
         self.workers.values().map(|worker| worker.tasks.len()).sum()
     }
 
+    /// Tasks that run on the worker `name`.
+    pub fn running_on(&self, name: &str) -> usize {
+        let worker = self.workers.get(&WorkerName::from(name));
+        worker.map_or(0, |worker| worker.tasks.len())
+    }
+
     /// Ends that no scheduler has acknowledged.
     pub fn unacknowledged(&self) -> usize {
         self.workers.values().map(|worker| worker.ends.len()).sum()
