--- a/crates/standin/src/bin/standin-soak.rs
+++ b/crates/standin/src/bin/standin-soak.rs
@@ -31,6 +31,9 @@
     /// Largest memory that a daemon may use, in megabytes.
     #[arg(long, default_value_t = 256)]
     memory_mb: u64,
+    /// Neither stop nor end daemons, so that faults of connections and of the store last.
+    #[arg(long)]
+    steady: bool,
     /// Keep logs although no promise was broken.
     #[arg(long)]
     keep: bool,
@@ -53,6 +56,7 @@
         jobs: args.jobs,
         slow_links: args.slow_links,
         memory_mb: args.memory_mb,
+        steady: args.steady,
         logs_kept: args.keep,
     };
     let mut failed = false;
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -25,6 +25,8 @@
     pub slow_links: usize,
     /// Largest memory that a daemon may use, in megabytes.
     pub memory_mb: u64,
+    /// Whether daemons are neither stopped nor ended, so that faults of connections and of the store last.
+    pub steady: bool,
     /// Whether logs are kept although no promise was broken.
     pub logs_kept: bool,
 }
@@ -96,6 +98,16 @@
     WorkerDrain(usize),
 }
 
+impl Fault {
+    /// Whether a daemon is stopped or ended.
+    fn strikes_process(self) -> bool {
+        matches!(
+            self,
+            Self::Pause(_) | Self::Kill(_) | Self::KillAll | Self::Terminate(_)
+        )
+    }
+}
+
 /// A fault that begins at a time, counted from the start of the soak, and lasts for a while.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlannedFault {
@@ -161,7 +173,10 @@
         let mut faults = Vec::new();
         let mut at = 300;
         while at < setup.span.0 {
-            let fault = draw_fault(&mut rng, setup);
+            let mut fault = draw_fault(&mut rng, setup);
+            while setup.steady && fault.strikes_process() {
+                fault = draw_fault(&mut rng, setup);
+            }
             // A third of the faults strike in series.
             let times = if rng.u8(..3) == 0 { rng.u64(2..=4) } else { 1 };
             let mut next = at;
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -26,6 +26,7 @@
         jobs: 120,
         slow_links: 0,
         memory_mb: 256,
+        steady: false,
         logs_kept: false,
     };
     // A run that failed has nothing that later ones need.
