--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -24,8 +24,9 @@
 use platform::parse_task;
 use serde_json::{Value, json};
 
+use crate::build::Build;
 use crate::node_store::FakeStore;
-use crate::process::{binary_path, register, send_signal, unregister};
+use crate::process::{register, send_signal, unregister};
 use crate::relay::Relay;
 use crate::step_worker::StepWorkers;
 use crate::udp_relay::{Impairment, UdpRelay};
@@ -100,6 +101,8 @@
     pub workers: Arc<Mutex<StepWorkers>>,
     /// Running daemons by number, counted from 0.
     daemons: BTreeMap<usize, Child>,
+    /// Builds of daemons whose number does not decide it, see [`Build::of`].
+    pub builds: BTreeMap<usize, Build>,
     /// Second byte of the daemons' loopback addresses.
     net: u8,
     /// Keeps the processes of other tests from using the same addresses.
@@ -140,6 +143,17 @@
         })
     }
 
+    /// As [`Self::start`], with [`Self::builds`].
+    pub fn start_builds(daemons: usize, workers: usize, builds: BTreeMap<usize, Build>) -> Self {
+        let mut fleet = Self::create(FakeStore::default(), workers);
+        fleet.builds = builds;
+        for number in 0..daemons {
+            fleet.start_daemon(number);
+        }
+        fleet.wait_serving(0, SERVE_TIMEOUT);
+        fleet
+    }
+
     /// Starts a fleet, and waits until daemon 0 accepts a job.
     pub fn start_with(setup: FleetSetup) -> Self {
         let mut fleet = Self::create_with(FakeStore::default(), setup);
@@ -175,6 +189,7 @@
             store,
             workers: Arc::default(),
             daemons: BTreeMap::new(),
+            builds: BTreeMap::new(),
             net,
             _reserved: reserved,
             setup,
@@ -371,7 +386,8 @@
             .create(true)
             .append(true)
             .open(self.dir.join(format!("{number}.log")));
-        let child = Command::new(binary_path("pistachiostair-node").expect("the daemon is built"))
+        let build = self.builds.get(&number).copied().unwrap_or_else(|| Build::of(number));
+        let child = Command::new(build.program("pistachiostair-node").expect("a program"))
             .env("PISTACHIOSTAIR_NODE_FILE", &path)
             .stdout(Stdio::from(log.expect("a log file")))
             .spawn()
