--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -18,6 +18,9 @@
 // A start order was carried out by a worker that had restarted, and its task placed again at once.
 #[case::restarted_worker(4)]
 #[case::restarted_worker(19)]
+#[case::restarted_worker(43)]
+// A takeover left the last member of a broken gang running.
+#[case::broken_gang(45)]
 fn soak_seed(#[case] seed: u64) {
     let setup = SoakSetup {
         daemons: 5,
