--- a/platform/tests/path/store.rs
+++ b/crates/standin/src/node_store.rs
@@ -15,7 +15,7 @@
 
 /// How the store behaves, until the mode is changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Mode {
+pub enum StoreMode {
     /// It answers all requests.
     #[default]
     Healthy,
@@ -27,6 +27,8 @@
     LosesReplies,
     /// Each answer is delayed by this many milliseconds.
     Slow(u64),
+    /// Every third transaction is carried out after this many milliseconds, and never answered.
+    Late(u64),
 }
 
 /// Largest number of rows in one reply.
@@ -45,7 +47,7 @@
 
 #[derive(Clone, Default)]
 struct Rows {
-    mode: Mode,
+    mode: StoreMode,
     /// Version of the last change; each has a higher one.
     version: u64,
     /// Values in base64, with the versions of the rows.
@@ -56,6 +58,10 @@
     dropped: u64,
     /// Number of transactions that took effect.
     commits: u64,
+    /// Number of transactions that arrived in [`StoreMode::Late`].
+    late: u64,
+    /// Texts that are replaced in the values of a table, by table.
+    replaced: BTreeMap<String, Vec<(String, String)>>,
     objects: BTreeMap<String, Bytes>,
     /// Number of reads of the journal, its snapshots and the row that names them, by the caller's number.
     takeover_reads: BTreeMap<usize, u64>,
@@ -67,34 +73,48 @@
 
 /// The simulated store; clones share their state.
 #[derive(Clone, Default)]
-pub(crate) struct FakeStore(Arc<Mutex<Rows>>);
+pub struct FakeStore(Arc<Mutex<Rows>>);
 
 impl FakeStore {
     /// A store of its own with the rows and objects that this one has now.
-    pub(crate) fn fork(&self) -> Self {
+    pub fn fork(&self) -> Self {
         Self(Arc::new(Mutex::new(self.0.lock().expect("store lock").clone())))
     }
 
     /// Sets the mode for the requests that follow.
-    pub(crate) fn set_mode(&self, mode: Mode) {
+    pub fn set_mode(&self, mode: StoreMode) {
         self.0.lock().expect("store lock").mode = mode;
     }
 
+    /// Replaces a text in all values that daemons write to a table from now on, so that an address leads to a relay.
+    pub fn replace(&self, table: &str, from: &str, to: &str) {
+        let mut rows = self.0.lock().expect("store lock");
+        let texts = rows.replaced.entry(table.to_owned()).or_default();
+        texts.push((from.to_owned(), to.to_owned()));
+    }
+
     /// Writes a JSON row in the empty part of a table, where operators and workers write.
-    pub(crate) fn put(&self, table: &str, key: &str, value: &Value) {
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.put_bytes(table, key, value.to_string().as_bytes());
     }
 
     /// Writes a row of arbitrary bytes in the empty part of a table.
-    pub(crate) fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
         let mut rows = self.0.lock().expect("store lock");
         rows.version += 1;
         let id = (table.to_owned(), String::new(), key.to_owned());
         rows.set(id, Some(STANDARD.encode(value)));
     }
 
+    /// Removes a row of the empty part of a table.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.0.lock().expect("store lock");
+        rows.version += 1;
+        rows.set((table.to_owned(), String::new(), key.to_owned()), None);
+    }
+
     /// Drops all changes from the history, so that clients must read the tables again before they follow the feed.
-    pub(crate) fn drop_history(&self) {
+    pub fn drop_history(&self) {
         let mut rows = self.0.lock().expect("store lock");
         rows.version += 1;
         rows.dropped = rows.version;
@@ -102,31 +122,31 @@
     }
 
     /// JSON value of a row; none if there is no such row or it is not JSON.
-    pub(crate) fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
         let rows = self.0.lock().expect("store lock");
         let (value, _) = rows.rows.get(&(table.to_owned(), part.to_owned(), key.to_owned()))?;
         serde_json::from_slice(&STANDARD.decode(value).ok()?).ok()
     }
 
     /// Number of reads by a daemon that serve a takeover: of the journal, its snapshots and the row that names them.
-    pub(crate) fn takeover_reads(&self, daemon: usize) -> u64 {
+    pub fn takeover_reads(&self, daemon: usize) -> u64 {
         let rows = self.0.lock().expect("store lock");
         rows.takeover_reads.get(&daemon).copied().unwrap_or(0)
     }
 
     /// Refuses all reads of a daemon that serve a takeover, and none of any other.
-    pub(crate) fn refuse_takeover(&self, daemon: usize) {
+    pub fn refuse_takeover(&self, daemon: usize) {
         self.0.lock().expect("store lock").refused = Some(daemon);
     }
 
     /// Returns journal rows that can't be parsed to a daemon, and intact ones to all others.
-    pub(crate) fn garble_journal(&self, daemon: usize) {
+    pub fn garble_journal(&self, daemon: usize) {
         self.0.lock().expect("store lock").garbled = Some(daemon);
     }
 
     /// Bytes that a takeover of a region reads: the newest snapshot and the journal rows after it, as they are in
     /// replies.
-    pub(crate) fn takeover_bytes(&self, region: &str) -> (usize, usize) {
+    pub fn takeover_bytes(&self, region: &str) -> (usize, usize) {
         let snapshot = self.value("snapshot", region, "current");
         let rows = self.0.lock().expect("store lock");
         let current = snapshot.as_ref().map(|row| &row["current"]);
@@ -148,19 +168,30 @@
     }
 
     /// Answers a request of a caller, or never returns if the mode says so.
-    pub(crate) async fn answer(&self, caller: usize, request: HttpRequest) -> HttpReply {
+    pub async fn answer(&self, caller: usize, request: HttpRequest) -> HttpReply {
         if self.count_read(caller, &request) {
             return HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, "");
         }
         let mode = self.0.lock().expect("store lock").mode;
         match mode {
-            Mode::Refuses => return HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, ""),
-            Mode::Silent => std::future::pending().await,
-            Mode::Slow(delay) => drop(Timer::after(Duration::from_millis(delay)).await),
-            Mode::Healthy | Mode::LosesReplies => {}
+            StoreMode::Refuses => return HttpReply::text(StatusCode::SERVICE_UNAVAILABLE, ""),
+            StoreMode::Silent => std::future::pending().await,
+            StoreMode::Slow(delay) => drop(Timer::after(Duration::from_millis(delay)).await),
+            StoreMode::Healthy | StoreMode::LosesReplies | StoreMode::Late(_) => {}
         }
         match (&request.method, request.path.as_str()) {
             (&Method::POST, "/-/rows-tx") => {
+                if let StoreMode::Late(delay) = mode
+                    && self.count_late()
+                {
+                    let store = self.clone();
+                    // In a thread of its own: the request's future ends with its connection.
+                    std::thread::spawn(move || {
+                        std::thread::sleep(Duration::from_millis(delay));
+                        store.transact(&request.body, StoreMode::Healthy);
+                    });
+                    return std::future::pending().await;
+                }
                 let (reply, lost) = self.transact(&request.body, mode);
                 if lost {
                     std::future::pending().await
@@ -175,8 +206,15 @@
         }
     }
 
+    /// Counts a transaction. Returns whether it is to be carried out late.
+    fn count_late(&self) -> bool {
+        let mut rows = self.0.lock().expect("store lock");
+        rows.late += 1;
+        rows.late.is_multiple_of(3)
+    }
+
     /// Carries out a transaction. Returns the reply, and whether it is to be lost.
-    fn transact(&self, body: &[u8], mode: Mode) -> (HttpReply, bool) {
+    fn transact(&self, body: &[u8], mode: StoreMode) -> (HttpReply, bool) {
         let Ok(body) = serde_json::from_slice::<Value>(body) else {
             return (HttpReply::text(StatusCode::BAD_REQUEST, ""), false);
         };
@@ -197,14 +235,16 @@
         }
         rows.version += 1;
         for write in entries("writes") {
-            let value = write["value"].as_str().unwrap_or_default().to_owned();
-            rows.set(row_id(&write), Some(value));
+            let value = write["value"].as_str().unwrap_or_default();
+            let id = row_id(&write);
+            let value = rows.replace(&id.0, value);
+            rows.set(id, Some(value));
         }
         for removed in entries("remove") {
             rows.set(row_id(&removed), None);
         }
         rows.commits += 1;
-        let lost = mode == Mode::LosesReplies && rows.commits.is_multiple_of(3);
+        let lost = mode == StoreMode::LosesReplies && rows.commits.is_multiple_of(3);
         let body = json!({"row_version": rows.version, "now_ms": 1});
         (HttpReply::json(StatusCode::OK, body.to_string()), lost)
     }
@@ -338,6 +378,19 @@
         self.history.push((self.version, id, value));
     }
 
+    /// A value with the texts replaced that are replaced in its table.
+    fn replace(&self, table: &str, value: &str) -> String {
+        let texts = self.replaced.get(table).map_or(&[][..], Vec::as_slice);
+        let decoded = STANDARD
+            .decode(value)
+            .ok()
+            .and_then(|bytes| String::from_utf8(bytes).ok());
+        match decoded.filter(|_| !texts.is_empty()) {
+            Some(text) => STANDARD.encode(texts.iter().fold(text, |text, (from, to)| text.replace(from, to))),
+            None => value.to_owned(),
+        }
+    }
+
     /// The row as it is in a reply; none if there is no such row.
     fn encode(&self, id: &RowId) -> Option<Value> {
         let (value, version) = self.rows.get(id)?;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -40,7 +40,19 @@
     });
 }
 
-fn send_signal(id: u32, signal: &str) -> Result<()> {
+/// Adds a process to those that end with this one when a signal ends it.
+pub(crate) fn register(id: u32) {
+    end_on_signal();
+    RUNNING.lock().expect("process lock").insert(id);
+}
+
+/// Removes a process that has ended from those.
+pub(crate) fn unregister(id: u32) {
+    RUNNING.lock().expect("process lock").remove(&id);
+}
+
+/// Sends a signal, such as `STOP`, to a process.
+pub(crate) fn send_signal(id: u32, signal: &str) -> Result<()> {
     let status = Command::new("kill")
         .args([&format!("-{signal}"), &id.to_string()])
         .status()?;
@@ -162,7 +174,7 @@
     }
 
     fn unregister(&self) {
-        RUNNING.lock().expect("process lock").remove(&self.id());
+        unregister(self.id());
     }
 
     /// Leaves the process running when this value is dropped.
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,4 +1,5 @@
-//! A TCP relay whose connections can go silent or be refused, and whose bandwidth can be limited.
+//! A TCP relay whose connections can be delayed, held one way, go silent, be reset or refused, and whose bandwidth can
+//! be limited.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -10,7 +11,8 @@
 use async_net::{TcpListener, TcpStream};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use hyper::{Method, StatusCode};
-use pistachiostair::{HttpReply, HttpRequest, Stop};
+use pistachiostair::{HttpReply, HttpRequest, Millis, Stop};
+use rustix::net::sockopt::set_socket_linger;
 
 use crate::server::{reply_status, segments, serve};
 
@@ -23,6 +25,18 @@
 /// Time that a block takes at the limit of the bandwidth, and by which a sender may be late without losing bandwidth.
 const BLOCK_TIME: Duration = Duration::from_millis(5);
 
+/// Pause between looks at whether data that is held may pass.
+const HOLD_POLL: Duration = Duration::from_millis(10);
+
+/// What a relay does to the data of all its connections, until it is changed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Link {
+    /// Delay of each block, in each direction.
+    pub delay: Millis,
+    /// Whether data towards the target and data from it are held until this is changed, as by a partition.
+    pub held: [bool; 2],
+}
+
 /// One direction of the link that all connections of a relay share.
 struct Lane {
     /// When all bytes that were forwarded so far have left.
@@ -30,6 +44,7 @@
 }
 
 struct State {
+    link: Link,
     /// Raised to make the connections of now silent, and then replaced.
     silence: Stop,
     /// Raised to close the connections of now; new ones are refused until it is replaced.
@@ -54,6 +69,7 @@
         Arc::new(Self {
             target: target.into(),
             state: Mutex::new(State {
+                link: Link::default(),
                 silence: Stop::new(),
                 cut: Stop::new(),
                 bandwidth: None,
@@ -82,7 +98,22 @@
         self.state.lock().expect("relay lock").stall.is_none()
     }
 
-    /// Closes all connections and refuses new ones until [`Self::open`].
+    /// Changes what happens to the data of all connections.
+    pub fn change_link(&self, change: impl FnOnce(&mut Link)) {
+        change(&mut self.state.lock().expect("relay lock").link);
+    }
+
+    /// Makes the connections of now silent. They stay open.
+    pub fn silence(&self) {
+        std::mem::take(&mut self.state.lock().expect("relay lock").silence).raise();
+    }
+
+    /// Resets the connections of now.
+    pub fn reset(&self) {
+        std::mem::take(&mut self.state.lock().expect("relay lock").cut).raise();
+    }
+
+    /// Resets all connections and refuses new ones until [`Self::open`].
     pub fn cut(&self) {
         self.state.lock().expect("relay lock").cut.raise();
     }
@@ -103,6 +134,25 @@
         listen: SocketAddr,
         control: SocketAddr,
     ) -> anyhow::Result<(SocketAddr, SocketAddr)> {
+        let address = self.listen(executor, listen).await?;
+        let relay = self.clone();
+        let handler = Arc::new(move |request: HttpRequest| {
+            let reply = relay.control(&request);
+            Box::pin(async move { reply }) as _
+        });
+        Ok((address, serve(executor, control, 16, handler).await?))
+    }
+
+    /// Relays in the background without a control server; returns the address.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub async fn listen(
+        self: &Arc<Self>,
+        executor: &Arc<Executor<'static>>,
+        listen: SocketAddr,
+    ) -> anyhow::Result<SocketAddr> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let relay = self.clone();
@@ -110,12 +160,7 @@
         executor
             .spawn(async move { relay.accept(&spawner, listener).await })
             .detach();
-        let relay = self.clone();
-        let handler = Arc::new(move |request: HttpRequest| {
-            let reply = relay.control(&request);
-            Box::pin(async move { reply }) as _
-        });
-        Ok((address, serve(executor, control, 16, handler).await?))
+        Ok(address)
     }
 
     fn control(&self, request: &HttpRequest) -> HttpReply {
@@ -123,7 +168,7 @@
             return reply_status(StatusCode::METHOD_NOT_ALLOWED);
         }
         match segments(&request.path).iter().map(String::as_str).collect::<Vec<_>>()[..] {
-            ["control", "silence"] => std::mem::take(&mut self.state.lock().expect("relay lock").silence).raise(),
+            ["control", "silence"] => self.silence(),
             ["control", "cut"] => self.cut(),
             ["control", "open"] => self.open(),
             _ => return reply_status(StatusCode::NOT_FOUND),
@@ -145,12 +190,12 @@
             }
             let relay = self.clone();
             executor
-                .spawn(async move { future::or(relay.forward(stream, &silence), cut.wait()).await })
+                .spawn(async move { relay.forward(stream, &silence, &cut).await })
                 .detach();
         }
     }
 
-    async fn forward(&self, near: TcpStream, silence: &Stop) {
+    async fn forward(&self, near: TcpStream, silence: &Stop, cut: &Stop) {
         let Ok(far) = TcpStream::connect(&self.target).await else {
             return;
         };
@@ -165,9 +210,23 @@
             silence.wait().await;
             true
         };
-        if future::or(silenced, ended).await {
-            // Both sides stay open and nothing moves until the connection is cut or the relay ends.
-            std::future::pending().await
+        let relayed = async {
+            if future::or(silenced, ended).await {
+                // Both sides stay open and nothing moves until the connection is cut or the relay ends.
+                std::future::pending().await
+            }
+            false
+        };
+        let reset = async {
+            cut.wait().await;
+            true
+        };
+        if future::or(relayed, reset).await {
+            // Without lingering, the close sends a reset.
+            let _ = (
+                set_socket_linger(&near, Some(Duration::ZERO)),
+                set_socket_linger(&far, Some(Duration::ZERO)),
+            );
         }
     }
 
@@ -185,6 +244,7 @@
                         _ => {}
                     }
                     self.wait_turn(lane, count).await;
+                    self.wait_link(lane).await;
                     if to.write_all(&block[..count]).await.is_err() {
                         return false;
                     }
@@ -194,6 +254,18 @@
         }
     }
 
+    /// Waits for the delay of a block, and until its direction is not held.
+    async fn wait_link(&self, lane: usize) {
+        let link = || self.state.lock().expect("relay lock").link;
+        while link().held[lane] {
+            Timer::after(HOLD_POLL).await;
+        }
+        let delay = link().delay;
+        if delay > Millis::ZERO {
+            Timer::after(delay.duration()).await;
+        }
+    }
+
     /// Bytes that are forwarded at once.
     fn block_size(&self) -> usize {
         let bandwidth = self.state.lock().expect("relay lock").bandwidth;
