Stop the rest of a broken gang after a takeover

Callers saw a job that stays running for good. The end of one member of a gang was stored, and the lease moved before the stop of the others was ordered. The next scheduler took the others for live runs, and nothing stopped them.

Cause: the intention to stop was kept in memory only, although it follows from the stored state. A recovered gang with fewer runs than members is now stopped.

--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -455,6 +455,7 @@
         for entry in cx.book.jobs() {
             steps.recover_runs(cx, entry);
         }
+        steps.stop_broken_gangs(cx);
         for entry in cx.book.open_jobs() {
             steps.refresh_job(cx, entry.spec.key);
         }
@@ -494,6 +495,22 @@
         }
     }
 
+    /// Stops the recovered members of gangs of which another member has ended: the scheduler that stored its end may not
+    /// have stopped them.
+    fn stop_broken_gangs(&mut self, cx: &Context<'_>) {
+        let mut members: BTreeMap<(StepKey, u32), (RunKey, u32)> = BTreeMap::new();
+        for key in self.runs.keys() {
+            let (_, count) = members.entry((key.0.step_key(), key.1)).or_insert((*key, 0));
+            *count += 1;
+        }
+        for (first, count) in members.into_values() {
+            let broken = step_of(cx.book, &first.0).is_some_and(|step| step.gang && count < step.count);
+            if broken {
+                self.stop_run(cx, first, RunStopReason::GangBroken);
+            }
+        }
+    }
+
     /// How much there is to do at present.
     pub(crate) fn load(&self) -> StepLoad {
         StepLoad {
