Stop runs whose start order a restarted worker may have carried out

Workers saw tasks run twice at the same time for up to 100 ms, or longer while nothing reached them: a worker restarted just before a start order arrived, carried it out, and the scheduler ended the run as lost with the earlier incarnation and placed the task elsewhere.

Cause: the order names the worker, not its incarnation, so that a run which no list of the earlier incarnation has may be alive in the later one. Such runs are now stopped there and end once a later list lacks them or the longest lease has passed. Ruled out: the answer to the order, which comes from either.

--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -8,12 +8,15 @@
 
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
-use crate::steps::engine::{Context, HoldReply, OrderReply, RunOrigin, RunPhase, StepScheduler, Target};
+use crate::steps::engine::{Context, HoldReply, OrderReply, RunOrigin, RunPhase, RunStopReason, StepScheduler, Target};
 use crate::steps::host::{Host, HostInfo, HostUpdate, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::progress::RunProgress;
 use crate::steps::queue::StepKey;
 
+/// Longest lease that workers accept, with a margin for slow clocks.
+const MAX_LEASE: Millis = Millis(10_500);
+
 /// Longest time that a run takes to resume from a checkpoint; no progress is expected before.
 pub(crate) const RESTORE_TIME: Millis = Millis(600);
 
@@ -77,20 +80,33 @@
         }
     }
 
-    /// Switches a worker to a later incarnation: the runs of earlier ones end as `Lost`.
+    /// Switches a worker to a later incarnation: the runs that earlier ones listed end as `Lost`. Those that were only
+    /// ordered are stopped, since the later incarnation may have carried out the order.
     fn restart_host(&mut self, cx: &Context<'_>, worker: &WorkerName, incarnation: Incarnation) {
         let Some(host) = self.hosts.get_mut(worker) else { return };
         let before = host.incarnation;
         host.restart(incarnation);
+        // An order for the earlier incarnation may have started a run here, under any lease that workers accept.
+        host.expiry = cx.now + MAX_LEASE;
         let runs: Vec<RunKey> = host.runs.iter().copied().collect();
         self.log_worker(
             "restarted",
             worker,
             format!("incarnation {incarnation} follows {before}; earlier runs are lost"),
         );
-        for run in runs {
-            if self.runs.get(&run).is_some_and(|run| run.incarnation < incarnation) {
-                self.end_run(cx, run, RunOutcome::Lost, "");
+        for key in runs {
+            let Some(run) = self.runs.get_mut(&key).filter(|run| run.incarnation < incarnation) else {
+                continue;
+            };
+            let ordered = matches!(run.phase, RunPhase::Ordered | RunPhase::Live);
+            if ordered && run.progress.is_none() {
+                // No list of the earlier incarnation had it: the order may have reached this one.
+                run.incarnation = incarnation;
+                run.phase = RunPhase::Ordered;
+                run.stop = None;
+                self.stop_run(cx, key, RunStopReason::Unanswered);
+            } else {
+                self.end_run(cx, key, RunOutcome::Lost, "");
             }
         }
     }
