Log the connections and the anonymous memory of a scheduler

Cause looked for: a scheduler of 350 workers on a weak machine grows to 150 MB. The load lines show neither how many connections it holds nor how much of its memory is heap.

The line now says how many connections to workers are open and idle, and the part of resident memory that is no file's. No change of logic.

--- a/crates/pistachiostair/src/edge.rs
+++ b/crates/pistachiostair/src/edge.rs
@@ -143,6 +143,17 @@
     /// Renews the lease of all runs on a worker, acknowledges ended runs, waits for the end of a run, and returns the
     /// worker's lists of running and ended runs.
     fn hold<'a>(&'a self, target: &'a Target, order: &'a HoldOrder) -> BoxFuture<'a, Result<HoldReply, OrderReply>>;
+    /// Number of open connections to workers.
+    fn connections(&self) -> Connections;
+}
+
+/// Number of open connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Connections {
+    /// All of them.
+    pub open: usize,
+    /// Those that no request uses.
+    pub idle: usize,
 }
 
 /// The platform's list of workers that run the tasks of steps.
--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -16,6 +16,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::clock::Millis;
+use crate::edge::Connections;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_lines::HttpLines;
 use crate::http_progress::{Progress, Upload};
@@ -194,6 +195,15 @@
             .map_or(0, |pool| pool.open)
     }
 
+    /// Number of connections to all peers.
+    pub fn connections(&self) -> Connections {
+        let pools = self.pools.lock().expect("pool lock");
+        Connections {
+            open: pools.values().map(|pool| pool.open).sum(),
+            idle: pools.values().map(|pool| pool.idle.len()).sum(),
+        }
+    }
+
     fn take_idle(&self, peer: &str) -> Option<(u64, SendRequest<Upload>)> {
         let mut pools = self.pools.lock().expect("pool lock");
         let pool = pools.get_mut(peer)?;
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -118,7 +118,8 @@
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
 pub use edge::{
-    BoxFuture, Check, Commit, HostList, Hosts, Objects, Row, RulesSource, Table, Transaction, Vm, VmList, VmRole, Write,
+    BoxFuture, Check, Commit, Connections, HostList, Hosts, Objects, Row, RulesSource, Table, Transaction, Vm, VmList,
+    VmRole, Write,
 };
 pub use ejection::Ejector;
 pub use election::{Election, ElectionAction, ElectionEvent, ElectionTimes};
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -247,14 +247,18 @@
     pub cpu: f64,
     /// Resident memory, in bytes.
     pub resident: u64,
+    /// Part of the resident memory that is no file's: heaps and stacks, in bytes.
+    pub anonymous: u64,
 }
 
 /// Reads the process's usage from `/proc/self`; zero where it can't be read.
 pub fn process_usage() -> ProcessUsage {
     let read = |name| std::fs::read_to_string(name).unwrap_or_default();
+    let status = read("/proc/self/status");
     ProcessUsage {
         cpu: cpu_seconds(&read("/proc/self/stat")).unwrap_or_default(),
-        resident: resident_bytes(&read("/proc/self/status")).unwrap_or_default(),
+        resident: status_bytes(&status, "VmRSS:").unwrap_or_default(),
+        anonymous: status_bytes(&status, "RssAnon:").unwrap_or_default(),
     }
 }
 
@@ -268,9 +272,9 @@
     Some((user + system) as f64 / TICKS_PER_SECOND)
 }
 
-/// Resident memory of the text of `/proc/PID/status`.
-fn resident_bytes(status: &str) -> Option<u64> {
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+/// Amount of memory in a line of `/proc/PID/status` that starts with `prefix`.
+fn status_bytes(status: &str, prefix: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(prefix))?;
     let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
     Some(kib * 1024)
 }
--- a/crates/pistachiostair/src/metrics/tests.rs
+++ b/crates/pistachiostair/src/metrics/tests.rs
@@ -14,9 +14,12 @@
 }
 
 #[test]
-fn resident_bytes_kib() {
-    assert_eq!(resident_bytes("Name:\tx\nVmRSS:\t    2048 kB\n"), Some(2 * 1024 * 1024));
-    assert_eq!(resident_bytes("Name:\tx\n"), None);
+fn status_bytes_kib() {
+    assert_eq!(
+        status_bytes("Name:\tx\nVmRSS:\t    2048 kB\n", "VmRSS:"),
+        Some(2 * 1024 * 1024)
+    );
+    assert_eq!(status_bytes("Name:\tx\n", "VmRSS:"), None);
 }
 
 // The daemon's overhead limits are checked with these two values, so they must not read as zero.
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -13,7 +13,7 @@
 use crate::clock::Millis;
 use crate::commands::{self, CommandQueues};
 use crate::config::{CATALOG_KEY, Config, GUARANTEE_PREFIX};
-use crate::edge::{Commit, Transaction, Write};
+use crate::edge::{Commit, Connections, Transaction, Write};
 use crate::election::{Election, ElectionAction, ElectionEvent};
 use crate::error::{Error, ErrorKind, Ran};
 use crate::ids::{DaemonName, GuaranteeName, RegionName, Revision, Term, WorkerName};
@@ -28,6 +28,7 @@
 use crate::scheduler_service::{Input, Shared, failed, wall_time};
 use crate::scheduler_updates::Forwarded;
 use crate::steps::{StepAnswer, StepsEvent};
+use crate::steps_io::HostClients;
 use crate::storage::Storage;
 use crate::takeover::Loader;
 use crate::worker::{Changes, CommandBatch};
@@ -141,11 +142,15 @@
         let Some((term, _)) = self.elected else { return };
         let usage = process_usage();
         let journal = self.scheduler.journal_load();
+        let connections = self
+            .kernel
+            .find::<HostClients>()
+            .map_or_else(|_| Connections::default(), |clients| clients.hosts.connections());
         slog::info!(self.log, "load"; "term" => term.0, "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
-            "calls" => self.step_calls.len(), "records" => journal.map(|load| load.backlog),
+            "connections" => connections.open, "idle" => connections.idle, "calls" => self.step_calls.len(), "records" => journal.map(|load| load.backlog),
             "snapshot_bytes" => journal.map(|load| load.snapshot_bytes),
             "row_bytes" => journal.map(|load| load.row_bytes), "tick_late" => late.0,
-            "cpu_ms" => (usage.cpu * 1_000.0) as u64, "resident" => usage.resident);
+            "cpu_ms" => (usage.cpu * 1_000.0) as u64, "resident" => usage.resident, "anonymous" => usage.anonymous);
     }
 
     fn handle_input(&mut self, input: Input) {
--- a/crates/pistachiostair/src/snapshot.rs
+++ b/crates/pistachiostair/src/snapshot.rs
@@ -193,7 +193,6 @@
         rows >= self.limits.max_rows
             || (rows >= self.limits.min_rows && self.new_bytes >= self.last_size / 2)
             || (rows > 0 && self.new_bytes >= self.limits.min_bytes.max(self.last_size))
-           
     }
 
     fn write_snapshot(&mut self, state: &RegionState) -> Vec<AppendAction> {
