Bound the handshakes of peers that are in progress at once

Cause: a daemon that becomes the scheduler is connected to by all others. On a machine of 0.12 cores their handshakes share the processor, none is done within the second that a peer waits, and the peers try again. Each attempt holds a connection with its TLS state until it is closed.

The heap stops growing when the handshakes do. It is ended over its limit at 38 s.

Change: 8 handshakes are in progress at once, and none longer than the peer waits. Others wait for 500 ms, with no state but their first packet, and are then ignored; the peer repeats that packet while it waits.

--- a/crates/pistachiostair/src/peers.rs
+++ b/crates/pistachiostair/src/peers.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 
+use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
 use quinn::{ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
@@ -35,6 +36,12 @@
 /// Connections from peers at once: 27 daemons with a few old connections each, and room for restarts.
 const MAX_INCOMING: usize = 256;
 
+/// Handshakes of peers in progress at once. Each takes about 0.2 MB, and all of them share the processor: with too many,
+/// none is done before its peer gives up.
+const MAX_HANDSHAKES: usize = 8;
+/// Longest time that a connection waits for its handshake. The peer has the rest of [`CONNECT_TIMEOUT`] for it.
+const HANDSHAKE_WAIT: Millis = Millis(500);
+
 /// Answers requests of peers. The future is dropped if the peer no longer waits for the response.
 pub type PeerHandler = Arc<dyn Fn(Envelope) -> BoxFuture<'static, Response> + Send + Sync>;
 
@@ -62,6 +69,8 @@
     endpoint: Endpoint,
     client: ClientConfig,
     slots: Mutex<BTreeMap<String, Arc<Slot>>>,
+    /// Holds an element for each handshake in progress.
+    handshakes: (Sender<()>, Receiver<()>),
     running: Arc<AtomicUsize>,
     held: Arc<AtomicUsize>,
     closing: Stop,
@@ -100,6 +109,7 @@
             endpoint,
             client,
             slots: Mutex::default(),
+            handshakes: async_channel::bounded(MAX_HANDSHAKES),
             running: Arc::default(),
             held: Arc::default(),
             closing: Stop::new(),
@@ -262,7 +272,16 @@
 
     async fn serve(self: Arc<Self>, incoming: Incoming) {
         let address = incoming.remote_address();
-        let connection = match accepted(incoming).await {
+        let (handshakes, done) = &self.handshakes;
+        if within(HANDSHAKE_WAIT, handshakes.send(())).await.is_none() {
+            // The peer repeats its first packet while it waits.
+            incoming.ignore();
+            return;
+        }
+        let handshake = within(CONNECT_TIMEOUT, accepted(incoming)).await;
+        // Never empty: it holds the element that was sent above.
+        let _ = done.try_recv();
+        let connection = match handshake.unwrap_or(Err(quinn::ConnectionError::TimedOut)) {
             Ok(connection) => connection,
             Err(error) => {
                 if let Some(report) = &self.settings.refused {
--- a/crates/pistachiostair/tests/peers.rs
+++ b/crates/pistachiostair/tests/peers.rs
@@ -12,8 +12,8 @@
 use async_io::{Timer, block_on};
 use authority::Authority;
 use pistachiostair::{
-    DaemonName, ErrorKind, Kernel, LinkSettings, MAX_MESSAGE, Millis, PeerHandler, PeerTls, Peers, Ran, Request,
-    Response, Revision,
+    DaemonName, ErrorKind, Kernel, LinkSettings, MAX_MESSAGE, Millis, PeerHandler, PeerReport, PeerTls, Peers, Ran,
+    Request, Response, Revision,
 };
 
 /// A kernel whose executor runs on a thread until it is dropped.
@@ -26,28 +26,36 @@
 
 impl Daemon {
     fn start(name: &str, tls: PeerTls, handler: PeerHandler) -> Self {
+        let refused = Arc::new(AtomicUsize::new(0));
+        let count = refused.clone();
+        let report: PeerReport = Arc::new(move |_, error| {
+            assert_eq!(error.kind, ErrorKind::Refused);
+            count.fetch_add(1, Ordering::SeqCst);
+        });
+        Self {
+            refused,
+            ..Self::start_reporting(name, tls, handler, Some(report))
+        }
+    }
+
+    fn start_reporting(name: &str, tls: PeerTls, handler: PeerHandler, report: Option<PeerReport>) -> Self {
         let executor = Arc::new(Executor::new());
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let runner = executor.clone();
         std::thread::spawn(move || block_on(runner.run(stopped.recv())));
         let kernel = Kernel::new(executor);
-        let refused = Arc::new(AtomicUsize::new(0));
-        let count = refused.clone();
         let settings = LinkSettings {
             name: DaemonName::from(name),
             listen: "127.0.0.1:0".parse().unwrap(),
             tls,
-            refused: Some(Arc::new(move |_, error| {
-                assert_eq!(error.kind, ErrorKind::Refused);
-                count.fetch_add(1, Ordering::SeqCst);
-            })),
+            refused: report,
         };
         let peers = Peers::start(&kernel, settings, handler).unwrap();
         kernel.register(peers.clone()).unwrap();
         Self {
             kernel,
             peers,
-            refused,
+            refused: Arc::default(),
             _stop: stop,
         }
     }
@@ -335,3 +343,47 @@
         flow
     }
 }
+
+/// Passes datagrams on to `target` and none back. Returns the address that takes them.
+fn one_way(target: &str) -> String {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let (address, target) = (socket.local_addr().unwrap(), target.to_owned());
+    socket.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+    std::thread::spawn(move || {
+        let output = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let mut datagram = [0; 2_048];
+        while let Ok(length) = socket.recv(&mut datagram) {
+            output.send_to(&datagram[..length], &target).unwrap();
+        }
+    });
+    address.to_string()
+}
+
+/// Guards against the memory of a daemon that more peers connect to than it can serve, all of whose handshakes then time
+/// out.
+#[test]
+fn accept_many_handshakes() {
+    const STORM: usize = 32;
+    const MAX_OPEN: usize = 8;
+    let authority = Authority::new();
+    let server = Daemon::start_reporting("b", authority.tls(), echo(), None);
+    let client = Daemon::start("a", authority.tls(), echo());
+    let mut most = 0;
+    let calls: Vec<_> = (0..STORM)
+        .map(|_| {
+            let (peers, address) = (client.peers.clone(), one_way(&server.address()));
+            std::thread::spawn(move || block_on(peers.call(&address, policy(0, 1), Millis(1_500))).is_err())
+        })
+        .collect();
+    // Until then no peer gives up, so that none of these connections is closing.
+    let end = Instant::now() + Duration::from_millis(400);
+    while Instant::now() < end {
+        most = most.max(server.peers.connections());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(calls.into_iter().all(|call| call.join().unwrap()));
+    assert!((1..=MAX_OPEN).contains(&most), "{most} connections at once");
+    // A peer that can be reached gets through as soon as the others have given up.
+    let response = client.call(&server.address(), policy(1, 1), 3_000);
+    assert!(response.is_ok(), "{response:?}");
+}
