Close connections to workers that are idle

Cause: a scheduler kept every connection that it had opened to a worker, up to 24 to each, for good. Orders that are sent at once take one each, and on a slow machine, where an order takes longer, more are in progress at once.

The store has a client of its own, whose connections are kept as before.

Tried and not kept: two orders in progress at a worker and 64 in all, others waiting without a bound.

--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -15,7 +15,7 @@
 use rustix::net::sockopt::set_socket_send_buffer_size;
 use smol_hyper::rt::FuturesIo;
 
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
 use crate::edge::Connections;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::http_lines::HttpLines;
@@ -29,6 +29,9 @@
 /// take a whole body at once, so that no progress shows while the peer takes it.
 const BUFFER_BYTES: usize = 32 * 1024;
 
+/// Shortest time between two searches for connections that are idle for too long.
+const SWEEP_INTERVAL: Millis = Millis(500);
+
 /// A request without its peer.
 #[derive(Clone, Debug)]
 pub struct HttpCall<'a> {
@@ -55,19 +58,68 @@
     pub body: Bytes,
 }
 
+/// Bounds of the connections that no request uses. Each takes about 25 KB.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleLimits {
+    /// To one peer.
+    pub peer: usize,
+    /// To all peers.
+    pub all: usize,
+    /// Time without a request after which a connection is closed.
+    pub time: Millis,
+}
+
+/// A connection that no request uses.
+struct Idle {
+    epoch: u64,
+    since: Millis,
+    sender: SendRequest<Upload>,
+}
+
 #[derive(Default)]
 struct Pool {
     /// Raised when a request on this peer timed out; connections of older epochs are not used again.
     epoch: u64,
-    idle: Vec<(u64, SendRequest<Upload>)>,
+    /// The one that was used last is at the end.
+    idle: Vec<Idle>,
     open: usize,
 }
 
+#[derive(Default)]
+struct Pools {
+    peers: BTreeMap<String, Pool>,
+    /// Number of idle connections to all peers.
+    idle: usize,
+    /// When connections past their idle time were last closed.
+    swept: Millis,
+}
+
+impl Pools {
+    fn clear_idle(&mut self, peer: &str) {
+        if let Some(pool) = self.peers.get_mut(peer) {
+            self.idle -= pool.idle.len();
+            pool.idle.clear();
+        }
+    }
+
+    /// Closes the connections that are idle for `time` or longer, and forgets peers without connections.
+    fn close_idle(&mut self, now: Millis, time: Millis) {
+        self.swept = now;
+        for pool in self.peers.values_mut() {
+            pool.idle.retain(|idle| now.since(idle.since) < time);
+        }
+        self.idle = self.peers.values().map(|pool| pool.idle.len()).sum();
+        self.peers.retain(|_, pool| pool.open > 0);
+    }
+}
+
 /// HTTP/1.1 client: one request at a time on each connection.
 pub struct HttpClient {
     executor: Arc<Executor<'static>>,
-    pools: Arc<Mutex<BTreeMap<String, Pool>>>,
+    clock: Clock,
+    pools: Arc<Mutex<Pools>>,
     limit: usize,
+    idle: IdleLimits,
     max_body: usize,
     traffic: Arc<Traffic>,
     kind: Arc<ByteCounts>,
@@ -78,14 +130,27 @@
     pub fn new(executor: Arc<Executor<'static>>, limit: usize, max_body: usize) -> Self {
         Self {
             executor,
+            clock: Clock::start(),
             pools: Arc::default(),
             limit,
+            idle: IdleLimits {
+                peer: limit,
+                all: usize::MAX,
+                time: Millis(u64::MAX),
+            },
             max_body,
             traffic: Arc::default(),
             kind: Arc::default(),
         }
     }
 
+    /// Bounds the connections that it keeps for later requests.
+    #[must_use]
+    pub fn with_idle(mut self, idle: IdleLimits) -> Self {
+        self.idle = idle;
+        self
+    }
+
     /// Counts the bytes of its connections in `traffic`, under `kind`.
     #[must_use]
     pub fn with_traffic(mut self, traffic: Arc<Traffic>, kind: &'static str) -> Self {
@@ -181,9 +246,7 @@
 
     /// Closes all idle connections to `peer`.
     pub fn forget(&self, peer: &str) {
-        if let Some(pool) = self.pools.lock().expect("pool lock").get_mut(peer) {
-            pool.idle.clear();
-        }
+        self.pools.lock().expect("pool lock").clear_idle(peer);
     }
 
     /// Number of idle and busy connections to `peer`.
@@ -191,6 +254,7 @@
         self.pools
             .lock()
             .expect("pool lock")
+            .peers
             .get(peer)
             .map_or(0, |pool| pool.open)
     }
@@ -199,15 +263,17 @@
     pub fn connections(&self) -> Connections {
         let pools = self.pools.lock().expect("pool lock");
         Connections {
-            open: pools.values().map(|pool| pool.open).sum(),
-            idle: pools.values().map(|pool| pool.idle.len()).sum(),
+            open: pools.peers.values().map(|pool| pool.open).sum(),
+            idle: pools.idle,
         }
     }
 
     fn take_idle(&self, peer: &str) -> Option<(u64, SendRequest<Upload>)> {
         let mut pools = self.pools.lock().expect("pool lock");
-        let pool = pools.get_mut(peer)?;
-        while let Some((epoch, sender)) = pool.idle.pop() {
+        let Pools { peers, idle, .. } = &mut *pools;
+        let pool = peers.get_mut(peer)?;
+        while let Some(Idle { epoch, sender, .. }) = pool.idle.pop() {
+            *idle -= 1;
             if epoch == pool.epoch && sender.is_ready() {
                 return Some((epoch, sender));
             }
@@ -217,17 +283,20 @@
 
     fn put_back(&self, peer: &str, epoch: u64, sender: SendRequest<Upload>, usable: bool) {
         let mut pools = self.pools.lock().expect("pool lock");
-        let pool = pools.entry(peer.to_owned()).or_default();
-        if usable && epoch == pool.epoch && !sender.is_closed() && pool.idle.len() < self.limit {
-            pool.idle.push((epoch, sender));
+        let Pools { peers, idle, .. } = &mut *pools;
+        let pool = peers.entry(peer.to_owned()).or_default();
+        let room = pool.idle.len() < self.idle.peer && *idle < self.idle.all;
+        if usable && epoch == pool.epoch && !sender.is_closed() && room {
+            let since = self.clock.now();
+            pool.idle.push(Idle { epoch, since, sender });
+            *idle += 1;
         }
     }
 
     fn distrust(&self, peer: &str) {
         let mut pools = self.pools.lock().expect("pool lock");
-        let pool = pools.entry(peer.to_owned()).or_default();
-        pool.epoch += 1;
-        pool.idle.clear();
+        pools.peers.entry(peer.to_owned()).or_default().epoch += 1;
+        pools.clear_idle(peer);
     }
 
     async fn connect(&self, peer: &str) -> Result<(u64, SendRequest<Upload>)> {
@@ -261,7 +330,11 @@
 
     fn reserve(&self, peer: &str) -> Result<OpenGuard> {
         let mut pools = self.pools.lock().expect("pool lock");
-        let pool = pools.entry(peer.to_owned()).or_default();
+        let now = self.clock.now();
+        if now.since(pools.swept) >= SWEEP_INTERVAL {
+            pools.close_idle(now, self.idle.time);
+        }
+        let pool = pools.peers.entry(peer.to_owned()).or_default();
         if pool.open >= self.limit {
             let message = format!("{} connections are open, the most allowed", pool.open);
             return Err(Error::msg(ErrorKind::Limited, "connect", message)
@@ -333,14 +406,14 @@
 
 /// A place among the open connections of a peer, given back when the connection ends.
 struct OpenGuard {
-    pools: Arc<Mutex<BTreeMap<String, Pool>>>,
+    pools: Arc<Mutex<Pools>>,
     peer: String,
     epoch: u64,
 }
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        if let Some(pool) = self.pools.lock().expect("pool lock").get_mut(&self.peer) {
+        if let Some(pool) = self.pools.lock().expect("pool lock").peers.get_mut(&self.peer) {
             pool.open = pool.open.saturating_sub(1);
         }
     }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -124,7 +124,7 @@
 pub use ejection::Ejector;
 pub use election::{Election, ElectionAction, ElectionEvent, ElectionTimes};
 pub use error::{Error, ErrorKind, Ran, Result};
-pub use http_client::{HttpAnswer, HttpCall, HttpClient};
+pub use http_client::{HttpAnswer, HttpCall, HttpClient, IdleLimits};
 pub use http_lines::HttpLines;
 pub use http_server::{
     HttpBody, HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer, decode_percent, encode_percent,
