--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -122,13 +122,14 @@
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
 pub use edge::{
-    BoxFuture, Check, Commit, HostList, Hosts, Objects, Row, RulesSource, Table, Transaction, Vm, VmList, VmRole, Write,
+    BoxFuture, Check, Commit, Connections, HostList, Hosts, Objects, Row, RulesSource, Table, Transaction, Vm, VmList,
+    VmRole, Write,
 };
 pub use ejection::Ejector;
 pub use election::{Election, ElectionAction, ElectionEvent, ElectionTimes};
 pub use error::{Error, ErrorKind, Ran, Result};
 pub use followers::Followers;
-pub use http_client::{HttpAnswer, HttpCall, HttpClient};
+pub use http_client::{HttpAnswer, HttpCall, HttpClient, IdleLimits};
 pub use http_lines::HttpLines;
 pub use http_server::{
     HttpBody, HttpHandler, HttpLimits, HttpRefusal, HttpReply, HttpRequest, HttpServer, decode_percent, encode_percent,
