Soak: watch a key from its addition

A daemon that has not learnt of a key refuses it rightly. The check now begins with the key's addition: a key that was accepted and then refused must not be accepted again, by the same daemon, and none later than the bound after its removal, as before.

--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -153,8 +153,8 @@
     incarnations: BTreeMap<usize, u64>,
     /// Version of the configuration.
     version: u64,
-    /// The key besides the one of all callers.
-    extra_key: Option<String>,
+    /// The key besides the one of all callers, and when it was removed.
+    extra_key: Option<(String, Removed)>,
     /// Answers to requests with removed keys that were accepted too late.
     revoked: Arc<Mutex<Vec<String>>>,
     stop: Stop,
@@ -477,13 +477,15 @@
         let mut config = node_config(self.version, &[API_KEY, &key]);
         config["routes"][0]["target_latency_ms"] = json!(250 + self.version);
         self.fleet.store.put("op", "config", &config);
-        if let Some(removed) = self.extra_key.replace(key) {
-            for daemon in 0..self.setup.daemons {
-                let (caller, stop) = (self.fleet.caller(), self.stop.clone());
-                let (removed, found) = (removed.clone(), self.revoked.clone());
-                let watch = async move { watch_key(&caller, daemon, &removed, &stop, &found).await };
-                self.fleet.executor.spawn(watch).detach();
-            }
+        if let Some((_, last)) = &self.extra_key {
+            *last.lock().expect("keys lock") = Some(Instant::now());
+        }
+        let (key, removed) = self.extra_key.insert((key, Removed::default()));
+        for daemon in 0..self.setup.daemons {
+            let (caller, stop) = (self.fleet.caller(), self.stop.clone());
+            let (key, removed, found) = (key.clone(), removed.clone(), self.revoked.clone());
+            let watch = async move { watch_key(&caller, daemon, (&key, &removed), &stop, &found).await };
+            self.fleet.executor.spawn(watch).detach();
         }
     }
 
@@ -508,7 +510,7 @@
     /// Waits until every daemon accepts and completes a job with the newest key.
     fn recover(&mut self) {
         let from = self.now();
-        let key = self.extra_key.clone().unwrap_or_default();
+        let (key, _) = self.extra_key.clone().unwrap_or_default();
         let probes: Vec<_> = (0..self.setup.daemons)
             .map(|daemon| {
                 let (caller, key) = (self.fleet.caller(), key.clone());
@@ -570,22 +572,34 @@
     }
 }
 
-/// Sends requests with a removed key until `stop` is raised, and records those that are accepted too late.
-async fn watch_key(caller: &NodeCaller, daemon: usize, key: &str, stop: &Stop, found: &Mutex<Vec<String>>) {
-    let removed = Instant::now();
-    let mut refused = None;
+/// When a key was removed from the configuration; `None` before.
+type Removed = Arc<Mutex<Option<Instant>>>;
+
+/// Sends requests with a key from its addition until `stop` is raised, and records those that are accepted too late
+/// after its removal, or after the daemon has learnt of the key and refused it again. A daemon that has not learnt of
+/// the key yet refuses it, too.
+async fn watch_key(
+    caller: &NodeCaller,
+    daemon: usize,
+    (key, removed): (&str, &Mutex<Option<Instant>>),
+    stop: &Stop,
+    found: &Mutex<Vec<String>>,
+) {
+    let (mut learnt, mut refused) = (false, false);
     while !stop.is_raised() {
-        let sent = Millis(removed.elapsed().as_millis() as u64);
+        let removed = *removed.lock().expect("keys lock");
+        let since = removed.map(|at| Millis(at.elapsed().as_millis() as u64));
         let answer = caller
             .send(daemon, (Method::GET, URGENT), Vec::new(), key, PATIENCE)
             .await;
         match answer.map(|(status, _)| status) {
-            Some(StatusCode::UNAUTHORIZED) => refused = refused.or(Some(sent)),
-            Some(StatusCode::OK) if sent > REVOKE_TIME || refused.is_some() => {
-                let text = format!("daemon {daemon}: {key} accepted {sent} after its removal; refused at {refused:?}");
+            Some(StatusCode::UNAUTHORIZED) => refused = learnt,
+            Some(StatusCode::OK) if since > Some(REVOKE_TIME) || refused => {
+                let text = format!("daemon {daemon}: {key} accepted {since:?} after its removal; refused: {refused}");
                 found.lock().expect("keys lock").push(text);
                 return;
             }
+            Some(StatusCode::OK) => learnt = true,
             _ => {}
         }
         pause(Millis(300)).await;
