--- a/crates/standin/tests/processes/mixed.rs
+++ b/crates/standin/tests/processes/mixed.rs
@@ -11,8 +11,8 @@
 
 use crate::support::{ACCOUNT, Ready, SOON, all_succeeded, orders, pause};
 
-/// Orders submitted at once until there is a snapshot.
-const BATCH: usize = 40;
+/// Orders submitted at once until there is a snapshot. More at once share the rows of the journal, whose number decides.
+const BATCH: usize = 10;
 /// The most orders until there is a snapshot.
 const MAX_ORDERS: usize = 4_000;
 /// Takeovers from each build to the other.
