Go on with a handshake between daemons when its callers have given up

Cause: the call that opened a connection drove the handshake, so that its timeout dropped it and the next call began anew; and each call without a response in time made the connection suspect, also if the peer had acknowledged the request and was only slow to answer.

Change: the attempt to connect runs as a task of its own, which callers join. A connection is suspect only if the peer did not acknowledge a request for three round trips and 250 ms.

Ruled out: a longer limit for all attempts (stop_after_running: a stopped peer has to be told within 1 s).

--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -74,6 +74,7 @@
 mod metrics;
 mod node_daemon;
 mod outlier;
+mod peer_connect;
 mod peer_frame;
 mod peer_link;
 mod peer_tls;
--- a/crates/pistachiostair/src/peer_link.rs
+++ b/crates/pistachiostair/src/peer_link.rs
@@ -1,16 +1,20 @@
 //! The connection to one peer: opened once for concurrent callers, replaced when it seems to be silent.
 
 use std::future::Future;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+use async_channel::Receiver;
 use quinn::{Connection, Endpoint, VarInt};
 
 use crate::clock::Millis;
-use crate::error::{Error, Result};
+use crate::error::{Error, ErrorKind, Result};
 
-/// A connection counts as silent only after this many round trips without a packet.
-const SILENT_ROUND_TRIPS: u32 = 3;
+/// Time in which a live peer acknowledges a request, in round trips and beyond them: a daemon that has used up its
+/// processor quota stands still for up to a tenth of a second, and acknowledgements are delayed by 25 ms.
+const ACK_ROUND_TRIPS: u64 = 3;
+const ACK_TIME: Millis = Millis(250);
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const HEADERS: u64 = 28;
 /// No count of packets: nothing points to silence.
@@ -23,6 +27,8 @@
     suspect: AtomicBool,
     /// Number of packets received when the connection was found silent.
     silent: AtomicU64,
+    /// Packets received when a request was given up too early to tell, and when it was sent.
+    unclear: Mutex<Option<(u64, Millis)>>,
 }
 
 impl Link {
@@ -32,6 +38,7 @@
             endpoint,
             suspect: AtomicBool::new(false),
             silent: AtomicU64::new(NOT_SILENT),
+            unclear: Mutex::default(),
         }
     }
 
@@ -40,10 +47,23 @@
         self.connection.stats().udp_rx.datagrams
     }
 
-    /// Notes that a request got no response within `timeout`, sent after `heard` packets were received. The
-    /// next call opens a new connection. A slow peer sees at most one handshake per timeout from this.
-    pub(crate) fn suspect(&self, heard: u64, timeout: Millis) {
-        if self.heard() == heard && timeout.duration() >= self.connection.rtt() * SILENT_ROUND_TRIPS {
+    /// Notes that a request was given up at `now` without an acknowledgement; it was sent at `since`, after `heard`
+    /// packets were received. If the peer should have acknowledged it by then, the next call opens a new connection. For
+    /// requests that are given up earlier, that is the case if nothing at all was received for as long.
+    pub(crate) fn note_unacknowledged(&self, heard: u64, since: Millis, now: Millis) {
+        let round_trip = Millis(self.connection.rtt().as_millis() as u64);
+        let enough = ACK_TIME.max(Millis(round_trip.0 * ACK_ROUND_TRIPS));
+        let heard_now = self.heard();
+        let mut unclear = self.unclear.lock().expect("link lock");
+        let quiet_since = match *unclear {
+            Some((heard, earlier)) if heard == heard_now => earlier.min(since),
+            _ => since,
+        };
+        if now.since(since) < enough && now.since(quiet_since) < enough {
+            *unclear = Some((heard_now, quiet_since));
+            return;
+        }
+        if heard_now == heard {
             self.silent.store(heard, Ordering::Relaxed);
         }
         self.suspect.store(true, Ordering::Relaxed);
@@ -69,54 +89,58 @@
 }
 
 /// Place of the connection to one address.
+#[derive(Default)]
 pub(crate) struct Slot {
     state: Mutex<State>,
-    /// Holds one token; the caller that takes it opens the connection.
-    gate: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 #[derive(Default)]
 struct State {
     link: Option<Arc<Link>>,
-    /// Number of attempts to connect that ended, and the error of the last one.
-    attempts: u64,
+    /// Closed when the attempt to connect that is in progress ends.
+    attempt: Option<Receiver<()>>,
+    /// The error of the last attempt.
     failure: Option<Error>,
 }
 
-impl Default for Slot {
-    fn default() -> Self {
-        let gate = async_channel::bounded(1);
-        gate.0.try_send(()).expect("the new channel has room");
-        Self {
-            state: Mutex::default(),
-            gate,
-        }
-    }
-}
-
 impl Slot {
-    /// The connection in use, or a new one from `connect` if there is none or it is suspect. Callers
-    /// that wait while another one connects share the outcome.
-    pub(crate) async fn get<F: Future<Output = Result<Arc<Link>>>>(
-        &self,
+    /// The connection in use. If there is none or it is suspect, waits for the attempt to connect that is in progress,
+    /// or starts one with `connect`, run by `spawn`, which goes on if the caller gives up. Callers that wait at the same
+    /// time share the outcome.
+    pub(crate) async fn get<F>(
+        self: Arc<Self>,
         connect: impl FnOnce() -> F,
-    ) -> Result<Arc<Link>> {
-        let attempts = match self.usable() {
-            Ok(link) => return Ok(link),
-            Err(attempts) => attempts,
-        };
-        let _token = Token::take(&self.gate).await;
-        match self.usable() {
-            Ok(link) => return Ok(link),
-            Err(now) if now > attempts => {
-                if let Some(failure) = self.failure() {
-                    return Err(failure);
+        spawn: impl FnOnce(Pin<Box<dyn Future<Output = ()> + Send>>),
+    ) -> Result<Arc<Link>>
+    where
+        F: Future<Output = Result<Arc<Link>>> + Send + 'static,
+    {
+        let (ended, attempt) = {
+            let mut state = self.lock();
+            if let Some(link) = state.link.as_ref().filter(|link| link.is_usable()) {
+                return Ok(link.clone());
+            }
+            match &state.attempt {
+                Some(ended) => (ended.clone(), None),
+                None => {
+                    let (running, ended) = async_channel::bounded::<()>(1);
+                    state.attempt = Some(ended.clone());
+                    let (slot, opening) = (self.clone(), connect());
+                    let attempt = async move {
+                        let result = opening.await;
+                        slot.settle(result);
+                        drop(running);
+                    };
+                    (ended, Some(Box::pin(attempt)))
                 }
             }
-            Err(_) => {}
+        };
+        if let Some(attempt) = attempt {
+            spawn(attempt);
         }
-        let result = connect().await;
-        self.settle(result)
+        // Nothing is sent: this waits until the attempt has dropped its end.
+        let _ = ended.recv().await;
+        self.outcome()
     }
 
     /// Whether the slot holds a connection that is not closed.
@@ -138,44 +162,34 @@
         Some(link.endpoint.clone())
     }
 
-    /// The connection in use, or the number of attempts to connect so far.
-    fn usable(&self) -> std::result::Result<Arc<Link>, u64> {
+    /// The connection that the last attempt left in use, or its error.
+    fn outcome(&self) -> Result<Arc<Link>> {
         let state = self.lock();
-        let link = state.link.as_ref().filter(|link| link.is_usable());
-        link.cloned().ok_or(state.attempts)
-    }
-
-    fn failure(&self) -> Option<Error> {
-        let state = self.lock();
-        let failure = state.failure.as_ref()?;
-        let mut error = Error::msg(failure.kind, failure.step, &failure.source);
-        error.peer.clone_from(&failure.peer);
-        Some(error)
+        if let Some(failure) = &state.failure {
+            let mut error = Error::msg(failure.kind, failure.step, &failure.source);
+            error.peer.clone_from(&failure.peer);
+            return Err(error);
+        }
+        let stopped = || Error::msg(ErrorKind::Unavailable, "connect peer", "links are closed");
+        state.link.clone().ok_or_else(stopped)
     }
 
-    fn settle(&self, result: Result<Arc<Link>>) -> Result<Arc<Link>> {
+    fn settle(&self, result: Result<Arc<Link>>) {
         let mut state = self.lock();
-        state.attempts += 1;
+        state.attempt = None;
+        state.failure = None;
         match result {
             Ok(link) => {
-                state.failure = None;
-                if let Some(old) = state.link.replace(link.clone()).filter(|old| old.is_silent()) {
+                if let Some(old) = state.link.replace(link).filter(|old| old.is_silent()) {
                     old.connection.close(VarInt::from_u32(0), b"silent");
                 }
-                Ok(link)
             }
             Err(error) => {
                 // An old connection that still receives packets is better than none.
                 let old = state.link.as_ref().filter(|old| old.is_open() && !old.is_silent());
-                if let Some(old) = old {
-                    return Ok(old.clone());
+                if old.is_none() {
+                    state.failure = Some(error);
                 }
-                let shared = Error::msg(error.kind, error.step, &error.source);
-                state.failure = Some(Error {
-                    peer: error.peer.clone(),
-                    ..shared
-                });
-                Err(error)
             }
         }
     }
@@ -184,19 +198,3 @@
         self.state.lock().expect("slot lock")
     }
 }
-
-/// The token of a gate, put back when dropped.
-struct Token(async_channel::Sender<()>);
-
-impl Token {
-    async fn take(gate: &(async_channel::Sender<()>, async_channel::Receiver<()>)) -> Self {
-        gate.1.recv().await.expect("the gate holds its sender");
-        Self(gate.0.clone())
-    }
-}
-
-impl Drop for Token {
-    fn drop(&mut self) {
-        let _ = self.0.try_send(());
-    }
-}
--- a/crates/pistachiostair/src/peers.rs
+++ b/crates/pistachiostair/src/peers.rs
@@ -9,22 +9,25 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
-use quinn::{ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
+use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
 
-use crate::clock::{Millis, within};
+use crate::clock::{Clock, Millis, within};
 use crate::edge::BoxFuture;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::DaemonName;
 use crate::kernel::{Kernel, Service, Stop};
 use crate::message::{Envelope, Failure, MESSAGE_VERSION, Request, Response};
 use crate::metrics::Metrics;
+use crate::peer_connect::{CONNECT_TIMEOUT, Connector, lost, unconnected};
 use crate::peer_frame::{Held, LENGTH_BYTES, RETRY, decode_message, encode, read_frame};
 use crate::peer_link::{Link, Slot};
-use crate::peer_tls::{KernelRuntime, PeerTls, SERVER_NAME, client_config, server_config};
+use crate::peer_tls::{KernelRuntime, PeerTls, client_config, server_config};
 use crate::traffic::{ByteCounts, Traffic};
 
-/// Longest time to open a connection.
-const CONNECT_TIMEOUT: Millis = Millis(1_000);
+/// Longest time that a call waits for a connection.
+const CONNECT_WAIT: Millis = Millis(1_000);
+/// Longest time to open a stream while as many requests as a connection takes are in progress.
+const STREAM_TIMEOUT: Millis = Millis(1_000);
 /// Longest time to read a request, or to write a response and have it acknowledged.
 const TRANSFER_TIMEOUT: Millis = Millis(10_000);
 /// Longest time that a stop waits for running requests.
@@ -67,7 +70,8 @@
     handler: PeerHandler,
     kernel: Weak<Kernel>,
     endpoint: Endpoint,
-    client: ClientConfig,
+    connector: Connector,
+    clock: Clock,
     slots: Mutex<BTreeMap<String, Arc<Slot>>>,
     /// Holds an element for each handshake in progress.
     handshakes: (Sender<()>, Receiver<()>),
@@ -102,12 +106,18 @@
         let endpoint = Endpoint::new(Default::default(), Some(server), socket, runtime).map_err(unusable)?;
         let metrics = kernel.find::<Metrics>();
         let traffic = metrics.map(|metrics| metrics.traffic.clone()).unwrap_or_default();
+        let listen = settings.listen;
         let peers = Arc::new(Self {
             settings,
             handler,
             kernel: Arc::downgrade(kernel),
             endpoint,
-            client,
+            connector: Connector {
+                ip: listen.ip(),
+                client,
+                kernel: Arc::downgrade(kernel),
+            },
+            clock: kernel.clock,
             slots: Mutex::default(),
             handshakes: async_channel::bounded(MAX_HANDSHAKES),
             running: Arc::default(),
@@ -173,9 +183,7 @@
         match result {
             Some(result) => result.map_err(|error| error.ran(ran)),
             None => {
-                if let Some((link, heard)) = track.take() {
-                    link.suspect(heard, timeout);
-                }
+                track.note_timeout(self.clock.now());
                 let message = format!("no response within {timeout}");
                 Err(Error::msg(ErrorKind::Timeout, "call peer", message)
                     .at(address)
@@ -191,7 +199,15 @@
         send.write_all(frame).await.map_err(|e| broken(e.into()))?;
         let _ = send.finish();
         counts.add_sent(frame.len() as u64);
-        let body = read_frame(&mut recv, |_| Ok(())).await.map_err(|e| e.at(address))?;
+        let acknowledged = async {
+            // An error means that the connection broke, which the read reports.
+            if send.stopped().await.is_ok() {
+                track.acknowledged.store(true, Ordering::Relaxed);
+            }
+            future::pending().await
+        };
+        let body = future::or(read_frame(&mut recv, |_| Ok(())), acknowledged).await;
+        let body = body.map_err(|e| e.at(address))?;
         counts.add_received((body.len() + LENGTH_BYTES) as u64);
         decode_message(&body).map_err(|e| e.at(address))
     }
@@ -200,9 +216,9 @@
     async fn open(&self, address: &str, track: &Track) -> Result<(SendStream, RecvStream)> {
         let mut retried = false;
         loop {
-            let link = self.slot(address).get(|| self.connect(address)).await?;
-            track.set(&link);
-            match within(CONNECT_TIMEOUT, link.connection.open_bi()).await {
+            let link = self.link(address).await?;
+            track.set(&link, self.clock.now());
+            match within(STREAM_TIMEOUT, link.connection.open_bi()).await {
                 Some(Ok((send, recv))) => return Ok((send, recv)),
                 Some(Err(_)) if !retried => retried = true,
                 Some(Err(error)) => return Err(lost("open stream", error).at(address)),
@@ -215,6 +231,15 @@
         }
     }
 
+    /// The connection to a peer. A new one is opened in the background, so that the handshake of a slow peer goes on when
+    /// the callers that wait for it have given up.
+    async fn link(&self, address: &str) -> Result<Arc<Link>> {
+        let slot = self.slot(address);
+        let connect = || self.connector.clone().connect(address.to_owned());
+        let link = within(CONNECT_WAIT, slot.get(connect, |attempt| self.spawn(attempt))).await;
+        link.unwrap_or_else(|| Err(unconnected(CONNECT_WAIT).at(address)))
+    }
+
     fn slot(&self, address: &str) -> Arc<Slot> {
         let mut slots = self.slots.lock().expect("slots lock");
         if let Some(slot) = slots.get(address) {
@@ -225,35 +250,6 @@
         slots.entry(address.to_owned()).or_default().clone()
     }
 
-    /// Opens a connection from a socket of its own: a device that dropped the state of the flow between
-    /// two ports would also drop a new connection between the same ports.
-    async fn connect(&self, address: &str) -> Result<Arc<Link>> {
-        let invalid = |e: anyhow::Error| Error::new(ErrorKind::Invalid, "connect peer", e).at(address);
-        let unavailable = |e: anyhow::Error| Error::new(ErrorKind::Unavailable, "connect peer", e).at(address);
-        let target: SocketAddr = address
-            .parse()
-            .map_err(|e: std::net::AddrParseError| invalid(e.into()))?;
-        let local = SocketAddr::new(self.settings.listen.ip(), 0);
-        let socket = std::net::UdpSocket::bind(local).map_err(|e| unavailable(e.into()))?;
-        let runtime = Arc::new(KernelRuntime::new(self.kernel.clone()));
-        let endpoint = Endpoint::new(Default::default(), None, socket, runtime).map_err(|e| unavailable(e.into()))?;
-        let connecting = endpoint
-            .connect_with(self.client.clone(), target, SERVER_NAME)
-            .map_err(|e| invalid(e.into()))?;
-        let connected = within(CONNECT_TIMEOUT, async {
-            let connection = connecting.await?;
-            // The peer opens this stream once it has accepted our certificate. Without it, requests
-            // would be sent to a peer that may still refuse the connection.
-            connection.accept_uni().await?;
-            Ok(connection)
-        });
-        match connected.await {
-            Some(Ok(connection)) => Ok(Arc::new(Link::new(connection, endpoint))),
-            Some(Err(error)) => Err(lost("connect peer", error).at(address)),
-            None => Err(unavailable(anyhow::anyhow!("no connection within {CONNECT_TIMEOUT}"))),
-        }
-    }
-
     async fn accept(self: Arc<Self>) {
         while let Some(incoming) = self.endpoint.accept().await {
             if self.closing.is_raised() || self.endpoint.open_connections() > MAX_INCOMING {
@@ -385,37 +381,30 @@
     }
 }
 
-/// Error of a lost connection; `Refused` if the TLS handshake failed on either side.
-fn lost(step: &'static str, error: quinn::ConnectionError) -> Error {
-    let code = match &error {
-        quinn::ConnectionError::TransportError(error) => u64::from(error.code),
-        quinn::ConnectionError::ConnectionClosed(close) => u64::from(close.error_code),
-        _ => 0,
-    };
-    // RFC 9000, section 20.1: 0x0100 to 0x01ff are TLS alerts.
-    let kind = if (0x100..0x200).contains(&code) {
-        ErrorKind::Refused
-    } else {
-        ErrorKind::Unavailable
-    };
-    Error::new(kind, step, error)
-}
-
 /// What a call has done so far, for the time when it is cut off.
 #[derive(Default)]
 struct Track {
-    link: Mutex<Option<(Arc<Link>, u64)>>,
+    /// The connection, the packets received on it so far, and the time, when the call began to use it.
+    link: Mutex<Option<(Arc<Link>, u64, Millis)>>,
     sent: AtomicBool,
+    /// Whether the peer has acknowledged the whole request.
+    acknowledged: AtomicBool,
 }
 
 impl Track {
-    fn set(&self, link: &Arc<Link>) {
+    fn set(&self, link: &Arc<Link>, now: Millis) {
         let heard = link.heard();
-        *self.link.lock().expect("track lock") = Some((link.clone(), heard));
+        *self.link.lock().expect("track lock") = Some((link.clone(), heard, now));
     }
 
-    fn take(&self) -> Option<(Arc<Link>, u64)> {
-        self.link.lock().expect("track lock").take()
+    /// Makes the connection suspect if the peer should have acknowledged the request by now.
+    fn note_timeout(&self, now: Millis) {
+        let used = self.link.lock().expect("track lock").take();
+        if let Some((link, heard, since)) = used
+            && !self.acknowledged.load(Ordering::Relaxed)
+        {
+            link.note_unacknowledged(heard, since, now);
+        }
     }
 }
 
