Shorten the gap after a takeover

Change: a call is repeated as soon as another scheduler is known. A new scheduler announces itself after 700 ms, and only to daemons that have not probed it by then.

--- a/crates/pistachiostair/src/gateway.rs
+++ b/crates/pistachiostair/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use async_io::Timer;
+use futures_lite::future;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran};
@@ -139,9 +140,15 @@
             return Ok(service.call_steps(call.clone(), timeout).await);
         }
         let unknown_holder = || Error::msg(ErrorKind::Unavailable, step, "no scheduler is known at present");
-        let (_, address) = service.holder().ok_or_else(unknown_holder)?;
+        let (_, address, superseded) = service.followed_holder().ok_or_else(unknown_holder)?;
         let request = Request::Steps { call: call.clone() };
-        match self.kernel.find::<Peers>()?.call(&address, request, timeout).await? {
+        let peers = self.kernel.find::<Peers>()?;
+        let replaced = async {
+            superseded.wait().await;
+            let error = Error::msg(ErrorKind::Unavailable, step, "another daemon has become the scheduler");
+            Err(error.at(&address).ran(Ran::Unknown))
+        };
+        match future::or(peers.call(&address, request, timeout), replaced).await? {
             Response::Steps(answer) => Ok(answer),
             Response::Failed(failure) => Err(failure.into_error(step, &address)),
             _ => Err(Error::msg(ErrorKind::Internal, step, "unexpected response").at(address)),
--- a/crates/pistachiostair/src/leader_probe.rs
+++ b/crates/pistachiostair/src/leader_probe.rs
@@ -35,6 +35,10 @@
 /// How many times a new scheduler tries to announce itself to a daemon that does not answer.
 const ANNOUNCEMENT_TRIES: u32 = 5;
 
+/// Time after which a new scheduler announces itself. Daemons that reach the table service know of it by then from the
+/// lease row, and need no handshake from it while it has the state and all workers to read.
+const ANNOUNCEMENT_DELAY: Millis = Millis(700);
+
 /// Most daemons that a new scheduler announces itself to.
 const ROSTER_LIMIT: usize = 500;
 
@@ -274,10 +278,16 @@
         }
     }
 
-    /// Announces to all other daemons of the region that this one is the scheduler under `term`.
+    /// Announces to the other daemons of the region that have not probed this one yet that it is the scheduler under
+    /// `term`.
     pub(crate) fn announce_term(self: &Arc<Self>, term: Term) {
         let probe = self.clone();
         self.kernel.spawn_until_stop(async move {
+            Timer::after(ANNOUNCEMENT_DELAY.duration()).await;
+            let service = probe.kernel.find::<SchedulerService>();
+            if !service.is_ok_and(|service| service.term() == Some(term)) {
+                return;
+            }
             let Ok(storage) = probe.kernel.find::<Storage>() else {
                 return;
             };
@@ -291,9 +301,12 @@
                     return slog::info!(probe.log, "rows of daemons not read; term not announced"; "error" => %error);
                 }
             };
+            let known = probe.shared.lock().expect("leader probe lock").followers.clone();
+            let known = known.succession(probe.kernel.clock.now());
+            let informed = |address: &str| address == probe.address || known.contains(&address);
             for row in rows {
                 match serde_json::from_str::<DaemonRow>(&row.value) {
-                    Ok(other) if other.address != probe.address => probe.announce_to(other.address, term),
+                    Ok(other) if !informed(&other.address) => probe.announce_to(other.address, term),
                     Ok(_) => {}
                     Err(error) => slog::warn!(probe.log, "row of a daemon can't be parsed; term not announced to it";
                         "key" => row.key, "error" => %error),
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -28,7 +28,7 @@
 use crate::scheduler_service::{Input, Shared, failed, wall_time};
 use crate::scheduler_updates::Forwarded;
 use crate::steps::{StepAnswer, StepsEvent};
-use crate::steps_io::{HostClients, outcome_of};
+use crate::steps_io::{HostClients, Listing, outcome_of};
 use crate::storage::Storage;
 use crate::takeover::Loader;
 use crate::worker::{Changes, CommandBatch};
@@ -84,6 +84,8 @@
     pub(crate) failed_folds: u32,
     /// Held while the journal is read for a takeover; dropping it ends the read.
     pub(crate) loading: Option<Sender<()>>,
+    /// Brings the platform's list of workers, which is read while the journal is.
+    pub(crate) first_list: Option<Receiver<Listing>>,
     /// Signalled once a resignation that the daemon asked for is done.
     pub(crate) resign_reply: Option<Sender<()>>,
 }
@@ -224,8 +226,7 @@
                 })
             });
             let mut shared = self.shared.lock().expect("leader lock");
-            shared.leader = leader;
-            shared.address = seen.map(|lease| lease.address);
+            shared.set_leader(leader, seen.map(|lease| lease.address));
         }
         for action in self.election.on(self.now(), event) {
             self.perform_election_action(action);
@@ -240,6 +241,7 @@
                 slog::info!(self.log, "elected"; "region" => %self.region, "term" => term.0);
                 self.elected = Some((term, fence));
                 self.failed_folds = 0;
+                self.read_first_list();
                 self.load_journal(term, fence, Millis::ZERO);
             }
             ElectionAction::LeaseValid(held) => {
@@ -408,11 +410,13 @@
         });
         let mut shared = self.shared.lock().expect("leader lock");
         shared.term = Some(term);
-        shared.leader = Some(Leader {
+        let leader = Leader {
             region: self.region.clone(),
             daemon: self.me.clone(),
             term,
-        });
+        };
+        let address = shared.address.take();
+        shared.set_leader(Some(leader), address);
         drop(shared);
         if let Ok(probe) = self.kernel.find::<LeaderProbe>() {
             probe.announce_term(term);
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -1,6 +1,9 @@
 //! The service that runs the election and the scheduler of this daemon's region, and the entry points through which the
 //! rest of the daemon calls them. The scheduler is active on one daemon of the region.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,7 +17,7 @@
 use crate::election::{Election, ElectionEvent, ElectionTimes};
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::{DaemonName, Incarnation, RegionName, Term, WorkerName};
-use crate::kernel::{Kernel, Service};
+use crate::kernel::{Kernel, Service, Stop};
 use crate::message::{Call, Failure, Leader, Response};
 use crate::metrics::Metrics;
 use crate::scheduler::{Event, Scheduler, Token};
@@ -94,6 +97,8 @@
     pub(crate) leader: Option<Leader>,
     /// Address in the same lease row or announcement.
     pub(crate) address: Option<String>,
+    /// Raised when `leader` changes, and then replaced.
+    pub(crate) superseded: Stop,
     /// Term in which this daemon is the scheduler; `None` while it is not, and until it has read the journal.
     pub(crate) term: Option<Term>,
     /// Version of the lease row and end of the lease, while this daemon holds a valid one.
@@ -102,6 +107,17 @@
     pub(crate) penalized: bool,
 }
 
+impl Shared {
+    /// Records the scheduler of the region and its address, and ends the attempts to reach another one.
+    pub(crate) fn set_leader(&mut self, leader: Option<Leader>, address: Option<String>) {
+        if self.leader != leader {
+            std::mem::take(&mut self.superseded).raise();
+        }
+        self.leader = leader;
+        self.address = address;
+    }
+}
+
 /// Handle of the scheduler of the region: passes calls, reports and events to the actor.
 pub(crate) struct SchedulerService {
     region: RegionName,
@@ -152,6 +168,7 @@
             elected: None,
             failed_folds: 0,
             loading: None,
+            first_list: None,
             resign_reply: None,
         };
         kernel.spawn_until_stop(actor.run(receiver));
@@ -257,18 +274,20 @@
         if shared.leader.as_ref().is_some_and(|leader| leader.term >= term) {
             return;
         }
-        shared.leader = Some(Leader {
-            region: self.region.clone(),
-            daemon,
-            term,
-        });
-        shared.address = Some(address);
+        let region = self.region.clone();
+        shared.set_leader(Some(Leader { region, daemon, term }), Some(address));
     }
 
     /// The scheduler of the region and its address; `None` if it is not known.
     pub(crate) fn holder(&self) -> Option<(DaemonName, String)> {
+        self.followed_holder().map(|(daemon, address, _)| (daemon, address))
+    }
+
+    /// Like [`Self::holder`], with a signal that is raised once another one is known.
+    pub(crate) fn followed_holder(&self) -> Option<(DaemonName, String, Stop)> {
         let shared = self.shared.lock().expect("leader lock");
-        Some((shared.leader.as_ref()?.daemon.clone(), shared.address.clone()?))
+        let (leader, address) = (shared.leader.as_ref()?, shared.address.clone()?);
+        Some((leader.daemon.clone(), address, shared.superseded.clone()))
     }
 
     /// Version of the lease row and end of the lease; `None` while this daemon is not the scheduler.
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -8,14 +8,14 @@
 
 use crate::clock::Millis;
 use crate::edge::{HostList, Hosts};
-use crate::error::ErrorKind;
+use crate::error::{ErrorKind, Result};
 use crate::ids::Term;
 use crate::kernel::Service;
 use crate::metrics::Metrics;
 use crate::scheduler::Event;
 use crate::scheduler_actor::SchedulerActor;
 use crate::scheduler_service::Input;
-use crate::steps::{OrderReply, StepsAction, StepsEvent, StepsLog};
+use crate::steps::{HostUpdate, OrderReply, StepsAction, StepsEvent, StepsLog};
 
 /// Time between two reads of the platform's list of workers. A worker must get no new tasks later than 2 s after it
 /// began to drain.
@@ -34,6 +34,9 @@
     const NAME: &'static str = "hosts";
 }
 
+/// Outcome of a read of the platform's list of workers, with the position to continue from.
+pub(crate) type Listing = Result<(u64, HostUpdate)>;
+
 impl SchedulerActor {
     /// Performs one action. Orders are sent by a task of their own, whose outcome comes back as an event.
     pub(crate) fn perform_step_action(&mut self, action: StepsAction) {
@@ -81,9 +84,23 @@
             "reason" => &line.reason, "term" => term);
     }
 
+    /// Starts to read the whole list of workers, for [`Self::poll_host_list`].
+    pub(crate) fn read_first_list(&mut self) {
+        let (sender, first) = async_channel::bounded(1);
+        self.first_list = Some(first);
+        if let Ok(clients) = self.kernel.find::<HostClients>() {
+            self.kernel.spawn_until_stop(async move {
+                // Fails if the daemon is no longer the scheduler.
+                let _ = sender.send(clients.listing.hosts(None).await).await;
+            });
+        }
+    }
+
     /// Starts a task that polls the platform's list of workers until this daemon is no longer the scheduler under
-    /// `term`. It reads the whole list first, and again when the position to continue from has expired.
-    pub(crate) fn poll_host_list(&self, term: Term) {
+    /// `term`. It takes the list whose read was started before, and reads the whole list again when the position to
+    /// continue from has expired.
+    pub(crate) fn poll_host_list(&mut self, term: Term) {
+        let mut first = self.first_list.take();
         let Ok(clients) = self.kernel.find::<HostClients>() else {
             return;
         };
@@ -92,7 +109,14 @@
             let mut position = None;
             let mut reached = true;
             while shared.lock().expect("leader lock").term == Some(term) {
-                let read = clients.listing.hosts(position).await;
+                let started = match first.take() {
+                    Some(first) => first.recv().await.ok(),
+                    None => None,
+                };
+                let read = match started {
+                    Some(read) => read,
+                    None => clients.listing.hosts(position).await,
+                };
                 if read.is_ok() != reached {
                     reached = read.is_ok();
                     slog::info!(log, "reachability of the list of workers changed"; "reached" => reached,
