Let the platform's stop time decide about preemption and evacuation

Cause: stops were taken to last 200 ms.

Nothing is preempted for a step that can start within the time of a stop, and an urgent step that will be late all the same may lose no more work than others. On a draining worker, runs that are forecast to end in time go on; others are stopped, those without checkpoints as soon as that is foreseeable.

--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -21,7 +21,7 @@
 use crate::scheduler::{Action, Event, LogLine};
 use crate::snapshot::SnapshotLimits;
 use crate::state::{JobState, RegionState};
-use crate::steps::StepScheduler;
+use crate::steps::{StepScheduler, StepTimes};
 use crate::steps_active::recover_steps;
 
 /// Most decisions that the planner makes for one batch of records; it is asked for more with the next batch.
@@ -110,6 +110,8 @@
     pub(crate) actions: Vec<Action>,
     /// Jobs made of steps.
     pub(crate) steps: StepScheduler,
+    /// Time limits of the platform for the runs of steps.
+    pub(crate) step_times: StepTimes,
     /// When the scheduler's lease was last known to be held.
     pub(crate) last_held: Millis,
 }
@@ -178,6 +180,7 @@
             actions: Vec::new(),
             steps: recover_steps(now, wall, term, &state),
             last_held: now,
+            step_times: StepTimes::default(),
             state,
         };
         active.recover(now);
--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::scheduler_service::{SchedulerService, SchedulerSettings, new_incarnation};
 use crate::serve::dispatch;
 use crate::settings::Settings;
+use crate::steps::StepTimes;
 use crate::storage::Storage;
 use crate::store::Store;
 use crate::supervisor::Supervisor;
@@ -262,6 +263,7 @@
         times: ElectionTimes::default(),
         row_bytes: usize::MAX,
         retention: Retention::default(),
+        step_times: StepTimes::default(),
     };
     SchedulerService::start(kernel, govern, log).map(drop)
 }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -172,7 +172,7 @@
     AccountRule, Demand, HoldOrder, HoldReply, HostInfo, HostUpdate, JobEntry, JobKey, OrderReply, PlacedRun, Queue,
     QueueName, QueueSettings, Recurrence, Rules, RunEnd, RunOutcome, RunReport, ServiceName, ServiceRule, StartOrder,
     StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepLoad, StepRecord,
-    StepScheduler, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
+    StepScheduler, StepTimes, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
 };
 pub use store::Store;
 pub use traffic::Traffic;
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -24,7 +24,7 @@
 use crate::rules_watch::RulesWatch;
 use crate::scheduler_service::{SchedulerService, SchedulerSettings, new_incarnation};
 use crate::serve::dispatch;
-use crate::steps::{Queue, Rules, StepAnswer, StepCall};
+use crate::steps::{Queue, Rules, StepAnswer, StepCall, StepTimes};
 use crate::steps_io::HostClients;
 use crate::storage::Storage;
 
@@ -77,6 +77,8 @@
     pub row_bytes: usize,
     /// How long a job that has ended can be read.
     pub job_retention: Millis,
+    /// Time limits of the platform for runs.
+    pub step_times: StepTimes,
     /// Resources of this daemon; all daemons without them count as equal.
     pub capacity: Option<Capacity>,
 }
@@ -204,6 +206,7 @@
                 span: settings.job_retention,
                 ..Retention::default()
             },
+            step_times: settings.step_times,
         };
         SchedulerService::start(&self.kernel, govern, component_logger(&self.log, Component::Scheduler))?;
         let log = component_logger(&self.log, Component::Members);
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
 use crate::snapshot::SnapshotLimits;
-use crate::steps::{StepAnswer, StepLoad, StepsAction, StepsEvent};
+use crate::steps::{StepAnswer, StepLoad, StepTimes, StepsAction, StepsEvent};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 number_id! {
@@ -179,6 +179,7 @@
     retention: Retention,
     snapshots: SnapshotLimits,
     row_bytes: usize,
+    step_times: StepTimes,
     config: RegionConfig,
     /// State of the current term; `None` while this daemon is not the scheduler.
     active: Option<Box<ActiveScheduler>>,
@@ -192,6 +193,7 @@
             retention: Retention::default(),
             snapshots: SnapshotLimits::default(),
             row_bytes: usize::MAX,
+            step_times: StepTimes::default(),
             config: RegionConfig {
                 accounts: BTreeMap::new(),
                 guarantees: BTreeMap::new(),
@@ -222,6 +224,13 @@
         self
     }
 
+    /// Sets the platform's time limits for the runs of steps, from the next election on.
+    #[must_use]
+    pub fn with_step_times(mut self, times: StepTimes) -> Self {
+        self.step_times = times;
+        self
+    }
+
     /// Handles an event at `now`, which never goes back, and returns the actions that follow from it.
     pub fn on(&mut self, now: Millis, event: Event) -> Vec<Action> {
         self.track_config(&event);
@@ -245,7 +254,10 @@
                     &self.config,
                 );
                 match active {
-                    Ok(active) => self.active = Some(Box::new(active)),
+                    Ok(mut active) => {
+                        active.step_times = self.step_times;
+                        self.active = Some(Box::new(active));
+                    }
                     Err(error) => {
                         actions.push(Action::Log(LogLine::of("takeover failed", term, error.to_string())));
                         actions.push(Action::StepDown);
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -23,7 +23,7 @@
 use crate::scheduler::{Event, Scheduler, Token};
 use crate::scheduler_actor::SchedulerActor;
 use crate::scheduler_updates::Forwarded;
-use crate::steps::{HostUpdate, StepAnswer, StepCall};
+use crate::steps::{HostUpdate, StepAnswer, StepCall, StepTimes};
 use crate::storage::Storage;
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
@@ -88,6 +88,8 @@
     pub(crate) row_bytes: usize,
     /// How long ended jobs are kept.
     pub(crate) retention: Retention,
+    /// Time limits of the platform for the runs of steps.
+    pub(crate) step_times: StepTimes,
 }
 
 /// State that the actor shares with the service.
@@ -156,7 +158,8 @@
             election,
             scheduler: Scheduler::new(region.clone())
                 .with_row_bytes(settings.row_bytes)
-                .with_retention(settings.retention),
+                .with_retention(settings.retention)
+                .with_step_times(settings.step_times),
             calls: BTreeMap::new(),
             step_calls: BTreeMap::new(),
             orders: CommandQueues::default(),
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -6,13 +6,15 @@
 //! - `engine`: the scheduler's state and the dispatch of events and committed records.
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
 //! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
-//! - `straggler`, `progress`, `ejection`: slow runs, and workers that are slow or fail.
+//! - `straggler`, `progress`, `ejection`, `evacuation`: slow runs, and workers that are slow, fail or leave.
+//! - `times`: time limits of the platform that decisions depend on.
 
 mod budget;
 mod calls;
 mod capacity;
 mod ejection;
 mod engine;
+mod evacuation;
 mod forecast;
 mod host;
 mod job_table;
@@ -33,6 +35,7 @@
 #[cfg(test)]
 mod tests;
 mod timers;
+mod times;
 
 pub use calls::{StepAnswer, StepCall};
 pub(crate) use engine::Context;
@@ -48,3 +51,4 @@
 pub use spec::{
     Demand, JobKey, QueueName, QueueSettings, Recurrence, ServiceName, Step, StepJob, StepJobPhase, TaskKey,
 };
+pub use times::StepTimes;
--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -7,14 +7,14 @@
 use crate::steps::spec::{Step, StepJob};
 
 /// Time from the acceptance of a job that a guarantee covers after which it may preempt any work without a guarantee,
-/// at any loss. Such a job must have started within 2.7 s, so that several attempts to preempt fit into the time left.
+/// at any loss, so that several attempts to preempt fit into the time left until it must have started.
 const COVERED_WAIT: Millis = Millis(400);
 
 /// Time for which urgent work waits for capacity that becomes free without preemption, in percent of its estimated
 /// remaining duration. Such work may take half as long again, and estimates are off by up to half.
 const URGENT_SLACK_PERCENT: u64 = 25;
 
-/// Bounds of that time. Jobs that a guarantee covers must have started within 2.7 s.
+/// Bounds of that time.
 const MIN_SLACK: Millis = Millis(100);
 const MAX_SLACK: Millis = Millis(500);
 
@@ -22,9 +22,14 @@
 /// late job there is worth a fifth of one in time, and work of other queues can still be done in time later.
 const URGENT_LOSS_PERCENT: u64 = 250;
 
-/// The same for other priorities, whose jobs have time to wait for capacity.
+/// The same for other priorities, whose jobs have time to wait for capacity, and for jobs of priority 0 that will be
+/// late all the same.
 const OTHER_LOSS_PERCENT: u64 = 25;
 
+/// Time after which a job will be late even if its work takes as much less than estimated as estimates are off, in
+/// percent of its slack.
+const LATE_PERCENT: u64 = 150;
+
 /// Limits for a step that does not fit at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PreemptionBudget {
@@ -54,14 +59,15 @@
         let slack = objective.since(remaining).since(waited);
         let own_work = core_millis(&step.demand, step.estimate) * count as u64;
         let urgent = terms.priority == 0;
-        let percent = if urgent {
+        let in_time = waited + cx.times.stopped_after() <= Millis(objective.since(remaining).0 * LATE_PERCENT / 100);
+        let percent = if urgent && (in_time || covered) {
             URGENT_LOSS_PERCENT
         } else {
             OTHER_LOSS_PERCENT
         };
         let unlimited = covered && waited >= COVERED_WAIT;
         let slack = match urgent || covered {
-            true if unlimited => Millis::ZERO,
+            true if unlimited => cx.times.reclaim.since(waited + cx.times.preemption_lead()),
             true => Millis(remaining.0 * URGENT_SLACK_PERCENT / 100).clamp(MIN_SLACK, MAX_SLACK),
             false => slack,
         };
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -20,6 +20,7 @@
 use crate::steps::rules::Rules;
 use crate::steps::spec::{Demand, JobKey, QueueSettings, Step, StepJobPhase, TaskKey};
 use crate::steps::straggler::DurationsByStep;
+use crate::steps::times::StepTimes;
 
 /// How long a scheduler may go on renewing worker leases after its own lease has ended, so that running tasks survive
 /// a store outage of this length. A new scheduler adds it to the expiry of leases that it did not grant itself.
@@ -265,6 +266,8 @@
     pub(crate) store_stalled: bool,
     /// When this scheduler was last known to hold the region's lease.
     pub(crate) last_held: Millis,
+    /// Time limits of the platform.
+    pub(crate) times: StepTimes,
     /// Durable state, as folded from the journal.
     pub(crate) book: &'a StepJobTable,
 }
@@ -276,7 +279,7 @@
     GangBroken,
     /// Preempted in favour of a step that waits.
     Reclaimed,
-    /// The worker drains and is about to go.
+    /// The worker drains and leaves before the run would end.
     WorkerLeaves,
     /// Whether the order to start was carried out is not known.
     Unanswered,
@@ -290,7 +293,7 @@
             Self::JobEnded => "the job has ended",
             Self::GangBroken => "another member of its gang ended or did not start",
             Self::Reclaimed => "preempted by a step that waits for its capacity",
-            Self::WorkerLeaves => "the worker drains and is about to leave",
+            Self::WorkerLeaves => "the worker drains and leaves before the run would end",
             Self::Unanswered => "no certain answer to the order to start",
             Self::Straggler => "it is much slower than others of its step",
         }
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -6,8 +6,8 @@
 use crate::steps::queue::StepKey;
 use crate::steps::spec::{Demand, Step, TaskKey};
 
-/// Time until the capacity of a run that is being stopped is free, with the transit of the order and of the report.
-const STOP_TIME: Millis = Millis(250);
+/// Least remaining time that is assumed for a run that is being stopped.
+const MIN_STOP_REMAINING: Millis = Millis(50);
 
 /// Least remaining time that is assumed for a run whose speed is not known.
 const MIN_UNKNOWN_REMAINING: Millis = Millis(300);
@@ -160,8 +160,9 @@
 }
 
 fn remaining_of_step(cx: &Context<'_>, step: Option<&Step>, run: &TaskRun) -> Millis {
-    if run.stop.is_some() {
-        return STOP_TIME;
+    if let Some(stop) = run.stop {
+        let since = stop.sent_at.unwrap_or(cx.now);
+        return (since + cx.times.stopped_after()).since(cx.now).max(MIN_STOP_REMAINING);
     }
     let estimate = step.map_or(Millis::ZERO, |step| step.estimate);
     let known = run.progress.and_then(|progress| progress.remaining(cx.now, estimate));
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -42,10 +42,6 @@
 /// Shortest time between two hold orders to a worker otherwise.
 const HOLD_GAP: Millis = Millis(20);
 
-/// Time before a draining worker is gone at which its runs are stopped, so that their ends and checkpoints are read
-/// before: a stop of 200 ms, two round trips, and the age of the platform's list.
-const LEAVE_MARGIN: Millis = Millis(900);
-
 record! {
     /// An entry of the platform's list of workers.
     pub struct HostInfo {
@@ -211,16 +207,11 @@
         needed && now >= self.last_hold + gap
     }
 
-    /// Whether it drains and is about to be gone.
-    pub(crate) fn is_leaving(&self, now: Millis) -> bool {
-        self.leaves_at.is_some_and(|leaves| now + LEAVE_MARGIN >= leaves)
-    }
-
-    /// Whether a tick has something to do: the lease of its runs has ended, it is about to leave with runs on it, or a
-    /// hold order is due.
+    /// Whether a tick has something to do: the lease of its runs has ended, it drains with runs on it, or a hold order
+    /// is due.
     pub(crate) fn has_due_work(&self, now: Millis) -> bool {
         let busy = !self.runs.is_empty();
-        (busy && (now > self.expiry || self.is_leaving(now))) || self.is_hold_due(now)
+        (busy && (now > self.expiry || self.leaves_at.is_some())) || self.is_hold_due(now)
     }
 
     /// Keeps a reading of the host's clock from a reply that arrived at `now`; one lower than the last is ignored.
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -277,8 +277,8 @@
         placed as u64
     }
 
-    /// Secures capacity for a step of which no task fits. Preempts running tasks if the step would otherwise be late
-    /// and the loss of work is within its budget. Otherwise, for a gang or a step of priority 0, keeps the capacity
+    /// Secures capacity for a step of which no task fits. Preempts running tasks if the step would otherwise be late,
+    /// can start sooner that way, and the loss of work is within its budget. Otherwise, for a gang or a step of priority 0, keeps the capacity
     /// that is forecast to become free first from other steps for the rest of this pass, if `reservable` allows that.
     fn secure_capacity<'a>(
         &'a self,
@@ -299,25 +299,21 @@
         let needed = step.demand.accelerators * indices.len() as u64;
         let may_reserve = (step.gang || self.terms(entry).priority == 0) && needed <= pass.reservable;
         let unlimited = budget.max_loss.is_none();
-        // Only needed if it decides between preemption and a reservation.
-        let forecast = !unlimited || may_reserve;
-        let earliest = if forecast {
-            blocked.earliest_start(self, cx, pass, count)
-        } else {
-            None
+        let earliest = blocked.earliest_start(self, cx, pass, count);
+        // Preemption takes as long as a stop, so that it gains nothing over capacity that becomes free before.
+        let stopped_after = cx.times.stopped_after();
+        let too_late = match &earliest {
+            None => true,
+            Some(start) if unlimited => start.at > stopped_after || budget.slack == Millis::ZERO || !may_reserve,
+            Some(start) => start.at > budget.slack.max(stopped_after),
         };
-        let too_late = unlimited || earliest.as_ref().is_none_or(|start| start.at > budget.slack);
         if too_late && let Some(preemption) = self.find_preemption(cx, pass, blocked, budget.max_loss) {
-            let start = match forecast {
-                true => earliest,
-                false => blocked.earliest_start(self, cx, pass, count),
-            };
             let reason = format!(
                 "preempts {} runs, losing {} core-ms; slack {}, free without preemption in {:?} ms",
                 preemption.runs.len(),
                 preemption.lost,
                 budget.slack,
-                start.map(|start| start.at.0)
+                earliest.map(|start| start.at.0)
             );
             let workers = preemption
                 .workers
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -10,14 +10,6 @@
 use crate::steps::job_table::JobEntry;
 use crate::steps::spec::{JobKey, TaskKey};
 
-/// Time from the acceptance of a job that a guarantee covers within which it must have started: the shortest that the
-/// users' deployments set.
-const START_LIMIT: Millis = Millis(2_700);
-
-/// Part of [`START_LIMIT`] that must be left to make capacity free by preemption twice; each time takes a stop of
-/// 200 ms, the transit of the orders and a commit.
-const PREEMPTION_LEAD: Millis = Millis(1_200);
-
 /// Error of the forecast of a job's end: workers report progress in whole percent, and a report may be 2 s old.
 const FORECAST_ERROR: Millis = Millis(500);
 
@@ -110,9 +102,9 @@
     }
 
     /// Jobs of priority 0 that the guarantees of their accounts cover. Each account's jobs are counted against its
-    /// guarantee from the oldest on. A job that exceeds it at present is covered all the same once no more than
-    /// [`PREEMPTION_LEAD`] of its [`START_LIMIT`] is left, if the older jobs that are forecast to outlast that limit
-    /// leave enough of the guarantee.
+    /// guarantee from the oldest on. A job that exceeds it at present is covered all the same once no more time than
+    /// two preemptions take is left until it must have started, if the older jobs that are forecast to outlast that
+    /// limit leave enough of the guarantee.
     pub(crate) fn guaranteed_jobs(&self, cx: &Context<'_>) -> BTreeSet<JobKey> {
         let open = cx.book.open_jobs();
         let mut urgent: Vec<_> = open.filter(|entry| self.terms(entry).priority == 0).collect();
@@ -124,7 +116,7 @@
             let guaranteed = self.rules.accounts.get(account).map_or(0, |account| account.guaranteed);
             let needed = peak_accelerators(entry);
             let coverage = accounts.entry(account).or_default();
-            let left = START_LIMIT.since(cx.wall.since(entry.accepted));
+            let left = cx.times.reclaim.since(cx.wall.since(entry.accepted));
             let fits_now = coverage.used + needed <= guaranteed;
             let mut fits_later = || {
                 let mut used = 0;
@@ -134,7 +126,7 @@
                 }
                 used + needed <= guaranteed
             };
-            if fits_now || left <= PREEMPTION_LEAD && fits_later() {
+            if fits_now || left <= cx.times.preemption_lead() && fits_later() {
                 covered.insert(entry.spec.key);
                 coverage.used += needed;
             }
--- a/crates/pistachiostair/src/steps/reservation.rs
+++ b/crates/pistachiostair/src/steps/reservation.rs
@@ -10,10 +10,6 @@
 use crate::steps::queue::StepKey;
 use crate::steps::spec::Demand;
 
-/// Time after which a reservation is dropped if its capacity has not become free; the next planning pass may make a
-/// new one.
-const MAX_AGE: Millis = Millis(1_000);
-
 /// Capacity reserved for all waiting tasks of a step.
 #[derive(Clone, Debug)]
 pub(crate) struct Reservation {
@@ -59,13 +55,14 @@
         }
     }
 
-    /// Drops reservations whose capacity has not become free in time, or of which a worker takes no new tasks any more.
+    /// Drops reservations whose capacity has not become free in time, or of which a worker takes no new tasks any more;
+    /// the next planning pass may make new ones.
     pub(crate) fn expire_reservations(&mut self, cx: &Context<'_>) {
         let hosts = &self.hosts;
         let usable = |worker: &WorkerName| hosts.get(worker).is_some_and(|host| host.is_usable(cx.now));
-        let before = self.reservations.len();
+        let (before, max_age) = (self.reservations.len(), cx.times.reservation_age());
         self.reservations.retain(|_, reservation| {
-            cx.now.since(reservation.since) < MAX_AGE && reservation.workers.values().all(usable)
+            cx.now.since(reservation.since) < max_age && reservation.workers.values().all(usable)
         });
         self.replan |= self.reservations.len() < before;
     }
--- a/crates/pistachiostair/src/steps/straggler.rs
+++ b/crates/pistachiostair/src/steps/straggler.rs
@@ -19,9 +19,6 @@
 /// The same where the duration of only one other task is known: of two, either may be the unusual one.
 const LIMIT_OF_TWO_TENTHS: u64 = 35;
 
-/// Time that it takes to move a run to another worker: a stop, the report of its end, a commit and a start.
-const MOVE_TIME: Millis = Millis(400);
-
 /// Factor by which the remaining time must shrink for a run to be moved, since the work done so far is lost and
 /// forecasts are rough.
 const MIN_SPEEDUP: u64 = 2;
@@ -153,7 +150,7 @@
         let left = 100u64.saturating_sub(progress.percent().into());
         let expected = Millis(usual.0 * left / 100);
         let remaining = progress.remaining(cx.now, usual)?;
-        if remaining.0.saturating_mul(10) <= expected.0 * limit || remaining <= MOVE_TIME {
+        if remaining.0.saturating_mul(10) <= expected.0 * limit || remaining <= cx.times.move_time() {
             return None;
         }
         let elsewhere = match step.checkpointing && !run.checkpoint.is_empty() {
@@ -163,7 +160,7 @@
         Some(Straggler {
             usual,
             remaining: remaining.min(STALL_TIME + expected),
-            elsewhere: elsewhere + MOVE_TIME,
+            elsewhere: elsewhere + cx.times.move_time(),
         })
     }
 
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -14,8 +14,8 @@
 use crate::steps::preemption::{PreemptionLimits, Search, Victims, lost_work};
 use crate::steps::{
     AccountRule, Demand, HoldReply, HostInfo, HostUpdate, JobKey, OrderReply, Queue, QueueName, QueueSettings, Rules,
-    RunEnd, RunOutcome, RunReport, ServiceName, Step, StepCall, StepJob, StepJobTable, StepScheduler, StepsAction,
-    StepsEvent, Target,
+    RunEnd, RunOutcome, RunReport, ServiceName, Step, StepCall, StepJob, StepJobTable, StepScheduler, StepTimes,
+    StepsAction, StepsEvent, Target,
 };
 
 const WORKERS: u64 = 12;
@@ -43,6 +43,7 @@
         lease_held: true,
         store_stalled: false,
         last_held: now,
+        times: StepTimes::default(),
         book,
     }
 }
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -4,7 +4,7 @@
 use crate::clock::Millis;
 use crate::ids::WorkerName;
 use crate::steps::engine::{
-    Context, HoldOrder, RENEWAL_GRACE, RunPhase, RunStopReason, StepScheduler, StepsAction, Target, TaskRun, step_of,
+    Context, HoldOrder, RENEWAL_GRACE, RunPhase, StepScheduler, StepsAction, Target, TaskRun, step_of,
 };
 use crate::steps::host::RunKey;
 use crate::steps::outcome::RunOutcome;
@@ -20,9 +20,6 @@
 /// Least number of progress reports of a run during its estimated duration.
 const PROGRESS_REPORTS: u64 = 4;
 
-/// Time after which a stop order is repeated: workers stop a task within 200 ms.
-const STOP_REPEAT: Millis = Millis(400);
-
 /// Time for which the last ends of a worker without runs stay unacknowledged, so that the hold order of a new run there
 /// may acknowledge them too.
 const ACK_DELAY: Millis = Millis(300);
@@ -56,7 +53,7 @@
         }
     }
 
-    /// Ends the runs of a worker whose lease has ended, stops those of one that is about to leave, and sends the hold
+    /// Ends the runs of a worker whose lease has ended, stops those that won't end before it leaves, and sends the hold
     /// order that is due.
     fn check_host(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
@@ -64,11 +61,8 @@
             self.end_expired_runs(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
-        if host.is_leaving(cx.now) {
-            let runs: Vec<RunKey> = host.runs.iter().copied().collect();
-            for run in runs {
-                self.stop_run(cx, run, RunStopReason::WorkerLeaves);
-            }
+        if let Some(leaves_at) = host.leaves_at {
+            self.evacuate(cx, worker, leaves_at);
         }
         self.hold_if_due(cx, worker);
     }
@@ -164,9 +158,10 @@
             let reachable = hosts.get(&run.worker).is_some_and(|host| host.failures == 0);
             let ordered = reachable && matches!(run.phase, RunPhase::Live | RunPhase::Ordered);
             ordered
-                && run
-                    .stop
-                    .is_some_and(|halt| halt.sent_at.is_none_or(|sent| cx.now.since(sent) >= STOP_REPEAT))
+                && run.stop.is_some_and(|halt| {
+                    halt.sent_at
+                        .is_none_or(|sent| cx.now.since(sent) >= cx.times.stop_repeat())
+                })
         };
         let stopping = self.stopping.iter().copied();
         let runs: Vec<RunKey> = stopping.filter(|key| self.runs.get(key).is_some_and(due)).collect();
--- /dev/null
+++ b/crates/pistachiostair/src/steps/times.rs
@@ -0,0 +1,65 @@
+//! Time limits of the platform that decisions about runs depend on.
+
+use crate::clock::Millis;
+use crate::record;
+
+/// Time beyond the stop itself until its capacity can be used: transit of the order and of the list with the end.
+const STOP_TRANSIT: Millis = Millis(50);
+
+/// Time beyond the stop itself until it is known to have failed or the capacity is in use again: several round trips,
+/// the age of the platform's list, and a commit.
+const STOP_MARGIN: Millis = Millis(700);
+
+record! {
+    /// Time limits of the platform.
+    #[derive(Copy)]
+    pub struct StepTimes {
+        /// Longest time that a worker takes to stop a run.
+        pub stop: Millis,
+        /// Time from its acceptance within which a job that a guarantee covers must have started.
+        pub reclaim: Millis,
+    }
+}
+
+impl Default for StepTimes {
+    /// The shortest limits of the users' deployments.
+    fn default() -> Self {
+        Self {
+            stop: Millis(200),
+            reclaim: Millis(2_700),
+        }
+    }
+}
+
+impl StepTimes {
+    /// Time from an order to stop a run until its capacity is free.
+    pub(crate) fn stopped_after(self) -> Millis {
+        self.stop + STOP_TRANSIT
+    }
+
+    /// Time after which a stop order without effect is repeated.
+    pub(crate) fn stop_repeat(self) -> Millis {
+        self.stop + Millis(200)
+    }
+
+    /// Time to move a run to another worker: a stop, the report of its end, a commit and a start.
+    pub(crate) fn move_time(self) -> Millis {
+        self.stop + Millis(200)
+    }
+
+    /// Time for which capacity is reserved for a step that preempts others.
+    pub(crate) fn reservation_age(self) -> Millis {
+        self.stop + STOP_MARGIN + Millis(100)
+    }
+
+    /// Time before a draining worker is gone at which its runs must be told to stop, so that their ends and checkpoints
+    /// are read before.
+    pub(crate) fn leave_margin(self) -> Millis {
+        self.stop + STOP_MARGIN
+    }
+
+    /// Time to make capacity free by preemption twice; each time takes a stop, the transit of the orders and a commit.
+    pub(crate) fn preemption_lead(self) -> Millis {
+        Millis(2 * (self.stop.0 + 400))
+    }
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -5,8 +5,9 @@
 
 use pistachiostair::{
     AccountName, AccountRule, Action, AppendAction, AppendEvent, Demand, Event, HostInfo, HostUpdate, Incarnation,
-    JobKey, Millis, OrderReply, Queue, QueueName, QueueSettings, Revision, Rules, Scheduler, Seq, ServiceName, Step,
-    StepAnswer, StepCall, StepJob, StepJobPhase, StepsAction, StepsEvent, Target, Term, Token, WorkerName,
+    JobKey, Millis, OrderReply, Queue, QueueName, QueueSettings, Revision, Rules, RunOutcome, Scheduler, Seq,
+    ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepTimes, StepsAction, StepsEvent, Target, Term,
+    Token, WorkerName,
 };
 use standin::StepWorkers;
 
@@ -48,9 +49,12 @@
     pub(crate) holds: u32,
     /// Number of start orders that were sent.
     pub(crate) start_orders: u32,
+    /// Number of stop orders that were sent.
+    pub(crate) stop_orders: u32,
     /// Draining workers, with the time at which each will be gone.
     pub(crate) leaving: BTreeMap<WorkerName, u64>,
     scheduler: Scheduler,
+    times: StepTimes,
     pub(crate) term: Term,
     pub(crate) rows: Vec<(Seq, String)>,
     queue: BTreeMap<(u64, u64), Delivery>,
@@ -77,8 +81,10 @@
             answers: BTreeMap::new(),
             holds: 0,
             start_orders: 0,
+            stop_orders: 0,
             leaving: BTreeMap::new(),
             scheduler: Scheduler::new("fi".into()),
+            times: StepTimes::default(),
             term: Term(0),
             rows: Vec::new(),
             queue: BTreeMap::new(),
@@ -94,6 +100,33 @@
         world
     }
 
+    /// A region of a platform on which stops take up to 900 ms.
+    pub(crate) fn with_slow_stops(count: usize) -> Self {
+        let mut world = Self::new(count);
+        world.times = StepTimes {
+            stop: Millis(900),
+            reclaim: Millis(3_400),
+        };
+        world.workers.stop_time = Some(Millis(900));
+        world.take_over();
+        world.run(100);
+        world
+    }
+
+    /// When the first run of a job started, and when its last run ended as done; none if that has not happened.
+    pub(crate) fn span(&self, key: u64) -> (Option<u64>, Option<u64>) {
+        let log = self.workers.log.iter().filter(|(_, task, ..)| task.job == JobKey(key));
+        let start = log.clone().find(|(.., end)| end.is_none());
+        let done = log.rev().find(|(.., end)| *end == Some(RunOutcome::Done));
+        (start.map(|(at, ..)| at.0), done.map(|(at, ..)| at.0))
+    }
+
+    /// Number of runs that ended otherwise than as done.
+    pub(crate) fn broken_runs(&self) -> usize {
+        let ends = self.workers.log.iter().filter_map(|(.., end)| *end);
+        ends.filter(|end| *end != RunOutcome::Done).count()
+    }
+
     /// Starts a worker as the given incarnation and lists it.
     pub(crate) fn add_worker(&mut self, number: usize, incarnation: u64) {
         let name = worker(number);
@@ -183,7 +216,7 @@
     /// Replaces the scheduler by that of another daemon, which does not know the list of workers yet.
     pub(crate) fn elect(&mut self) {
         self.term = Term(self.term.0 + 1);
-        self.scheduler = Scheduler::new("fi".into());
+        self.scheduler = Scheduler::new("fi".into()).with_step_times(self.times);
         let elected = Event::Elected {
             term: self.term,
             fence: self.term.0,
@@ -284,6 +317,7 @@
                 match action {
                     StepsAction::Hold { .. } => self.holds += 1,
                     StepsAction::Start { .. } => self.start_orders += 1,
+                    StepsAction::Stop { .. } => self.stop_orders += 1,
                     _ => {}
                 }
                 if self.unreachable.contains(&target.worker) {
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -91,6 +91,8 @@
     workers: BTreeMap<WorkerName, StepWorker>,
     /// Speeds of workers in percent; those that are not named have 100.
     pub paces: BTreeMap<WorkerName, u64>,
+    /// Time that a stop takes, if not [`STOP_TIME`].
+    pub stop_time: Option<Millis>,
     /// Tasks whose end as done was acknowledged.
     noted: BTreeSet<TaskKey>,
     /// Starts that were carried out.
@@ -271,7 +273,7 @@
         worker.token = term;
         match worker.tasks.get_mut(&task).filter(|running| running.run == run) {
             Some(running) => {
-                running.stops.get_or_insert(now + STOP_TIME);
+                running.stops.get_or_insert(now + self.stop_time.unwrap_or(STOP_TIME));
             }
             None => {
                 let barred = worker.barred.entry(task).or_default();
