Confirm the configuration through the scheduler

Change: the answer to a probe carries the version of the configuration and the time since it was confirmed. A daemon with the same version counts it as confirmed that long before it sent the probe; one with an older version reads the newer one from the scheduler. A daemon offers itself as a successor only by its own contact with the store, as before.

Ruled out: longer validity of keys, which would accept withdrawn ones.

--- a/crates/pistachiostair/src/leader_probe.rs
+++ b/crates/pistachiostair/src/leader_probe.rs
@@ -158,6 +158,7 @@
                 version,
                 left: until.since(now),
                 rank,
+                rules: self.kernel.find::<RulesWatch>().ok().and_then(|watch| watch.current()),
             },
             _ => failed(&Error::msg(
                 ErrorKind::Unavailable,
@@ -194,8 +195,9 @@
 
     /// What this daemon offers to serve with as the scheduler; `None` while it should not become the scheduler.
     fn offer(&self, service: &SchedulerService) -> Option<Capacity> {
-        let age = self.kernel.find::<RulesWatch>().ok().and_then(|watch| watch.age());
-        let reached = age.is_some_and(|age| age <= MAX_STORE_SILENCE);
+        let watch = self.kernel.find::<RulesWatch>();
+        let silence = watch.ok().and_then(|watch| watch.source_silence());
+        let reached = silence.is_some_and(|silence| silence <= MAX_STORE_SILENCE);
         self.capacity.filter(|_| reached && !service.is_penalized())
     }
 
@@ -370,7 +372,15 @@
         };
         let sent = self.kernel.clock.now();
         match peers.call(&address, request, PROBE_TIMEOUT).await {
-            Ok(Response::Beat { version, left, rank }) => {
+            Ok(Response::Beat {
+                version,
+                left,
+                rank,
+                rules,
+            }) => {
+                if let (Some(theirs), Ok(watch)) = (rules, self.kernel.find::<RulesWatch>()) {
+                    watch.compare(sent, theirs, &address);
+                }
                 self.shared.lock().expect("leader probe lock").last_answer = sent;
                 if let Some(rank) = rank {
                     self.learn_rank(rank);
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -148,7 +148,8 @@
 pub use logging::{Component, LogFormat, LogLevel, component_logger, log_decision, logger, stdout_logger};
 pub use membership::{DETECTION_TIME, HEARTBEAT_INTERVAL, MemberAction, MemberEvent, Membership};
 pub use message::{
-    Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, View,
+    Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, RulesAge,
+    View,
 };
 pub use metrics::{Metrics, ProcessUsage, process_usage};
 pub use node_daemon::{Admitted, Denial, Edges, StepDaemon, StepSettings};
--- a/crates/pistachiostair/src/message.rs
+++ b/crates/pistachiostair/src/message.rs
@@ -13,7 +13,7 @@
 use crate::record;
 use crate::resource::{Guarantee, Job, JobSpec, Member, Worker};
 use crate::short_member::{self, ShortMember};
-use crate::steps::{StepAnswer, StepCall};
+use crate::steps::{Rules, StepAnswer, StepCall};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 /// Version of the messages, sent in each envelope.
@@ -108,6 +108,8 @@
             /// The request.
             call: StepCall,
         },
+        /// Asks for the platform's configuration for jobs made of steps.
+        GetRules,
         /// Asks the scheduler for a sign of life.
         Beat {
             /// Link address of the sender.
@@ -144,6 +146,7 @@
             Self::Call { .. } => "call",
             Self::Policy { .. } => "policy",
             Self::GetPolicy => "getPolicy",
+            Self::GetRules => "getRules",
             Self::Steps { .. } => "steps",
             Self::Beat { .. } => "beat",
             Self::Leading { .. } => "leading",
@@ -152,6 +155,17 @@
     }
 }
 
+record! {
+    /// Which configuration of the platform a daemon has in force.
+    #[derive(Copy)]
+    pub struct RulesAge {
+        /// Version of the configuration.
+        pub version: Revision,
+        /// Time since it was last confirmed as current.
+        pub age: Millis,
+    }
+}
+
 record! {
     /// Renewal of the leases on one worker. Sent many at a time, so its fields have short names on the wire.
     pub struct Renewal {
@@ -346,6 +360,16 @@
             /// Number of daemons that should claim the lease before the receiver, if known.
             #[serde(default, skip_serializing_if = "Option::is_none")]
             rank: Option<u32>,
+            /// The platform's configuration that it has in force; absent if it has none.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            rules: Option<RulesAge>,
+        },
+        /// The platform's configuration that the responder has in force.
+        Rules {
+            /// The configuration.
+            rules: Box<Rules>,
+            /// Time since it was last confirmed as current.
+            age: Millis,
         },
         /// The request was not met.
         Failed(Failure),
--- a/crates/pistachiostair/src/rules_watch.rs
+++ b/crates/pistachiostair/src/rules_watch.rs
@@ -1,5 +1,7 @@
 //! Follows the platform's configuration for jobs made of steps (queues, services, accounts), keeps the newest version
 //! and the time at which it was last confirmed.
+//!
+//! A daemon that the platform's store turns away learns both from the scheduler, whose answers to probes carry them.
 
 use std::sync::{Arc, Mutex};
 
@@ -9,8 +11,13 @@
 use crate::edge::RulesSource;
 use crate::error::{ErrorKind, Result};
 use crate::kernel::{Kernel, Service};
+use crate::message::{Request, Response, RulesAge};
+use crate::peers::Peers;
 use crate::steps::Rules;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest time that the source waits for a change before it answers. Bounds the age of the configuration while the
 /// source answers.
 const MAX_WAIT: Millis = Millis(1_000);
@@ -18,12 +25,51 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Millis = Millis(200);
 
-#[derive(Default)]
-struct Shared {
+/// Longest time to read the configuration from another daemon.
+const PEER_TIMEOUT: Millis = Millis(1_000);
+
+/// What is known of the configuration.
+#[derive(Debug, Default)]
+struct Known {
     /// The configuration in force; `None` before the first one was read.
     rules: Option<Arc<Rules>>,
-    /// When the last request was sent that the source answered; `None` before the first answer.
+    /// Time at which it was current for certain; `None` before the source or another daemon confirmed it.
     confirmed: Option<Millis>,
+    /// When the last request was sent that the source answered; `None` before the first answer.
+    source_answered: Option<Millis>,
+    /// Whether a newer version is being read from another daemon.
+    fetching: bool,
+}
+
+impl Known {
+    /// Puts a configuration in force if its version is higher than that of the present one. Returns the version before
+    /// if it did.
+    fn apply(&mut self, rules: Rules) -> Option<Option<u64>> {
+        let before = self.rules.as_ref().map(|rules| rules.version);
+        if before.is_some_and(|before| before >= rules.version) {
+            return None;
+        }
+        self.rules = Some(Arc::new(rules));
+        Some(before.map(|before| before.0))
+    }
+
+    /// Records that the version in force was current at `at`.
+    fn confirm(&mut self, at: Millis) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Applies what another daemon said of its configuration in its answer to a request sent at `sent`. Returns whether
+    /// it has a newer one. The age was measured after `sent`, so that the configuration was confirmed after `sent - age`.
+    fn compare(&mut self, sent: Millis, theirs: RulesAge) -> bool {
+        match self.rules.as_ref().map(|rules| rules.version) {
+            Some(version) if version > theirs.version => false,
+            Some(version) if version == theirs.version => {
+                self.confirm(sent.since(theirs.age));
+                false
+            }
+            _ => true,
+        }
+    }
 }
 
 /// The service that follows the configuration source.
@@ -31,7 +77,7 @@
     kernel: Arc<Kernel>,
     source: Arc<dyn RulesSource>,
     log: slog::Logger,
-    shared: Mutex<Shared>,
+    known: Mutex<Known>,
 }
 
 impl Service for RulesWatch {
@@ -45,24 +91,74 @@
             kernel: kernel.clone(),
             source,
             log,
-            shared: Mutex::default(),
+            known: Mutex::default(),
         });
         kernel.register(watch.clone())?;
         kernel.spawn_until_stop(watch.clone().follow());
         Ok(watch)
     }
 
+    fn known(&self) -> std::sync::MutexGuard<'_, Known> {
+        self.known.lock().expect("rules lock")
+    }
+
     /// The configuration in force; `None` before the first one was read.
     pub(crate) fn rules(&self) -> Option<Arc<Rules>> {
-        self.shared.lock().expect("rules lock").rules.clone()
+        self.known().rules.clone()
     }
 
-    /// Time since the configuration was last confirmed as current; `None` before the source first answered.
+    /// Time since the configuration was last confirmed as current; `None` before it first was.
     pub(crate) fn age(&self) -> Option<Millis> {
-        let confirmed = self.shared.lock().expect("rules lock").confirmed;
+        let confirmed = self.known().confirmed;
         confirmed.map(|confirmed| self.kernel.clock.now().since(confirmed))
     }
 
+    /// Time since the last request that the source itself answered; `None` before the first answer.
+    pub(crate) fn source_silence(&self) -> Option<Millis> {
+        let answered = self.known().source_answered;
+        answered.map(|answered| self.kernel.clock.now().since(answered))
+    }
+
+    /// Version and age of the configuration in force, for other daemons; `None` before it was first confirmed.
+    pub(crate) fn current(&self) -> Option<RulesAge> {
+        let known = self.known();
+        Some(RulesAge {
+            version: known.rules.as_ref()?.version,
+            age: self.kernel.clock.now().since(known.confirmed?),
+        })
+    }
+
+    /// Takes note of the configuration of the daemon at `address`, as told in its answer to a request sent at `sent`,
+    /// and reads it from there if it is newer.
+    pub(crate) fn compare(self: &Arc<Self>, sent: Millis, theirs: RulesAge, address: &str) {
+        let mut known = self.known();
+        if known.compare(sent, theirs) && !known.fetching {
+            known.fetching = true;
+            let fetch = self.clone().fetch(address.to_owned());
+            self.kernel.spawn_until_stop(fetch);
+        }
+    }
+
+    async fn fetch(self: Arc<Self>, address: String) {
+        let sent = self.kernel.clock.now();
+        let answer = match self.kernel.find::<Peers>() {
+            Ok(peers) => peers.call(&address, Request::GetRules, PEER_TIMEOUT).await,
+            Err(error) => Err(error),
+        };
+        match answer {
+            Ok(Response::Rules { rules, age }) => self.apply(sent.since(age), Some(*rules), &address),
+            Ok(other) => {
+                slog::warn!(self.log, "configuration not read from another daemon"; "address" => &address,
+                    "answer" => ?other);
+            }
+            Err(error) => {
+                slog::info!(self.log, "configuration not read from another daemon"; "address" => &address,
+                    "error" => %error);
+            }
+        }
+        self.known().fetching = false;
+    }
+
     async fn follow(self: Arc<Self>) {
         let mut position = None;
         let mut reached = true;
@@ -79,7 +175,8 @@
             match read {
                 Ok((next, rules)) => {
                     position = Some(next);
-                    self.apply(sent, rules);
+                    self.known().source_answered = Some(sent);
+                    self.apply(sent, rules, "store");
                 }
                 Err(error) if error.kind == ErrorKind::Expired => position = None,
                 Err(_) => {
@@ -89,18 +186,19 @@
         }
     }
 
-    /// Records an answer to the request sent at `sent`, and puts its configuration in force if its version is higher
-    /// than that of the present one.
-    fn apply(&self, sent: Millis, rules: Option<Rules>) {
-        let mut shared = self.shared.lock().expect("rules lock");
-        shared.confirmed = Some(sent);
-        let Some(rules) = rules else { return };
-        let before = shared.rules.as_ref().map(|rules| rules.version);
-        if before.is_some_and(|before| before >= rules.version) {
-            return;
+    /// Records that the newest configuration was current at `confirmed`, and puts `rules` in force if they are newer than
+    /// the present ones.
+    fn apply(&self, confirmed: Millis, rules: Option<Rules>, source: &str) {
+        let mut known = self.known();
+        let (version, size) = (
+            rules.as_ref().map(|rules| rules.version.0),
+            rules.as_ref().map(|rules| (rules.queues.len(), rules.accounts.len())),
+        );
+        if let Some(before) = rules.and_then(|rules| known.apply(rules)) {
+            let (queues, accounts) = size.unwrap_or_default();
+            slog::info!(self.log, "applied"; "version" => version, "before" => before, "queues" => queues,
+                "accounts" => accounts, "source" => source);
         }
-        slog::info!(self.log, "applied"; "version" => rules.version.0, "before" => before.map(|before| before.0),
-            "queues" => rules.queues.len(), "accounts" => rules.accounts.len());
-        shared.rules = Some(Arc::new(rules));
+        known.confirm(confirmed);
     }
 }
--- a/crates/pistachiostair/src/serve.rs
+++ b/crates/pistachiostair/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::leader_probe::LeaderProbe;
 use crate::members::Members;
 use crate::message::{Failure, Request, Response};
+use crate::rules_watch::RulesWatch;
 use crate::scheduler_service::SchedulerService;
 
 /// Answers a request; failures become a response.
@@ -90,6 +91,16 @@
                 .election_event(ElectionEvent::Released { pause });
             Ok(Response::Ack)
         }
+        Request::GetRules => {
+            let watch = kernel.find::<RulesWatch>()?;
+            let unknown = || Error::msg(ErrorKind::Unavailable, "read configuration", "it is not known yet");
+            let age = watch.age().ok_or_else(unknown)?;
+            let rules = watch.rules().ok_or_else(unknown)?;
+            Ok(Response::Rules {
+                rules: Box::new((*rules).clone()),
+                age,
+            })
+        }
         Request::GetPolicy => {
             let (revision, document) = kernel.find::<Config>()?.document();
             Ok(Response::Policy { revision, document })
--- a/crates/pistachiostair/tests/releases.rs
+++ b/crates/pistachiostair/tests/releases.rs
@@ -1,7 +1,7 @@
 //! Messages between daemons of this release and of the one before, in which probes carried no capacity and their
 //! answers no rank.
 
-use pistachiostair::{Capacity, Millis, Request, Response, decode_message};
+use pistachiostair::{Capacity, Millis, Request, Response, Revision, RulesAge, decode_message};
 use serde::{Deserialize, Serialize};
 
 /// Probe of the earlier release.
@@ -49,9 +49,20 @@
 fn answer_both_ways() {
     let (version, left) = (7, Millis(900));
     let earlier = EarlierResponse::Beat { version, left };
-    let beat = |rank| Response::Beat { version, left, rank };
-    assert_eq!(decode_message::<Response>(&encode(&earlier)).expect("read"), beat(None));
-    let back = encode(&beat(Some(3)));
+    let rules = RulesAge {
+        version: Revision(12),
+        age: Millis(340),
+    };
+    let beat = |rank, rules| Response::Beat {
+        version,
+        left,
+        rank,
+        rules,
+    };
+    let read = decode_message::<Response>(&encode(&earlier)).expect("read");
+    assert_eq!(read, beat(None, None));
+    let back = encode(&beat(Some(3), Some(rules)));
     assert_eq!(decode_message::<EarlierResponse>(&back).expect("read"), earlier);
-    assert_eq!(decode_message::<Response>(&back).expect("read"), beat(Some(3)));
+    let read = decode_message::<Response>(&back).expect("read");
+    assert_eq!(read, beat(Some(3), Some(rules)));
 }
