Wait for forecast capacity as long as a preemption still fits; follow the list of workers

Young urgent runs on workers that leave in 2 s were stopped although their estimate fitted, and the list was read every 600 ms.

Change: a covered job waits while a preemption would still be in time. A run that is overdue is taken to need as long again. Runs without reported progress are judged by their estimate. Reads of the list wait for a change.

--- a/crates/pistachiostair/src/edge.rs
+++ b/crates/pistachiostair/src/edge.rs
@@ -158,13 +158,13 @@
 
 /// The platform's list of workers that run the tasks of steps.
 pub trait HostList: Send + Sync {
-    /// Reads the changes after the position `after`, or the whole list if it is `None`. Returns them with the position
-    /// to continue from.
+    /// Reads the changes after the position `after`, or the whole list if it is `None`. Waits up to `wait` for a change.
+    /// Returns the changes with the position to continue from.
     ///
     /// # Errors
     ///
     /// `Expired` if the changes after the position are no longer known; the caller then reads the whole list.
-    fn hosts(&self, after: Option<u64>) -> BoxFuture<'_, Result<(u64, HostUpdate)>>;
+    fn hosts(&self, after: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, HostUpdate)>>;
 }
 
 /// The platform's source of the configuration for jobs made of steps.
--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -33,8 +33,8 @@
 /// Limits for a step that does not fit at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PreemptionBudget {
-    /// How much longer the step may wait for capacity and still be done in time; preemption is considered only for a
-    /// longer wait.
+    /// How much longer the step may wait for capacity and still be done in time or, if no loss is too much, still preempt
+    /// work in time; preemption is considered only for a longer wait.
     pub(crate) slack: Millis,
     /// Most work that preemption may lose for it, in core-milliseconds; unlimited if absent.
     pub(crate) max_loss: Option<u64>,
@@ -67,7 +67,7 @@
         };
         let unlimited = covered && waited >= COVERED_WAIT;
         let slack = match urgent || covered {
-            true if unlimited => cx.times.reclaim.since(waited + cx.times.preemption_lead()),
+            true if unlimited => cx.times.reclaim.since(waited + cx.times.preemption_time()),
             true => Millis(remaining.0 * URGENT_SLACK_PERCENT / 100).clamp(MIN_SLACK, MAX_SLACK),
             false => slack,
         };
--- a/crates/pistachiostair/src/steps/evacuation.rs
+++ b/crates/pistachiostair/src/steps/evacuation.rs
@@ -7,8 +7,7 @@
 use crate::steps::host::RunKey;
 
 /// Factor by which the forecast remaining time of a run must exceed the time that its worker has left for the run to be
-/// stopped early, in percent, and the time by which it must exceed it besides: forecasts of runs that began lately are
-/// off by about as much.
+/// stopped early, in percent, and the time by which it must exceed it besides.
 const EARLY_STOP_PERCENT: u64 = 125;
 const FORECAST_ERROR: Millis = Millis(300);
 
@@ -38,17 +37,18 @@
         let Some(step) = step_of(cx.book, &key.0) else {
             return last_chance;
         };
-        let observed = run
-            .progress
-            .and_then(|progress| progress.remaining(cx.now, step.estimate));
-        if observed.is_none() || step.long_running {
+        if step.long_running {
             return last_chance;
         }
         let needed = self.remaining_of_gang(cx, key);
         if last_chance {
             return needed + FORECAST_ERROR > left;
         }
-        !step.checkpointing && needed.0 > left.0 * EARLY_STOP_PERCENT / 100 + FORECAST_ERROR.0
+        let observed = run
+            .progress
+            .and_then(|progress| progress.remaining(cx.now, step.estimate));
+        let too_long = needed.0 > left.0 * EARLY_STOP_PERCENT / 100 + FORECAST_ERROR.0;
+        too_long && observed.is_some() && !step.checkpointing
     }
 
     /// Forecast of the time until a run ends; the members of a gang end together.
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -304,7 +304,7 @@
         let stopped_after = cx.times.stopped_after();
         let too_late = match &earliest {
             None => true,
-            Some(start) if unlimited => start.at > stopped_after || budget.slack == Millis::ZERO || !may_reserve,
+            Some(start) if unlimited => start.at > stopped_after.min(budget.slack) || !may_reserve,
             Some(start) => start.at > budget.slack.max(stopped_after),
         };
         if too_late && let Some(preemption) = self.find_preemption(cx, pass, blocked, budget.max_loss) {
--- a/crates/pistachiostair/src/steps/progress.rs
+++ b/crates/pistachiostair/src/steps/progress.rs
@@ -65,11 +65,12 @@
         known.then(|| Millis(span.0 * 100 / u64::from(done)))
     }
 
-    /// Time from `now` until the run ends at its latest speed. `Millis::MAX` while it is stalled, none while its speed
-    /// is not known. `usual` is the usual duration of such a task, which sets how long it may go without progress.
+    /// Time from `now` until the run ends at its latest speed; as long again as it is overdue if it should have ended by
+    /// now. `Millis::MAX` while it is stalled, none while its speed is not known. `usual` is the usual duration of such a task, which sets how long it may go without progress.
     pub(crate) fn remaining(&self, now: Millis, usual: Millis) -> Option<Millis> {
+        let age = now.since(self.at);
         if self.percent >= 100 {
-            return Some(Millis::ZERO);
+            return Some(age);
         }
         let span = self.at.since(self.earlier.1);
         let done = self.percent.saturating_sub(self.earlier.0);
@@ -78,6 +79,6 @@
             return stalled.then_some(Millis::MAX);
         }
         let left = span.0 * u64::from(100 - self.percent) / u64::from(done);
-        (span >= MIN_WINDOW).then(|| Millis(left).since(now.since(self.at)))
+        (span >= MIN_WINDOW).then(|| Millis(left.abs_diff(age.0)))
     }
 }
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -12,6 +12,7 @@
 use crate::steps::host::RunKey;
 use crate::steps::place::{leftover, place_tasks};
 use crate::steps::preemption::{PreemptionLimits, Search, Victims, lost_work};
+use crate::steps::progress::RunProgress;
 use crate::steps::{
     AccountRule, Demand, HoldReply, HostInfo, HostUpdate, JobKey, OrderReply, Queue, QueueName, QueueSettings, Rules,
     RunEnd, RunOutcome, RunReport, ServiceName, Step, StepCall, StepJob, StepJobTable, StepScheduler, StepTimes,
@@ -618,3 +619,17 @@
         .collect();
     Some((workers, runs, lost))
 }
+
+/// Guards against capacity that is forecast to become free at once, time after time, because a run there is overdue: a
+/// step then waits for it instead of other capacity.
+#[test]
+fn remaining_overdue() {
+    let mut progress = RunProgress::first((0, Millis(0)), 50, Millis(1_000));
+    progress.advance(90, Millis(1_800));
+    let usual = Millis(2_000);
+    assert_eq!(progress.remaining(Millis(1_800), usual), Some(Millis(200)));
+    assert_eq!(progress.remaining(Millis(1_900), usual), Some(Millis(100)));
+    assert_eq!(progress.remaining(Millis(2_600), usual), Some(Millis(600)));
+    progress.advance(100, Millis(2_700));
+    assert_eq!(progress.remaining(Millis(3_000), usual), Some(Millis(300)));
+}
--- a/crates/pistachiostair/src/steps/times.rs
+++ b/crates/pistachiostair/src/steps/times.rs
@@ -58,8 +58,13 @@
         self.stop + STOP_MARGIN
     }
 
-    /// Time to make capacity free by preemption twice; each time takes a stop, the transit of the orders and a commit.
+    /// Time to start a step by preemption: a stop, the transit of the orders and a commit, with a margin.
+    pub(crate) fn preemption_time(self) -> Millis {
+        self.stop + Millis(400)
+    }
+
+    /// Time to make capacity free by preemption twice.
     pub(crate) fn preemption_lead(self) -> Millis {
-        Millis(2 * (self.stop.0 + 400))
+        Millis(2 * self.preemption_time().0)
     }
 }
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -17,9 +17,11 @@
 use crate::scheduler_service::Input;
 use crate::steps::{HostUpdate, OrderReply, StepsAction, StepsEvent, StepsLog};
 
-/// Time between two reads of the platform's list of workers. A worker must get no new tasks later than 2 s after it
-/// began to drain.
-const LIST_INTERVAL: Millis = Millis(600);
+/// Shortest time between two reads of the platform's list of workers while it changes.
+const LIST_INTERVAL: Millis = Millis(150);
+
+/// Time that a read waits for a change. A worker that leaves at short notice has 2 s left.
+const LIST_WAIT: Millis = Millis(450);
 
 /// Time until the next read after a failed one.
 const LIST_RETRY: Millis = Millis(200);
@@ -91,7 +93,7 @@
         if let Ok(clients) = self.kernel.find::<HostClients>() {
             self.kernel.spawn_until_stop(async move {
                 // Fails if the daemon is no longer the scheduler.
-                let _ = sender.send(clients.listing.hosts(None).await).await;
+                let _ = sender.send(clients.listing.hosts(None, Millis::ZERO).await).await;
             });
         }
     }
@@ -115,7 +117,7 @@
                 };
                 let read = match started {
                     Some(read) => read,
-                    None => clients.listing.hosts(position).await,
+                    None => clients.listing.hosts(position, LIST_WAIT).await,
                 };
                 if read.is_ok() != reached {
                     reached = read.is_ok();
