Bound hold and start orders by the scheduler's own link and processor

An order that waited while the term ended is not sent.

Tests: load::hold_orders_bounded, order_slots/tests.rs, capacity_orders.

--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -21,7 +21,7 @@
 use crate::scheduler::{Action, Event, LogLine};
 use crate::snapshot::SnapshotLimits;
 use crate::state::{JobState, RegionState};
-use crate::steps::{StepScheduler, StepTimes};
+use crate::steps::{StepLimits, StepScheduler};
 use crate::steps_active::recover_steps;
 
 /// Most decisions that the planner makes for one batch of records; it is asked for more with the next batch.
@@ -111,7 +111,7 @@
     /// Jobs made of steps.
     pub(crate) steps: StepScheduler,
     /// Time limits of the platform for the runs of steps.
-    pub(crate) step_times: StepTimes,
+    pub(crate) step_limits: StepLimits,
     /// When the scheduler's lease was last known to be held.
     pub(crate) last_held: Millis,
 }
@@ -180,7 +180,7 @@
             actions: Vec::new(),
             steps: recover_steps(now, wall, term, &state),
             last_held: now,
-            step_times: StepTimes::default(),
+            step_limits: StepLimits::default(),
             state,
         };
         active.recover(now);
--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -29,7 +29,7 @@
 use crate::scheduler_service::{SchedulerService, SchedulerSettings, new_incarnation};
 use crate::serve::dispatch;
 use crate::settings::Settings;
-use crate::steps::StepTimes;
+use crate::steps::StepLimits;
 use crate::storage::Storage;
 use crate::store::Store;
 use crate::supervisor::Supervisor;
@@ -259,11 +259,11 @@
         me: settings.name.clone(),
         incarnation,
         address: advertised,
-        ranked: false,
+        capacity: None,
         times: ElectionTimes::default(),
         row_bytes: usize::MAX,
         retention: Retention::default(),
-        step_times: StepTimes::default(),
+        step_limits: StepLimits::default(),
     };
     SchedulerService::start(kernel, govern, log).map(drop)
 }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -73,6 +73,7 @@
 mod message;
 mod metrics;
 mod node_daemon;
+mod order_slots;
 mod outlier;
 mod peer_connect;
 mod peer_frame;
@@ -172,8 +173,8 @@
 pub use steps::{
     AccountRule, Demand, HoldOrder, HoldReply, HostInfo, HostUpdate, JobEntry, JobKey, OrderReply, PlacedRun, Queue,
     QueueName, QueueSettings, Recurrence, Rules, RunEnd, RunOutcome, RunReport, ServiceName, ServiceRule, StartOrder,
-    StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepLoad, StepRecord,
-    StepScheduler, StepTimes, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
+    StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepLimits, StepLoad,
+    StepRecord, StepScheduler, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
 };
 pub use store::Store;
 pub use traffic::Traffic;
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -24,7 +24,7 @@
 use crate::rules_watch::RulesWatch;
 use crate::scheduler_service::{SchedulerService, SchedulerSettings, new_incarnation};
 use crate::serve::dispatch;
-use crate::steps::{Queue, Rules, StepAnswer, StepCall, StepTimes};
+use crate::steps::{Queue, Rules, StepAnswer, StepCall, StepLimits};
 use crate::steps_io::HostClients;
 use crate::storage::Storage;
 
@@ -78,7 +78,7 @@
     /// How long a job that has ended can be read.
     pub job_retention: Millis,
     /// Time limits of the platform for runs.
-    pub step_times: StepTimes,
+    pub step_limits: StepLimits,
     /// Resources of this daemon; all daemons without them count as equal.
     pub capacity: Option<Capacity>,
 }
@@ -200,13 +200,13 @@
             incarnation: new_incarnation(),
             address: settings.peers.to_string(),
             times: TIMES,
-            ranked: settings.capacity.is_some(),
+            capacity: settings.capacity,
             row_bytes: settings.row_bytes,
             retention: Retention {
                 span: settings.job_retention,
                 ..Retention::default()
             },
-            step_times: settings.step_times,
+            step_limits: settings.step_limits,
         };
         SchedulerService::start(&self.kernel, govern, component_logger(&self.log, Component::Scheduler))?;
         let log = component_logger(&self.log, Component::Members);
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
 use crate::snapshot::SnapshotLimits;
-use crate::steps::{StepAnswer, StepLoad, StepTimes, StepsAction, StepsEvent};
+use crate::steps::{StepAnswer, StepLimits, StepLoad, StepsAction, StepsEvent};
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
 number_id! {
@@ -179,7 +179,7 @@
     retention: Retention,
     snapshots: SnapshotLimits,
     row_bytes: usize,
-    step_times: StepTimes,
+    step_limits: StepLimits,
     config: RegionConfig,
     /// State of the current term; `None` while this daemon is not the scheduler.
     active: Option<Box<ActiveScheduler>>,
@@ -193,7 +193,7 @@
             retention: Retention::default(),
             snapshots: SnapshotLimits::default(),
             row_bytes: usize::MAX,
-            step_times: StepTimes::default(),
+            step_limits: StepLimits::default(),
             config: RegionConfig {
                 accounts: BTreeMap::new(),
                 guarantees: BTreeMap::new(),
@@ -226,8 +226,8 @@
 
     /// Sets the platform's time limits for the runs of steps, from the next election on.
     #[must_use]
-    pub fn with_step_times(mut self, times: StepTimes) -> Self {
-        self.step_times = times;
+    pub fn with_step_limits(mut self, limits: StepLimits) -> Self {
+        self.step_limits = limits;
         self
     }
 
@@ -255,7 +255,7 @@
                 );
                 match active {
                     Ok(mut active) => {
-                        active.step_times = self.step_times;
+                        active.step_limits = self.step_limits;
                         self.active = Some(Box::new(active));
                     }
                     Err(error) => {
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -23,6 +23,7 @@
 use crate::members::Members;
 use crate::message::{Leader, Response};
 use crate::metrics::{Metrics, process_usage};
+use crate::order_slots::OrderSlots;
 use crate::resource::Guarantee;
 use crate::scheduler::{Action, Event, Scheduler, Token};
 use crate::scheduler_service::{Input, Shared, failed, wall_time};
@@ -78,6 +79,8 @@
     pub(crate) load_reported: Millis,
     /// Number of orders to workers that have no outcome yet.
     pub(crate) open_orders: Arc<AtomicUsize>,
+    /// Bounds the orders to start and stop runs that are in progress.
+    pub(crate) order_slots: OrderSlots,
     /// Term and version of the term row since this daemon was elected; `None` while it is not the scheduler.
     pub(crate) elected: Option<(Term, u64)>,
     /// How many times the journal was read under this term and could not be folded.
@@ -167,6 +170,7 @@
             .map_or_else(|_| Connections::default(), |clients| clients.hosts.connections());
         slog::info!(self.log, "load"; "term" => term.0, "passes" => steps.map(|load| load.passes),
             "waiting" => steps.map(|load| load.waiting), "runs" => steps.map(|load| load.runs),
+            "orders_waiting" => self.order_slots.waiting(),
             "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
             "connections" => connections.open, "idle" => connections.idle,
             "calls" => self.step_calls.len(), "records" => journal.map(|load| load.backlog),
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -11,6 +11,7 @@
 use async_channel::{Sender, TrySendError};
 
 use crate::active::Retention;
+use crate::capacity::Capacity;
 use crate::clock::{Millis, within};
 use crate::commands::CommandQueues;
 use crate::edge::BoxFuture;
@@ -20,10 +21,11 @@
 use crate::kernel::{Kernel, Service, Stop};
 use crate::message::{Call, Failure, Leader, Response};
 use crate::metrics::Metrics;
+use crate::order_slots::OrderSlots;
 use crate::scheduler::{Event, Scheduler, Token};
 use crate::scheduler_actor::SchedulerActor;
 use crate::scheduler_updates::Forwarded;
-use crate::steps::{HostUpdate, StepAnswer, StepCall, StepTimes};
+use crate::steps::{HostUpdate, StepAnswer, StepCall, StepLimits};
 use crate::storage::Storage;
 use crate::worker::{BatchReply, Changes, CommandBatch};
 
@@ -82,14 +84,14 @@
     /// Address (`ip:port`) at which other daemons reach this one.
     pub(crate) address: String,
     pub(crate) times: ElectionTimes,
-    /// Whether daemons differ in capacity, so that a rank decides who claims the lease first.
-    pub(crate) ranked: bool,
+    /// Resources of the daemon, if daemons differ, so that a rank decides who claims the lease first.
+    pub(crate) capacity: Option<Capacity>,
     /// Most bytes that a row of the table service holds.
     pub(crate) row_bytes: usize,
     /// How long ended jobs are kept.
     pub(crate) retention: Retention,
     /// Time limits of the platform for the runs of steps.
-    pub(crate) step_times: StepTimes,
+    pub(crate) step_limits: StepLimits,
 }
 
 /// State that the actor shares with the service.
@@ -143,7 +145,11 @@
         let (region, me) = (settings.region, settings.me);
         let election = Election::new(region.clone(), me.clone(), settings.incarnation, settings.address);
         let election = election.with_times(settings.times);
-        let election = if settings.ranked { election.unranked() } else { election };
+        let election = match settings.capacity {
+            Some(_) => election.unranked(),
+            None => election,
+        };
+        let max_orders = settings.capacity.map_or(usize::MAX, |capacity| capacity.max_orders());
         let (inbox, receiver) = async_channel::bounded(INBOX_CAPACITY);
         let shared = Arc::new(Mutex::new(Shared::default()));
         let actor = SchedulerActor {
@@ -159,7 +165,7 @@
             scheduler: Scheduler::new(region.clone())
                 .with_row_bytes(settings.row_bytes)
                 .with_retention(settings.retention)
-                .with_step_times(settings.step_times),
+                .with_step_limits(settings.step_limits),
             calls: BTreeMap::new(),
             step_calls: BTreeMap::new(),
             orders: CommandQueues::default(),
@@ -168,6 +174,7 @@
             refreshed_at: Millis::ZERO,
             load_reported: Millis::ZERO,
             open_orders: Arc::default(),
+            order_slots: OrderSlots::new(max_orders),
             elected: None,
             failed_folds: 0,
             loading: None,
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -7,7 +7,7 @@
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
 //! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `evacuation`: slow runs, and workers that are slow, fail or leave.
-//! - `times`: time limits of the platform that decisions depend on.
+//! - `step_limits`: limits of the platform that decisions depend on.
 
 mod budget;
 mod calls;
@@ -31,11 +31,11 @@
 mod reservation;
 mod rules;
 mod spec;
+mod step_limits;
 mod straggler;
 #[cfg(test)]
 mod tests;
 mod timers;
-mod times;
 
 pub use calls::{StepAnswer, StepCall};
 pub(crate) use engine::Context;
@@ -51,4 +51,4 @@
 pub use spec::{
     Demand, JobKey, QueueName, QueueSettings, Recurrence, ServiceName, Step, StepJob, StepJobPhase, TaskKey,
 };
-pub use times::StepTimes;
+pub use step_limits::StepLimits;
--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -59,7 +59,7 @@
         let slack = objective.since(remaining).since(waited);
         let own_work = core_millis(&step.demand, step.estimate) * count as u64;
         let urgent = terms.priority == 0;
-        let in_time = waited + cx.times.stopped_after() <= Millis(objective.since(remaining).0 * LATE_PERCENT / 100);
+        let in_time = waited + cx.limits.stopped_after() <= Millis(objective.since(remaining).0 * LATE_PERCENT / 100);
         let percent = if urgent && (in_time || covered) {
             URGENT_LOSS_PERCENT
         } else {
@@ -67,7 +67,7 @@
         };
         let unlimited = covered && waited >= COVERED_WAIT;
         let slack = match urgent || covered {
-            true if unlimited => cx.times.reclaim.since(waited + cx.times.preemption_time()),
+            true if unlimited => cx.limits.reclaim.since(waited + cx.limits.preemption_time()),
             true => Millis(remaining.0 * URGENT_SLACK_PERCENT / 100).clamp(MIN_SLACK, MAX_SLACK),
             false => slack,
         };
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -19,8 +19,8 @@
 use crate::steps::reservation::Reservation;
 use crate::steps::rules::Rules;
 use crate::steps::spec::{Demand, JobKey, QueueSettings, Step, StepJobPhase, TaskKey};
+use crate::steps::step_limits::StepLimits;
 use crate::steps::straggler::DurationsByStep;
-use crate::steps::times::StepTimes;
 
 /// How long a scheduler may go on renewing worker leases after its own lease has ended, so that running tasks survive
 /// a store outage of this length. A new scheduler adds it to the expiry of leases that it did not grant itself.
@@ -267,7 +267,7 @@
     /// When this scheduler was last known to hold the region's lease.
     pub(crate) last_held: Millis,
     /// Time limits of the platform.
-    pub(crate) times: StepTimes,
+    pub(crate) limits: StepLimits,
     /// Durable state, as folded from the journal.
     pub(crate) book: &'a StepJobTable,
 }
@@ -410,6 +410,8 @@
     pub(crate) accepting: BTreeMap<JobKey, Vec<Token>>,
     /// Calls to answer once the job's [`StepRecord::Cancelled`] is durable.
     pub(crate) cancelling: BTreeMap<JobKey, Vec<Token>>,
+    /// Shortest time that hold orders let a worker wait for an end, as the daemon's own resources require.
+    pub(crate) hold_wait: Millis,
     /// Workers to which a hold order may be due after the event in progress.
     pub(crate) touched: BTreeSet<WorkerName>,
     /// Whether something changed that placement depends on.
@@ -448,6 +450,7 @@
             forgetting: BTreeSet::new(),
             accepting: BTreeMap::new(),
             cancelling: BTreeMap::new(),
+            hold_wait: Millis::ZERO,
             touched: BTreeSet::new(),
             replan: true,
             passes: 0,
--- a/crates/pistachiostair/src/steps/evacuation.rs
+++ b/crates/pistachiostair/src/steps/evacuation.rs
@@ -33,7 +33,7 @@
         if run.stop.is_some() || run.phase == RunPhase::Ended {
             return false;
         }
-        let last_chance = left <= cx.times.leave_margin();
+        let last_chance = left <= cx.limits.leave_margin();
         let Some(step) = step_of(cx.book, &key.0) else {
             return last_chance;
         };
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -162,7 +162,9 @@
 fn remaining_of_step(cx: &Context<'_>, step: Option<&Step>, run: &TaskRun) -> Millis {
     if let Some(stop) = run.stop {
         let since = stop.sent_at.unwrap_or(cx.now);
-        return (since + cx.times.stopped_after()).since(cx.now).max(MIN_STOP_REMAINING);
+        return (since + cx.limits.stopped_after())
+            .since(cx.now)
+            .max(MIN_STOP_REMAINING);
     }
     let estimate = step.map_or(Millis::ZERO, |step| step.estimate);
     let known = run.progress.and_then(|progress| progress.remaining(cx.now, estimate));
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -301,7 +301,7 @@
         let unlimited = budget.max_loss.is_none();
         let earliest = blocked.earliest_start(self, cx, pass, count);
         // Preemption takes as long as a stop, so that it gains nothing over capacity that becomes free before.
-        let stopped_after = cx.times.stopped_after();
+        let stopped_after = cx.limits.stopped_after();
         let too_late = match &earliest {
             None => true,
             Some(start) if unlimited => start.at > stopped_after.min(budget.slack) || !may_reserve,
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -116,7 +116,7 @@
             let guaranteed = self.rules.accounts.get(account).map_or(0, |account| account.guaranteed);
             let needed = peak_accelerators(entry);
             let coverage = accounts.entry(account).or_default();
-            let left = cx.times.reclaim.since(cx.wall.since(entry.accepted));
+            let left = cx.limits.reclaim.since(cx.wall.since(entry.accepted));
             let fits_now = coverage.used + needed <= guaranteed;
             let mut fits_later = || {
                 let mut used = 0;
@@ -126,7 +126,7 @@
                 }
                 used + needed <= guaranteed
             };
-            if fits_now || left <= cx.times.preemption_lead() && fits_later() {
+            if fits_now || left <= cx.limits.preemption_lead() && fits_later() {
                 covered.insert(entry.spec.key);
                 coverage.used += needed;
             }
--- a/crates/pistachiostair/src/steps/reservation.rs
+++ b/crates/pistachiostair/src/steps/reservation.rs
@@ -60,7 +60,7 @@
     pub(crate) fn expire_reservations(&mut self, cx: &Context<'_>) {
         let hosts = &self.hosts;
         let usable = |worker: &WorkerName| hosts.get(worker).is_some_and(|host| host.is_usable(cx.now));
-        let (before, max_age) = (self.reservations.len(), cx.times.reservation_age());
+        let (before, max_age) = (self.reservations.len(), cx.limits.reservation_age());
         self.reservations.retain(|_, reservation| {
             cx.now.since(reservation.since) < max_age && reservation.workers.values().all(usable)
         });
--- a/crates/pistachiostair/src/steps/times.rs
+++ b/crates/pistachiostair/src/steps/step_limits.rs
@@ -1,4 +1,4 @@
-//! Time limits of the platform that decisions about runs depend on.
+//! Limits of the platform and of this daemon that decisions about runs depend on.
 
 use crate::clock::Millis;
 use crate::record;
@@ -11,32 +11,40 @@
 const STOP_MARGIN: Millis = Millis(700);
 
 record! {
-    /// Time limits of the platform.
+    /// Limits of the platform, and of the daemon that is the scheduler.
     #[derive(Copy)]
-    pub struct StepTimes {
+    pub struct StepLimits {
         /// Longest time that a worker takes to stop a run.
         pub stop: Millis,
         /// Time from its acceptance within which a job that a guarantee covers must have started.
         pub reclaim: Millis,
+        /// Most hold orders a second that the daemon sends only to learn of progress.
+        pub hold_rate: u64,
     }
 }
 
-impl Default for StepTimes {
-    /// The shortest limits of the users' deployments.
+impl Default for StepLimits {
+    /// The shortest time limits of the users' deployments, on a daemon without limits.
     fn default() -> Self {
         Self {
             stop: Millis(200),
             reclaim: Millis(2_700),
+            hold_rate: u64::MAX,
         }
     }
 }
 
-impl StepTimes {
+impl StepLimits {
     /// Time from an order to stop a run until its capacity is free.
     pub(crate) fn stopped_after(self) -> Millis {
         self.stop + STOP_TRANSIT
     }
 
+    /// Shortest time that a hold order lets each of `workers` workers wait for an end, so that the rate is kept to.
+    pub(crate) fn hold_wait(self, workers: usize) -> Millis {
+        Millis((workers as u64 * 1_000).checked_div(self.hold_rate).unwrap_or(u64::MAX))
+    }
+
     /// Time after which a stop order without effect is repeated.
     pub(crate) fn stop_repeat(self) -> Millis {
         self.stop + Millis(200)
--- a/crates/pistachiostair/src/steps/straggler.rs
+++ b/crates/pistachiostair/src/steps/straggler.rs
@@ -150,7 +150,7 @@
         let left = 100u64.saturating_sub(progress.percent().into());
         let expected = Millis(usual.0 * left / 100);
         let remaining = progress.remaining(cx.now, usual)?;
-        if remaining.0.saturating_mul(10) <= expected.0 * limit || remaining <= cx.times.move_time() {
+        if remaining.0.saturating_mul(10) <= expected.0 * limit || remaining <= cx.limits.move_time() {
             return None;
         }
         let elsewhere = match step.checkpointing && !run.checkpoint.is_empty() {
@@ -160,7 +160,7 @@
         Some(Straggler {
             usual,
             remaining: remaining.min(STALL_TIME + expected),
-            elsewhere: elsewhere + cx.times.move_time(),
+            elsewhere: elsewhere + cx.limits.move_time(),
         })
     }
 
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -15,7 +15,7 @@
 use crate::steps::progress::RunProgress;
 use crate::steps::{
     AccountRule, Demand, HoldReply, HostInfo, HostUpdate, JobKey, OrderReply, Queue, QueueName, QueueSettings, Rules,
-    RunEnd, RunOutcome, RunReport, ServiceName, Step, StepCall, StepJob, StepJobTable, StepScheduler, StepTimes,
+    RunEnd, RunOutcome, RunReport, ServiceName, Step, StepCall, StepJob, StepJobTable, StepLimits, StepScheduler,
     StepsAction, StepsEvent, Target,
 };
 
@@ -44,7 +44,7 @@
         lease_held: true,
         store_stalled: false,
         last_held: now,
-        times: StepTimes::default(),
+        limits: StepLimits::default(),
         book,
     }
 }
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -33,6 +33,8 @@
         self.release_due(cx);
         self.expire_reservations(cx);
         self.update_relative_durations(cx);
+        let busy = self.hosts.values().filter(|host| !host.runs.is_empty()).count();
+        self.hold_wait = cx.limits.hold_wait(busy);
         let due = self.hosts.iter().filter(|(_, host)| host.has_due_work(cx.now));
         let due: Vec<WorkerName> = due.map(|(worker, _)| worker.clone()).collect();
         for worker in due {
@@ -102,7 +104,7 @@
             .min()
             .unwrap_or(0);
         let wait = match busy && host.synced {
-            true => Millis(shortest).clamp(MIN_HOLD_WAIT, MAX_HOLD_WAIT),
+            true => Millis(shortest).max(self.hold_wait).clamp(MIN_HOLD_WAIT, MAX_HOLD_WAIT),
             false => Millis::ZERO,
         };
         self.send_hold(cx, worker, wait);
@@ -160,7 +162,7 @@
             ordered
                 && run.stop.is_some_and(|halt| {
                     halt.sent_at
-                        .is_none_or(|sent| cx.now.since(sent) >= cx.times.stop_repeat())
+                        .is_none_or(|sent| cx.now.since(sent) >= cx.limits.stop_repeat())
                 })
         };
         let stopping = self.stopping.iter().copied();
--- a/crates/pistachiostair/src/steps_active.rs
+++ b/crates/pistachiostair/src/steps_active.rs
@@ -10,7 +10,7 @@
 use crate::journal::Record;
 use crate::scheduler::Action;
 use crate::state::RegionState;
-use crate::steps::{Context, StepRecord, StepScheduler, StepTimes, StepsEvent};
+use crate::steps::{Context, StepLimits, StepRecord, StepScheduler, StepsEvent};
 
 /// Builds the scheduler of step jobs for a new term from the state that was read from the journal. The lease counts as
 /// not held until the first event says otherwise.
@@ -21,7 +21,7 @@
         lease_held: false,
         store_stalled: false,
         last_held: now,
-        times: StepTimes::default(),
+        limits: StepLimits::default(),
         book: &state.step_jobs,
     };
     StepScheduler::recover(term, &cx)
@@ -39,7 +39,7 @@
             lease_held: self.lease_held,
             store_stalled: self.appender.stalled(now) >= STORE_STALL,
             last_held: self.last_held,
-            times: self.step_times,
+            limits: self.step_limits,
             book: &self.state.step_jobs,
         };
         work(&mut self.steps, &cx);
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -60,9 +60,20 @@
                 let (metrics, clock) = (self.metrics.clone(), self.kernel.clock);
                 let (open_orders, term) = (self.open_orders.clone(), self.elected.map(|(term, _)| term));
                 open_orders.fetch_add(1, Ordering::Relaxed);
+                let (slots, shared) = (self.order_slots.clone(), self.shared.clone());
                 self.spawn_input(async move {
+                    // Hold orders wait for ends.
+                    let slot = match action {
+                        StepsAction::Start { .. } | StepsAction::Stop { .. } => Some(slots.take().await),
+                        _ => None,
+                    };
                     let sent = clock.now();
-                    let event = send_order(clients.hosts.as_ref(), action).await;
+                    let current = shared.lock().expect("leader lock").term == term;
+                    let event = match current {
+                        true => send_order(clients.hosts.as_ref(), action).await,
+                        false => unsent(action),
+                    };
+                    drop(slot);
                     open_orders.fetch_sub(1, Ordering::Relaxed);
                     count_order(&metrics, &event, clock.now().since(sent));
                     outcome_of(term, Event::Steps(event))
@@ -183,6 +194,32 @@
     }
 }
 
+/// The outcome of an order that was not sent, since this daemon is no longer the scheduler that gave it.
+fn unsent(action: StepsAction) -> StepsEvent {
+    let reply = OrderReply::Undelivered;
+    match action {
+        StepsAction::Start { target, order } => StepsEvent::Started {
+            target,
+            task: order.task,
+            run: order.run,
+            reply,
+        },
+        StepsAction::Stop { target, task, run, .. } => StepsEvent::Stopped {
+            target,
+            task,
+            run,
+            reply,
+        },
+        StepsAction::Hold { target, order } => StepsEvent::Held {
+            target,
+            ack: order.ack,
+            long_poll: order.wait > Millis::ZERO,
+            reply: Err(reply),
+        },
+        StepsAction::Reply { .. } | StepsAction::Log(_) => unreachable!("handled before"),
+    }
+}
+
 /// Sends an order and returns its outcome as an event.
 async fn send_order(hosts: &dyn Hosts, action: StepsAction) -> StepsEvent {
     match action {
--- a/crates/pistachiostair/tests/steps/load.rs
+++ b/crates/pistachiostair/tests/steps/load.rs
@@ -109,3 +109,20 @@
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Pattern: a scheduler on a weak machine, with short urgent tasks on all workers. Guards against hold orders that take
+/// the whole link, so that others are not answered in time, and against ends that are read late.
+#[rstest]
+#[case::weak(20, 60)]
+#[case::strong(u64::MAX, 200)]
+fn hold_orders_bounded(#[case] rate: u64, #[case] most: u32) {
+    let mut world = World::with_hold_rate(24, rate);
+    world.submit(job(1, "urgent", 192, 1, 2_000));
+    world.run(500);
+    let before = world.holds;
+    world.run(1_400);
+    assert!(world.holds - before <= most, "{} hold orders", world.holds - before);
+    world.run(500);
+    assert_eq!(world.phase(1, "urgent"), StepJobPhase::Completed);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -6,7 +6,7 @@
 use pistachiostair::{
     AccountName, AccountRule, Action, AppendAction, AppendEvent, Demand, Event, HostInfo, HostUpdate, Incarnation,
     JobKey, Millis, OrderReply, Queue, QueueName, QueueSettings, Revision, Rules, RunOutcome, Scheduler, Seq,
-    ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepTimes, StepsAction, StepsEvent, Target, Term,
+    ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepLimits, StepsAction, StepsEvent, Target, Term,
     Token, WorkerName,
 };
 use standin::StepWorkers;
@@ -54,7 +54,7 @@
     /// Draining workers, with the time at which each will be gone.
     pub(crate) leaving: BTreeMap<WorkerName, u64>,
     scheduler: Scheduler,
-    times: StepTimes,
+    limits: StepLimits,
     pub(crate) term: Term,
     pub(crate) rows: Vec<(Seq, String)>,
     queue: BTreeMap<(u64, u64), Delivery>,
@@ -84,7 +84,7 @@
             stop_orders: 0,
             leaving: BTreeMap::new(),
             scheduler: Scheduler::new("fi".into()),
-            times: StepTimes::default(),
+            limits: StepLimits::default(),
             term: Term(0),
             rows: Vec::new(),
             queue: BTreeMap::new(),
@@ -103,9 +103,10 @@
     /// A region of a platform on which stops take up to 900 ms.
     pub(crate) fn with_slow_stops(count: usize) -> Self {
         let mut world = Self::new(count);
-        world.times = StepTimes {
+        world.limits = StepLimits {
             stop: Millis(900),
             reclaim: Millis(3_400),
+            ..StepLimits::default()
         };
         world.workers.stop_time = Some(Millis(900));
         world.take_over();
@@ -113,6 +114,15 @@
         world
     }
 
+    /// A region whose scheduler may send `rate` hold orders a second to learn of progress.
+    pub(crate) fn with_hold_rate(count: usize, rate: u64) -> Self {
+        let mut world = Self::new(count);
+        world.limits.hold_rate = rate;
+        world.take_over();
+        world.run(100);
+        world
+    }
+
     /// When the first run of a job started, and when its last run ended as done; none if that has not happened.
     pub(crate) fn span(&self, key: u64) -> (Option<u64>, Option<u64>) {
         let log = self.workers.log.iter().filter(|(_, task, ..)| task.job == JobKey(key));
@@ -216,7 +226,7 @@
     /// Replaces the scheduler by that of another daemon, which does not know the list of workers yet.
     pub(crate) fn elect(&mut self) {
         self.term = Term(self.term.0 + 1);
-        self.scheduler = Scheduler::new("fi".into()).with_step_times(self.times);
+        self.scheduler = Scheduler::new("fi".into()).with_step_limits(self.limits);
         let elected = Event::Elected {
             term: self.term,
             fence: self.term.0,
--- a/crates/pistachiostair/tests/tenure/rank.rs
+++ b/crates/pistachiostair/tests/tenure/rank.rs
@@ -317,3 +317,23 @@
         );
     }
 }
+
+/// Guards against a weak daemon that fills its link with hold orders or start orders, and a strong one that is slowed.
+#[test]
+fn capacity_orders() {
+    let small = Capacity {
+        millicores: 120,
+        link_kbps: 2_000,
+        memory_mb: 160,
+    };
+    assert!((50..=150).contains(&small.hold_rate()), "{}", small.hold_rate());
+    assert!((16..=64).contains(&small.max_orders()), "{}", small.max_orders());
+    assert!(STRONG.hold_rate() >= 600, "{}", STRONG.hold_rate());
+    assert_eq!(STRONG.max_orders(), 512);
+    let none = Capacity {
+        millicores: 0,
+        link_kbps: 0,
+        memory_mb: 0,
+    };
+    assert!(none.hold_rate() >= 1 && none.max_orders() >= 1);
+}
