Free runs of a worker that has left once nothing listens at its address

Change: a draining worker whose time is over and that refuses connections for 300 ms counts as gone, and its runs as lost. Silence, time-outs and resets prove nothing, as before; nor do refusals of workers that don't drain.

Ruled out: the removal from the list, which also follows silence.

Tests: leave_during_takeover (fails before), leave_silently. orders.rs: a refused connection is now told apart from other orders that were not sent.

--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -102,6 +102,8 @@
     },
     /// The order was not sent, so it can't have been carried out.
     Undelivered,
+    /// The order was not sent: the worker's machine refused the connection, since nothing listens at the address.
+    NoListener,
     /// No answer came: the order may have been carried out, or may still be.
     Unanswered,
 }
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -39,6 +39,9 @@
 /// they renew.
 const UNSTORED_END_GAP: Millis = Millis(1_000);
 
+/// Time between two refused connections after which a draining worker whose time is over counts as gone.
+const REFUSAL_SPAN: Millis = Millis(300);
+
 /// Shortest time between two hold orders to a worker otherwise.
 const HOLD_GAP: Millis = Millis(20);
 
@@ -122,6 +125,10 @@
     pub(crate) hold_after: Millis,
     /// Failed calls in a row: the host was not reached, did not answer or was unhealthy.
     pub(crate) failures: u32,
+    /// When the first of the connections was refused that were refused in a row.
+    refused_since: Option<Millis>,
+    /// Whether it has left: it drained, its time was over, and nothing listened at its address any more.
+    pub(crate) gone: bool,
     /// Resources of the runs there that have not ended.
     pub(crate) used: Demand,
     /// Runs there whose end is not stored yet.
@@ -155,6 +162,8 @@
             last_hold: Millis::ZERO,
             hold_after: Millis::ZERO,
             failures: 0,
+            refused_since: None,
+            gone: false,
             used: Demand::default(),
             runs: BTreeSet::new(),
             ends: BTreeMap::new(),
@@ -181,6 +190,8 @@
         self.ends.clear();
         self.acked = 0;
         self.failures = 0;
+        self.refused_since = None;
+        self.gone = false;
         self.leaves_at = None;
         self.ejection = Ejection::default();
     }
@@ -207,6 +218,19 @@
         needed && now >= self.last_hold + gap
     }
 
+    /// Takes note of whether the worker's machine refused the connection for the last order. A worker that drains, whose
+    /// time is over and whose address nothing listens at has ended, and with it all that ran there. Silence tells
+    /// nothing: the worker may be cut off or slow.
+    pub(crate) fn note_refusal(&mut self, now: Millis, refused: bool) {
+        if !refused {
+            self.refused_since = None;
+            return;
+        }
+        let since = *self.refused_since.get_or_insert(now);
+        let time_over = self.leaves_at.is_some_and(|leaves| now >= leaves);
+        self.gone |= time_over && now >= since + REFUSAL_SPAN;
+    }
+
     /// Whether a tick has something to do: the lease of its runs has ended, it drains with runs on it, or a hold order
     /// is due.
     pub(crate) fn has_due_work(&self, now: Millis) -> bool {
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -106,7 +106,7 @@
                 self.reject_start(cx, key, only_order);
                 self.hold_now(cx, worker);
             }
-            OrderReply::Unhealthy | OrderReply::Undelivered => {
+            OrderReply::Unhealthy | OrderReply::Undelivered | OrderReply::NoListener => {
                 let only_order = run.sends == 1;
                 self.log_run("not started", key, format!("the start order failed: {reply:?}"));
                 self.reject_start(cx, key, only_order);
@@ -225,12 +225,13 @@
         else {
             return;
         };
+        host.note_refusal(cx.now, *reply == OrderReply::NoListener);
         match reply {
             OrderReply::Done { clock } => {
                 host.read_clock(*clock, cx.now);
                 host.failures = 0;
             }
-            OrderReply::Undelivered | OrderReply::Unanswered | OrderReply::Unhealthy => {
+            OrderReply::Undelivered | OrderReply::NoListener | OrderReply::Unanswered | OrderReply::Unhealthy => {
                 host.failures += 1;
                 host.hold_after = cx.now + HOLD_RETRY_DELAY;
                 self.replan = true;
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -59,7 +59,7 @@
     /// order that is due.
     fn check_host(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
-        if cx.now > host.expiry && !host.runs.is_empty() {
+        if (cx.now > host.expiry || host.gone) && !host.runs.is_empty() {
             self.end_expired_runs(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
@@ -69,8 +69,8 @@
         self.hold_if_due(cx, worker);
     }
 
-    /// Ends as `Lost` the ordered runs of a worker whose lease has ended for certain. An order that still arrives there
-    /// is refused as late. Planned runs have had no order.
+    /// Ends as `Lost` the ordered runs of a worker whose lease has ended for certain, or that is gone. An order that still
+    /// arrives there is refused as late. Planned runs have had no order.
     fn end_expired_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
         let runs: Vec<RunKey> = host.runs.iter().copied().collect();
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -190,6 +190,7 @@
         OrderReply::Unhealthy => "unhealthy",
         OrderReply::Invalid { .. } => "invalid",
         OrderReply::Undelivered => "undelivered",
+        OrderReply::NoListener => "no listener",
         OrderReply::Unanswered => "unanswered",
     }
 }
--- a/crates/pistachiostair/tests/steps/load.rs
+++ b/crates/pistachiostair/tests/steps/load.rs
@@ -126,3 +126,41 @@
     assert_eq!(world.phase(1, "urgent"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Pattern: a worker leaves at short notice while another daemon takes over. Guards against tasks that wait for the end
+/// of a lease on a worker that has ended, and is still listed.
+#[test]
+fn leave_during_takeover() {
+    let mut world = World::with_slow_stops(3);
+    world.submit(gang(1, "urgent", 2, ACCELERATORS, 3_000));
+    world.run(500);
+    let member = (0..3).find(|number| world.workers.running_on(worker(*number).as_str()) > 0);
+    let member = member.expect("a member of the gang");
+    world.leaving.insert(worker(member), world.now + 1_200);
+    world.run(1_000);
+    world.take_over();
+    world.run(300);
+    world.workers.crash(&worker(member));
+    world.run(1_000 + 300 + 900 + 3_500);
+    assert_eq!(world.phase(1, "urgent"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Guards against tasks that run twice because a draining worker that can't be reached counts as gone: it may be cut off
+/// and work on.
+#[test]
+fn leave_silently() {
+    let mut world = World::with_slow_stops(2);
+    world.submit(job(1, "urgent", 1, ACCELERATORS, 6_000));
+    world.run(500);
+    let member = (0..2).find(|number| world.workers.running_on(worker(*number).as_str()) > 0);
+    let member = worker(member.expect("a worker of the task"));
+    world.leaving.insert(member.clone(), world.now + 1_000);
+    world.send_list();
+    world.unreachable.insert(member);
+    world.run(5_000);
+    assert_eq!(world.workers.starts, 1);
+    world.run(20_000);
+    assert_eq!(world.phase(1, "urgent"), StepJobPhase::Completed);
+    world.check();
+}
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -200,7 +200,7 @@
             .iter()
             .any(|(other, worker)| other != name && worker.tasks.contains_key(&order.task));
         let Some(worker) = self.workers.get_mut(name) else {
-            return OrderReply::Undelivered;
+            return OrderReply::NoListener;
         };
         if worker.incarnation != incarnation {
             return OrderReply::OtherIncarnation;
@@ -262,7 +262,7 @@
         term: Term,
     ) -> OrderReply {
         let Some(worker) = self.workers.get_mut(name) else {
-            return OrderReply::Undelivered;
+            return OrderReply::NoListener;
         };
         if worker.incarnation != incarnation {
             return OrderReply::OtherIncarnation;
@@ -296,7 +296,7 @@
         incarnation: Incarnation,
         order: &HoldOrder,
     ) -> Result<HoldReply, OrderReply> {
-        let worker = self.workers.get_mut(name).ok_or(OrderReply::Undelivered)?;
+        let worker = self.workers.get_mut(name).ok_or(OrderReply::NoListener)?;
         if worker.incarnation != incarnation {
             return Err(OrderReply::OtherIncarnation);
         }
