Give the lease up on a machine that has become slow

Capacity is configured, and was not observed.

Change: the scheduler measures four times a second how long a task waits for the processor. If that is 40 ms or more for 1.5 s while it uses less than half of its share, it yields the lease, after which the others claim first. Not within 5 s of its election, nor while renewals are not answered.

Ruled out: lateness alone, which a busy or a quota-limited daemon shows too.

Tests: starvation/tests.rs.

--- a/crates/pistachiostair/src/election.rs
+++ b/crates/pistachiostair/src/election.rs
@@ -300,6 +300,11 @@
         self.valid && now < self.valid_until
     }
 
+    /// Whether this daemon has held the lease for at least `span`, and the table service has answered a renewal lately.
+    pub(crate) fn is_settled(&self, now: Millis, span: Millis) -> bool {
+        now >= self.elected_at + span && now.since(self.renewed_at).0 <= 4 * self.times.renew_interval.0
+    }
+
     /// Handles an event and returns the actions to carry out, in order.
     pub fn on(&mut self, now: Millis, event: ElectionEvent) -> Vec<ElectionAction> {
         let mut actions = Vec::new();
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -103,6 +103,7 @@
 mod settings;
 mod short_member;
 mod snapshot;
+mod starvation;
 mod state;
 mod steps;
 mod steps_active;
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -10,6 +10,7 @@
 use futures_lite::future;
 
 use crate::appender::AppendAction;
+use crate::capacity::Capacity;
 use crate::clock::Millis;
 use crate::commands::{self, CommandQueues};
 use crate::config::{CATALOG_KEY, Config, GUARANTEE_PREFIX};
@@ -28,6 +29,7 @@
 use crate::scheduler::{Action, Event, Scheduler, Token};
 use crate::scheduler_service::{Input, Shared, failed, wall_time};
 use crate::scheduler_updates::Forwarded;
+use crate::starvation::{SAMPLE_INTERVAL, StarvationWatch};
 use crate::steps::{StepAnswer, StepsEvent};
 use crate::steps_io::{HostClients, Listing, outcome_of};
 use crate::storage::Storage;
@@ -51,6 +53,10 @@
 /// Time between two log lines about the load of the scheduler.
 const LOAD_INTERVAL: Millis = Millis(2_000);
 
+/// Time from its election on for which a daemon whose machine is slow keeps the lease: the others may be slow as well, and
+/// each takeover takes up to a second.
+const MIN_TENURE: Millis = Millis(5_000);
+
 /// A step of the scheduler that takes at least this long is logged as slow: a tenth of its lease.
 const SLOW_STEP: Millis = Millis(50);
 
@@ -77,6 +83,10 @@
     pub(crate) refreshed_at: Millis,
     /// When the load was last logged.
     pub(crate) load_reported: Millis,
+    /// Resources of this daemon; `None` if all daemons count as equal.
+    pub(crate) capacity: Option<Capacity>,
+    /// How this daemon gets processor time while it is the scheduler, and when the last sample was taken.
+    pub(crate) starvation: (StarvationWatch, Millis),
     /// Number of orders to workers that have no outcome yet.
     pub(crate) open_orders: Arc<AtomicUsize>,
     /// Bounds the orders to start and stop runs that are in progress.
@@ -145,6 +155,7 @@
         drop(shared);
         self.handle_event(Event::Tick);
         self.send_renewals();
+        self.sample_processor();
         self.report_load();
         self.metrics.set_figures(&self.scheduler.stats().unwrap_or_default());
         self.metrics
@@ -152,6 +163,39 @@
             .set(self.elected.map_or(0, |(term, _)| term.0 as i64));
     }
 
+    /// Measures how long a task waits for the processor, at intervals while this daemon is the scheduler.
+    fn sample_processor(&mut self) {
+        let now = self.now();
+        if self.elected.is_none() {
+            self.starvation.0.reset();
+        } else if self.capacity.is_some() && now >= self.starvation.1 + SAMPLE_INTERVAL {
+            self.starvation.1 = now;
+            let clock = self.kernel.clock;
+            self.spawn_input(async move {
+                Input::ProcessorSample {
+                    waited: clock.now().since(now),
+                }
+            });
+        }
+    }
+
+    /// Gives the lease up if this daemon's machine has become slow, so that another one takes over, unless the release
+    /// could not be stored.
+    fn handle_sample(&mut self, waited: Millis) {
+        let (now, Some(capacity)) = (self.now(), self.capacity) else {
+            return;
+        };
+        let used = Millis((process_usage().cpu * 1_000.0) as u64);
+        self.starvation.0.sample(now, used, waited);
+        let serving = self.shared.lock().expect("leader lock").term.is_some();
+        if serving && self.election.is_settled(now, MIN_TENURE) && self.starvation.0.is_starved(capacity.millicores) {
+            slog::warn!(self.log, "this daemon's machine has become slow; the lease is given up"; "waited" => waited.0,
+                "capacity" => %capacity);
+            self.starvation.0.reset();
+            self.handle_election(ElectionEvent::Yield);
+        }
+    }
+
     /// Logs the load of this daemon at intervals: while it is the scheduler what waits in it, and its own usage.
     fn report_load(&mut self) {
         let now = self.now();
@@ -212,6 +256,7 @@
                     self.handle_event(Event::Steps(StepsEvent::Hosts(update)));
                 }
             }
+            Input::ProcessorSample { waited } => self.handle_sample(waited),
             Input::Resign(done) => {
                 self.resign_reply = Some(done);
                 self.handle_election(ElectionEvent::Resign);
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -72,6 +72,8 @@
     },
     /// Changes of the platform's list of workers, read under a term.
     Hosts { term: Term, update: HostUpdate },
+    /// How long a task waited for the processor.
+    ProcessorSample { waited: Millis },
     /// Release the lease for good, and signal when that is done.
     Resign(Sender<()>),
 }
@@ -173,6 +175,8 @@
             forwarded: Forwarded::default(),
             refreshed_at: Millis::ZERO,
             load_reported: Millis::ZERO,
+            capacity: settings.capacity,
+            starvation: Default::default(),
             open_orders: Arc::default(),
             order_slots: OrderSlots::new(max_orders),
             elected: None,
