Keep runs whose end is a little overdue from counting as stragglers

Ruled out by variants of it: the time of a stop as a bound, the loss allowed for late urgent steps.

Change: only forecasts of capacity count overdue runs that way.

Tests: remaining_overdue, forecast_overdue.

--- a/crates/pistachiostair/src/steps/progress.rs
+++ b/crates/pistachiostair/src/steps/progress.rs
@@ -65,12 +65,35 @@
         known.then(|| Millis(span.0 * 100 / u64::from(done)))
     }
 
-    /// Time from `now` until the run ends at its latest speed; as long again as it is overdue if it should have ended by
-    /// now. `Millis::MAX` while it is stalled, none while its speed is not known. `usual` is the usual duration of such a task, which sets how long it may go without progress.
+    /// Time from `now` until the run ends at its latest speed; zero if it should have ended by now. `Millis::MAX` while it
+    /// is stalled, none while its speed is not known. `usual` is the usual duration of such a task, which sets how long it
+    /// may go without progress.
     pub(crate) fn remaining(&self, now: Millis, usual: Millis) -> Option<Millis> {
-        let age = now.since(self.at);
+        let left = self.left_at_report(usual)?;
+        Some(if left == Millis::MAX {
+            left
+        } else {
+            left.since(self.age(now))
+        })
+    }
+
+    /// Like [`Self::remaining`], but a run that should have ended by now is taken to need as long again as it is overdue.
+    pub(crate) fn forecast(&self, now: Millis, usual: Millis) -> Option<Millis> {
+        let left = self.left_at_report(usual)?;
+        Some(match left {
+            Millis::MAX => left,
+            _ => Millis(left.0.abs_diff(self.age(now).0)),
+        })
+    }
+
+    fn age(&self, now: Millis) -> Millis {
+        now.since(self.at)
+    }
+
+    /// Time from the latest report until the run ends, see [`Self::remaining`].
+    fn left_at_report(&self, usual: Millis) -> Option<Millis> {
         if self.percent >= 100 {
-            return Some(age);
+            return Some(Millis::ZERO);
         }
         let span = self.at.since(self.earlier.1);
         let done = self.percent.saturating_sub(self.earlier.0);
@@ -79,6 +102,6 @@
             return stalled.then_some(Millis::MAX);
         }
         let left = span.0 * u64::from(100 - self.percent) / u64::from(done);
-        (span >= MIN_WINDOW).then(|| Millis(left.abs_diff(age.0)))
+        (span >= MIN_WINDOW).then_some(Millis(left))
     }
 }
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -623,13 +623,24 @@
 /// Guards against capacity that is forecast to become free at once, time after time, because a run there is overdue: a
 /// step then waits for it instead of other capacity.
 #[test]
-fn remaining_overdue() {
+fn forecast_overdue() {
     let mut progress = RunProgress::first((0, Millis(0)), 50, Millis(1_000));
     progress.advance(90, Millis(1_800));
     let usual = Millis(2_000);
-    assert_eq!(progress.remaining(Millis(1_800), usual), Some(Millis(200)));
-    assert_eq!(progress.remaining(Millis(1_900), usual), Some(Millis(100)));
-    assert_eq!(progress.remaining(Millis(2_600), usual), Some(Millis(600)));
+    assert_eq!(progress.forecast(Millis(1_800), usual), Some(Millis(200)));
+    assert_eq!(progress.forecast(Millis(1_900), usual), Some(Millis(100)));
+    assert_eq!(progress.forecast(Millis(2_600), usual), Some(Millis(600)));
+    progress.advance(100, Millis(2_700));
+    assert_eq!(progress.forecast(Millis(3_000), usual), Some(Millis(300)));
+}
+
+/// Guards against a run that counts as a straggler because the report of its end, or of the progress of its gang, is a
+/// little late: its worker then gets no tasks for a while.
+#[test]
+fn remaining_overdue() {
+    let mut progress = RunProgress::first((0, Millis(0)), 50, Millis(1_000));
+    progress.advance(90, Millis(1_800));
+    assert_eq!(progress.remaining(Millis(2_600), Millis(2_000)), Some(Millis(0)));
     progress.advance(100, Millis(2_700));
-    assert_eq!(progress.remaining(Millis(3_000), usual), Some(Millis(300)));
+    assert_eq!(progress.remaining(Millis(9_000), Millis(2_000)), Some(Millis(0)));
 }
