Ask for the configuration at once after a read that was not answered

After an outage of the store a read that was lost in it and waits for a change is given up after up to 2.6 s; the sources were reached again 1.4 to 2.8 s after the store's return.

Change: after a failed read the next one does not wait for a change, so that it is given up after 1.6 s at most; the same for the list of workers.

Test: follow_after_outage.

--- a/crates/pistachiostair/src/rules_watch.rs
+++ b/crates/pistachiostair/src/rules_watch.rs
@@ -164,7 +164,9 @@
         let mut reached = true;
         loop {
             let sent = self.kernel.clock.now();
-            let read = self.source.rules(position, MAX_WAIT).await;
+            // A read that waits for a change and gets lost is given up later than one that asks for an answer at once.
+            let wait = if reached { MAX_WAIT } else { Millis::ZERO };
+            let read = self.source.rules(position, wait).await;
             if read.is_ok() != reached {
                 reached = read.is_ok();
                 match &read {
--- a/crates/pistachiostair/src/rules_watch/tests.rs
+++ b/crates/pistachiostair/src/rules_watch/tests.rs
@@ -1,11 +1,18 @@
 //! What a daemon accepts of the configuration of another one. Pattern: the store turns a third of the daemons away while
 //! keys are withdrawn.
 
+use std::sync::{Arc, Mutex};
+
+use async_executor::Executor;
+use futures_lite::future::block_on;
 use rstest::rstest;
 
-use super::Known;
+use super::{Known, MAX_WAIT, RulesWatch};
 use crate::clock::Millis;
+use crate::edge::{BoxFuture, RulesSource};
+use crate::error::{Error, ErrorKind, Result};
 use crate::ids::Revision;
+use crate::kernel::Kernel;
 use crate::message::RulesAge;
 use crate::steps::Rules;
 
@@ -74,3 +81,38 @@
     assert_eq!(known.apply(rules(5)), None);
     assert_eq!(known.apply(rules(7)), Some(Some(5)));
 }
+
+/// A source that fails the second read, and keeps the waits that it was asked for. After the fourth read it is silent.
+#[derive(Default)]
+struct Source(Mutex<Vec<Millis>>);
+
+impl RulesSource for Source {
+    fn rules(&self, _: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, Option<Rules>)>> {
+        let mut waits = self.0.lock().unwrap();
+        waits.push(wait);
+        let number = waits.len();
+        Box::pin(async move {
+            match number {
+                2 => Err(Error::msg(ErrorKind::Timeout, "read rules", "no answer")),
+                1 | 3 => Ok((number as u64, Some(rules(number as u64)))),
+                _ => futures_lite::future::pending().await,
+            }
+        })
+    }
+}
+
+/// Guards against a configuration that is learnt late after an outage of the store, because a read that was lost in it
+/// waits for a change.
+#[test]
+fn follow_after_outage() {
+    let executor = Arc::new(Executor::new());
+    let kernel = Kernel::new(executor.clone());
+    let source = Arc::new(Source::default());
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let watch = RulesWatch::start(&kernel, source.clone(), log).unwrap();
+    while source.0.lock().unwrap().len() < 4 {
+        block_on(executor.tick());
+    }
+    assert_eq!(*source.0.lock().unwrap(), [MAX_WAIT, MAX_WAIT, Millis::ZERO, MAX_WAIT]);
+    assert_eq!(watch.rules().map(|rules| rules.version), Some(Revision(3)));
+}
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -128,7 +128,8 @@
                 };
                 let read = match started {
                     Some(read) => read,
-                    None => clients.listing.hosts(position, LIST_WAIT).await,
+                    None if reached => clients.listing.hosts(position, LIST_WAIT).await,
+                    None => clients.listing.hosts(position, Millis::ZERO).await,
                 };
                 if read.is_ok() != reached {
                     reached = read.is_ok();
