--- a/crates/pistachiostair/src/http_client.rs
+++ b/crates/pistachiostair/src/http_client.rs
@@ -122,6 +122,8 @@
     limit: usize,
     idle: IdleLimits,
     max_body: usize,
+    /// Bytes a millisecond that large bodies are sent with; unlimited if absent.
+    upload_rate: Option<usize>,
     traffic: Arc<Traffic>,
     kind: Arc<ByteCounts>,
 }
@@ -140,6 +142,7 @@
                 time: Millis(u64::MAX),
             },
             max_body,
+            upload_rate: None,
             traffic: Arc::default(),
             kind: Arc::default(),
         }
@@ -152,6 +155,13 @@
         self
     }
 
+    /// Sends large bodies with at most `rate` bytes a millisecond, so that other requests don't wait for the link.
+    #[must_use]
+    pub fn with_upload_rate(mut self, rate: usize) -> Self {
+        self.upload_rate = Some(rate);
+        self
+    }
+
     /// Counts the bytes of its connections in `traffic`, under `kind`.
     #[must_use]
     pub fn with_traffic(mut self, traffic: Arc<Traffic>, kind: &'static str) -> Self {
@@ -407,7 +417,7 @@
             builder = builder.header(*name, *value);
         }
         let request = builder
-            .body(Upload::new(call.body.clone(), progress.clone()))
+            .body(Upload::new(call.body.clone(), progress.clone(), self.upload_rate))
             .map_err(invalid)?;
         sender.send_request(request).await.map_err(|e| {
             let ran = if e.is_canceled() { Ran::No } else { Ran::Unknown };
--- a/crates/pistachiostair/src/http_progress.rs
+++ b/crates/pistachiostair/src/http_progress.rs
@@ -4,8 +4,9 @@
 use std::fmt;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
+use async_io::Timer;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
@@ -14,6 +15,9 @@
 /// Largest part of a body that is passed to the connection at once.
 const PART_BYTES: usize = 16 * 1024;
 
+/// Time that a part of a paced body takes at most, and so the time for which other requests wait for the link.
+const PART_TIME: Millis = Millis(50);
+
 /// Bytes from which on a body counts as large.
 const LARGE_BYTES: usize = 64 * 1024;
 
@@ -127,12 +131,23 @@
 pub(crate) struct Upload {
     rest: Bytes,
     progress: Arc<Progress>,
+    /// Bytes a millisecond that the body is sent with; unlimited if absent.
+    rate: Option<usize>,
+    /// Ends when the next part of a paced body is due.
+    pause: Option<Timer>,
 }
 
 impl Upload {
-    /// A body whose parts count as progress of the request.
-    pub(crate) fn new(body: Bytes, progress: Arc<Progress>) -> Self {
-        Self { rest: body, progress }
+    /// A body whose parts count as progress of the request. A large one is sent with `rate` bytes a millisecond, if that
+    /// is given.
+    pub(crate) fn new(body: Bytes, progress: Arc<Progress>, rate: Option<usize>) -> Self {
+        let rate = rate.filter(|_| body.len() >= LARGE_BYTES).map(|rate| rate.max(1));
+        Self {
+            rest: body,
+            progress,
+            rate,
+            pause: None,
+        }
     }
 }
 
@@ -142,14 +157,24 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, Infallible>>> {
         if self.rest.is_empty() {
             return Poll::Ready(None);
         }
-        let bytes = self.rest.len().min(PART_BYTES);
+        if let Some(pause) = &mut self.pause {
+            ready!(Pin::new(pause).poll(cx));
+            self.pause = None;
+        }
+        let most = self.rate.map_or(PART_BYTES, |rate| {
+            rate.saturating_mul(PART_TIME.0 as usize).min(PART_BYTES)
+        });
+        let bytes = self.rest.len().min(most);
         let part = self.rest.split_to(bytes);
         self.progress.sent(bytes);
+        if let Some(rate) = self.rate.filter(|_| !self.rest.is_empty()) {
+            self.pause = Some(Timer::after(Millis(bytes.div_ceil(rate) as u64).duration()));
+        }
         Poll::Ready(Some(Ok(Frame::data(part))))
     }
 
--- a/crates/pistachiostair/tests/http_transfer.rs
+++ b/crates/pistachiostair/tests/http_transfer.rs
@@ -171,3 +171,16 @@
     assert_eq!((error.kind, error.ran), (ErrorKind::Timeout, Ran::Unknown));
     assert!(took < Duration::from_millis(2_000), "given up only after {took:?}");
 }
+
+/// Guards against a large body, such as a snapshot, that fills the link of a small daemon, so that renewals of its lease
+/// come too late, and against its being given up because it is sent slowly.
+#[test]
+fn upload_paced() {
+    const RATE: usize = 700;
+    let (client, address) = start(Link::Upload);
+    let (answer, took) = transfer(&client.with_upload_rate(RATE), &address, BODY);
+    answer.expect("the whole body arrives");
+    // The link alone takes two thirds of it.
+    let paced = Duration::from_millis((BODY / RATE) as u64);
+    assert!(took > paced * 9 / 10, "{took:?}");
+}
