--- a/crates/pistachiostair/src/http_progress.rs
+++ b/crates/pistachiostair/src/http_progress.rs
@@ -15,8 +15,8 @@
 /// Largest part of a body that is passed to the connection at once.
 const PART_BYTES: usize = 16 * 1024;
 
-/// Time that a part of a paced body takes at most, and so the time for which other requests wait for the link.
-const PART_TIME: Millis = Millis(50);
+/// Time from one pause of a paced body to the next, for which other requests may have to wait for the link.
+const PACE_TIME: Millis = Millis(25);
 
 /// Bytes from which on a body counts as large.
 const LARGE_BYTES: usize = 64 * 1024;
@@ -133,6 +133,8 @@
     progress: Arc<Progress>,
     /// Bytes a millisecond that the body is sent with; unlimited if absent.
     rate: Option<usize>,
+    /// Bytes passed on since the last pause of a paced body.
+    burst: usize,
     /// Ends when the next part of a paced body is due.
     pause: Option<Timer>,
 }
@@ -146,6 +148,7 @@
             rest: body,
             progress,
             rate,
+            burst: 0,
             pause: None,
         }
     }
@@ -166,14 +169,18 @@
             ready!(Pin::new(pause).poll(cx));
             self.pause = None;
         }
-        let most = self.rate.map_or(PART_BYTES, |rate| {
-            rate.saturating_mul(PART_TIME.0 as usize).min(PART_BYTES)
-        });
-        let bytes = self.rest.len().min(most);
+        let most_burst = self
+            .rate
+            .map_or(usize::MAX, |rate| rate.saturating_mul(PACE_TIME.0 as usize));
+        let bytes = self.rest.len().min(PART_BYTES).min(most_burst - self.burst);
         let part = self.rest.split_to(bytes);
         self.progress.sent(bytes);
-        if let Some(rate) = self.rate.filter(|_| !self.rest.is_empty()) {
-            self.pause = Some(Timer::after(Millis(bytes.div_ceil(rate) as u64).duration()));
+        if self.rate.is_some() {
+            self.burst += bytes;
+        }
+        if self.burst == most_burst {
+            self.burst = 0;
+            self.pause = Some(Timer::after(PACE_TIME.duration()));
         }
         Poll::Ready(Some(Ok(Frame::data(part))))
     }
