--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -110,7 +110,7 @@
     pub(crate) actions: Vec<Action>,
     /// Jobs made of steps.
     pub(crate) steps: StepScheduler,
-    /// Time limits of the platform for the runs of steps.
+    /// Limits of the platform and of this daemon for the runs of steps.
     pub(crate) step_limits: StepLimits,
     /// When the scheduler's lease was last known to be held.
     pub(crate) last_held: Millis,
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -77,7 +77,7 @@
     pub row_bytes: usize,
     /// How long a job that has ended can be read.
     pub job_retention: Millis,
-    /// Time limits of the platform for runs.
+    /// Limits of the platform and of this daemon for runs.
     pub step_limits: StepLimits,
     /// Resources of this daemon; all daemons without them count as equal.
     pub capacity: Option<Capacity>,
--- a/crates/pistachiostair/src/order_slots.rs
+++ b/crates/pistachiostair/src/order_slots.rs
@@ -1,4 +1,4 @@
-//! Bound on the orders to start and stop runs that are in progress. Without it, a burst of them takes longer to pass the
+//! A bound on the orders to start and stop runs that are in progress. Without it, a burst of them takes longer to pass the
 //! daemon's link than an order may take to be answered.
 
 use std::sync::Arc;
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -224,7 +224,7 @@
         self
     }
 
-    /// Sets the platform's time limits for the runs of steps, from the next election on.
+    /// Sets the limits of the platform and of this daemon for the runs of steps, from the next election on.
     #[must_use]
     pub fn with_step_limits(mut self, limits: StepLimits) -> Self {
         self.step_limits = limits;
--- a/crates/pistachiostair/src/scheduler_service.rs
+++ b/crates/pistachiostair/src/scheduler_service.rs
@@ -92,7 +92,7 @@
     pub(crate) row_bytes: usize,
     /// How long ended jobs are kept.
     pub(crate) retention: Retention,
-    /// Time limits of the platform for the runs of steps.
+    /// Limits of the platform and of this daemon for the runs of steps.
     pub(crate) step_limits: StepLimits,
 }
 
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -268,7 +268,7 @@
     pub(crate) store_stalled: bool,
     /// When this scheduler was last known to hold the region's lease.
     pub(crate) last_held: Millis,
-    /// Time limits of the platform.
+    /// Limits of the platform and of this daemon.
     pub(crate) limits: StepLimits,
     /// Durable state, as folded from the journal.
     pub(crate) book: &'a StepJobTable,
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -277,9 +277,10 @@
         placed as u64
     }
 
-    /// Secures capacity for a step of which no task fits. Preempts running tasks if the step would otherwise be late,
-    /// can start sooner that way, and the loss of work is within its budget. Otherwise, for a gang or a step of priority 0, keeps the capacity
-    /// that is forecast to become free first from other steps for the rest of this pass, if `reservable` allows that.
+    /// Secures capacity for a step of which no task fits. Preempts running tasks if the step would otherwise be late, can
+    /// start sooner that way, and the loss of work is within its budget. Otherwise, for a gang or a step of priority 0,
+    /// keeps the capacity that is forecast to become free first from other steps for the rest of this pass, if
+    /// `reservable` allows that.
     fn secure_capacity<'a>(
         &'a self,
         cx: &Context<'_>,
