Don't count a confirmation from before the start of a daemon

Cause: the time at which the scheduler's configuration was confirmed is the time of the probe less its age.

Change: such a confirmation does not count. A worker that no longer drains does not count as gone.

Test: compare_confirmed_before_start, which failed before.

--- a/crates/pistachiostair/src/rules_watch.rs
+++ b/crates/pistachiostair/src/rules_watch.rs
@@ -53,9 +53,11 @@
         Some(before.map(|before| before.0))
     }
 
-    /// Records that the version in force was current at `at`.
-    fn confirm(&mut self, at: Millis) {
-        self.confirmed = self.confirmed.max(Some(at));
+    /// Records that the version in force was current `age` before `at`. Nothing is recorded of a time before this
+    /// process's clock was started: it would count as later than it was.
+    fn confirm(&mut self, at: Millis, age: Millis) {
+        let confirmed = at.0.checked_sub(age.0).map(Millis);
+        self.confirmed = self.confirmed.max(confirmed);
     }
 
     /// Applies what another daemon said of its configuration in its answer to a request sent at `sent`. Returns whether
@@ -64,7 +66,7 @@
         match self.rules.as_ref().map(|rules| rules.version) {
             Some(version) if version > theirs.version => false,
             Some(version) if version == theirs.version => {
-                self.confirm(sent.since(theirs.age));
+                self.confirm(sent, theirs.age);
                 false
             }
             _ => true,
@@ -146,7 +148,7 @@
             Err(error) => Err(error),
         };
         match answer {
-            Ok(Response::Rules { rules, age }) => self.apply(sent.since(age), Some(*rules), &address),
+            Ok(Response::Rules { rules, age }) => self.apply((sent, age), Some(*rules), &address),
             Ok(other) => {
                 slog::warn!(self.log, "configuration not read from another daemon"; "address" => &address,
                     "answer" => ?other);
@@ -178,7 +180,7 @@
                 Ok((next, rules)) => {
                     position = Some(next);
                     self.known().source_answered = Some(sent);
-                    self.apply(sent, rules, "store");
+                    self.apply((sent, Millis::ZERO), rules, "store");
                 }
                 Err(error) if error.kind == ErrorKind::Expired => position = None,
                 Err(_) => {
@@ -188,9 +190,9 @@
         }
     }
 
-    /// Records that the newest configuration was current at `confirmed`, and puts `rules` in force if they are newer than
-    /// the present ones.
-    fn apply(&self, confirmed: Millis, rules: Option<Rules>, source: &str) {
+    /// Records that the newest configuration was current `age` before `at`, and puts `rules` in force if they are newer
+    /// than the present ones.
+    fn apply(&self, (at, age): (Millis, Millis), rules: Option<Rules>, source: &str) {
         let mut known = self.known();
         let (version, size) = (
             rules.as_ref().map(|rules| rules.version.0),
@@ -201,6 +203,6 @@
             slog::info!(self.log, "applied"; "version" => version, "before" => before, "queues" => queues,
                 "accounts" => accounts, "source" => source);
         }
-        known.confirm(confirmed);
+        known.confirm(at, age);
     }
 }
--- a/crates/pistachiostair/src/rules_watch/tests.rs
+++ b/crates/pistachiostair/src/rules_watch/tests.rs
@@ -34,7 +34,7 @@
 fn known() -> Known {
     let mut known = Known::default();
     known.apply(rules(5));
-    known.confirm(Millis(1_000));
+    known.confirm(Millis(1_000), Millis::ZERO);
     known
 }
 
@@ -57,6 +57,16 @@
     assert_eq!(known.confirmed, Some(Millis(1_000)));
 }
 
+/// Guards against a daemon that has just restarted and takes an old confirmation for one of its start, since its clock
+/// has no earlier time: it would accept keys that were withdrawn meanwhile.
+#[test]
+fn compare_confirmed_before_start() {
+    let mut known = Known::default();
+    known.apply(rules(5));
+    assert!(!known.compare(Millis(300), aged(5, 20_000)));
+    assert_eq!(known.confirmed, None);
+}
+
 /// Guards against the present version being confirmed by one that replaces it.
 #[test]
 fn compare_newer_version() {
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -127,8 +127,8 @@
     pub(crate) failures: u32,
     /// When the first of the connections was refused that were refused in a row.
     refused_since: Option<Millis>,
-    /// Whether it has left: it drained, its time was over, and nothing listened at its address any more.
-    pub(crate) gone: bool,
+    /// Whether nothing listened at its address any more after it had drained and its time was over.
+    gone: bool,
     /// Resources of the runs there that have not ended.
     pub(crate) used: Demand,
     /// Runs there whose end is not stored yet.
@@ -231,6 +231,11 @@
         self.gone |= time_over && now >= since + REFUSAL_SPAN;
     }
 
+    /// Whether the worker has left. One that no longer drains has not.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.gone && self.leaves_at.is_some()
+    }
+
     /// Whether a tick has something to do: the lease of its runs has ended, it drains with runs on it, or a hold order
     /// is due.
     pub(crate) fn has_due_work(&self, now: Millis) -> bool {
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -59,7 +59,7 @@
     /// order that is due.
     fn check_host(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
-        if (cx.now > host.expiry || host.gone) && !host.runs.is_empty() {
+        if (cx.now > host.expiry || host.is_gone()) && !host.runs.is_empty() {
             self.end_expired_runs(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
