Log what a takeover recovers, refused stops and repeated cancels

The logs of the incident of runs that outlive their cancelled job could not tell its hypotheses apart: a takeover said nothing of the runs of ended jobs that it adopted, the worker's answer to a stop was not logged, and a cancel that is answered from the stored state had no line. No decision changes.

--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -167,6 +167,9 @@
             Err(answer) => return Some(answer),
         };
         if entry.phase.is_final() {
+            let left = self.runs_of(job).count();
+            let reason = format!("answered from its stored phase {:?}; {left} runs left", entry.phase);
+            self.log_job("cancel repeated", job, reason);
             return Some(StepAnswer::Cancelled);
         }
         if let Some(tokens) = self.cancelling.get_mut(&job) {
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -463,6 +463,7 @@
         for entry in cx.book.jobs() {
             steps.recover_runs(cx, entry);
         }
+        steps.log_recovered(cx);
         steps.stop_earlier_incarnations(cx);
         steps.stop_broken_gangs(cx);
         for entry in cx.book.open_jobs() {
@@ -505,6 +506,26 @@
         }
     }
 
+    /// Logs what the journal says may be alive.
+    fn log_recovered(&mut self, cx: &Context<'_>) {
+        let ended = |job: JobKey| cx.book.job(job).is_some_and(|entry| entry.phase.is_final());
+        let jobs: BTreeSet<JobKey> = self.runs.keys().map(|(task, _)| task.job).collect();
+        let runs_left = self.runs.keys().filter(|(task, _)| ended(task.job)).count();
+        let reason = format!(
+            "{} runs of {} jobs on {} workers may be alive, {runs_left} of them of jobs that have ended",
+            self.runs.len(),
+            jobs.len(),
+            self.hosts.len()
+        );
+        self.actions.push(StepsAction::Log(StepsLog {
+            what: "recovered",
+            job: None,
+            task: None,
+            worker: None,
+            reason,
+        }));
+    }
+
     /// Stops the recovered runs that were ordered in an earlier incarnation of a worker than the last one known.
     fn stop_earlier_incarnations(&mut self, cx: &Context<'_>) {
         let hosts = &self.hosts;
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -211,7 +211,7 @@
                 self.hold_now(cx, &target.worker);
             }
             OrderReply::OldTerm => self.outdated = true,
-            _ => {}
+            _ => self.log_run("not stopped", key, format!("the stop order failed: {reply:?}")),
         }
     }
 
