Stop the runs of ended jobs after a takeover

Cause: stops of the runs of a cancelled or failed job were sent once, when the record became durable. The next scheduler replayed the record, answered repeated cancels from the job's phase and adopted the runs as if the job went on. The first one may have been deposed before its stops were sent, or before one that a worker refused took effect: in all four cases traced it had begun to stop the runs, 5 ms to 1.1 s before it was deposed. Class: a consequence of a stored record that is tied to the event of its commit instead of derived from the state.

Change: one function compares the runs of a job with its stored state, after each of its records and for each job at a takeover; it replaces the special case for broken gangs. A stop whose worker has no address yet no longer counts as sent.

--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -465,9 +465,10 @@
         }
         steps.log_recovered(cx);
         steps.stop_earlier_incarnations(cx);
-        steps.stop_broken_gangs(cx);
-        for entry in cx.book.open_jobs() {
-            steps.refresh_job(cx, entry.spec.key);
+        let jobs = steps.runs.keys().map(|(task, _)| task.job);
+        let jobs: BTreeSet<JobKey> = jobs.chain(cx.book.open_jobs().map(|entry| entry.spec.key)).collect();
+        for job in jobs {
+            steps.reconcile_job(cx, job);
         }
         steps
     }
@@ -549,22 +550,6 @@
         self.stop_run(cx, key, RunStopReason::Unanswered);
     }
 
-    /// Stops the recovered members of gangs of which another member has ended: the scheduler that stored its end may not
-    /// have stopped them.
-    fn stop_broken_gangs(&mut self, cx: &Context<'_>) {
-        let mut members: BTreeMap<(StepKey, u32), (RunKey, u32)> = BTreeMap::new();
-        for key in self.runs.keys() {
-            let (_, count) = members.entry((key.0.step_key(), key.1)).or_insert((*key, 0));
-            *count += 1;
-        }
-        for (first, count) in members.into_values() {
-            let broken = step_of(cx.book, &first.0).is_some_and(|step| step.gang && count < step.count);
-            if broken {
-                self.stop_run(cx, first, RunStopReason::GangBroken);
-            }
-        }
-    }
-
     /// How much there is to do at present.
     pub(crate) fn load(&self) -> StepLoad {
         StepLoad {
@@ -653,25 +638,55 @@
         }
     }
 
-    /// Updates the state of a job after one of its runs or the whole job has ended, and stops the runs of a job that
-    /// failed or was cancelled.
+    /// Brings a job in line after one of its runs or the whole job has ended.
     fn after_end(&mut self, cx: &Context<'_>, job: JobKey) {
-        let phase = cx.book.job(job).map(|entry| entry.phase);
-        match phase {
-            // Members of a gang that are still running end by themselves.
-            Some(StepJobPhase::Completed) if self.closed.insert(job) => {
-                self.log_job("completed", job, "all tasks are done".to_owned());
+        let completed = cx
+            .book
+            .job(job)
+            .is_some_and(|entry| entry.phase == StepJobPhase::Completed);
+        if completed && self.closed.insert(job) {
+            self.log_job("completed", job, "all tasks are done".to_owned());
+        }
+        self.reconcile_job(cx, job);
+        self.replan = true;
+    }
+
+    /// Brings the runs and the waiting steps of a job in line with its stored state.
+    ///
+    /// Consequences of a record are derived here from the state, not from the event of its commit: a scheduler that
+    /// replays the record must reach the same ones, as the one that committed it may have been deposed at once.
+    fn reconcile_job(&mut self, cx: &Context<'_>, job: JobKey) {
+        let entry = cx.book.job(job);
+        for (key, why) in entry.map_or_else(Vec::new, |entry| self.unwanted_runs(entry)) {
+            self.stop_run(cx, key, why);
+        }
+        self.refresh_job(cx, job);
+    }
+
+    /// Runs that must not go on according to the stored state of their job, and why.
+    fn unwanted_runs(&self, entry: &JobEntry) -> Vec<(RunKey, RunStopReason)> {
+        let runs = self.runs_of(entry.spec.key);
+        match entry.phase {
+            StepJobPhase::Failed | StepJobPhase::Cancelled => {
+                return runs.map(|key| (key, RunStopReason::JobEnded)).collect();
             }
-            Some(StepJobPhase::Failed | StepJobPhase::Cancelled) => {
-                let runs: Vec<RunKey> = self.runs_of(job).collect();
-                for run in runs {
-                    self.stop_run(cx, run, RunStopReason::JobEnded);
-                }
+            // Members of a gang that are still running end by themselves.
+            StepJobPhase::Completed => return Vec::new(),
+            StepJobPhase::Queued | StepJobPhase::Running => {}
+        }
+        let mut gangs: BTreeMap<(u32, u32, u32), Vec<RunKey>> = BTreeMap::new();
+        for (task, number) in runs {
+            if entry.spec.steps.get(task.step as usize).is_some_and(|step| step.gang) {
+                let gang = gangs.entry((task.occurrence, task.step, number)).or_default();
+                gang.push((task, number));
             }
-            _ => {}
         }
-        self.refresh_job(cx, job);
-        self.replan = true;
+        let broken = gangs.into_iter().filter(|((occurrence, step, _), members)| {
+            let count = entry.spec.steps[*step as usize].count as usize;
+            members.len() < count && !entry.is_step_done(*occurrence, *step)
+        });
+        let members = broken.flat_map(|(_, members)| members);
+        members.map(|key| (key, RunStopReason::GangBroken)).collect()
     }
 
     /// Adds accelerators to those in use by an account.
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -172,17 +172,16 @@
         }
     }
 
-    /// Sends or repeats the order to stop a run that is being stopped. While the worker's address is not known, only
-    /// the time is noted, from which the next repetition counts.
+    /// Sends or repeats the order to stop a run that is being stopped. Does nothing while the worker's address is not known.
     pub(crate) fn send_stop(&mut self, cx: &Context<'_>, key: RunKey) {
         let Some(run) = self.runs.get(&key) else { return };
-        let target = self.target(&run.worker, run.incarnation);
+        let Some(target) = self.target(&run.worker, run.incarnation) else {
+            return;
+        };
         if let Some(halt) = self.runs.get_mut(&key).and_then(|run| run.stop.as_mut()) {
             halt.sent_at = Some(cx.now);
         }
-        if let Some(target) = target {
-            self.send_stop_to(target, key);
-        }
+        self.send_stop_to(target, key);
     }
 
     /// Sends the order to stop a run, which need not be known here.
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -272,3 +272,68 @@
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Guards against runs that go on after the cancel of their job was answered, when another daemon becomes the scheduler
+/// between the commit of the cancel and the first stop that takes effect.
+#[rstest]
+fn take_over_cancelled(#[values(false, true)] is_gang: bool, #[values(false, true)] stops_lost: bool) {
+    let mut world = World::new(4);
+    let (submitted, count) = match is_gang {
+        true => (gang(1, "normal", 3, ACCELERATORS, 20_000), 3),
+        false => (job(1, "normal", 6, 1, 20_000), 6),
+    };
+    world.submit(submitted);
+    world.run(1_500);
+    assert_eq!(world.workers.running(), count);
+    if stops_lost {
+        world.unreachable.extend((0..4).map(worker));
+    }
+    world.cancel(1, "normal");
+    world.run(if stops_lost { 300 } else { 10 });
+    world.unreachable.clear();
+    world.take_over();
+    let repeated = world.cancel(1, "normal");
+    assert_eq!(world.answers[&repeated], StepAnswer::Cancelled);
+    world.run(1_000);
+    assert_eq!(world.workers.running(), 0);
+    world.check();
+}
+
+/// Guards against runs of a failed job that go on until they are done, when another daemon becomes the scheduler between
+/// the commit of the failure and the stops.
+#[test]
+fn take_over_failed() {
+    let mut world = World::new(2);
+    world.workers.paces.insert(worker(1), 1);
+    let mut failing = job(1, "normal", 1, ACCELERATORS, 400);
+    failing.payload += " fails=9";
+    failing.steps.push(failing.steps[0].clone());
+    world.submit(failing);
+    let failed = |world: &World| world.rows.iter().any(|(_, row)| row.contains("exhausted"));
+    while !failed(&world) {
+        world.run(10);
+    }
+    world.take_over();
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Failed);
+    assert_eq!(world.workers.running(), 1);
+    world.run(1_000);
+    assert_eq!(world.workers.running(), 0);
+    world.check();
+}
+
+/// Guards against a stop order for each run that a cancelled job ever had, at each takeover: the ends of such runs are not
+/// stored.
+#[test]
+fn take_over_long_cancelled() {
+    let mut world = World::new(2);
+    world.submit(job(1, "normal", 8, 1, 20_000));
+    world.run(500);
+    world.cancel(1, "normal");
+    world.run(1_000);
+    assert_eq!(world.workers.running(), 0);
+    let stops = world.stop_orders;
+    world.take_over();
+    world.run(2_000);
+    assert_eq!(world.stop_orders, stops);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -254,6 +254,14 @@
         self.answers.get(&token).cloned().expect("an answer")
     }
 
+    /// Sends a cancel of a job; its answer appears in `answers`.
+    pub(crate) fn cancel(&mut self, key: u64, queue: &str) -> Token {
+        self.call(StepCall::Cancel {
+            job: JobKey(key),
+            queue: QueueName::from(queue),
+        })
+    }
+
     /// The phase of a job; fails if the scheduler does not answer at once.
     pub(crate) fn phase(&mut self, key: u64, queue: &str) -> StepJobPhase {
         let token = self.call(StepCall::State {
