Stand-ins and tests of tasks that crash their workers

52 of the 59 new cases fail until the scheduler gives such tasks up: crash_bounded, crash_spares_neighbours, crash_survives_takeover and crash_bounds_risk. crash_outage_spares, crash_long_running and crash_returns pass.

--- /dev/null
+++ b/crates/pistachiostair/tests/steps/crashes.rs
@@ -0,0 +1,240 @@
+//! Tasks that crash the workers that start them, and crashes that no task has caused.
+
+use pistachiostair::{JobKey, Millis, StepJob, StepJobPhase, TaskKey, WorkerName};
+use rstest::rstest;
+
+use crate::world::{ACCELERATORS, World, gang, job, worker};
+
+/// Starts of a task that crashes each worker that starts it: three crashes, and two starts more.
+const MAX_STARTS: usize = 5;
+
+/// What a deadly job consists of.
+#[derive(Clone, Copy, Debug)]
+enum Shape {
+    Single,
+    WholeWorker,
+    GangMember,
+    WholeGang,
+}
+
+/// A region whose crashed workers are back after 3 s.
+fn region(count: usize, renames: bool) -> World {
+    let mut world = World::new(count);
+    world.workers.downtime = Some(Millis(3_000));
+    world.workers.renames = renames;
+    world
+}
+
+/// A job that crashes its workers, and its deadly tasks. The work is too long to be done from checkpoint to checkpoint.
+fn deadly(key: u64, shape: Shape, crash_after: u64) -> (StepJob, Vec<TaskKey>) {
+    let (mut job, mark, tasks) = match shape {
+        Shape::Single => (job(key, "normal", 1, 1, 60_000), "1", 0..1),
+        Shape::WholeWorker => (job(key, "normal", 1, ACCELERATORS, 60_000), "1", 0..1),
+        Shape::GangMember => (gang(key, "normal", 3, 4, 60_000), "2", 1..2),
+        Shape::WholeGang => (gang(key, "normal", 3, 4, 60_000), "all", 0..3),
+    };
+    job.payload = format!("{} deadly={mark} crash_after={crash_after}", job.payload);
+    let task = |index| TaskKey {
+        job: JobKey(key),
+        occurrence: 0,
+        step: 0,
+        index,
+    };
+    (job, tasks.map(task).collect())
+}
+
+/// Fails if a task was started too often, or its job has not failed.
+fn assert_given_up(world: &mut World, key: u64, tasks: &[TaskKey]) {
+    for task in tasks {
+        let (starts, crashes) = (world.workers.starts_of(*task), world.workers.crashes_by(*task));
+        assert!(starts <= MAX_STARTS, "{task}: {starts} starts, {crashes} crashes");
+    }
+    assert_eq!(world.phase(key, "normal"), StepJobPhase::Failed);
+}
+
+/// Runs until all jobs are completed, for at most `limit` milliseconds; fails if one of them fails.
+fn run_until_completed(world: &mut World, keys: &[u64], limit: u64) {
+    let end = world.now + limit;
+    loop {
+        let phases: Vec<StepJobPhase> = keys.iter().map(|key| world.phase(*key, "normal")).collect();
+        assert!(!phases.contains(&StepJobPhase::Failed), "{phases:?}");
+        if phases.iter().all(|phase| *phase == StepJobPhase::Completed) {
+            return;
+        }
+        assert!(world.now < end, "{phases:?}");
+        world.run(500);
+    }
+}
+
+/// Guards against a task that crashes one worker after the other for as long as its job lives.
+#[rstest]
+fn crash_bounded(
+    #[values(Shape::Single, Shape::WholeWorker, Shape::GangMember, Shape::WholeGang)] shape: Shape,
+    #[values(0, 1_500)] crash_after: u64,
+    #[values(false, true)] renames: bool,
+) {
+    let mut world = region(6, renames);
+    let (job_deadly, tasks) = deadly(1, shape, crash_after);
+    world.submit(job(2, "normal", 12, 1, 3_000));
+    world.submit(job_deadly);
+    world.run(60_000);
+    assert_given_up(&mut world, 1, &tasks);
+    world.check();
+}
+
+/// Guards against giving up the jobs whose tasks ran on the same workers as deadly ones.
+#[rstest]
+fn crash_spares_neighbours(
+    #[values(2, 3)] count: u64,
+    #[values(0, 1_500)] crash_after: u64,
+    #[values(false, true)] renames: bool,
+) {
+    let mut world = region(6, renames);
+    let innocent = [11, 12, 13, 14];
+    for key in innocent {
+        world.submit(job(key, "normal", 8, 1, 4_000));
+    }
+    let jobs = (1..=count).map(|key| (key, deadly(key, Shape::Single, crash_after)));
+    let jobs: Vec<(u64, Vec<TaskKey>)> = jobs
+        .map(|(key, (job, tasks))| {
+            world.submit(job);
+            (key, tasks)
+        })
+        .collect();
+    run_until_completed(&mut world, &innocent, 120_000);
+    world.run(60_000);
+    for (key, tasks) in jobs {
+        assert_given_up(&mut world, key, &tasks);
+    }
+    world.check();
+}
+
+/// Guards against giving up tasks under which workers crash for another cause.
+#[rstest]
+#[case::rack(false, 4, 4_000)]
+#[case::storm(true, 16, 1_000)]
+fn crash_outage_spares(
+    #[case] all: bool,
+    #[case] count: usize,
+    #[case] downtime: u64,
+    #[values(false, true)] renames: bool,
+) {
+    let mut world = region(16, renames);
+    world.workers.downtime = Some(Millis(downtime));
+    let innocent = [1, 2, 3];
+    world.submit(job(1, "normal", 60, 1, 20_000));
+    world.submit(job(2, "normal", 4, ACCELERATORS, 20_000));
+    world.submit(gang(3, "normal", 3, 4, 20_000));
+    for round in 0..if all { 4 } else { 2 } {
+        world.run(3_000);
+        if round == 0 {
+            assert!(world.workers.running() >= 60);
+        }
+        let mut names: Vec<WorkerName> = world.workers.names();
+        names.truncate(count);
+        // Restarts within one round are not quite simultaneous.
+        for name in names {
+            world.crash(&[name]);
+            world.run(10);
+        }
+    }
+    run_until_completed(&mut world, &innocent, 180_000);
+    world.check();
+}
+
+/// Guards against a new scheduler that forgets how many workers a task has crashed.
+#[rstest]
+fn crash_survives_takeover(
+    #[values(200, 1_010, 2_500, 4_200, 8_000, 13_000)] at: u64,
+    #[values(0, 1_500)] crash_after: u64,
+    #[values(Shape::Single, Shape::WholeGang)] shape: Shape,
+) {
+    let mut world = region(6, false);
+    let (job_deadly, tasks) = deadly(1, shape, crash_after);
+    world.submit(job_deadly);
+    world.run(at);
+    for _ in 0..3 {
+        world.take_over();
+        world.run(4_000);
+    }
+    world.run(50_000);
+    assert_given_up(&mut world, 1, &tasks);
+    world.check();
+}
+
+/// Guards against giving up a long-running task whose workers crash now and then.
+#[test]
+fn crash_long_running() {
+    let mut world = region(3, false);
+    let mut lasting = job(1, "normal", 1, 1, 10_000_000);
+    lasting.steps[0].long_running = true;
+    world.submit(lasting);
+    for _ in 0..8 {
+        world.run(70_000);
+        let (names, running) = (world.workers.names(), world.workers.running());
+        assert_eq!(running, 1);
+        let host = names.iter().find(|name| world.workers.running_on(name.as_str()) > 0);
+        world.crash(&[host.expect("a worker that runs the task").clone()]);
+    }
+    world.run(20_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Running);
+    assert_eq!(world.workers.running(), 1);
+    world.check();
+}
+
+/// Guards against deadly tasks that crash a large part of the region at the same time. The first crash of each is not
+/// counted, since nothing tells it apart before.
+#[rstest]
+#[case::at_once(0)]
+#[case::later(1_500)]
+fn crash_bounds_risk(#[case] crash_after: u64, #[values(4, 8)] count: u64) {
+    let mut world = region(16, false);
+    world.submit(job(20, "normal", 30, 1, 3_000));
+    let tasks: Vec<TaskKey> = (1..=count)
+        .flat_map(|key| {
+            let (job, tasks) = deadly(key, Shape::Single, crash_after);
+            world.submit(job);
+            tasks
+        })
+        .collect();
+    world.run(120_000);
+    let downtime = Millis(3_000);
+    let crashes = &world.workers.crashes;
+    let repeated: Vec<Millis> = (crashes.iter().enumerate())
+        .filter(|(index, crash)| {
+            let earlier = &crashes[..*index];
+            crash.culprit.is_some() && earlier.iter().any(|other| other.culprit == crash.culprit)
+        })
+        .map(|(_, crash)| crash.at)
+        .collect();
+    let down_at = |at: Millis| {
+        let down = repeated.iter().filter(|other| **other <= at && at < **other + downtime);
+        down.count()
+    };
+    let most = repeated.iter().map(|at| down_at(*at)).max().unwrap_or(0);
+    println!(
+        "{count} deadly jobs: {} crashes, {most} workers down at once",
+        crashes.len()
+    );
+    assert!(most <= 16 / 4, "{most} of 16 workers down at once");
+    for (key, task) in (1..=count).zip(tasks) {
+        assert_given_up(&mut world, key, &[task]);
+    }
+    world.check();
+}
+
+/// Guards against orders to a worker that is down being taken for answered, and against a worker that stays away.
+#[rstest]
+#[case::same_name(false, "w00")]
+#[case::new_name(true, "w00.2")]
+fn crash_returns(#[case] renames: bool, #[case] name: &str) {
+    let mut world = region(1, renames);
+    world.run(100);
+    world.crash(&[worker(0)]);
+    world.submit(job(1, "normal", 1, 1, 500));
+    world.run(2_000);
+    assert_eq!((world.workers.starts, world.workers.names().len()), (0, 0));
+    run_until_completed(&mut world, &[1], 5_000);
+    assert_eq!(world.workers.names(), [WorkerName::from(name)]);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -9,7 +9,7 @@
     ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepLimits, StepsAction, StepsEvent, Target, Term,
     Token, WorkerName,
 };
-use standin::StepWorkers;
+use standin::{StepWorkers, WorkerReturn};
 
 /// Latency of a message between the scheduler and a worker.
 const ONE_WAY_MS: u64 = 4;
@@ -31,6 +31,8 @@
     Event(Term, Box<Event>),
     /// An operation of a term's scheduler reaches the store.
     Store(Term, AppendAction),
+    /// The list of workers shows that a crashed worker is back.
+    Relist(WorkerReturn),
 }
 
 /// The simulated region. Times are in milliseconds.
@@ -53,6 +55,8 @@
     pub(crate) stop_orders: u32,
     /// Draining workers, with the time at which each will be gone.
     pub(crate) leaving: BTreeMap<WorkerName, u64>,
+    /// Time after which the list shows that a crashed worker is back.
+    pub(crate) list_lag: u64,
     scheduler: Scheduler,
     limits: StepLimits,
     pub(crate) term: Term,
@@ -83,6 +87,7 @@
             start_orders: 0,
             stop_orders: 0,
             leaving: BTreeMap::new(),
+            list_lag: 300,
             scheduler: Scheduler::new("fi".into()),
             limits: StepLimits::default(),
             term: Term(0),
@@ -187,6 +192,24 @@
         self.send_list();
     }
 
+    /// Crashes workers, without a task that causes it.
+    pub(crate) fn crash(&mut self, names: &[WorkerName]) {
+        for name in names {
+            self.workers.crash_at(Millis(self.now), name, None);
+        }
+    }
+
+    /// Replaces the entry of a crashed worker by that of its next incarnation.
+    fn relist(&mut self, back: WorkerReturn) {
+        let Some(mut info) = self.listed.remove(&back.before) else {
+            return;
+        };
+        info.name = back.name.clone();
+        info.incarnation = back.incarnation;
+        self.listed.insert(back.name, info);
+        self.send_list();
+    }
+
     fn rules(&self) -> Rules {
         let queue = |name: &str, priority: u32, attempts: u32| Queue {
             name: QueueName::from(name),
@@ -272,6 +295,9 @@
         while self.now < end {
             self.now += TICK_MS;
             self.workers.advance(Millis(self.now), Millis(TICK_MS));
+            for back in self.workers.take_returns() {
+                self.deliver_after(self.list_lag, Delivery::Relist(back));
+            }
             while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let delivery = entry.remove();
                 self.deliver(delivery);
@@ -347,6 +373,7 @@
             Delivery::Order(action, arrived) => self.execute(action, arrived),
             Delivery::Event(term, event) => self.feed(Event::Outcome { term, event }),
             Delivery::Store(term, action) => self.store(term, action),
+            Delivery::Relist(back) => self.relist(back),
         }
     }
 
@@ -376,7 +403,8 @@
             }
             StepsAction::Reply { .. } | StepsAction::Log(_) => return,
         };
-        let reply_lost = self.reply_loss.contains(&target_of(&action).worker);
+        let unanswered = matches!(reply, Reply::Order(OrderReply::Unanswered));
+        let reply_lost = unanswered || self.reply_loss.contains(&target_of(&action).worker);
         let event = outcome(&action, (!reply_lost).then_some(reply));
         let event = Delivery::Event(self.term_of(&action), Box::new(Event::Steps(event)));
         self.deliver_after(if reply_lost { TIMEOUT_MS } else { ONE_WAY_MS }, event);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -43,6 +43,6 @@
 pub use relay::{Link, Relay};
 pub use server::{Client, Fault, Mode, ask, new_client, run, serve};
 pub use soak::{SoakReport, SoakSetup, run_soak, soak_schedule};
-pub use step_worker::{StepWorker, StepWorkers, TaskPlan};
+pub use step_worker::{Crash, Deadly, StepWorker, StepWorkers, TaskPlan, WorkerReturn};
 pub use udp_relay::{Impairment, UdpRelay};
 pub use worker::{Listed, StandinWorker};
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -1,6 +1,9 @@
 //! Workers that run the tasks of steps, without I/O: leases, fencing, gangs, checkpoints and listed ends.
 //!
 //! The text of a job tells what its tasks do, as in `work=2000 gang=3 fails=1 gpu=4`.
+//!
+//! `deadly=2` lets the second task of each step (that with index 1) crash each worker that starts it, `deadly=all` lets
+//! every task do so: `crash_after=1500` milliseconds after the start, or without it before the start is answered.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,6 +21,18 @@
 /// Work after which a checkpoint is made.
 const CHECKPOINT: Millis = Millis(1_000);
 
+/// The tasks of a step that crash each worker that starts them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Deadly {
+    /// No task.
+    #[default]
+    Never,
+    /// The task with this index.
+    One(u32),
+    /// Every task.
+    All,
+}
+
 /// What the tasks of a job do.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TaskPlan {
@@ -29,17 +44,20 @@
     pub fails: u32,
     /// What a task takes.
     pub demand: Demand,
+    /// Tasks that crash their worker.
+    pub deadly: Deadly,
+    /// Time from the start of such a task to the crash.
+    pub crash_after: Millis,
 }
 
 impl TaskPlan {
     /// Parses the text of a job; what is missing or can't be read counts as zero.
     pub fn parse(text: &str) -> Self {
-        let field = |name: &str| {
-            let value = text
-                .split_whitespace()
-                .find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
-            value.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0)
+        let value = |name: &str| {
+            text.split_whitespace()
+                .find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
         };
+        let field = |name: &str| value(name).and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
         Self {
             work: Millis(field("work")),
             gang: field("gang") as u32,
@@ -49,8 +67,51 @@
                 memory: field("mem"),
                 accelerators: field("gpu"),
             },
+            deadly: match value("deadly") {
+                Some("all") => Deadly::All,
+                _ => (field("deadly") as u32)
+                    .checked_sub(1)
+                    .map_or(Deadly::Never, Deadly::One),
+            },
+            crash_after: Millis(field("crash_after")),
         }
     }
+
+    /// Whether the task with this index crashes its worker.
+    pub fn is_deadly(&self, index: u32) -> bool {
+        match self.deadly {
+            Deadly::Never => false,
+            Deadly::One(deadly) => deadly == index,
+            Deadly::All => true,
+        }
+    }
+}
+
+/// A crash of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// When it happened.
+    pub at: Millis,
+    /// The worker.
+    pub worker: WorkerName,
+    /// The task that caused it; none if it had another cause.
+    pub culprit: Option<TaskKey>,
+    /// Tasks that ran there, the culprit among them.
+    pub tasks: Vec<TaskKey>,
+}
+
+/// A crashed worker that is, or will be, back as a new incarnation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerReturn {
+    /// When it is back.
+    pub at: Millis,
+    /// Its name before the crash.
+    pub before: WorkerName,
+    /// Its name.
+    pub name: WorkerName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    capacity: Demand,
 }
 
 #[derive(Clone, Debug)]
@@ -103,6 +164,16 @@
     pub violations: Vec<String>,
     /// Starts and ends of runs in their order, with the run's number and, for an end, how it ended.
     pub log: Vec<(Millis, TaskKey, u32, Option<RunOutcome>)>,
+    /// Time after which a crashed worker is back; none if it stays away.
+    pub downtime: Option<Millis>,
+    /// Whether a worker that is back has a new name.
+    pub renames: bool,
+    /// Crashes in their order.
+    pub crashes: Vec<Crash>,
+    /// Workers that are down and will be back.
+    down: Vec<WorkerReturn>,
+    /// Workers that are back, for [`Self::take_returns`].
+    returned: Vec<WorkerReturn>,
 }
 
 impl StepWorker {
@@ -166,6 +237,88 @@
         self.workers.remove(name);
     }
 
+    /// Crashes a worker, which is back after [`Self::downtime`]. Nothing happens if it is down.
+    pub fn crash_at(&mut self, now: Millis, name: &WorkerName, culprit: Option<TaskKey>) {
+        let Some(worker) = self.workers.remove(name) else {
+            return;
+        };
+        self.crashes.push(Crash {
+            at: now,
+            worker: name.clone(),
+            culprit,
+            tasks: worker.tasks.into_keys().collect(),
+        });
+        let Some(downtime) = self.downtime else {
+            return;
+        };
+        let incarnation = Incarnation(worker.incarnation.0 + 1);
+        let place = name.as_str().split('.').next().unwrap_or_default();
+        let name_after = match self.renames {
+            true => WorkerName::from(format!("{place}.{}", incarnation.0)),
+            false => name.clone(),
+        };
+        self.down.push(WorkerReturn {
+            at: now + downtime,
+            before: name.clone(),
+            name: name_after,
+            incarnation,
+            capacity: worker.capacity,
+        });
+    }
+
+    /// Starts the crashed workers whose downtime is over.
+    fn return_workers(&mut self, now: Millis) {
+        let (due, down): (Vec<_>, Vec<_>) = std::mem::take(&mut self.down)
+            .into_iter()
+            .partition(|back| back.at <= now);
+        self.down = down;
+        for back in due {
+            self.start_worker(&back.name, back.incarnation, back.capacity, now);
+            self.returned.push(back);
+        }
+    }
+
+    /// Crashes the workers of deadly tasks whose time has come.
+    fn crash_due(&mut self, now: Millis) {
+        let mut due = Vec::new();
+        for (name, worker) in &self.workers {
+            let culprit = worker.tasks.iter().find(|(task, running)| {
+                running.plan.is_deadly(task.index) && now.since(running.since) >= running.plan.crash_after
+            });
+            due.extend(culprit.map(|(task, _)| (name.clone(), *task)));
+        }
+        for (name, culprit) in due {
+            self.crash_at(now, &name, Some(culprit));
+        }
+    }
+
+    /// Workers that came back since the last call.
+    pub fn take_returns(&mut self) -> Vec<WorkerReturn> {
+        std::mem::take(&mut self.returned)
+    }
+
+    /// Names of the workers that are up.
+    pub fn names(&self) -> Vec<WorkerName> {
+        self.workers.keys().cloned().collect()
+    }
+
+    /// Number of starts of a task.
+    pub fn starts_of(&self, task: TaskKey) -> usize {
+        let log = self.log.iter();
+        log.filter(|(_, started, _, end)| *started == task && end.is_none())
+            .count()
+    }
+
+    /// Crashes of workers on which a task ran, whatever their cause.
+    pub fn crashes_under(&self, task: TaskKey) -> usize {
+        self.crashes.iter().filter(|crash| crash.tasks.contains(&task)).count()
+    }
+
+    /// Crashes of workers that a task caused.
+    pub fn crashes_by(&self, task: TaskKey) -> usize {
+        self.crashes.iter().filter(|crash| crash.culprit == Some(task)).count()
+    }
+
     /// Its incarnation, if it is up.
     pub fn incarnation(&self, name: &WorkerName) -> Option<Incarnation> {
         self.workers.get(name).map(|worker| worker.incarnation)
@@ -248,7 +401,12 @@
             saved: worked,
             stops: None,
         };
+        let crashes = running.plan.is_deadly(order.task.index) && running.plan.crash_after == Millis::ZERO;
         worker.tasks.insert(order.task, running);
+        if crashes {
+            self.crash_at(now, name, Some(order.task));
+            return OrderReply::Unanswered;
+        }
         OrderReply::Done { clock }
     }
 
@@ -340,7 +498,9 @@
 
     /// Lets all tasks work until `now`, for `span` since the last call.
     pub fn advance(&mut self, now: Millis, span: Millis) {
+        self.return_workers(now);
         self.lapse(now);
+        self.crash_due(now);
         let present = self.members(|_| true);
         let finished = self.members(Running::is_finished);
         let mut ends = Vec::new();
