Give up tasks that crash the workers that start them

Class: a failure without a budget, since it is reported by its absence.

Change: the end of a run carries what is known of the crash of its worker (absent fields read as before, and daemons of an earlier release ignore the field). A task whose run had just begun, or under which two workers crashed, is started on trial: on an empty worker that takes nothing else until the run has outlived its earlier ones. A crash during a trial counts against that task alone; after two of them, or five crashes of any cause, the job fails. Trials take two workers at first, one more with each that is passed. Crashes of other workers within 5 s speak for a common cause and are not held against a trial.

--- a/crates/pistachiostair/examples/takeover_costs.rs
+++ b/crates/pistachiostair/examples/takeover_costs.rs
@@ -229,6 +229,7 @@
         run: 1,
         outcome: RunOutcome::Done,
         checkpoint: String::new(),
+        crash: None,
     })
 }
 
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -7,11 +7,13 @@
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
 //! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `evacuation`: slow runs, and workers that are slow, fail or leave.
+//! - `crashes`, `trial`: tasks that crash the workers that start them.
 //! - `step_limits`: limits of the platform that decisions depend on.
 
 mod budget;
 mod calls;
 mod capacity;
+mod crashes;
 mod ejection;
 mod engine;
 mod evacuation;
@@ -36,8 +38,10 @@
 #[cfg(test)]
 mod tests;
 mod timers;
+mod trial;
 
 pub use calls::{StepAnswer, StepCall};
+pub use crashes::Crash;
 pub(crate) use engine::Context;
 pub use engine::{
     HoldOrder, HoldReply, OrderReply, RunEnd, RunReport, StartOrder, StepLoad, StepScheduler, StepsAction, StepsEvent,
--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -58,7 +58,12 @@
     rack: &'a RackName,
     /// Number of the rack, see [`StepScheduler::racks`].
     rack_number: u32,
+    capacity: Demand,
     room: Room,
+    /// Whether it has not crashed lately.
+    steady: bool,
+    /// Whether it is kept for a task on trial.
+    withdrawn: bool,
     /// Whether tasks take longer on it than on most workers.
     slow: bool,
 }
@@ -92,10 +97,12 @@
             accelerators: 0,
             version: 0,
         };
+        let trials = scheduler.trials.iter().filter_map(|key| scheduler.runs.get(key));
+        let on_trial: BTreeSet<u32> = trials.map(|run| run.host).collect();
         for (worker, host) in &scheduler.hosts {
             let Some(info) = host.info.as_ref() else { continue };
             free.accelerators += info.capacity.accelerators;
-            if !host.is_usable(cx.now) {
+            if !host.is_usable(cx.now) || on_trial.contains(&host.number) {
                 continue;
             }
             free.positions[host.number as usize] = Some(free.candidates.len() as u32);
@@ -105,6 +112,9 @@
                 labels: &info.labels,
                 rack: &info.rack,
                 rack_number: host.rack,
+                capacity: info.capacity,
+                steady: !host.is_unsteady(cx.now),
+                withdrawn: false,
                 room: Room {
                     free: info.capacity.minus(&host.used),
                     reserved_in_use: Demand::default(),
@@ -196,6 +206,38 @@
         self.version += 1;
     }
 
+    /// Keeps the whole worker at this position for a task on trial.
+    pub(crate) fn withdraw(&mut self, position: u32) {
+        let candidate = &mut self.candidates[position as usize];
+        candidate.withdrawn = true;
+        candidate.room.reserve(&candidate.capacity);
+        self.version += 1;
+    }
+
+    /// Whether the worker at this position is kept for a task on trial.
+    pub(crate) fn is_withdrawn(&self, position: u32) -> bool {
+        self.candidates[position as usize].withdrawn
+    }
+
+    /// Whether the worker at this position runs nothing and nothing was placed on it.
+    pub(crate) fn is_empty(&self, position: u32) -> bool {
+        let candidate = &self.candidates[position as usize];
+        candidate.room.free == candidate.capacity && !candidate.withdrawn
+    }
+
+    /// Whether the worker at this position has not crashed lately.
+    pub(crate) fn is_steady(&self, position: u32) -> bool {
+        self.candidates[position as usize].steady
+    }
+
+    /// Capacity of the worker at this position, as if nothing ran there.
+    pub(crate) fn capacity(&self, position: u32) -> Room {
+        Room {
+            free: self.candidates[position as usize].capacity,
+            reserved_in_use: Demand::default(),
+        }
+    }
+
     fn find(&self, worker: &WorkerName) -> Option<u32> {
         let found = self
             .candidates
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -10,6 +10,7 @@
 use crate::record;
 use crate::scheduler::Token;
 use crate::steps::calls::{StepAnswer, StepCall};
+use crate::steps::crashes::{Crash, MIN_TRIAL_WORKERS};
 use crate::steps::host::{Host, HostUpdate, RunKey};
 use crate::steps::job_table::{JobEntry, StepJobTable};
 use crate::steps::outcome::RunOutcome;
@@ -361,6 +362,12 @@
     pub(crate) progress: Option<RunProgress>,
     /// Set once the run is being stopped.
     pub(crate) stop: Option<RunStop>,
+    /// When the worker last confirmed the run.
+    pub(crate) listed_at: Millis,
+    /// Time at work after which the run passes its trial; none if it is not on trial.
+    pub(crate) trial: Option<Millis>,
+    /// Set once its worker is known to have crashed.
+    pub(crate) crash: Option<Crash>,
 }
 
 /// How much the scheduler of step jobs has to do.
@@ -408,6 +415,12 @@
     pub(crate) closed: BTreeSet<JobKey>,
     /// Jobs whose [`StepRecord::Forgotten`] is being committed.
     pub(crate) forgetting: BTreeSet<JobKey>,
+    /// Runs on trial, in any phase before their end.
+    pub(crate) trials: BTreeSet<RunKey>,
+    /// Number of workers that may be used for trials at present.
+    pub(crate) trial_workers: usize,
+    /// Workers that crashed a short time ago, and when.
+    pub(crate) crashes: BTreeMap<WorkerName, Millis>,
     /// Calls to answer once the job's [`StepRecord::Accepted`] is durable.
     pub(crate) accepting: BTreeMap<JobKey, Vec<Token>>,
     /// Calls to answer once the job's [`StepRecord::Cancelled`] is durable.
@@ -450,6 +463,9 @@
             due: BTreeSet::new(),
             closed: BTreeSet::new(),
             forgetting: BTreeSet::new(),
+            trials: BTreeSet::new(),
+            trial_workers: MIN_TRIAL_WORKERS,
+            crashes: BTreeMap::new(),
             accepting: BTreeMap::new(),
             cancelling: BTreeMap::new(),
             hold_wait: Millis::ZERO,
@@ -501,7 +517,13 @@
                 origin: RunOrigin::Recovered,
                 progress: None,
                 stop: None,
+                listed_at: cx.now,
+                trial: entry.trial_span(&task),
+                crash: None,
             };
+            if run.trial.is_some() {
+                self.trials.insert((task, placed.run));
+            }
             self.charge(&entry.spec.account, step.demand.accelerators);
             self.runs.insert((task, placed.run), run);
         }
@@ -534,6 +556,9 @@
         let earlier = self.runs.iter().filter(|(_, run)| newest(run) > Some(run.incarnation));
         let earlier: Vec<RunKey> = earlier.map(|(key, _)| *key).collect();
         for key in earlier {
+            if let Some(run) = self.runs.get_mut(&key) {
+                run.crash.get_or_insert_default();
+            }
             self.stop_in_later_incarnation(cx, key);
         }
     }
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -84,6 +84,11 @@
         &self.ends[self.bounds[position] as usize..self.bounds[position + 1] as usize]
     }
 
+    /// Time from now after which the last run on the worker at this position has ended.
+    pub(crate) fn empty_at(&self, position: u32) -> Millis {
+        self.ends_on(position).last().map_or(Millis::ZERO, |(at, _)| *at)
+    }
+
     /// The shortest time from now after which `count` tasks fit on the workers, and the position of a worker for each of
     /// them. None if they don't fit by `latest`.
     pub(crate) fn earliest_start(
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -137,6 +137,8 @@
     ends: BTreeMap<u64, ListedEnd>,
     /// Number of the last end that the host knows to be acknowledged.
     pub(crate) acked: u64,
+    /// When the worker was last found to have crashed.
+    pub(crate) crashed_at: Option<Millis>,
     /// When a draining worker may be gone; none if it does not drain.
     pub(crate) leaves_at: Option<Millis>,
     /// Whether the host is ejected after failures or for being slow, and until when.
@@ -168,6 +170,7 @@
             runs: BTreeSet::new(),
             ends: BTreeMap::new(),
             acked: 0,
+            crashed_at: None,
             leaves_at: None,
             ejection: Ejection::default(),
             relative_duration: 100,
@@ -231,6 +234,11 @@
         self.gone |= time_over && now >= since + REFUSAL_SPAN;
     }
 
+    /// Whether connections to the worker's address were refused since it last answered.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refused_since.is_some()
+    }
+
     /// Whether the worker has left. One that no longer drains has not.
     pub(crate) fn is_gone(&self) -> bool {
         self.gone && self.leaves_at.is_some()
--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -9,10 +9,19 @@
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
 use crate::record;
+use crate::steps::crashes::Crash;
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::{StartRecord, StepRecord};
 use crate::steps::spec::{JobKey, StepJob, StepJobPhase, TaskKey};
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
+fn is_zero_time(time: &Millis) -> bool {
+    *time == Millis::ZERO
+}
+
 record! {
     /// A run on a worker whose end is not stored, so that it may be alive.
     pub struct PlacedRun {
@@ -39,6 +48,15 @@
         /// The newest stored checkpoint, from which the next run resumes; empty if there is none or the task is done.
         #[serde(rename = "saved")]
         pub checkpoint: String,
+        /// Number of workers that crashed under runs of the task.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        pub crashes: u32,
+        /// Number of them that crashed while the task ran on trial, apart from other work.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        pub trial_crashes: u32,
+        /// Longest time that a run was at work before its worker crashed.
+        #[serde(default, skip_serializing_if = "is_zero_time")]
+        pub crash_age: Millis,
         /// Runs that may be alive; empty once the task is done.
         pub placed: Vec<PlacedRun>,
     }
@@ -129,7 +147,13 @@
         });
     }
 
-    fn record_end(&mut self, task: &TaskKey, run: u32, outcome: RunOutcome, checkpoint: &str) {
+    fn record_end(
+        &mut self,
+        (task, run): (&TaskKey, u32),
+        outcome: RunOutcome,
+        checkpoint: &str,
+        crash: Option<&Crash>,
+    ) {
         let gang = self.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
         let entry = self.task_mut(task);
         entry.placed.retain(|placed| placed.run != run);
@@ -137,6 +161,9 @@
             entry.checkpoint = checkpoint.to_owned();
         }
         entry.failures += u32::from(outcome.counts_as_attempt());
+        if let Some(crash) = crash {
+            entry.record_crash(crash);
+        }
         let step = self.steps.entry((task.occurrence, task.step)).or_default();
         if outcome.counts_as_attempt() && gang {
             step.failed_runs.insert(run);
@@ -237,9 +264,10 @@
                 run,
                 outcome,
                 checkpoint,
+                crash,
             } => {
                 self.update(wall, task.job, |entry| {
-                    entry.record_end(task, *run, *outcome, checkpoint)
+                    entry.record_end((task, *run), *outcome, checkpoint, crash.as_ref())
                 });
             }
             StepRecord::Cancelled { job } => self.end_job(wall, *job, StepJobPhase::Cancelled),
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -83,6 +83,7 @@
     /// Switches a worker to a later incarnation: the runs that earlier ones listed end as `Lost`. Those that were only
     /// ordered are stopped, since the later incarnation may have carried out the order.
     fn restart_host(&mut self, cx: &Context<'_>, worker: &WorkerName, incarnation: Incarnation) {
+        self.note_crash(cx, worker);
         let Some(host) = self.hosts.get_mut(worker) else { return };
         let before = host.incarnation;
         host.restart(incarnation);
@@ -209,6 +210,12 @@
                         run.since = cx.now;
                     }
                     run.seen = Some(run.seen.unwrap_or_default().max(reply.clock));
+                    run.listed_at = cx.now;
+                    if run.passes_trial() {
+                        self.trials.remove(&key);
+                        self.trial_workers += 1;
+                        self.replan = true;
+                    }
                     match &mut run.progress {
                         Some(progress) => progress.advance(line.percent, cx.now),
                         None => {
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -89,6 +89,7 @@
             OrderReply::Done { clock } => {
                 run.phase = RunPhase::Live;
                 run.since = cx.now;
+                run.listed_at = cx.now;
                 run.seen = Some(run.seen.unwrap_or_default().max(clock));
                 self.log_run("started", key, "the worker confirmed it".to_owned());
             }
@@ -253,6 +254,8 @@
             checkpoint.clone_into(&mut run.checkpoint);
         }
         let (worker, demand, checkpoint) = (run.worker.clone(), run.demand, run.checkpoint.clone());
+        let crash = run.crash;
+        self.trials.remove(&key);
         if let Some(host) = self.hosts.get_mut(&worker) {
             host.used = host.used.minus(&demand);
             match outcome {
@@ -290,6 +293,7 @@
             run: key.1,
             outcome,
             checkpoint,
+            crash,
         });
     }
 
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -37,11 +37,11 @@
 }
 
 /// State of one planning pass.
-struct PlanningPass<'a> {
+pub(crate) struct PlanningPass<'a> {
     /// Capacity that is left after the placements and reservations made so far.
-    free: FreeCapacity<'a>,
+    pub(crate) free: FreeCapacity<'a>,
     /// Forecast of ends, once a step needed it.
-    forecast: Option<Forecast>,
+    pub(crate) forecast: Option<Forecast>,
     /// Runs that may be preempted, by the priority that protects runs, once a step needed them; emptied with each new
     /// reservation.
     victims: BTreeMap<Option<u32>, Victims>,
@@ -53,7 +53,7 @@
     covered: BTreeSet<JobKey>,
     /// Number of accelerators that may still be kept free for waiting steps.
     reservable: u64,
-    placements: Vec<StepPlacement>,
+    pub(crate) placements: Vec<StepPlacement>,
     reservations: Vec<NewReservation>,
 }
 
@@ -169,6 +169,7 @@
             reservations: Vec::new(),
         };
         self.use_reservations(&mut pass);
+        self.place_suspects(cx, &mut pass);
         let mut queue = self.planning_queue(cx, &pass.covered);
         while let Some(key) = queue.next() {
             let Some(entry) = cx.book.job(key.0) else { continue };
@@ -404,8 +405,8 @@
         let last_run = |index: u32| entry.task(&key(index)).map_or(0, |task| task.last_run);
         let gang_run = (0..step.count).map(last_run).max().unwrap_or(0) + 1;
         self.reservations.remove(&placement.step);
-        let waiting = self.waiting.get(&placement.step).map(|waiting| waiting.indices.clone());
-        let waiting = waiting.unwrap_or_default();
+        let waiting = self.waiting.get(&placement.step);
+        let waiting = waiting.map_or_else(BTreeSet::new, |waiting| &waiting.indices | &waiting.suspects);
         let mut starts = Vec::new();
         for (index, worker) in placement
             .workers
@@ -442,7 +443,13 @@
                 },
                 progress: None,
                 stop: None,
+                listed_at: cx.now,
+                trial: entry.trial_span(&key(index)),
+                crash: None,
             };
+            if task_run.trial.is_some() {
+                self.trials.insert((key(index), run));
+            }
             self.runs.insert((key(index), run), task_run);
             self.charge(&entry.spec.account, step.demand.accelerators);
         }
@@ -460,7 +467,8 @@
         let placed: BTreeSet<u32> = placed.collect();
         if let Some(waiting) = self.waiting.get_mut(&step) {
             waiting.indices.retain(|index| !placed.contains(index));
-            if waiting.indices.is_empty() {
+            waiting.suspects.retain(|index| !placed.contains(index));
+            if waiting.indices.is_empty() && waiting.suspects.is_empty() {
                 self.waiting.remove(&step);
                 self.reservations.remove(&step);
             }
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -28,6 +28,8 @@
 pub(crate) struct WaitingStep {
     /// Indices of the tasks to place; all tasks of the step for a gang.
     pub(crate) indices: BTreeSet<u32>,
+    /// Indices of the tasks to place on trial.
+    pub(crate) suspects: BTreeSet<u32>,
 }
 
 /// Position of a step in the queue; the lowest goes first.
@@ -84,7 +86,8 @@
             classes: BTreeMap::new(),
             usage: self.usage.iter().map(|(account, used)| (account, *used)).collect(),
         };
-        for step in self.waiting.keys() {
+        let waiting = self.waiting.iter().filter(|(_, waiting)| !waiting.indices.is_empty());
+        for step in waiting.map(|(step, _)| step) {
             let Some(entry) = cx.book.job(step.0) else { continue };
             let rank = QueueRank {
                 uncovered: !covered.contains(&step.0),
--- a/crates/pistachiostair/src/steps/ready.rs
+++ b/crates/pistachiostair/src/steps/ready.rs
@@ -7,7 +7,7 @@
 use crate::steps::job_table::JobEntry;
 use crate::steps::queue::{StepKey, WaitingStep};
 use crate::steps::record::StepRecord;
-use crate::steps::spec::{JobKey, Step};
+use crate::steps::spec::{JobKey, Step, TaskKey};
 
 impl StepScheduler {
     /// Updates the waiting steps of a job after a change to it. Fails the job if a task or a gang has used up its
@@ -18,7 +18,11 @@
             self.retain_waiting(job, &BTreeSet::new());
             return;
         };
-        if self.is_exhausted(entry) {
+        let given_up = self.given_up(entry);
+        if let Some(reason) = &given_up {
+            self.log_job("given up", job, reason.clone());
+        }
+        if given_up.is_some() || self.is_exhausted(entry) {
             self.closed.insert(job);
             self.retain_waiting(job, &BTreeSet::new());
             self.records.push(StepRecord::Exhausted { job });
@@ -36,10 +40,17 @@
                 let indices = self.ready_tasks(entry, key, step);
                 if !indices.is_empty() {
                     ready.insert(key);
-                    let waiting = self.waiting.entry(key).or_insert_with(|| WaitingStep {
-                        indices: BTreeSet::new(),
-                    });
-                    waiting.indices = indices;
+                    let on_trial = |index: &u32| {
+                        let task = TaskKey {
+                            job,
+                            occurrence,
+                            step: number,
+                            index: *index,
+                        };
+                        entry.trial_span(&task).is_some()
+                    };
+                    let (suspects, indices) = indices.into_iter().partition(on_trial);
+                    self.waiting.insert(key, WaitingStep { indices, suspects });
                     self.replan = true;
                 }
             }
--- a/crates/pistachiostair/src/steps/record.rs
+++ b/crates/pistachiostair/src/steps/record.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Incarnation, WorkerName};
 use crate::record;
+use crate::steps::crashes::Crash;
 use crate::steps::outcome::RunOutcome;
 use crate::steps::spec::{JobKey, StepJob, TaskKey};
 
@@ -48,6 +49,9 @@
             /// The newest checkpoint of the run; empty if it has none, which keeps the one stored before.
             #[serde(rename = "saved", default, skip_serializing_if = "String::is_empty")]
             checkpoint: String,
+            /// What is known of the crash of its worker; absent if that did not crash.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            crash: Option<Crash>,
         },
         /// A caller cancelled a job that had not ended.
         Cancelled {
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -72,6 +72,11 @@
     /// Ends as `Lost` the ordered runs of a worker whose lease has ended for certain, or that is gone. An order that still
     /// arrives there is refused as late. Planned runs have had no order.
     fn end_expired_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
+        let Some(host) = self.hosts.get(worker) else { return };
+        // A worker that is only cut off stays listed, and does not refuse connections.
+        if !host.listed || host.is_refusing() {
+            self.note_crash(cx, worker);
+        }
         let Some(host) = self.hosts.get(worker) else { return };
         let runs: Vec<RunKey> = host.runs.iter().copied().collect();
         for run in runs {
--- a/crates/pistachiostair/tests/state_size.rs
+++ b/crates/pistachiostair/tests/state_size.rs
@@ -64,6 +64,7 @@
                 run: 1,
                 outcome: RunOutcome::Done,
                 checkpoint: String::new(),
+                crash: None,
             });
         }
         if cancelled {
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -249,6 +249,7 @@
         run: 1,
         outcome: RunOutcome::Lost,
         checkpoint: String::new(),
+        crash: None,
     };
     let start = StartRecord {
         task,
