--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -43,6 +43,8 @@
 const NOWHERE: &str = "127.0.0.1:9";
 /// Interval at which the simulated workers advance.
 const TICK: Duration = Duration::from_millis(10);
+/// Time from the start of a crashed worker to its entry in the platform's list.
+const LIST_LAG: Duration = Duration::from_millis(200);
 /// Time within which the daemons must accept a job, or complete it.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -286,13 +288,7 @@
 
     /// Writes the entry of a worker in the platform's list.
     pub fn list_worker(&self, number: usize, incarnation: u64, state: &str) {
-        let capacity = WORKER_CAPACITY;
-        let entry = json!({
-            "service": "svc", "address": self.worker_addresses[number].to_string(), "zone": "helsinki",
-            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "labels": ["a", "r1"],
-            "capacity": {"cpu": capacity.millicores, "mem_mb": capacity.memory, "gpu": capacity.accelerators},
-            "clock_ms": 1, "seq": 1, "born": incarnation, "machine": format!("m{number}"),
-        });
+        let entry = worker_entry(number, self.worker_addresses[number], incarnation, state);
         self.store.put("servers", worker_name(number).as_str(), &entry);
     }
 
@@ -322,6 +318,48 @@
             }
         };
         self.executor.spawn(ticking).detach();
+        if self.setup.relays {
+            self.executor.spawn(self.follow_crashes()).detach();
+        }
+    }
+
+    /// Closes the connections of workers that crash by themselves, and lists them once they are back.
+    fn follow_crashes(&self) -> impl Future<Output = ()> + Send + use<> {
+        let (workers, store, stop) = (self.workers.clone(), self.store.clone(), self.stop.clone());
+        let (links, addresses) = (self.worker_links.clone(), self.worker_addresses.clone());
+        let executor = self.executor.clone();
+        async move {
+            let number = |name: &WorkerName| (0..links.len()).find(|number| worker_name(*number) == *name);
+            let mut seen = 0;
+            while !stop.is_raised() {
+                Timer::after(TICK).await;
+                let (crashed, returned) = {
+                    let mut workers = workers.lock().expect("workers lock");
+                    let crashed: Vec<WorkerName> = workers.crashes[seen..]
+                        .iter()
+                        .map(|crash| crash.worker.clone())
+                        .collect();
+                    (crashed, workers.take_returns())
+                };
+                seen += crashed.len();
+                for link in crashed.iter().filter_map(number) {
+                    links[link].shut();
+                }
+                for back in returned {
+                    let Some(link) = number(&back.name) else {
+                        continue;
+                    };
+                    links[link].open();
+                    let entry = worker_entry(link, addresses[link], back.incarnation.0, "ready");
+                    let store = store.clone();
+                    let list = async move {
+                        Timer::after(LIST_LAG).await;
+                        store.put("servers", back.name.as_str(), &entry);
+                    };
+                    executor.spawn(list).detach();
+                }
+            }
+        }
     }
 
     /// Time since the fleet was created, by which the simulated workers advance.
@@ -645,6 +683,17 @@
     Ipv4Addr::new(127, net, 0, number as u8 + 1)
 }
 
+/// Entry of a worker in the platform's list.
+fn worker_entry(number: usize, address: SocketAddr, incarnation: u64, state: &str) -> Value {
+    let capacity = WORKER_CAPACITY;
+    json!({
+        "service": "svc", "address": address.to_string(), "zone": "helsinki",
+        "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "labels": ["a", "r1"],
+        "capacity": {"cpu": capacity.millicores, "mem_mb": capacity.memory, "gpu": capacity.accelerators},
+        "clock_ms": 1, "seq": 1, "born": incarnation, "machine": format!("m{number}"),
+    })
+}
+
 fn worker_name(number: usize) -> WorkerName {
     WorkerName::from(format!("w{number}"))
 }
@@ -696,6 +745,10 @@
                 .lock()
                 .expect("workers lock")
                 .start(now(), name, incarnation, &order);
+            if reply == OrderReply::Unanswered {
+                // The worker has crashed.
+                return std::future::pending().await;
+            }
             encode(&reply)
         }
         "/-/run-stop" => {
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -49,6 +49,8 @@
     silence: Stop,
     /// Raised to close the connections of now; new ones are refused until it is replaced.
     cut: Stop,
+    /// Raised to close the listener, and replaced to listen again.
+    shut: Stop,
     /// Bytes a second in each direction; unlimited if there is none.
     bandwidth: Option<u64>,
     /// Bytes of a response after which its connection goes silent; applies to one connection.
@@ -72,6 +74,7 @@
                 link: Link::default(),
                 silence: Stop::new(),
                 cut: Stop::new(),
+                shut: Stop::new(),
                 bandwidth: None,
                 stall: None,
             }),
@@ -118,9 +121,20 @@
         self.state.lock().expect("relay lock").cut.raise();
     }
 
+    /// Resets all connections and closes the listener until [`Self::open`], as the end of the target's process does.
+    pub fn shut(&self) {
+        let state = self.state.lock().expect("relay lock");
+        state.cut.raise();
+        state.shut.raise();
+    }
+
     /// Accepts connections again.
     pub fn open(&self) {
-        self.state.lock().expect("relay lock").cut = Stop::new();
+        let mut state = self.state.lock().expect("relay lock");
+        state.cut = Stop::new();
+        if state.shut.is_raised() {
+            state.shut = Stop::new();
+        }
     }
 
     /// Relays in the background; returns the address and that of the control server.
@@ -176,9 +190,22 @@
         reply_status(StatusCode::OK)
     }
 
-    async fn accept(self: Arc<Self>, executor: &Arc<Executor<'static>>, listener: TcpListener) {
+    async fn accept(self: Arc<Self>, executor: &Arc<Executor<'static>>, mut listener: TcpListener) {
+        let Ok(address) = listener.local_addr() else {
+            return;
+        };
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let shut = self.state.lock().expect("relay lock").shut.clone();
+            let shutting = async {
+                shut.wait().await;
+                None
+            };
+            let Some(accepted) = future::or(shutting, async { Some(listener.accept().await) }).await else {
+                drop(listener);
+                listener = self.listen_again(address).await;
+                continue;
+            };
+            let Ok((stream, _)) = accepted else {
                 continue;
             };
             let (silence, cut) = {
@@ -195,6 +222,18 @@
         }
     }
 
+    /// Listens at `address` once that is allowed.
+    async fn listen_again(&self, address: SocketAddr) -> TcpListener {
+        loop {
+            if !self.state.lock().expect("relay lock").shut.is_raised()
+                && let Ok(listener) = TcpListener::bind(address).await
+            {
+                return listener;
+            }
+            Timer::after(HOLD_POLL).await;
+        }
+    }
+
     async fn forward(&self, near: TcpStream, silence: &Stop, cut: &Stop) {
         let Ok(far) = TcpStream::connect(&self.target).await else {
             return;
--- a/crates/standin/tests/relay.rs
+++ b/crates/standin/tests/relay.rs
@@ -56,6 +56,31 @@
     });
 }
 
+/// Guards against a relay that accepts connections while its target counts as ended, or does not listen again.
+#[test]
+fn shut_refuses() {
+    run(1, |executor| async move {
+        let platform = Platform::new(Millis(0))
+            .serve(&executor, local())
+            .await
+            .expect("platform");
+        let relay = Relay::new(platform.to_string());
+        let address = relay.listen(&executor, local()).await.expect("relay");
+        let client = HttpClient::new(executor.clone(), 8, 1_000);
+        for _ in 0..2 {
+            assert_eq!(get(&client, &address.to_string()).await, Ok(()));
+            relay.shut();
+            Timer::after(Duration::from_millis(50)).await;
+            let refused = async_net::TcpStream::connect(address)
+                .await
+                .map_err(|error| error.kind());
+            assert_eq!(refused.err(), Some(std::io::ErrorKind::ConnectionRefused));
+            relay.open();
+            Timer::after(Duration::from_millis(50)).await;
+        }
+    });
+}
+
 /// Guards against a platform whose list shows a change before the lag has passed, or never.
 #[test]
 fn list_lags() {
