Test what a successor derives from records that were not acted on

Each test makes a record durable without an answer to its writer, elects another scheduler, and checks the consequence: accepted, placed, released, finished (queued, placed, with a long answer before and after its object was written), drained and undrained.

--- /dev/null
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -0,0 +1,144 @@
+//! What follows from each record of the journal if the scheduler that wrote it ends before it acts: the record is durable,
+//! and the next scheduler has to derive the rest.
+
+mod scripted;
+
+use pistachiostair::{Call, Command, JobPhase, JobSpec, Response, TaskId, TaskState};
+use rstest::rstest;
+use scripted::{TestScheduler, cancel, get, spec, submit, view};
+
+/// Submits a job `a` and has it run on the only worker `w0`.
+fn start(fixture: &mut TestScheduler, spec: &JobSpec) -> TaskId {
+    fixture.report(1, 1, Vec::new());
+    fixture.job(submit("a", "a", spec));
+    let task = fixture.starts()[0];
+    fixture.report(2, 1, vec![view(task, TaskState::Running, 2, None)]);
+    task
+}
+
+/// Guards against an accepted job that the next scheduler does not start, or accepts a second time.
+#[test]
+fn accepted() {
+    let mut fixture = TestScheduler::new();
+    fixture.mute_commits = true;
+    fixture.send(submit("a", "a", &spec(false)));
+    fixture.take_over();
+    let again = fixture.call(submit("a", "a", &spec(false)));
+    assert!(matches!(again, Some(Response::Jobs { created: false, .. })));
+    fixture.report(1, 1, Vec::new());
+    fixture.tick(200);
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+/// Guards against a placed attempt that the next scheduler does not start, or places again.
+#[test]
+fn placed() {
+    let mut fixture = TestScheduler::new();
+    fixture.job(submit("a", "a", &spec(false)));
+    fixture.mute_commits = true;
+    fixture.report(1, 1, Vec::new());
+    fixture.tick(100);
+    assert_eq!(fixture.starts(), []);
+    fixture.take_over();
+    fixture.report(1, 1, Vec::new());
+    fixture.tick(200);
+    let attempts: Vec<u32> = fixture.starts().iter().map(|task| task.attempt.0).collect();
+    assert_eq!(attempts, [1]);
+}
+
+/// Guards against a gang that is held for good since its release was recorded and not sent.
+#[test]
+fn released() {
+    let mut fixture = TestScheduler::new();
+    let gang = JobSpec {
+        shape: "2x0".parse().expect("a valid shape"),
+        ..spec(false)
+    };
+    fixture.report(1, 1, Vec::new());
+    fixture.job(submit("a", "a", &gang));
+    let parts = fixture.starts();
+    let held: Vec<_> = parts.iter().map(|task| view(*task, TaskState::Held, 2, None)).collect();
+    fixture.mute_commits = true;
+    fixture.report(2, 1, held.clone());
+    fixture.tick(100);
+    assert_eq!(fixture.orders(), [], "released before the commit");
+    fixture.take_over();
+    fixture.report(2, 1, held);
+    let orders = fixture.orders();
+    assert!(
+        matches!(&orders[..], [Command::Release { tasks, .. }] if *tasks == parts),
+        "{orders:?}"
+    );
+}
+
+/// Guards against a cancelled job that the next scheduler starts.
+#[test]
+fn finished_queued() {
+    let mut fixture = TestScheduler::new();
+    fixture.job(submit("a", "a", &spec(false)));
+    fixture.mute_commits = true;
+    fixture.send(cancel("a", None));
+    fixture.take_over();
+    assert_eq!(fixture.job(cancel("a", None)).status.phase, JobPhase::Cancelled);
+    fixture.report(1, 1, Vec::new());
+    fixture.tick(200);
+    assert_eq!(fixture.starts(), []);
+}
+
+/// Guards against an ended task that its worker keeps for good.
+#[test]
+fn finished_placed() {
+    let mut fixture = TestScheduler::new();
+    let task = start(&mut fixture, &spec(false));
+    let ended = vec![view(task, TaskState::Succeeded, 3, Some("done"))];
+    fixture.mute_commits = true;
+    fixture.report(3, 1, ended.clone());
+    fixture.tick(100);
+    assert_eq!(fixture.orders(), [], "forgotten before the commit");
+    fixture.take_over();
+    fixture.report(3, 1, ended);
+    assert_eq!(fixture.orders(), [Command::Forget { tasks: vec![task] }]);
+    assert_eq!(fixture.job(get("a")).status.answer.as_deref(), Some("done"));
+}
+
+/// Guards against a long answer that is lost since the scheduler ended while it was stored, before or after the write of
+/// the object.
+#[rstest]
+#[case::before(true)]
+#[case::after(false)]
+fn finished_stored(#[case] store_down: bool) {
+    let mut fixture = TestScheduler::new();
+    let task = start(&mut fixture, &spec(false));
+    let answer = "x".repeat(10_000);
+    let ended = vec![view(task, TaskState::Succeeded, 3, Some(&answer))];
+    (fixture.store_down, fixture.mute_commits) = (store_down, true);
+    fixture.report(3, 1, ended.clone());
+    fixture.tick(100);
+    fixture.take_over();
+    fixture.report(3, 1, ended);
+    fixture.tick(100);
+    assert_eq!(fixture.job(get("a")).status.answer.as_deref(), Some(answer.as_str()));
+}
+
+/// Guards against new work on a drained worker, and against a worker that stays drained.
+#[rstest]
+#[case::drained(true, 0)]
+#[case::undrained(false, 1)]
+fn drained(#[case] drain: bool, #[case] starts: usize) {
+    let mut fixture = TestScheduler::new();
+    fixture.report(1, 1, Vec::new());
+    let call = |drain| Call::Drain {
+        worker: "w0".into(),
+        drain,
+    };
+    if !drain {
+        fixture.call(call(true));
+    }
+    fixture.mute_commits = true;
+    fixture.send(call(drain));
+    fixture.take_over();
+    fixture.report(1, 1, Vec::new());
+    fixture.job(submit("a", "a", &spec(false)));
+    fixture.tick(200);
+    assert_eq!(fixture.starts().len(), starts);
+}
--- a/crates/pistachiostair/tests/scripted/mod.rs
+++ b/crates/pistachiostair/tests/scripted/mod.rs
@@ -19,6 +19,8 @@
     /// Whether the store is down: its requests are kept in `unanswered`.
     pub store_down: bool,
     pub unanswered: Vec<AppendAction>,
+    /// Whether commits take effect without an answer.
+    pub mute_commits: bool,
     pub rows: Vec<(Seq, String)>,
     pub objects: Vec<(String, Vec<u8>)>,
     pub replies: Vec<(Token, Response)>,
@@ -43,6 +45,7 @@
             token: 0,
             store_down: false,
             unanswered: Vec::new(),
+            mute_commits: false,
             rows: Vec::new(),
             objects: Vec::new(),
             replies: Vec::new(),
@@ -69,6 +72,16 @@
         self.on(Event::LeaseChanged { held: true });
     }
 
+    /// Elects a scheduler under term 2, which reads all rows, in place of the present one.
+    pub fn take_over(&mut self) {
+        self.mute_commits = false;
+        self.store_down = false;
+        self.unanswered.clear();
+        self.sent.clear();
+        self.elect(2);
+        self.tick(100);
+    }
+
     /// Feeds an event and carries out all actions that follow from it.
     pub fn on(&mut self, event: Event) {
         let mut actions = self.scheduler.on(self.now, event);
@@ -102,7 +115,7 @@
             AppendAction::Commit { seq, transaction } => {
                 let value = transaction.writes.into_iter().find_map(|write| write.value)?;
                 self.rows.push((seq, value));
-                Some(AppendEvent::Committed(seq))
+                (!self.mute_commits).then_some(AppendEvent::Committed(seq))
             }
             AppendAction::WriteObject { key, body } => {
                 self.objects.push((key.clone(), body));
@@ -170,8 +183,13 @@
 
     /// Reports the whole inventory of the worker `w0`.
     pub fn report(&mut self, change: u64, incarnation: u64, tasks: Vec<TaskView>) {
+        self.report_worker("w0", change, incarnation, tasks);
+    }
+
+    /// Reports the whole inventory of a worker.
+    pub fn report_worker(&mut self, worker: &str, change: u64, incarnation: u64, tasks: Vec<TaskView>) {
         let info: WorkerInfo = serde_json::from_value(serde_json::json!({
-            "name": "w0", "region": "fi", "domain": "helsinki", "rack": "r1", "slots": 4, "accelerators": 8,
+            "name": worker, "region": "fi", "domain": "helsinki", "rack": "r1", "slots": 4, "accelerators": 8,
             "millicores": 30_000, "memory": 65_536,
         }))
         .expect("a valid worker");
@@ -185,9 +203,8 @@
             full: true,
             tasks,
         };
-        let worker = "w0".into();
         self.on(Event::Report {
-            worker,
+            worker: worker.into(),
             changes: Some(changes),
         });
     }
@@ -198,6 +215,14 @@
         self.on(Event::WorkerList(listed.collect()));
     }
 
+    /// All commands sent that are neither starts nor renewals.
+    pub fn orders(&self) -> Vec<Command> {
+        let commands = self.sent.iter().flat_map(|batch| batch.commands.clone());
+        commands
+            .filter(|command| !matches!(command, Command::Start(_) | Command::Renew { .. }))
+            .collect()
+    }
+
     /// Tasks of all start commands sent.
     pub fn starts(&self) -> Vec<TaskId> {
         let commands = self.sent.iter().flat_map(|batch| &batch.commands);
