End a cancelled job that is queued when a scheduler takes over

Callers would see: a job whose cancel was acknowledged stays `Queued` after a takeover and waits for capacity like any other. It happens if the attempt ends and is requeued just before the cancel becomes durable, and the scheduler is deposed before the end of the job does.

Cause: `Cancelling` of a queued job is turned into `Finished` only when the record is committed; a takeover queued the job again without a look at `cancelling`. Placed jobs were not affected, since their runs are halted from the state.

A takeover now ends such a job. `cancelling_queued` cuts the scheduler off between the two records; before the change it found the job (Queued, ran Yes) 0.3 s after the takeover, now (Cancelled, Yes). scheduler_calls, job_life and releases pass.

--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -17,7 +17,7 @@
 use crate::outlier::Probe;
 use crate::planner::{Change, Planner, PlannerStats};
 use crate::reconcile::Upstream;
-use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
+use crate::resource::{AccountSpec, Guarantee, JobPhase, MemberState, Policy};
 use crate::scheduler::{Action, Event, LogLine};
 use crate::snapshot::SnapshotLimits;
 use crate::state::{JobState, RegionState};
@@ -207,6 +207,10 @@
                     let run = Run::recovered(&entry, placement, now);
                     self.begin_run(now, entry.id, run);
                 }
+                // Its attempt ended before the cancellation was recorded.
+                None if entry.cancelling => {
+                    self.finish_queued(now, entry.id, JobPhase::Cancelled, "cancelled by a caller");
+                }
                 None => self.queue(now, &entry),
             }
             self.dirty_jobs.insert(entry.id);
--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -3,7 +3,7 @@
 
 mod scripted;
 
-use pistachiostair::{Call, Command, JobPhase, JobSpec, Response, TaskId, TaskState};
+use pistachiostair::{Call, Command, Event, JobPhase, JobSpec, MemberState, Ran, Response, TaskId, TaskState};
 use rstest::rstest;
 use scripted::{TestScheduler, cancel, get, spec, submit, view};
 
@@ -71,6 +71,29 @@
     );
 }
 
+/// Guards against a cancelled job that waits for capacity: its attempt ended just before the cancellation, and the
+/// scheduler after the cancellation.
+#[test]
+fn cancelling_queued() {
+    let mut fixture = TestScheduler::new();
+    let task = start(&mut fixture, &spec(true));
+    // There is no room for the next attempt.
+    fixture.list_workers(&[("w0", MemberState::Leaving)]);
+    fixture.store_down = true;
+    fixture.report(3, 1, vec![view(task, TaskState::Failed, 3, Some("broken"))]);
+    fixture.send(cancel("a", None));
+    fixture.store_down = false;
+    let requeued = fixture.unanswered.remove(0);
+    let committed = fixture.store(requeued).expect("an outcome");
+    fixture.mute_commits = true;
+    fixture.on(Event::Stored(committed));
+    fixture.tick(100);
+    fixture.take_over();
+    fixture.tick(200);
+    let status = fixture.job(get("a")).status;
+    assert_eq!((status.phase, status.ran), (JobPhase::Cancelled, Ran::Yes));
+}
+
 /// Guards against a cancelled job that the next scheduler starts.
 #[test]
 fn finished_queued() {
