Answer a repeated cancel once the first one is durable

Callers would see: a cancel that is repeated while the job is being stopped, for example after a takeover, is not answered until the job ended.

Cause: callers are answered when `Cancelling` is committed; a repeated call wrote no record and waited for the next one.

Such a call is now answered from the state, as the first one was: the stop of the run follows from the same state.

--- a/crates/pistachiostair/src/calls.rs
+++ b/crates/pistachiostair/src/calls.rs
@@ -334,13 +334,13 @@
             let text = format!("the job has revision {}", entry.revision);
             return Err(refusal(ErrorKind::Conflict, text));
         }
-        if entry.ended.is_some() {
+        if entry.ended.is_some() || entry.cancelling {
             self.answer_job(token, &entry, false);
             return Ok(());
         }
         self.check_writable(now)?;
         let job = entry.id;
-        let first = !self.calls.cancels.contains_key(&job) && !entry.cancelling;
+        let first = !self.calls.cancels.contains_key(&job);
         self.calls.cancels.entry(job).or_default().push(token);
         if self.finishing.contains(&job) || !first {
             return Ok(());
--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -71,6 +71,24 @@
     );
 }
 
+/// Guards against a task that goes on after its cancellation, and against a repeated cancellation that is answered only
+/// once the job ended.
+#[test]
+fn cancelling_placed() {
+    let mut fixture = TestScheduler::new();
+    let task = start(&mut fixture, &spec(false));
+    fixture.mute_commits = true;
+    fixture.send(cancel("a", None));
+    assert_eq!(fixture.orders(), [], "stopped before the commit");
+    fixture.take_over();
+    fixture.report(2, 1, vec![view(task, TaskState::Running, 2, None)]);
+    assert_eq!(fixture.orders(), [Command::Stop { task }]);
+    let again = fixture.job(cancel("a", None));
+    assert_eq!(again.status.phase, JobPhase::Stopping);
+    fixture.report(3, 1, vec![view(task, TaskState::Stopped, 3, None)]);
+    assert_eq!(fixture.job(get("a")).status.phase, JobPhase::Cancelled);
+}
+
 /// Guards against a cancelled job that waits for capacity: its attempt ended just before the cancellation, and the
 /// scheduler after the cancellation.
 #[test]
