Keep a job off the workers on which it failed, also after a takeover

Callers would see: a job that failed on a bad worker is started there again by the next scheduler although another worker is free, and spends another of its attempts.

Cause: `Requeued` records the worker, but the planner heard of the failure only when the attempt ended. A takeover passed the job on without it.

A takeover now restores the failures of open jobs. Quarantine of workers is still learnt anew: successes since a failure are not recorded. `requeued_failed` found attempt 2 on w0 before the change, now on w1, both workers known and free. scheduler_calls, job_life, releases and planner pass.

--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -202,6 +202,10 @@
             .collect();
         for entry in open {
             self.track_deadline(&entry);
+            if !entry.failed.is_empty() {
+                let (job, workers) = (entry.id, entry.failed.clone());
+                self.planner.apply(now, Change::FailedBefore { job, workers });
+            }
             match &entry.placement {
                 Some(placement) => {
                     let run = Run::recovered(&entry, placement, now);
--- a/crates/pistachiostair/src/failures.rs
+++ b/crates/pistachiostair/src/failures.rs
@@ -46,9 +46,7 @@
     /// cause.
     pub(crate) fn record_failure(&mut self, now: Millis, job: JobId, worker: &WorkerName, workers: usize) -> bool {
         self.jobs.entry(job).or_default().insert(worker.clone());
-        while self.jobs.len() > MAX_JOBS {
-            self.jobs.pop_first();
-        }
+        self.drop_excess();
         if let Some(quarantine) = self.quarantined.get_mut(worker) {
             if quarantine.probe.take_if(|probe| *probe == job).is_some() {
                 quarantine.interval = Millis(quarantine.interval.0 * 2).min(MAX_PROBE_INTERVAL);
@@ -71,6 +69,19 @@
         true
     }
 
+    /// Restores the workers on which a job failed before a takeover. Nothing is counted against the workers, since they
+    /// may have succeeded since.
+    pub(crate) fn restore_job(&mut self, job: JobId, workers: BTreeSet<WorkerName>) {
+        self.jobs.insert(job, workers);
+        self.drop_excess();
+    }
+
+    fn drop_excess(&mut self) {
+        while self.jobs.len() > MAX_JOBS {
+            self.jobs.pop_first();
+        }
+    }
+
     /// Records that a job succeeded on a worker. Returns whether this ends the worker's quarantine.
     pub(crate) fn record_success(&mut self, job: JobId, worker: &WorkerName) -> bool {
         self.jobs.remove(&job);
--- a/crates/pistachiostair/src/planner.rs
+++ b/crates/pistachiostair/src/planner.rs
@@ -40,6 +40,13 @@
     GuaranteeDeleted(GuaranteeName),
     /// The scheduling parameters changed.
     Scheduling(Scheduling),
+    /// The workers on which a job failed under earlier schedulers. Comes before the job is queued or adopted.
+    FailedBefore {
+        /// The job.
+        job: JobId,
+        /// The workers.
+        workers: BTreeSet<WorkerName>,
+    },
     /// A job waits for a start. Ignored if the job already waits or is placed.
     Queued {
         /// The job.
@@ -284,6 +291,7 @@
                 self.scheduling = scheduling;
                 self.next_epoch();
             }
+            Change::FailedBefore { job, workers } => self.blame.restore_job(job, workers),
             Change::Queued { job, spec, served } => self.queue(now, job, spec, served),
             Change::Adopted { job, spec, workers } => self.adopt(now, job, spec, &workers),
             Change::Running(job) => self.start(now, job),
--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -161,6 +161,29 @@
     assert_eq!(fixture.job(get("a")).status.answer.as_deref(), Some(answer.as_str()));
 }
 
+/// Guards against a job that is started again on the worker on which it failed, although another one is free.
+#[test]
+fn requeued_failed() {
+    let mut fixture = TestScheduler::new();
+    let task = start(&mut fixture, &spec(true));
+    // There is no room for the next attempt.
+    fixture.list_workers(&[("w0", MemberState::Leaving)]);
+    let ended = vec![view(task, TaskState::Failed, 3, Some("broken"))];
+    fixture.mute_commits = true;
+    fixture.report(3, 1, ended.clone());
+    fixture.tick(100);
+    fixture.take_over();
+    // Both workers are known once the job can be placed.
+    fixture.on(Event::LeaseChanged { held: false });
+    fixture.report_worker("w0", 3, 1, ended);
+    fixture.report_worker("w1", 1, 1, Vec::new());
+    fixture.on(Event::LeaseChanged { held: true });
+    fixture.tick(200);
+    assert_eq!(fixture.orders(), [Command::Forget { tasks: vec![task] }]);
+    let status = fixture.job(get("a")).status;
+    assert_eq!((status.attempt.0, status.workers), (2, vec!["w1".into()]));
+}
+
 /// Guards against new work on a drained worker, and against a worker that stays drained.
 #[rstest]
 #[case::drained(true, 0)]
