Remove the answers of forgotten jobs again after a takeover

Operators would see: long answers (over 4 KiB) of forgotten jobs that stay in the object store for good.

Cause: the objects are deleted when `Forgotten` is committed. If its writer ends before it learns of the commit, its successor folds the record, no longer knows the jobs and deletes nothing.

Removals that the store refused are still not repeated.

--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -9,6 +9,7 @@
 use crate::appender::{AppendAction, Appender};
 use crate::calls::Calls;
 use crate::clock::Millis;
+use crate::commits::answer_deletes;
 use crate::ejection::Ejector;
 use crate::error::{Error, ErrorKind, Result};
 use crate::gang::Run;
@@ -132,6 +133,7 @@
     ) -> Result<Self> {
         let mut state = snapshot.map(RegionState::decode).transpose()?.unwrap_or_default();
         let covered = state.seq;
+        let mut deletes = Vec::new();
         let read = (
             snapshot.map_or(0, <[u8]>::len),
             rows.iter().map(|(_, text)| text.len()).sum(),
@@ -141,7 +143,13 @@
                 let text = format!("row {} is missing before row {seq}", state.seq.next());
                 return Err(Error::msg(ErrorKind::Internal, "read journal", text));
             }
-            state.fold_batch(*seq, &Batch::parse(text)?);
+            let batch = Batch::parse(text)?;
+            let forgotten = batch.records.iter().filter(|r| matches!(r, Record::Forgotten { .. }));
+            // Only the newest: its writer went on to another one after it had sent the removals of the one before.
+            if let Some(record) = forgotten.last() {
+                deletes = answer_deletes(&region, &state, record);
+            }
+            state.fold_batch(*seq, &batch);
         }
         // The clock of the region never goes back, whatever this daemon's clock says.
         let wall = wall.max(state.wall);
@@ -177,7 +185,7 @@
             worker_timers: BTreeSet::new(),
             dirty_jobs: BTreeSet::new(),
             dirty_workers: BTreeSet::new(),
-            actions: Vec::new(),
+            actions: deletes.into_iter().map(Action::Append).collect(),
             steps: recover_steps(now, wall, term, &state),
             last_held: now,
             step_limits: StepLimits::default(),
--- a/crates/pistachiostair/src/commits.rs
+++ b/crates/pistachiostair/src/commits.rs
@@ -6,10 +6,11 @@
 use crate::clock::Millis;
 use crate::finish::answer_key;
 use crate::gang::Run;
-use crate::ids::{JobId, Seq};
+use crate::ids::{JobId, RegionName, Seq};
 use crate::journal::{Batch, Record, revision};
 use crate::planner::{AttemptEnd, Change};
 use crate::resource::JobPhase;
+use crate::state::RegionState;
 
 impl ActiveScheduler {
     /// Handles the outcome of a storage action: of a job's answer object here, of all others in the journal's writer.
@@ -40,9 +41,7 @@
         self.state.seq = seq;
         self.state.wall = self.state.wall.max(batch.wall);
         for (index, record) in batch.records.iter().enumerate() {
-            if let Record::Forgotten { jobs } = record {
-                self.delete_answers(jobs);
-            }
+            self.append(answer_deletes(&self.region, &self.state, record));
             self.state.fold(revision(seq, index), record);
             self.apply_effect(now, record);
         }
@@ -144,21 +143,21 @@
             self.finish_queued(now, job, JobPhase::Expired, "the deadline passed before it started");
         }
     }
+}
 
-    fn delete_answers(&mut self, jobs: &[JobId]) {
-        let stored = |job: &&JobId| {
-            let entry = self.state.job(**job);
-            entry
-                .and_then(|entry| entry.ended.as_ref())
-                .is_some_and(|ended| ended.stored)
-        };
-        let actions = jobs
-            .iter()
-            .filter(stored)
-            .map(|job| AppendAction::DeleteObject {
-                key: answer_key(&self.region, *job),
-            })
-            .collect();
-        self.append(actions);
-    }
+/// The removals of stored answers that follow from a record that is not folded yet.
+pub(crate) fn answer_deletes(region: &RegionName, state: &RegionState, record: &Record) -> Vec<AppendAction> {
+    let Record::Forgotten { jobs } = record else {
+        return Vec::new();
+    };
+    let stored = |job: &&JobId| {
+        let entry = state.job(**job);
+        entry
+            .and_then(|entry| entry.ended.as_ref())
+            .is_some_and(|ended| ended.stored)
+    };
+    let delete = |job: &JobId| AppendAction::DeleteObject {
+        key: answer_key(region, *job),
+    };
+    jobs.iter().filter(stored).map(delete).collect()
 }
--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -3,7 +3,10 @@
 
 mod scripted;
 
-use pistachiostair::{Call, Command, Event, JobPhase, JobSpec, MemberState, Ran, Response, TaskId, TaskState};
+use pistachiostair::{
+    Call, Command, Event, JobPhase, JobSpec, MemberState, Millis, Ran, Response, Retention, Scheduler, TaskId,
+    TaskState,
+};
 use rstest::rstest;
 use scripted::{TestScheduler, cancel, get, spec, submit, view};
 
@@ -184,6 +187,25 @@
     assert_eq!((status.attempt.0, status.workers), (2, vec!["w1".into()]));
 }
 
+/// Guards against a stored answer that stays in the object store after its job was forgotten.
+#[test]
+fn forgotten() {
+    let retention = Retention {
+        span: Millis(10_000),
+        jobs: 100,
+    };
+    let mut fixture = TestScheduler::with(Scheduler::new("fi".into()).with_retention(retention));
+    let task = start(&mut fixture, &spec(false));
+    let answer = "x".repeat(10_000);
+    fixture.report(3, 1, vec![view(task, TaskState::Succeeded, 3, Some(&answer))]);
+    fixture.tick(9_000);
+    assert_eq!(fixture.objects.len(), 1);
+    fixture.mute_commits = true;
+    fixture.tick(2_000);
+    fixture.take_over();
+    assert!(fixture.objects.is_empty(), "the answer was left behind");
+}
+
 /// Guards against new work on a drained worker, and against a worker that stays drained.
 #[rstest]
 #[case::drained(true, 0)]
