Drop accounts and guarantees when a daemon is deposed

Operators would see: a daemon that is elected again still applies a guarantee, or the limits of an account, that was deleted while another daemon was the scheduler. Nothing removes it in that term.

Cause: the scheduler keeps both across terms, but a daemon forwards the catalog only while it is the scheduler, and only what changed since the term began; a row that is gone by then is not in either list.

Both are dropped with the term. The daemon passes the whole catalog on right after an election, as it did before. The outcome of a guarantee's write is ignored if its term is over, since the catalog has it.

`catalog_after_deposition` found the guarantee in force again before the change, and neither it nor the account's limit after it. The actor's part (the term of the outcome) has no test of its own. record_consequences, scheduler_calls, job_life and releases pass.

--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Configuration of a region in force. Outlives terms: a daemon also follows it while it is not the scheduler.
+/// Configuration of a region in force.
 #[derive(Clone, Debug)]
 pub(crate) struct RegionConfig {
     pub(crate) accounts: BTreeMap<AccountName, AccountSpec>,
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -172,7 +172,7 @@
 /// The scheduler of a region: accepts jobs, places them on workers, and runs them until they end.
 ///
 /// While this daemon is not the region's scheduler, it refuses every call and only keeps the accounts, guarantees and
-/// policy up to date, so that a takeover has them.
+/// policy that it is given, so that a takeover has them. It drops accounts and guarantees when it is deposed.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     region: RegionName,
@@ -315,7 +315,7 @@
         active.on(now, Event::Tick)
     }
 
-    /// Keeps accounts, guarantees and the policy, which outlive terms.
+    /// Keeps accounts, guarantees and the policy for the next election.
     fn track_config(&mut self, event: &Event) {
         match event {
             Event::Account(name, Some(spec)) => {
@@ -335,11 +335,15 @@
         }
     }
 
-    /// Drops the state of the term; every waiting call fails.
+    /// Drops the state of the term; every waiting call fails. Accounts and guarantees are given again after an election.
     fn depose(&mut self) -> Vec<Action> {
-        self.active
-            .take()
-            .map_or_else(Vec::new, |mut active| active.fail_pending_calls())
+        let Some(mut active) = self.active.take() else {
+            return Vec::new();
+        };
+        // They may change or be deleted before the next election.
+        self.config.accounts.clear();
+        self.config.guarantees.clear();
+        active.fail_pending_calls()
     }
 
     /// Fails a call, and ignores other events, while this daemon is not the scheduler.
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -564,7 +564,7 @@
             .first()
             .and_then(|write| write.key.strip_prefix(GUARANTEE_PREFIX));
         let name = name.map(GuaranteeName::from);
-        let inbox = self.inbox.clone();
+        let (inbox, term) = (self.inbox.clone(), self.elected.map(|(term, _)| term));
         let storage = self.storage.clone();
         let kernel = self.kernel.clone();
         self.kernel.spawn(async move {
@@ -576,9 +576,8 @@
                     });
                     if let Some(name) = name {
                         // The scheduler must apply it from now on, not only after the next reload of the catalog.
-                        let _ = inbox
-                            .send(Input::Event(Box::new(Event::Guarantee(name, written.clone()))))
-                            .await;
+                        let event = Event::Guarantee(name, written.clone());
+                        let _ = inbox.send(outcome_of(term, event)).await;
                     }
                     if let Ok(config) = kernel.find::<Config>() {
                         config.reload_soon();
--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -4,8 +4,8 @@
 mod scripted;
 
 use pistachiostair::{
-    Call, Command, Event, JobPhase, JobSpec, MemberState, Millis, Ran, Response, Retention, Scheduler, TaskId,
-    TaskState,
+    AccountSpec, Call, Command, ErrorKind, Event, JobPhase, JobSpec, MemberState, Millis, Ran, Response, Retention,
+    Scheduler, TaskId, TaskState,
 };
 use rstest::rstest;
 use scripted::{TestScheduler, cancel, get, spec, submit, view};
@@ -228,3 +228,28 @@
     fixture.tick(200);
     assert_eq!(fixture.starts().len(), starts);
 }
+
+/// Guards against a guarantee or an account that comes back when a daemon is elected again, after another scheduler
+/// deleted it.
+#[test]
+fn catalog_after_deposition() {
+    let mut fixture = TestScheduler::new();
+    let text = serde_json::json!({"metadata": {"name": "g"}, "spec": {"account": "court", "shape": "1x8"}});
+    let guarantee = serde_json::from_value(text).expect("a valid guarantee");
+    fixture.on(Event::Guarantee("g".into(), Some(guarantee)));
+    let known = fixture.call(Call::Guarantees);
+    assert!(matches!(known, Some(Response::Guarantees { guarantees }) if guarantees.len() == 1));
+    let limited = AccountSpec {
+        weight: 1,
+        quota: None,
+        outstanding: Some(0),
+        rate: None,
+    };
+    fixture.on(Event::Account("court".into(), Some(limited)));
+    assert_eq!(fixture.failure(submit("a", "a", &spec(false))).kind, ErrorKind::Limited);
+    fixture.on(Event::Deposed);
+    fixture.take_over();
+    let known = fixture.call(Call::Guarantees);
+    assert!(matches!(known, Some(Response::Guarantees { guarantees }) if guarantees.is_empty()));
+    fixture.job(submit("a", "a", &spec(false)));
+}
