Prove that capacity which shrinks and grows is kept to

A worker's capacity may change while it runs, and LIMIT counts a start that brings an unguarded worker over it.

The stand-in worker can be resized (`StepWorkers::resize`), and with `unguarded` starts whatever it is told to; a start that exceeds the capacity, beside what is being stopped, is a violation. An earlier capacity counts until a stated time. `World::resize` also has the list show it.

--- /dev/null
+++ b/crates/pistachiostair/tests/steps/capacity.rs
@@ -0,0 +1,121 @@
+//! Workers whose capacity shrinks and grows while they run. They start what does not fit, unless a test says otherwise.
+
+use pistachiostair::{Millis, StepCall, StepJob, StepJobPhase};
+use rstest::rstest;
+
+use crate::world::{ACCELERATORS, World, gang, job};
+
+/// Submits a job without waiting for the answer.
+fn submit_later(world: &mut World, job: StepJob) {
+    world.call(StepCall::Submit { job: Box::new(job) });
+}
+
+/// Orders that were sent before the worker shrank bring it over its new capacity; nothing more starts until enough has
+/// ended.
+#[test]
+fn shrink_after_start() {
+    let mut world = World::with_unguarded_workers(1);
+    world.run(100);
+    submit_later(&mut world, job(1, "normal", 16, 1, 1_000));
+    while world.start_orders < 8 {
+        world.run(10);
+    }
+    assert_eq!(world.workers.starts, 0);
+    world.resize(0, 4);
+    world.run(900);
+    assert_eq!(world.workers.starts, 8);
+    world.run(3_500);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Runs that are being stopped keep their capacity until the worker lists their ends.
+#[rstest]
+fn shrink_while_stopping(#[values(0, 1)] number: usize, #[values(0, 4)] left: u64) {
+    let mut world = World::with_guarantee(2, ACCELERATORS);
+    world.workers.unguarded = true;
+    world.workers.stop_time = Some(Millis(900));
+    world.submit(job(1, "bulk", 16, 1, 20_000));
+    world.run(1_000);
+    world.submit(gang(2, "urgent", 1, ACCELERATORS, 1_000));
+    assert_eq!(world.stop_orders, 8);
+    world.resize(number, left);
+    world.run(6_000);
+    assert_eq!(world.phase(2, "urgent"), StepJobPhase::Completed);
+    world.check();
+    world.resize(number, ACCELERATORS);
+    world.run(24_000);
+    assert_eq!(world.phase(1, "bulk"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// A guaranteed step begins in time although some workers have lost their capacity.
+#[test]
+fn guarantee_after_shrink() {
+    let mut world = World::with_guarantee(4, 16);
+    world.workers.unguarded = true;
+    world.submit(job(1, "bulk", 32, 1, 20_000));
+    world.run(1_000);
+    world.resize(0, 0);
+    world.resize(1, 0);
+    world.run(100);
+    let submitted = world.now;
+    world.submit(gang(2, "urgent", 2, ACCELERATORS, 1_000));
+    world.run(4_000);
+    let (start, _) = world.span(2);
+    assert!(
+        start.is_some_and(|start| start - submitted <= 2_700),
+        "{start:?}, submitted {submitted}"
+    );
+    world.check();
+}
+
+/// Tasks that wait start as soon as a worker grows again, and only as many as fit.
+#[rstest]
+#[case::from_half(4)]
+#[case::from_zero(0)]
+fn grow_again(#[case] before: u64) {
+    let mut world = World::with_unguarded_workers(1);
+    world.resize(0, before);
+    world.submit(job(1, "normal", 16, 1, 2_000));
+    world.run(500);
+    assert_eq!(u64::from(world.workers.starts), before);
+    world.resize(0, 6);
+    world.run(100);
+    assert_eq!(world.workers.starts, 6);
+    world.run(9_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Another daemon becomes the scheduler at any moment around the change of a capacity.
+#[rstest]
+fn take_over_around_shrink(#[values(20, 30, 40, 50, 100, 500, 1_000)] at: u64, #[values(0, 4)] left: u64) {
+    let mut world = World::with_unguarded_workers(2);
+    world.submit(job(1, "normal", 12, 1, 2_000));
+    submit_later(&mut world, job(2, "normal", 12, 1, 2_000));
+    world.run(at);
+    world.resize(0, left);
+    world.take_over();
+    world.run(10_000);
+    for key in [1, 2] {
+        assert_eq!(world.phase(key, "normal"), StepJobPhase::Completed);
+    }
+    world.check();
+}
+
+/// Another daemon becomes the scheduler while a record of starts is being committed; the journal has it, and the worker
+/// has shrunk since.
+#[test]
+fn take_over_while_committing() {
+    let mut world = World::with_unguarded_workers(1);
+    world.resize(0, 0);
+    world.submit(job(1, "normal", 8, 1, 1_000));
+    world.resize(0, ACCELERATORS);
+    world.run(10);
+    world.resize(0, 4);
+    world.take_over();
+    world.run(12_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -20,6 +20,9 @@
 /// Resolution of the simulated clock.
 const TICK_MS: u64 = 10;
 
+/// Time after which the list shows a smaller capacity until a start may no longer exceed it.
+const RESIZE_GRACE_MS: u64 = 200;
+
 /// Accelerators of each worker.
 pub(crate) const ACCELERATORS: u64 = 8;
 
@@ -123,6 +126,28 @@
         world
     }
 
+    /// A region whose workers start what does not fit.
+    pub(crate) fn with_unguarded_workers(count: usize) -> Self {
+        let mut world = Self::new(count);
+        world.workers.unguarded = true;
+        world
+    }
+
+    /// Changes the number of accelerators of a worker; the list shows it from the next [`Self::send_list`] on.
+    pub(crate) fn resize_unseen(&mut self, number: usize, accelerators: u64) {
+        let name = worker(number);
+        let Some(info) = self.listed.get_mut(&name) else { return };
+        info.capacity.accelerators = accelerators;
+        let until = Millis(self.now + RESIZE_GRACE_MS);
+        self.workers.resize(&name, info.capacity, until);
+    }
+
+    /// Changes the number of accelerators of a worker and sends the list.
+    pub(crate) fn resize(&mut self, number: usize, accelerators: u64) {
+        self.resize_unseen(number, accelerators);
+        self.send_list();
+    }
+
     /// When the first run of a job started, and when its last run ended as done; none if that has not happened.
     pub(crate) fn span(&self, key: u64) -> (Option<u64>, Option<u64>) {
         let log = self.workers.log.iter().filter(|(_, task, ..)| task.job == JobKey(key));
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -74,6 +74,8 @@
 pub struct StepWorker {
     incarnation: Incarnation,
     capacity: Demand,
+    /// Capacities that it had before, and until when each still counts.
+    earlier: Vec<(Millis, Demand)>,
     /// Its clock is ahead by this much.
     offset: Millis,
     token: Term,
@@ -93,6 +95,8 @@
     pub paces: BTreeMap<WorkerName, u64>,
     /// Time that a stop takes, if not [`STOP_TIME`].
     pub stop_time: Option<Millis>,
+    /// Whether workers start what does not fit; such a start is a violation.
+    pub unguarded: bool,
     /// Tasks whose end as done was acknowledged.
     noted: BTreeSet<TaskKey>,
     /// Starts that were carried out.
@@ -110,6 +114,7 @@
         Self {
             incarnation,
             capacity,
+            earlier: Vec::new(),
             offset: Millis(incarnation.0 * 1_000),
             token: Term(0),
             deadline: now,
@@ -129,6 +134,14 @@
         demands.fold(Demand::default(), |sum, demand| sum.plus(&demand))
     }
 
+    /// Whether a task exceeds the capacity beside what runs and what is being stopped.
+    fn exceeds(&self, now: Millis, demand: &Demand) -> bool {
+        let used = self.used().plus(demand);
+        let counted = self.earlier.iter().filter(|(until, _)| *until > now);
+        let mut capacities = counted.map(|(_, capacity)| capacity).chain([&self.capacity]);
+        !capacities.any(|capacity| used.fits(capacity))
+    }
+
     fn extend(&mut self, now: Millis, deadline: Millis) {
         let longest = self.clock(now) + MAX_LEASE;
         self.deadline = self.deadline.max(deadline.min(longest));
@@ -161,6 +174,15 @@
             .insert(name.clone(), StepWorker::new(incarnation, capacity, now));
     }
 
+    /// Changes the capacity of a worker. What runs there stays; the earlier capacity counts until `until` for starts that
+    /// exceed the new one.
+    pub fn resize(&mut self, name: &WorkerName, capacity: Demand, until: Millis) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.earlier.push((until, worker.capacity));
+            worker.capacity = capacity;
+        }
+    }
+
     /// Ends a worker with all that runs there.
     pub fn crash(&mut self, name: &WorkerName) {
         self.workers.remove(name);
@@ -226,7 +248,12 @@
             return OrderReply::OldRun;
         }
         let plan = TaskPlan::parse(&order.payload);
-        if !worker.used().plus(&plan.demand).fits(&worker.capacity) {
+        if self.unguarded {
+            if worker.exceeds(now, &plan.demand) {
+                let violation = format!("{} exceeds the capacity of {}", order.task, name.as_str());
+                self.violations.push(violation);
+            }
+        } else if !worker.used().plus(&plan.demand).fits(&worker.capacity) {
             self.refused += 1;
             return OrderReply::NoRoom;
         }
