Count what runs beyond a worker's capacity against its room

Users would see: urgent steps that begin late, runs stopped for nothing, and on a worker that does not guard its capacity a start that leaves it over it, after the worker has shrunk below what runs there.

Cause: `Room` began with `capacity` less `used`, which saturates at zero. The end of one run counted as free capacity although the worker was still over it, so that forecasts were early and preemption stopped too little, or runs on a worker without any capacity. A task also fitted if it used none of the resource that was exceeded.

Change: `Room` keeps the excess. Runs that end pay it off first, then reservations, and nothing fits before (`Room::fits`).

The plain searches of steps/tests.rs now meet workers whose capacity changes, and compare what fits with capacity and use.

--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -17,13 +17,29 @@
     pub(crate) free: Demand,
     /// Reserved capacity that is still in use by runs.
     reserved_in_use: Demand,
+    /// What runs use beyond the capacity, which may have shrunk since they started.
+    excess: Demand,
 }
 
 impl Room {
+    /// Room of a worker whose runs use `used`.
+    fn new(capacity: &Demand, used: &Demand) -> Self {
+        Self {
+            free: capacity.minus(used),
+            reserved_in_use: Demand::default(),
+            excess: used.minus(capacity),
+        }
+    }
+
+    /// Whether a task with this demand fits. None does while runs exceed the capacity in any resource.
+    pub(crate) fn fits(&self, demand: &Demand) -> bool {
+        self.excess == Demand::default() && demand.fits(&self.free)
+    }
+
     /// Number of tasks with this demand that fit, at most `limit`.
     pub(crate) fn fitting(&self, demand: &Demand, limit: u32) -> u32 {
-        if limit <= 1 || !demand.fits(&self.free) {
-            return u32::from(limit == 1 && demand.fits(&self.free));
+        if limit <= 1 || !self.fits(demand) {
+            return u32::from(limit == 1 && self.fits(demand));
         }
         let quotient = |free: u64, needed: u64| free.checked_div(needed).unwrap_or(u64::MAX);
         let fitting = quotient(self.free.millicores, demand.millicores)
@@ -38,14 +54,13 @@
         self.free = self.free.minus(demand);
     }
 
-    /// Returns the capacity of a run, first to reservations that wait for it, the rest as free.
+    /// Returns the capacity of a run: first what exceeds the worker's, then to reservations that wait for it, the rest as
+    /// free.
     pub(crate) fn release(&mut self, demand: &Demand) {
-        if self.reserved_in_use == Demand::default() {
-            self.free = self.free.plus(demand);
-            return;
-        }
-        self.free = self.free.plus(&demand.minus(&self.reserved_in_use));
-        self.reserved_in_use = self.reserved_in_use.minus(demand);
+        let within = demand.minus(&self.excess);
+        self.excess = self.excess.minus(demand);
+        self.free = self.free.plus(&within.minus(&self.reserved_in_use));
+        self.reserved_in_use = self.reserved_in_use.minus(&within);
     }
 }
 
@@ -105,10 +120,7 @@
                 labels: &info.labels,
                 rack: &info.rack,
                 rack_number: host.rack,
-                room: Room {
-                    free: info.capacity.minus(&host.used),
-                    reserved_in_use: Demand::default(),
-                },
+                room: Room::new(&info.capacity, &host.used),
                 slow: host.relative_duration > SLOW_PERCENT,
             });
         }
@@ -165,9 +177,7 @@
     ) -> bool {
         let mut taken = Vec::new();
         for worker in workers {
-            let fitting = self
-                .find(worker)
-                .filter(|position| demand.fits(&self.room(*position).free));
+            let fitting = self.find(worker).filter(|position| self.room(*position).fits(demand));
             let Some(position) = fitting else {
                 for position in taken {
                     let room = &mut self.candidates[position as usize].room;
--- a/crates/pistachiostair/src/steps/place.rs
+++ b/crates/pistachiostair/src/steps/place.rs
@@ -76,7 +76,7 @@
     // The preference of a worker, its position, and what it has left for tasks of the step.
     let entry = |worker: Eligible, room: Room| {
         let avoided = free.is_slow(worker.position) == urgent;
-        let fits = worker.limit > 0 && demand.fits(&room.free);
+        let fits = worker.limit > 0 && room.fits(demand);
         let rank = (avoided, leftover(&room.free, demand), worker.position);
         fits.then_some(Reverse(Ranked { rank, worker, room }))
     };
--- a/crates/pistachiostair/src/steps/preemption.rs
+++ b/crates/pistachiostair/src/steps/preemption.rs
@@ -299,7 +299,7 @@
         let mut room = self.slots[index].room;
         let mut needed = Vec::new();
         for local in self.local(&self.slots[index]) {
-            if self.demand.fits(&room.free) {
+            if room.fits(self.demand) {
                 break;
             }
             if !self.chosen.contains(&local.victim) {
@@ -332,7 +332,7 @@
         let mut room = slot.room;
         let mut cost = (0, 0);
         for local in self.local(&slot) {
-            if self.demand.fits(&room.free) {
+            if room.fits(self.demand) {
                 break;
             }
             if !self.chosen.contains(&local.victim) {
@@ -341,7 +341,7 @@
                 cost = (cost.0.max(victim.rank), cost.1 + victim.lost);
             }
         }
-        if self.demand.fits(&room.free) {
+        if room.fits(self.demand) {
             let choice = (cost, leftover(&slot.room.free, self.demand), index);
             self.heap.push(Reverse((choice, slot.version)));
         }
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -79,6 +79,11 @@
     fn info(&mut self, number: u64, draining: bool) -> HostInfo {
         let name = worker(number);
         let incarnation = *self.incarnations.entry(name.clone()).or_insert(1);
+        let accelerators = if self.random.u32(0..3) == 0 {
+            self.random.u64(0..8)
+        } else {
+            8
+        };
         HostInfo {
             address: "10.0.0.1:80".to_owned(),
             service: ServiceName::from("service"),
@@ -88,7 +93,7 @@
             capacity: Demand {
                 millicores: 16_000,
                 memory: 32_000,
-                accelerators: 8,
+                accelerators,
             },
             draining,
             remaining: draining.then_some(Millis(2_000)),
@@ -378,6 +383,7 @@
             let cx = context(region.now, &region.book);
             let steps = &region.steps;
             let mut free = FreeCapacity::new(steps, &cx);
+            check_room(steps, &free, &what);
             for position in 0..free.len() as u32 {
                 if region.random.u32(0..3) == 0 {
                     let accelerators = region.random.u64(0..6);
@@ -448,10 +454,28 @@
     );
 }
 
+/// Compares what fits on each worker with its capacity and all that it has not listed as ended.
+fn check_room(steps: &StepScheduler, free: &FreeCapacity<'_>, what: &str) {
+    for (name, host) in &steps.hosts {
+        let (Some(position), Some(info)) = (free.position(host.number), &host.info) else {
+            continue;
+        };
+        for accelerators in 0..3 {
+            let demand = Demand {
+                accelerators,
+                ..Demand::default()
+            };
+            let fits = host.used.plus(&demand).fits(&info.capacity);
+            assert_eq!(free.room(position).fits(&demand), fits, "room of {name}, {what}");
+        }
+    }
+}
+
 /// Places one task after the other on the best of all workers.
 fn plain_pack(step: &Step, (count, urgent): (u32, bool), set: &[Eligible], free: &FreeCapacity<'_>) -> Vec<u32> {
     let mut left: Vec<(Eligible, Demand)> = set
         .iter()
+        .filter(|worker| free.room(worker.position).fits(&step.demand))
         .map(|worker| (*worker, free.room(worker.position).free))
         .collect();
     let mut workers = Vec::new();
@@ -509,7 +533,7 @@
         let (mut room, mut limit) = (free.room(worker.position), worker.limit);
         for (at, freed) in ends {
             room.release(&freed);
-            while limit > 0 && demand.fits(&room.free) {
+            while limit > 0 && room.fits(demand) {
                 room.free = room.free.minus(demand);
                 limit -= 1;
                 slots.push((at, worker.position));
@@ -587,7 +611,7 @@
             local.sort_unstable_by_key(|unit| (units[*unit].rank, units[*unit].lost, *unit));
             let (mut trial, mut cost, mut needed) = (*room, (0, 0), Vec::new());
             for unit in local {
-                if demand.fits(&trial.free) {
+                if trial.fits(demand) {
                     break;
                 }
                 for key in units[unit].runs.iter().filter(is_here) {
@@ -596,7 +620,7 @@
                 cost = (cost.0.max(units[unit].rank), cost.1 + units[unit].lost);
                 needed.push(unit);
             }
-            if *limit > 0 && demand.fits(&trial.free) {
+            if *limit > 0 && trial.fits(demand) {
                 options.push((cost, leftover(&room.free, demand), *position, needed));
             }
         }
--- a/crates/pistachiostair/tests/steps/capacity.rs
+++ b/crates/pistachiostair/tests/steps/capacity.rs
@@ -1,9 +1,17 @@
 //! Workers whose capacity shrinks and grows while they run. They start what does not fit, unless a test says otherwise.
 
-use pistachiostair::{Millis, StepCall, StepJob, StepJobPhase};
+use pistachiostair::{JobKey, Millis, StepCall, StepJob, StepJobPhase};
 use rstest::rstest;
 
-use crate::world::{ACCELERATORS, World, gang, job};
+use crate::world::{ACCELERATORS, World, gang, job, worker};
+
+/// Like [`job`], with tasks that also use processor cores.
+fn mixed_job(key: u64, queue: &str, count: u32, (millicores, accelerators): (u64, u64), work: u64) -> StepJob {
+    let mut job = job(key, queue, count, accelerators, work);
+    job.steps[0].demand.millicores = millicores;
+    job.payload = format!("{} cpu={millicores}", job.payload);
+    job
+}
 
 /// Submits a job without waiting for the answer.
 fn submit_later(world: &mut World, job: StepJob) {
@@ -49,6 +57,95 @@
     world.check();
 }
 
+/// Guards against the preemption of too little on a worker whose runs exceed its capacity: the step then waits until its
+/// reservation expires and more is preempted.
+#[test]
+fn preempt_over_capacity() {
+    let mut world = World::with_unguarded_workers(1);
+    world.submit(job(1, "bulk", 8, 1, 20_000));
+    world.run(1_000);
+    world.resize(0, 4);
+    world.run(100);
+    let submitted = world.now;
+    world.submit(gang(2, "urgent", 1, 4, 1_000));
+    world.run(2_500);
+    let (start, _) = world.span(2);
+    assert!(
+        start.is_some_and(|start| start - submitted <= 500),
+        "{start:?}, submitted {submitted}"
+    );
+    world.check();
+}
+
+/// Guards against the preemption of runs on a worker that has no capacity left, which makes room for nothing.
+#[test]
+fn preempt_without_capacity() {
+    let mut world = World::with_guarantee(2, ACCELERATORS);
+    world.workers.unguarded = true;
+    world.submit(job(1, "bulk", 8, 1, 20_000));
+    world.run(2_000);
+    let older = (0..2).find(|number| world.workers.running_on(worker(*number).as_str()) > 0);
+    let younger = 1 - older.expect("a worker of the tasks");
+    world.submit(job(2, "bulk", 8, 1, 20_000));
+    world.run(1_000);
+    world.resize(younger, 0);
+    world.run(100);
+    let submitted = world.now;
+    world.submit(gang(3, "urgent", 1, ACCELERATORS, 1_000));
+    world.run(2_500);
+    let (start, _) = world.span(3);
+    assert!(
+        start.is_some_and(|start| start - submitted <= 1_000),
+        "{start:?}, submitted {submitted}"
+    );
+    assert_eq!(world.broken_runs(), 8);
+    world.check();
+}
+
+/// Guards against a step that waits near its data for capacity that does not become free: the worker there has none left
+/// beside what still runs.
+#[test]
+fn forecast_over_capacity() {
+    let mut world = World::with_unguarded_workers(5);
+    for number in 1..4 {
+        world.unlist(number);
+    }
+    let mut near = job(1, "normal", 1, ACCELERATORS, 3_000);
+    near.steps[0].affinity = Some("r0".to_owned());
+    world.submit(near.clone());
+    world.run(2_000);
+    world.resize(0, 0);
+    world.run(100);
+    let submitted = world.now;
+    near.key = JobKey(2);
+    world.submit(near);
+    world.run(1_500);
+    let (start, _) = world.span(2);
+    assert!(
+        start.is_some_and(|start| start - submitted <= 200),
+        "{start:?}, submitted {submitted}"
+    );
+    world.check();
+}
+
+/// Guards against a start on a worker whose runs exceed its capacity in a resource that the task does not use: the worker
+/// stays over it.
+#[test]
+fn over_other_resource() {
+    let mut world = World::with_unguarded_workers(1);
+    world.submit(job(1, "normal", 8, 1, 3_000));
+    world.run(100);
+    assert_eq!(world.workers.starts, 8);
+    world.resize(0, 4);
+    world.run(500);
+    world.submit(mixed_job(2, "normal", 1, (1_000, 0), 500));
+    world.run(1_000);
+    world.check();
+    world.run(3_500);
+    assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
 /// A guaranteed step begins in time although some workers have lost their capacity.
 #[test]
 fn guarantee_after_shrink() {
