Don't order a start whose capacity went while its record was committed

Users would see: LIMIT broken on a worker that does not guard its capacity. It shrank during an outage of the store, and the starts that were planned before were ordered when the store was back, seconds after the list had shown it.

Cause: `send_start` checked the job, the stop and the incarnation of the worker, but not its capacity.

Change: once a start record is durable, runs on a worker whose runs (planned ones and those that are being stopped included) exceed its capacity end as `Refused` and are placed anew; for a gang before any member is ordered.

--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -604,6 +604,10 @@
                 self.refresh_job(cx, job.key);
             }
             StepRecord::Started { starts } => {
+                // One member of a gang that no longer fits keeps the others from being ordered.
+                for start in starts {
+                    self.drop_start_over_capacity(cx, (start.task, start.run));
+                }
                 for start in starts {
                     self.send_start(cx, (start.task, start.run));
                 }
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -202,6 +202,11 @@
         self.listed && self.synced && !draining && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
     }
 
+    /// Whether the runs there, including those that are being stopped, exceed its capacity, which may have shrunk.
+    pub(crate) fn is_over_capacity(&self) -> bool {
+        self.info.as_ref().is_some_and(|info| !self.used.fits(&info.capacity))
+    }
+
     /// Whether a hold order is due: the host has runs, has ends to be acknowledged, or its lists were not read yet, no
     /// other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
     /// while some are not stored yet it is asked less often.
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -9,7 +9,7 @@
     Context, OrderReply, RunPhase, RunStop, RunStopReason, StartOrder, StepScheduler, StepsAction, Target, TaskRun,
     step_of,
 };
-use crate::steps::host::RunKey;
+use crate::steps::host::{Host, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::StepRecord;
 
@@ -21,6 +21,17 @@
 const HOLD_RETRY_DELAY: Millis = Millis(300);
 
 impl StepScheduler {
+    /// Ends as `Refused` a run that was not ordered yet if its worker's capacity has shrunk below what is in use there.
+    pub(crate) fn drop_start_over_capacity(&mut self, cx: &Context<'_>, key: RunKey) {
+        let Some(run) = self.runs.get(&key).filter(|run| run.phase == RunPhase::Planned) else {
+            return;
+        };
+        if self.hosts.get(&run.worker).is_some_and(Host::is_over_capacity) {
+            self.log_run("not started", key, "the worker's capacity has shrunk".to_owned());
+            self.end_run(cx, key, RunOutcome::Refused, "");
+        }
+    }
+
     /// Sends the start order of a run whose start record is durable, also as a repetition.
     ///
     /// Nothing is sent if the run is being stopped, its job has ended, its worker was restarted, or the worker's clock
--- a/crates/pistachiostair/tests/steps/capacity.rs
+++ b/crates/pistachiostair/tests/steps/capacity.rs
@@ -18,6 +18,50 @@
     world.call(StepCall::Submit { job: Box::new(job) });
 }
 
+/// Guards against orders to start whose capacity has gone while their record was being committed.
+#[rstest]
+#[case::half(4)]
+#[case::zero(0)]
+fn shrink_while_committing(#[case] left: u64) {
+    let mut world = World::with_unguarded_workers(1);
+    world.resize(0, 0);
+    world.submit(job(1, "normal", 8, 1, 1_000));
+    world.store_down = true;
+    world.resize(0, ACCELERATORS);
+    world.run(500);
+    world.resize(0, left);
+    world.run(2_000);
+    world.store_down = false;
+    world.run(800);
+    world.check();
+    assert_eq!(u64::from(world.workers.starts), left);
+    world.resize(0, ACCELERATORS);
+    world.run(4_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Guards against members of a gang that are started although the capacity of another member has gone.
+#[test]
+fn shrink_while_committing_gang() {
+    let mut world = World::with_unguarded_workers(3);
+    world.resize(0, 0);
+    world.submit(gang(1, "normal", 3, ACCELERATORS, 1_000));
+    world.store_down = true;
+    world.resize(0, ACCELERATORS);
+    world.run(500);
+    world.resize(2, 4);
+    world.run(2_000);
+    world.store_down = false;
+    world.run(1_000);
+    world.check();
+    assert_eq!((world.workers.starts, world.stop_orders), (0, 0));
+    world.resize(2, ACCELERATORS);
+    world.run(3_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
 /// Orders that were sent before the worker shrank bring it over its new capacity; nothing more starts until enough has
 /// ended.
 #[test]
