Don't repeat a start order to a worker that has shrunk since

Users would see: LIMIT broken on a worker that does not guard its capacity, by the second order of a start whose first one was lost.

Cause: an order without an answer, or refused as late, was repeated whatever had become of the capacity of its worker.

Change: `send_start` sends nothing to a worker whose runs exceed its capacity. The run is stopped instead, since the first order may still arrive, and counts until that is certain.

--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -34,8 +34,9 @@
 
     /// Sends the start order of a run whose start record is durable, also as a repetition.
     ///
-    /// Nothing is sent if the run is being stopped, its job has ended, its worker was restarted, or the worker's clock
-    /// or address is not known. The run then ends as `Refused`, unless an earlier order may have started it.
+    /// Nothing is sent if the run is being stopped, its job has ended, its worker was restarted or exceeds its capacity,
+    /// or the worker's clock or address is not known. The run then ends as `Refused`, or is stopped if an earlier order
+    /// may have started it.
     pub(crate) fn send_start(&mut self, cx: &Context<'_>, key: RunKey) {
         let Some(run) = self.runs.get(&key) else { return };
         if run.phase == RunPhase::Ended {
@@ -44,14 +45,13 @@
         let host = self
             .hosts
             .get_mut(&run.worker)
-            .filter(|host| host.incarnation == run.incarnation);
+            .filter(|host| host.incarnation == run.incarnation && !host.is_over_capacity());
         let deadline = host.and_then(|host| host.lease(cx.now));
         let target = self.target(&run.worker, run.incarnation);
         let wanted = run.stop.is_none() && cx.book.job(key.0.job).is_some_and(|entry| !entry.phase.is_final());
         let (Some(deadline), Some(target), true) = (deadline, target, wanted) else {
-            if run.sends == 0 {
-                self.end_run(cx, key, RunOutcome::Refused, "");
-            }
+            let unsent = run.sends == 0;
+            self.reject_start(cx, key, unsent);
             return;
         };
         let entry = cx.book.job(key.0.job);
@@ -124,7 +124,8 @@
             }
             OrderReply::OtherIncarnation => {}
             OrderReply::Unanswered => {
-                let resend = run.sends < MAX_START_ORDERS && run.stop.is_none();
+                let fits = self.hosts.get(worker).is_some_and(|host| !host.is_over_capacity());
+                let resend = run.sends < MAX_START_ORDERS && run.stop.is_none() && fits;
                 self.log_run(
                     "unanswered",
                     key,
@@ -138,8 +139,8 @@
         }
     }
 
-    /// Gives up a run whose start order was not carried out. `only_order` says that no other order was sent: the run
-    /// ends as `Refused`. Otherwise an earlier one may still arrive, and only a stop keeps it from starting the run.
+    /// Gives up a run whose start order was not sent or carried out. `only_order` says that no other order was sent: the
+    /// run ends as `Refused`. Otherwise an earlier one may still arrive, and only a stop keeps it from starting the run.
     fn reject_start(&mut self, cx: &Context<'_>, key: RunKey, only_order: bool) {
         if only_order {
             self.end_run(cx, key, RunOutcome::Refused, "");
--- a/crates/pistachiostair/tests/steps/capacity.rs
+++ b/crates/pistachiostair/tests/steps/capacity.rs
@@ -62,6 +62,23 @@
     world.check();
 }
 
+/// Guards against a repeated order to start whose capacity has gone since the first one.
+#[test]
+fn shrink_before_repetition() {
+    let mut world = World::with_unguarded_workers(1);
+    world.run(100);
+    world.unreachable.insert(worker(0));
+    world.submit(job(1, "normal", 8, 1, 1_000));
+    assert_eq!(world.start_orders, 8);
+    world.resize(0, 4);
+    world.unreachable.clear();
+    world.run(1_000);
+    world.check();
+    world.run(8_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
 /// Orders that were sent before the worker shrank bring it over its new capacity; nothing more starts until enough has
 /// ended.
 #[test]
