Don't overflow on the capacity of a worker

Seen: operators reported that one odd entry in the list of workers, with a number too large, ended the daemons again and again. With an entry whose capacity is near 2^64, the scheduler would end in builds with overflow checks, and reserve by a wrong total of accelerators in others.

Cause: the planner adds up the accelerators of all known workers and takes a share of them, and Demand adds and multiplies, all without regard to overflow.

Evidence: odd_entries::capacity_huge failed in both cases with 'attempt to add with overflow' at steps/capacity.rs:97.

Change: these sums and products stop at the highest number.

Result: the test passes; jobs on the other workers complete.

--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -94,7 +94,7 @@
         };
         for (worker, host) in &scheduler.hosts {
             let Some(info) = host.info.as_ref() else { continue };
-            free.accelerators += info.capacity.accelerators;
+            free.accelerators = free.accelerators.saturating_add(info.capacity.accelerators);
             if !host.is_usable(cx.now) {
                 continue;
             }
--- a/crates/pistachiostair/src/steps/place.rs
+++ b/crates/pistachiostair/src/steps/place.rs
@@ -48,7 +48,7 @@
         .iter()
         .map(|set| {
             let accelerators = set.iter().map(|worker| free.room(worker.position).free.accelerators);
-            (accelerators.sum(), set)
+            (accelerators.fold(0, u64::saturating_add), set)
         })
         .collect();
     order.sort_by_key(|(accelerators, _)| *accelerators);
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -158,7 +158,7 @@
     fn decide(&self, cx: &Context<'_>) -> (Vec<StepPlacement>, Vec<NewReservation>) {
         let free = FreeCapacity::new(self, cx);
         let mut pass = PlanningPass {
-            reservable: free.accelerators * MAX_RESERVED_PERCENT / 100,
+            reservable: free.accelerators.saturating_mul(MAX_RESERVED_PERCENT) / 100,
             free,
             forecast: None,
             victims: BTreeMap::new(),
--- a/crates/pistachiostair/src/steps/spec.rs
+++ b/crates/pistachiostair/src/steps/spec.rs
@@ -102,13 +102,13 @@
         self.millicores <= free.millicores && self.memory <= free.memory && self.accelerators <= free.accelerators
     }
 
-    /// The sum in each resource.
+    /// The sum in each resource, at most the highest number.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            millicores: self.millicores + other.millicores,
-            memory: self.memory + other.memory,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -122,13 +122,13 @@
         }
     }
 
-    /// `count` times as much.
+    /// `count` times as much, at most the highest number.
     #[must_use]
     pub fn times(&self, count: u64) -> Self {
         Self {
-            millicores: self.millicores * count,
-            memory: self.memory * count,
-            accelerators: self.accelerators * count,
+            millicores: self.millicores.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 }
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -2,5 +2,6 @@
 
 mod life;
 mod load;
+mod odd_entries;
 mod takeover;
 mod world;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -187,6 +187,21 @@
         self.send_list();
     }
 
+    /// The entry of a listed worker.
+    pub(crate) fn entry(&self, number: usize) -> HostInfo {
+        self.listed[&worker(number)].clone()
+    }
+
+    /// Sends a change of one entry to the scheduler; the list itself stays as it is.
+    pub(crate) fn send_entry(&mut self, entry: HostInfo) {
+        let update = HostUpdate {
+            full: false,
+            changed: vec![entry],
+            removed: Vec::new(),
+        };
+        self.feed(Event::Steps(StepsEvent::Hosts(update)));
+    }
+
     fn rules(&self) -> Rules {
         let queue = |name: &str, priority: u32, attempts: u32| Queue {
             name: QueueName::from(name),
