Don't overflow on the time that a draining worker has left

An entry of a draining worker with remaining_ms near 2^64 would end the scheduler in builds with overflow checks; in others the worker's runs could be stopped although they had time to end.

Cause: the forecast for a draining worker takes a percentage of the time left without regard to overflow.

Evidence: odd_entries::remaining_huge failed with 'attempt to multiply with overflow' at steps/evacuation.rs:50.

Change: the product stops at the highest number.

Result: the test passes; the run ends on the worker.

--- a/crates/pistachiostair/src/steps/evacuation.rs
+++ b/crates/pistachiostair/src/steps/evacuation.rs
@@ -47,7 +47,7 @@
         let observed = run
             .progress
             .and_then(|progress| progress.remaining(cx.now, step.estimate));
-        let too_long = needed.0 > left.0 * EARLY_STOP_PERCENT / 100 + FORECAST_ERROR.0;
+        let too_long = needed > Millis(left.0.saturating_mul(EARLY_STOP_PERCENT) / 100) + FORECAST_ERROR;
         too_long && observed.is_some() && !step.checkpointing
     }
 
--- a/crates/pistachiostair/tests/steps/odd_entries.rs
+++ b/crates/pistachiostair/tests/steps/odd_entries.rs
@@ -1,6 +1,6 @@
 //! Entries of the list of workers that another writer left: each must leave the other workers usable.
 
-use pistachiostair::{Demand, HostInfo, StepJobPhase, WorkerName};
+use pistachiostair::{Demand, HostInfo, Millis, StepJobPhase, WorkerName};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -39,3 +39,19 @@
     assert_eq!(world.workers.running_on(worker(0).as_str()), 0);
     world.check();
 }
+
+/// Guards against a scheduler that ends because the time that a draining worker has left overflows.
+#[test]
+fn remaining_huge() {
+    let mut world = World::new(1);
+    world.submit(job(1, "normal", 2, 1, 2_000));
+    world.run(1_000);
+    world.send_entry(HostInfo {
+        draining: true,
+        remaining: Some(Millis(u64::MAX)),
+        ..world.entry(0)
+    });
+    world.run(3_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
