Let only a worker's own lists tell its restart

Seen: an entry of another writer under a worker's name with a later born would end the worker's live runs as lost, so that they start again elsewhere, and make the worker unusable until it starts at a later time than that: all its lists count as those of an earlier life, and no list is read again.

Cause: a later incarnation in the platform's list counted as a restart at once, and an incarnation never goes back.

Change: a later incarnation in the list is a claim. The worker gets no new tasks until it has answered a hold order, which is sent at once if runs are there; only its own lists change the incarnation and end earlier runs. A claim ends when the entry goes back to the known incarnation. Hold orders to a claimed incarnation acknowledge nothing. The runs of a worker that has restarted and does not answer end with their lease, no longer with the entry.

--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -109,7 +109,10 @@
     pub(crate) info: Option<HostInfo>,
     /// Whether the platform's list has the worker at present.
     pub(crate) listed: bool,
+    /// The last incarnation that its own lists or the journal gave.
     pub(crate) incarnation: Incarnation,
+    /// A later incarnation that only the platform's list gives.
+    pub(crate) claimed: Option<Incarnation>,
     /// Whether its lists of runs and ends were read under this term, in this incarnation.
     pub(crate) synced: bool,
     clock: Option<ClockReading>,
@@ -154,6 +157,7 @@
             info: None,
             listed: false,
             incarnation,
+            claimed: None,
             synced: false,
             clock: None,
             expiry,
@@ -196,6 +200,42 @@
         self.ejection = Ejection::default();
     }
 
+    /// Takes note of the incarnation in its entry of the platform's list. A later one than the known counts once the
+    /// worker's own lists give it, since the entry may come from another writer; until then it takes no new tasks.
+    /// Returns whether the worker must be asked.
+    pub(crate) fn claim(&mut self, incarnation: Incarnation) -> bool {
+        let listed = self.info.as_ref().map(|info| info.incarnation);
+        if incarnation <= self.incarnation {
+            self.claimed = None;
+            return false;
+        }
+        let new = listed != Some(incarnation);
+        if new {
+            self.claimed = Some(incarnation);
+            self.synced = false;
+            self.hold_after = Millis::ZERO;
+        }
+        new
+    }
+
+    /// Takes note of lists of the known incarnation, in reply to an order for `target`. They refute a claimed
+    /// incarnation if the order was sent after the claim; a reply to an earlier order may come from an earlier life.
+    pub(crate) fn sync(&mut self, target: Incarnation) {
+        let open = |claimed: &Incarnation| *claimed > self.incarnation && *claimed != target;
+        self.claimed = self.claimed.filter(open);
+        self.synced = self.claimed.is_none();
+    }
+
+    /// The incarnation that hold orders are meant for.
+    pub(crate) fn expected(&self) -> Incarnation {
+        self.claimed.unwrap_or(self.incarnation)
+    }
+
+    /// Whether its incarnation is not known yet: no lists were read, and the journal has no run there.
+    pub(crate) fn is_new(&self) -> bool {
+        self.incarnation == Incarnation::default() && self.runs.is_empty()
+    }
+
     /// Whether new tasks may be placed there: listed, not draining, its lists read, answering and not ejected.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
         let draining = self.info.as_ref().is_none_or(|info| info.draining);
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -47,13 +47,14 @@
         self.replan = true;
     }
 
-    /// Applies one entry of the platform's list: a new worker, a change, or a restart as a later incarnation.
+    /// Applies one entry of the platform's list: a new worker or a change. If it gives a later incarnation, the worker is
+    /// asked at once, since runs may be there whose replies are waited for.
     fn update_host(&mut self, cx: &Context<'_>, info: HostInfo) {
         let worker = info.name.clone();
         let host = self.hosts.entry(worker.clone());
         let host = host.or_insert_with(|| {
             self.last_host += 1;
-            Host::new(self.last_host, info.incarnation, Millis::ZERO)
+            Host::new(self.last_host, Incarnation::default(), Millis::ZERO)
         });
         let next_rack = self.racks.len() as u32;
         host.rack = match self.racks.get(&info.rack) {
@@ -64,20 +65,21 @@
         let left = info.remaining.unwrap_or_default();
         let leaves = host.leaves_at.unwrap_or(Millis::MAX).min(cx.now + left);
         host.leaves_at = info.draining.then_some(leaves);
-        let restarted = info.incarnation > host.incarnation;
+        let claimed = host.claim(info.incarnation) && !host.runs.is_empty();
         let changed = host.info.as_ref() != Some(&info);
         let draining = info.draining;
         let incarnation = info.incarnation;
         host.info = Some(info);
-        if restarted {
-            self.restart_host(cx, &worker, incarnation);
-        } else if changed {
+        if changed {
             self.log_worker(
                 "listed",
                 &worker,
                 format!("incarnation {incarnation}, draining {draining}, {left} left"),
             );
         }
+        if claimed {
+            self.hold_now(cx, &worker);
+        }
     }
 
     /// Switches a worker to a later incarnation: the runs that earlier ones listed end as `Lost`. Those that were only
@@ -131,14 +133,16 @@
             Ok(reply) => reply,
             Err(failure) => {
                 self.outdated |= failure == OrderReply::OldTerm;
-                if host.failures == 0 && host.incarnation == incarnation {
+                if host.failures == 0 && host.expected() == incarnation {
                     self.log_worker("unreachable", worker, format!("the hold order failed: {failure:?}"));
                 }
                 self.note_reply(cx, target, &failure);
                 return;
             }
         };
-        if reply.incarnation > host.incarnation {
+        if host.is_new() {
+            host.incarnation = reply.incarnation;
+        } else if reply.incarnation > host.incarnation {
             self.restart_host(cx, worker, reply.incarnation);
         }
         let Some(host) = self.hosts.get_mut(worker) else { return };
@@ -154,7 +158,7 @@
         if !host.synced || !host.is_usable(cx.now) {
             self.replan = true;
         }
-        host.synced = true;
+        host.sync(incarnation);
         host.read_clock(reply.clock, cx.now);
         if incarnation == reply.incarnation {
             host.acknowledge(ack);
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -221,7 +221,7 @@
         let Some(host) = self
             .hosts
             .get_mut(&target.worker)
-            .filter(|host| host.incarnation == target.incarnation)
+            .filter(|host| [host.incarnation, host.expected()].contains(&target.incarnation))
         else {
             return;
         };
@@ -236,7 +236,7 @@
                 host.hold_after = cx.now + HOLD_RETRY_DELAY;
                 self.replan = true;
             }
-            // The platform's list brings the new incarnation, the next hold order its runs and ends.
+            // The next hold order brings the new incarnation with its runs and ends.
             OrderReply::OtherIncarnation => host.synced = false,
             _ => {}
         }
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -133,7 +133,7 @@
         let Some(info) = &host.info else { return };
         let target = Target {
             worker: worker.clone(),
-            incarnation: host.incarnation,
+            incarnation: host.expected(),
             address: info.address.clone(),
         };
         // A call to a worker that does not answer might renew its lease without the scheduler learning of it.
@@ -146,7 +146,8 @@
         host.last_hold = cx.now;
         let order = HoldOrder {
             term,
-            ack: host.ack_cursor(),
+            // Ends of an earlier incarnation say nothing about those of a later one.
+            ack: host.claimed.map_or_else(|| host.ack_cursor(), |_| 0),
             deadline,
             wait,
         };
--- a/crates/pistachiostair/tests/steps/odd_entries.rs
+++ b/crates/pistachiostair/tests/steps/odd_entries.rs
@@ -1,6 +1,6 @@
 //! Entries of the list of workers that another writer left: each must leave the other workers usable.
 
-use pistachiostair::{Demand, HostInfo, Millis, StepJobPhase, WorkerName};
+use pistachiostair::{Demand, HostInfo, Incarnation, Millis, StepJobPhase, WorkerName};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -55,3 +55,58 @@
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Guards against a worker that is unusable until it restarts, and whose runs count as lost although they go on, because
+/// another writer's entry under its name gave a later start than its own.
+#[rstest]
+#[case::next(2)]
+#[case::highest(u64::MAX)]
+fn born_later(#[case] born: u64) {
+    let mut world = World::new(2);
+    world.submit(job(1, "normal", 2, ACCELERATORS, 4_000));
+    world.run(1_000);
+    world.send_entry(HostInfo {
+        incarnation: Incarnation(born),
+        ..world.entry(0)
+    });
+    world.run(500);
+    world.send_entry(world.entry(0));
+    world.run(3_500);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    assert_eq!(world.workers.starts, 2);
+    world.submit(job(2, "normal", 2, ACCELERATORS, 1_000));
+    world.run(500);
+    assert_eq!(world.workers.running(), 2);
+    world.check();
+}
+
+/// Guards against a worker that is unusable under a new scheduler whose first list had such an entry.
+#[test]
+fn born_later_take_over() {
+    let mut world = World::new(2);
+    world.elect();
+    world.send_entry(HostInfo {
+        incarnation: Incarnation(u64::MAX),
+        ..world.entry(0)
+    });
+    world.run(500);
+    world.send_list();
+    world.run(500);
+    world.submit(job(1, "normal", 2, ACCELERATORS, 1_000));
+    world.run(500);
+    assert_eq!(world.workers.running(), 2);
+    world.check();
+}
+
+/// Guards against runs of a restarted worker that are placed anew only once their lease has ended.
+#[test]
+fn born_later_restart() {
+    let mut world = World::new(1);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 3_000));
+    world.run(1_000);
+    world.add_worker(0, 2);
+    world.send_list();
+    world.run(300);
+    assert_eq!(world.workers.running(), 1);
+    world.check();
+}
