--- a/crates/pistachiostair/src/steps/spec.rs
+++ b/crates/pistachiostair/src/steps/spec.rs
@@ -97,6 +97,14 @@
 }
 
 impl Demand {
+    /// The most that one worker can have: the 8,192 processors that Linux supports, 4 PiB, the largest physical memory
+    /// that processors address, and one accelerator for each of the 65,536 functions of a PCI domain.
+    pub const MAX: Self = Self {
+        millicores: 8_192_000,
+        memory: 1 << 32,
+        accelerators: 1 << 16,
+    };
+
     /// Whether `self` is at most `free` in each resource.
     pub fn fits(&self, free: &Self) -> bool {
         self.millicores <= free.millicores && self.memory <= free.memory && self.accelerators <= free.accelerators
