Don't accept a job whose number of tasks overflows

Seen: found while looking for numbers that nothing bounds. A job with 4 steps of 2^31 tasks and 2^31 occurrences would end the daemon that gets the call in builds with overflow checks; in others it counts as one without tasks and is accepted, although a job may have 11,000 tasks.

Cause: the number of tasks of all occurrences was computed without regard to overflow before it is compared with the limit.

Evidence: both cases of readers::job_many_tasks failed with 'attempt to multiply with overflow' at steps/spec.rs:260.

Change: the product stops at the highest number.

Result: the test passes; the caller is told that the job has too many tasks.

--- a/crates/pistachiostair/src/steps/spec.rs
+++ b/crates/pistachiostair/src/steps/spec.rs
@@ -254,10 +254,10 @@
         })
     }
 
-    /// Number of tasks in all steps and occurrences.
+    /// Number of tasks in all steps and occurrences, at most the highest number.
     pub fn task_count(&self) -> u64 {
         let each: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        each * u64::from(self.occurrences())
+        each.saturating_mul(u64::from(self.occurrences()))
     }
 
     /// Whether any step runs until the job is cancelled.
