Don't overflow on the latency objective of a queue

Seen: found while looking for numbers of other writers that nothing bounds. An operator's configuration with a huge stretch or target_latency_ms of a route would end the scheduler, and each one after it, as soon as a task waits in builds with overflow checks.

Cause: the objective of a job and a percentage of it were computed without regard to overflow; the decoder turns a stretch such as 1e300 into the highest number.

Evidence: odd_entries::objective_huge failed with 'attempt to multiply with overflow' at steps/budget.rs:58.

Change: these products stop at the highest number.

Result: the test passes.

--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -55,11 +55,12 @@
         let (number, step) = step;
         let (total, remaining) = critical_path(&entry.spec, number);
         let waited = cx.wall.since(entry.accepted);
-        let objective = terms.allowance + Millis(total.0 * terms.stretch / 1_000);
+        let objective = terms.allowance + Millis(total.0.saturating_mul(terms.stretch) / 1_000);
         let slack = objective.since(remaining).since(waited);
         let own_work = core_millis(&step.demand, step.estimate) * count as u64;
         let urgent = terms.priority == 0;
-        let in_time = waited + cx.limits.stopped_after() <= Millis(objective.since(remaining).0 * LATE_PERCENT / 100);
+        let in_time = waited + cx.limits.stopped_after()
+            <= Millis(objective.since(remaining).0.saturating_mul(LATE_PERCENT) / 100);
         let percent = if urgent && (in_time || covered) {
             URGENT_LOSS_PERCENT
         } else {
--- a/crates/pistachiostair/tests/steps/odd_entries.rs
+++ b/crates/pistachiostair/tests/steps/odd_entries.rs
@@ -1,6 +1,7 @@
-//! Entries of the list of workers that another writer left: each must leave the other workers usable.
+//! Numbers that are far too large, in entries of the list of workers that another writer left or in the configuration:
+//! the scheduler must go on with the other workers.
 
-use pistachiostair::{Demand, HostInfo, Incarnation, Millis, StepJobPhase, WorkerName};
+use pistachiostair::{Demand, Event, HostInfo, Incarnation, Millis, StepJobPhase, StepsEvent, WorkerName};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -110,3 +111,21 @@
     assert_eq!(world.workers.running(), 1);
     world.check();
 }
+
+/// Guards against a scheduler that ends because the latency objective of a queue overflows.
+#[test]
+fn objective_huge() {
+    let mut world = World::new(1);
+    let mut rules = world.rules();
+    for queue in rules.queues.values_mut() {
+        queue.settings.stretch = u64::MAX;
+        queue.settings.allowance = Millis::MAX;
+    }
+    world.feed(Event::Steps(StepsEvent::Rules(rules)));
+    for key in 1..4 {
+        world.submit(job(key, "urgent", 1, ACCELERATORS, 1_000));
+    }
+    world.run(5_000);
+    assert_eq!(world.phase(3, "urgent"), StepJobPhase::Completed);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -202,7 +202,8 @@
         self.feed(Event::Steps(StepsEvent::Hosts(update)));
     }
 
-    fn rules(&self) -> Rules {
+    /// The configuration that is in force after an election.
+    pub(crate) fn rules(&self) -> Rules {
         let queue = |name: &str, priority: u32, attempts: u32| Queue {
             name: QueueName::from(name),
             host: "host".to_owned(),
