Don't overflow on the demand and the estimate of a job

Seen: found while looking for numbers that nothing bounds.

Cause: the planner multiplies and adds demands and estimates of waiting jobs without regard to overflow. No worker that has such a demand is needed for that.

Evidence: odd_entries::job_huge failed in three of four cases (not with only the estimate huge) with 'attempt to multiply with overflow' at steps/queue.rs:163, and after that was changed with 'attempt to add with overflow' at queue.rs:120.

Change: these products and sums stop at the highest number, also those of estimates in progress.rs, straggler.rs and plan.rs, which no test reached.

Result: the test passes; other jobs complete, the huge ones wait.

--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -57,7 +57,7 @@
         let waited = cx.wall.since(entry.accepted);
         let objective = terms.allowance + Millis(total.0.saturating_mul(terms.stretch) / 1_000);
         let slack = objective.since(remaining).since(waited);
-        let own_work = core_millis(&step.demand, step.estimate) * count as u64;
+        let own_work = core_millis(&step.demand, step.estimate).saturating_mul(count as u64);
         let urgent = terms.priority == 0;
         let in_time = waited + cx.limits.stopped_after()
             <= Millis(objective.since(remaining).0.saturating_mul(LATE_PERCENT) / 100);
@@ -69,12 +69,12 @@
         let unlimited = covered && waited >= COVERED_WAIT;
         let slack = match urgent || covered {
             true if unlimited => cx.limits.reclaim.since(waited + cx.limits.preemption_time()),
-            true => Millis(remaining.0 * URGENT_SLACK_PERCENT / 100).clamp(MIN_SLACK, MAX_SLACK),
+            true => Millis(remaining.0.saturating_mul(URGENT_SLACK_PERCENT) / 100).clamp(MIN_SLACK, MAX_SLACK),
             false => slack,
         };
         PreemptionBudget {
             slack,
-            max_loss: (!unlimited).then_some(own_work * percent / 100),
+            max_loss: (!unlimited).then_some(own_work.saturating_mul(percent) / 100),
         }
     }
 }
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -250,7 +250,7 @@
         let missing = count - workers.len() as u32;
         if missing > 0 && blocked.sets.preferred.is_some() {
             let anywhere = place_tasks(step, wanted, everywhere, &pass.free);
-            let max_delay = Millis(step.estimate.0 * (REMOTE_SLOWDOWN - 1));
+            let max_delay = Millis(step.estimate.0.saturating_mul(REMOTE_SLOWDOWN - 1));
             let in_time = |pass: &mut PlanningPass<'a>| {
                 let earliest = blocked.earliest_start(self, cx, pass, missing);
                 earliest.is_some_and(|start| start.preferred && start.at <= max_delay)
@@ -297,7 +297,7 @@
         } = *blocked;
         let covered = pass.covered.contains(&key.0);
         let budget = self.preemption_budget(cx, entry, (key.2, step), indices.len(), covered);
-        let needed = step.demand.accelerators * indices.len() as u64;
+        let needed = step.demand.accelerators.saturating_mul(indices.len() as u64);
         let may_reserve = (step.gang || self.terms(entry).priority == 0) && needed <= pass.reservable;
         let unlimited = budget.max_loss.is_none();
         let earliest = blocked.earliest_start(self, cx, pass, count);
--- a/crates/pistachiostair/src/steps/preemption.rs
+++ b/crates/pistachiostair/src/steps/preemption.rs
@@ -17,10 +17,11 @@
 /// Time that a checkpointing task loses by a stop: up to a second since the last checkpoint, and the time to resume.
 const MAX_CHECKPOINT_LOSS: Millis = Millis(1_200);
 
-/// Work of one task over a span of time, in core-milliseconds.
+/// Work of one task over a span of time, in core-milliseconds; at most the highest number.
 pub(crate) fn core_millis(demand: &Demand, span: Millis) -> u64 {
-    let cores = demand.millicores / 1_000 + ACCELERATOR_CORES * demand.accelerators;
-    cores * span.0
+    let accelerators = demand.accelerators.saturating_mul(ACCELERATOR_CORES);
+    let cores = accelerators.saturating_add(demand.millicores / 1_000);
+    cores.saturating_mul(span.0)
 }
 
 /// Runs that can only be preempted together: one run, or all members of a gang.
--- a/crates/pistachiostair/src/steps/progress.rs
+++ b/crates/pistachiostair/src/steps/progress.rs
@@ -98,7 +98,7 @@
         let span = self.at.since(self.earlier.1);
         let done = self.percent.saturating_sub(self.earlier.0);
         if done == 0 {
-            let stalled = span >= MIN_WINDOW.max(Millis(usual.0 * STALL_PERCENT / 100));
+            let stalled = span >= MIN_WINDOW.max(Millis(usual.0.saturating_mul(STALL_PERCENT) / 100));
             return stalled.then_some(Millis::MAX);
         }
         let left = span.0 * u64::from(100 - self.percent) / u64::from(done);
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -117,18 +117,18 @@
             let needed = peak_accelerators(entry);
             let coverage = accounts.entry(account).or_default();
             let left = cx.limits.reclaim.since(cx.wall.since(entry.accepted));
-            let fits_now = coverage.used + needed <= guaranteed;
+            let fits_now = coverage.used.saturating_add(needed) <= guaranteed;
             let mut fits_later = || {
-                let mut used = 0;
+                let mut used = 0_u64;
                 for (entry, needed, remaining) in &mut coverage.older {
                     let remaining = *remaining.get_or_insert_with(|| self.remaining_time(cx, entry));
-                    used += if remaining > left + FORECAST_ERROR { *needed } else { 0 };
+                    used = used.saturating_add(if remaining > left + FORECAST_ERROR { *needed } else { 0 });
                 }
-                used + needed <= guaranteed
+                used.saturating_add(needed) <= guaranteed
             };
             if fits_now || left <= cx.limits.preemption_lead() && fits_later() {
                 covered.insert(entry.spec.key);
-                coverage.used += needed;
+                coverage.used = coverage.used.saturating_add(needed);
             }
             coverage.older.push((entry, needed, None));
         }
@@ -160,6 +160,6 @@
 /// Number of accelerators that the largest step of a job needs.
 fn peak_accelerators(entry: &JobEntry) -> u64 {
     let steps = entry.spec.steps.iter();
-    let totals = steps.map(|step| u64::from(step.count) * step.demand.accelerators);
+    let totals = steps.map(|step| u64::from(step.count).saturating_mul(step.demand.accelerators));
     totals.max().unwrap_or(0)
 }
--- a/crates/pistachiostair/src/steps/straggler.rs
+++ b/crates/pistachiostair/src/steps/straggler.rs
@@ -145,12 +145,12 @@
         if run.phase != RunPhase::Live || run.stop.is_some() {
             return None;
         }
-        let usual = Millis(usual.0 * self.slowdown(cx, key));
+        let usual = Millis(usual.0.saturating_mul(self.slowdown(cx, key)));
         let progress = run.progress?;
         let left = 100u64.saturating_sub(progress.percent().into());
-        let expected = Millis(usual.0 * left / 100);
+        let expected = Millis(usual.0.saturating_mul(left) / 100);
         let remaining = progress.remaining(cx.now, usual)?;
-        if remaining.0.saturating_mul(10) <= expected.0 * limit || remaining <= cx.limits.move_time() {
+        if remaining.0.saturating_mul(10) <= expected.0.saturating_mul(limit) || remaining <= cx.limits.move_time() {
             return None;
         }
         let elsewhere = match step.checkpointing && !run.checkpoint.is_empty() {
--- a/crates/pistachiostair/tests/steps/odd_entries.rs
+++ b/crates/pistachiostair/tests/steps/odd_entries.rs
@@ -1,7 +1,7 @@
-//! Numbers that are far too large, in entries of the list of workers that another writer left or in the configuration:
-//! the scheduler must go on with the other workers.
+//! Numbers that are far too large, in entries of the list of workers that another writer left, in the configuration and
+//! in jobs: the scheduler must go on with the other workers and jobs.
 
-use pistachiostair::{Demand, Event, HostInfo, Incarnation, Millis, StepJobPhase, StepsEvent, WorkerName};
+use pistachiostair::{Demand, Event, HostInfo, Incarnation, JobKey, Millis, StepJobPhase, StepsEvent, WorkerName};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -129,3 +129,27 @@
     assert_eq!(world.phase(3, "urgent"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Guards against a scheduler that ends because the demand or the estimated duration of a job overflows.
+#[rstest]
+#[case::demand(u64::MAX, 1_000, false)]
+#[case::estimate(1, u64::MAX, false)]
+#[case::both(u64::MAX, u64::MAX, false)]
+#[case::gang(u64::MAX, u64::MAX, true)]
+fn job_huge(#[case] accelerators: u64, #[case] estimate: u64, #[case] is_gang: bool) {
+    let mut world = World::with_guarantee(2, u64::MAX);
+    world.workers.paces.insert(worker(1), 20);
+    world.submit(job(1, "bulk", 2, ACCELERATORS, 1_000));
+    let mut huge = job(2, "urgent", 3, accelerators, 1_500);
+    huge.steps[0].demand.millicores = accelerators;
+    huge.steps[0].estimate = Millis(estimate);
+    huge.steps[0].gang = is_gang;
+    world.submit(huge.clone());
+    huge.key = JobKey(4);
+    world.submit(huge);
+    world.submit(job(3, "urgent", 2, ACCELERATORS, 500));
+    world.run(30_000);
+    assert_eq!(world.phase(1, "bulk"), StepJobPhase::Completed);
+    assert_eq!(world.phase(3, "urgent"), StepJobPhase::Completed);
+    world.check();
+}
