--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -116,7 +116,7 @@
         let on_trial: BTreeSet<u32> = trials.map(|run| run.host).collect();
         for (worker, host) in &scheduler.hosts {
             let Some(info) = host.info.as_ref() else { continue };
-            free.accelerators += info.capacity.accelerators;
+            free.accelerators = free.accelerators.saturating_add(info.capacity.accelerators);
             if !host.is_usable(cx.now) || host.is_full(cx.now) || on_trial.contains(&host.number) {
                 continue;
             }
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -233,7 +233,7 @@
         let Some(host) = self
             .hosts
             .get_mut(&target.worker)
-            .filter(|host| host.incarnation == target.incarnation)
+            .filter(|host| [host.incarnation, host.expected()].contains(&target.incarnation))
         else {
             return;
         };
@@ -248,7 +248,7 @@
                 host.hold_after = cx.now + HOLD_RETRY_DELAY;
                 self.replan = true;
             }
-            // The platform's list brings the new incarnation, the next hold order its runs and ends.
+            // The next hold order brings the new incarnation with its runs and ends.
             OrderReply::OtherIncarnation => host.synced = false,
             OrderReply::NoRoom => host.note_full(cx.now),
             _ => {}
--- a/crates/pistachiostair/src/steps/spec.rs
+++ b/crates/pistachiostair/src/steps/spec.rs
@@ -97,18 +97,26 @@
 }
 
 impl Demand {
+    /// The most that one worker can have: the 8,192 processors that Linux supports, 4 PiB, the largest physical memory
+    /// that processors address, and one accelerator for each of the 65,536 functions of a PCI domain.
+    pub const MAX: Self = Self {
+        millicores: 8_192_000,
+        memory: 1 << 32,
+        accelerators: 1 << 16,
+    };
+
     /// Whether `self` is at most `free` in each resource.
     pub fn fits(&self, free: &Self) -> bool {
         self.millicores <= free.millicores && self.memory <= free.memory && self.accelerators <= free.accelerators
     }
 
-    /// The sum in each resource.
+    /// The sum in each resource, at most the highest number.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            millicores: self.millicores + other.millicores,
-            memory: self.memory + other.memory,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -122,13 +130,13 @@
         }
     }
 
-    /// `count` times as much.
+    /// `count` times as much, at most the highest number.
     #[must_use]
     pub fn times(&self, count: u64) -> Self {
         Self {
-            millicores: self.millicores * count,
-            memory: self.memory * count,
-            accelerators: self.accelerators * count,
+            millicores: self.millicores.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 }
@@ -246,10 +254,10 @@
         })
     }
 
-    /// Number of tasks in all steps and occurrences.
+    /// Number of tasks in all steps and occurrences, at most the highest number.
     pub fn task_count(&self) -> u64 {
         let each: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        each * u64::from(self.occurrences())
+        each.saturating_mul(u64::from(self.occurrences()))
     }
 
     /// Whether any step runs until the job is cancelled.
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -4,5 +4,6 @@
 mod crashes;
 mod life;
 mod load;
+mod odd_entries;
 mod takeover;
 mod world;
