Don't count the end of a worker that has drained as a crash

The new entry of the list no longer says that the worker drained. Whether an incarnation has drained is now kept until it ends.

--- a/crates/pistachiostair/src/steps/crashes.rs
+++ b/crates/pistachiostair/src/steps/crashes.rs
@@ -113,9 +113,9 @@
 }
 
 impl StepScheduler {
-    /// Notes that a worker has crashed, before its runs are ended. One that drains is expected to leave.
+    /// Notes that a worker has crashed, before its runs are ended. One that has drained was expected to end.
     pub(crate) fn note_crash(&mut self, cx: &Context<'_>, worker: &WorkerName) {
-        let Some(host) = self.hosts.get_mut(worker).filter(|host| host.leaves_at.is_none()) else {
+        let Some(host) = self.hosts.get_mut(worker).filter(|host| !host.drained) else {
             return;
         };
         host.crashed_at = Some(cx.now);
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -148,6 +148,8 @@
     pub(crate) acked: u64,
     /// When the worker was last found to have crashed.
     pub(crate) crashed_at: Option<Millis>,
+    /// Whether its present incarnation has drained, so that its end is expected.
+    pub(crate) drained: bool,
     /// When a draining worker may be gone; none if it does not drain.
     pub(crate) leaves_at: Option<Millis>,
     /// Whether the host is ejected after failures or for being slow, and until when.
@@ -182,6 +184,7 @@
             ends: BTreeMap::new(),
             acked: 0,
             crashed_at: None,
+            drained: false,
             leaves_at: None,
             ejection: Ejection::default(),
             relative_duration: 100,
@@ -207,6 +210,7 @@
         self.full_until = Millis::ZERO;
         self.refused_since = None;
         self.gone = false;
+        self.drained = false;
         self.leaves_at = None;
         self.ejection = Ejection::default();
     }
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -65,6 +65,7 @@
         let left = info.remaining.unwrap_or_default();
         let leaves = host.leaves_at.unwrap_or(Millis::MAX).min(cx.now + left);
         host.leaves_at = info.draining.then_some(leaves);
+        host.drained |= info.draining && info.incarnation <= host.incarnation;
         let claimed = host.claim(info.incarnation) && !host.runs.is_empty();
         let changed = host.info.as_ref() != Some(&info);
         let draining = info.draining;
--- a/crates/pistachiostair/tests/steps/crashes.rs
+++ b/crates/pistachiostair/tests/steps/crashes.rs
@@ -245,3 +245,24 @@
     assert_eq!(world.workers.names(), [WorkerName::from(name)]);
     world.check();
 }
+
+/// Guards against counting it as a crash that a worker leaves after it has drained and starts again under its name.
+#[test]
+fn crash_not_by_draining() {
+    let mut world = World::new(1);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 4_000));
+    for incarnation in 2..8 {
+        world.run(1_000);
+        world.leaving.insert(worker(0), world.now + 500);
+        world.send_list();
+        world.unreachable.insert(worker(0));
+        world.run(600);
+        world.leaving.clear();
+        world.add_worker(0, incarnation);
+        world.unreachable.clear();
+        world.send_list();
+    }
+    run_until_completed(&mut world, &[1], 10_000);
+    assert!(world.workers.starts >= 6);
+    world.check();
+}
