Prove with random changes that no start exceeds a capacity

30 seeds of jobs, preemption, takeovers, lost orders, outages of the store and changes of capacity: no start over the capacity, and all accepted jobs complete.

--- a/crates/pistachiostair/tests/steps/capacity.rs
+++ b/crates/pistachiostair/tests/steps/capacity.rs
@@ -1,6 +1,6 @@
 //! Workers whose capacity shrinks and grows while they run. They start what does not fit, unless a test says otherwise.
 
-use pistachiostair::{JobKey, Millis, StepCall, StepJob, StepJobPhase};
+use pistachiostair::{JobKey, Millis, StepAnswer, StepCall, StepJob, StepJobPhase, Token};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -14,8 +14,8 @@
 }
 
 /// Submits a job without waiting for the answer.
-fn submit_later(world: &mut World, job: StepJob) {
-    world.call(StepCall::Submit { job: Box::new(job) });
+fn submit_later(world: &mut World, job: StepJob) -> Token {
+    world.call(StepCall::Submit { job: Box::new(job) })
 }
 
 /// Guards against orders to start whose capacity has gone while their record was being committed.
@@ -292,3 +292,46 @@
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Random changes of capacity among jobs, preemption, outages of the store, lost orders and takeovers.
+#[test]
+fn random_changes() {
+    for seed in 0..30 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut world = World::with_unguarded_workers(4);
+        let mut jobs = Vec::new();
+        for key in 1..40 {
+            let queue = *random.choice(&["urgent", "normal", "bulk"]).expect("a queue");
+            let (count, accelerators) = (random.u32(1..5), random.u64(1..9));
+            let work = random.u64(100..2_500);
+            let job = match random.bool() {
+                true => gang(key, queue, count, accelerators, work),
+                false => job(key, queue, count * 2, accelerators, work),
+            };
+            jobs.push((key, queue, submit_later(&mut world, job)));
+            match random.u32(0..12) {
+                0 => world.take_over(),
+                1 => world.store_down = true,
+                2..=4 => world.store_down = false,
+                5 => drop(world.unreachable.insert(worker(random.usize(0..4)))),
+                6 => world.unreachable.clear(),
+                _ => {}
+            }
+            world.resize(random.usize(0..4), random.u64(0..=ACCELERATORS));
+            world.run(random.u64(0..60) * 10);
+        }
+        world.store_down = false;
+        world.unreachable.clear();
+        for number in 0..4 {
+            world.resize(number, ACCELERATORS);
+        }
+        world.run(60_000);
+        for (key, queue, token) in jobs {
+            if matches!(world.answers.get(&token), Some(StepAnswer::Accepted { .. })) {
+                let phase = world.phase(key, queue);
+                assert_eq!(phase, StepJobPhase::Completed, "job {key}, seed {seed}");
+            }
+        }
+        assert_eq!(world.workers.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
