Place nothing by the capacity of a worker's earlier incarnation

Users would see: LIMIT broken on a worker that does not guard its capacity and started again under its id as a smaller one.

Cause: a worker's lists may tell of its restart before the platform's list does. It then counted as usable at once, with the capacity, labels and rack of its earlier life. Orders name the id, so that the present life carries them out.

Change: such a worker gets no new tasks until the platform's list has its present incarnation. An entry without an incarnation counts as before.

--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -204,10 +204,13 @@
         self.ejection = Ejection::default();
     }
 
-    /// Whether new tasks may be placed there: listed, not draining, its lists read, answering and not ejected.
+    /// Whether new tasks may be placed there: listed in the present incarnation, not draining, its lists read, answering
+    /// and not ejected.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        let draining = self.info.as_ref().is_none_or(|info| info.draining);
-        self.listed && self.synced && !draining && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
+        // The capacity of an earlier incarnation may be another one. An entry without an incarnation has 0.
+        let current = |info: &HostInfo| info.incarnation >= self.incarnation || info.incarnation == Incarnation(0);
+        let open = self.info.as_ref().is_some_and(|info| !info.draining && current(info));
+        self.listed && self.synced && open && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
     }
 
     /// Takes note of a task that was refused for want of room.
--- a/crates/pistachiostair/tests/steps/capacity.rs
+++ b/crates/pistachiostair/tests/steps/capacity.rs
@@ -1,6 +1,9 @@
 //! Workers whose capacity shrinks and grows while they run. They start what does not fit, unless a test says otherwise.
 
-use pistachiostair::{JobKey, Millis, StepAnswer, StepCall, StepJob, StepJobPhase, Token};
+use pistachiostair::{
+    Demand, Event, HoldReply, Incarnation, JobKey, Millis, StepAnswer, StepCall, StepJob, StepJobPhase, StepsEvent,
+    Target, Token,
+};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job, worker};
@@ -278,6 +281,51 @@
     world.check();
 }
 
+/// Guards against starts by the capacity of a worker's earlier life, before the list shows that of the present one.
+#[test]
+fn restart_smaller() {
+    let mut world = World::with_unguarded_workers(1);
+    world.submit(job(1, "normal", 1, 1, 5_000));
+    world.run(500);
+    let capacity = Demand {
+        millicores: 32_000,
+        memory: 65_536,
+        accelerators: 4,
+    };
+    let now = Millis(world.now);
+    let name = worker(0);
+    world.workers.start_worker(&name, Incarnation(2), capacity, now);
+    let lists = HoldReply {
+        clock: now,
+        incarnation: Incarnation(2),
+        running: Vec::new(),
+        finished: Vec::new(),
+    };
+    let target = Target {
+        worker: name,
+        incarnation: Incarnation(1),
+        address: "10.0.0.0:80".to_owned(),
+    };
+    let event = Box::new(Event::Steps(StepsEvent::Held {
+        target,
+        ack: 0,
+        long_poll: true,
+        reply: Ok(lists),
+    }));
+    world.feed(Event::Outcome {
+        term: world.term,
+        event,
+    });
+    world.submit(job(2, "normal", 8, 1, 1_000));
+    world.run(3_000);
+    world.check();
+    world.add_worker(0, 3);
+    world.send_list();
+    world.run(20_000);
+    assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
 /// Guards against orders that a worker refuses for want of room, time after time, until the list shows that it has
 /// shrunk.
 #[test]
