Test orders that become due while the lease is away and come back in the same term

`placed` and `released` also run with the same scheduler, which learns of its commit without the lease: it sends nothing until the lease is held again, and then the order.

--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -4,8 +4,8 @@
 mod scripted;
 
 use pistachiostair::{
-    AccountSpec, Call, Command, ErrorKind, Event, JobPhase, JobSpec, MemberState, Millis, Ran, Response, Retention,
-    Scheduler, TaskId, TaskState,
+    AccountSpec, AppendEvent, Call, Command, ErrorKind, Event, JobPhase, JobSpec, MemberState, Millis, Ran, Response,
+    Retention, Scheduler, TaskId, TaskState,
 };
 use rstest::rstest;
 use scripted::{TestScheduler, cancel, get, spec, submit, view};
@@ -19,6 +19,21 @@
     task
 }
 
+/// Elects another scheduler, or has the same one learn of its commit without the lease and then get the lease back.
+fn go_on(fixture: &mut TestScheduler, same_term: bool) {
+    if !same_term {
+        return fixture.take_over();
+    }
+    fixture.on(Event::LeaseChanged { held: false });
+    fixture.mute_commits = false;
+    fixture.sent.clear();
+    let seq = fixture.rows.last().expect("a row").0;
+    fixture.on(Event::Stored(AppendEvent::Committed(seq)));
+    fixture.tick(300);
+    assert!(fixture.sent.is_empty(), "sent without the lease");
+    fixture.on(Event::LeaseChanged { held: true });
+}
+
 /// Guards against an accepted job that the next scheduler does not start, or accepts a second time.
 #[test]
 fn accepted() {
@@ -34,24 +49,26 @@
 }
 
 /// Guards against a placed attempt that the next scheduler does not start, or places again.
-#[test]
-fn placed() {
+#[rstest]
+fn placed(#[values(false, true)] same_term: bool) {
     let mut fixture = TestScheduler::new();
     fixture.job(submit("a", "a", &spec(false)));
     fixture.mute_commits = true;
     fixture.report(1, 1, Vec::new());
     fixture.tick(100);
     assert_eq!(fixture.starts(), []);
-    fixture.take_over();
-    fixture.report(1, 1, Vec::new());
+    go_on(&mut fixture, same_term);
+    if !same_term {
+        fixture.report(1, 1, Vec::new());
+    }
     fixture.tick(200);
     let attempts: Vec<u32> = fixture.starts().iter().map(|task| task.attempt.0).collect();
     assert_eq!(attempts, [1]);
 }
 
 /// Guards against a gang that is held for good since its release was recorded and not sent.
-#[test]
-fn released() {
+#[rstest]
+fn released(#[values(false, true)] same_term: bool) {
     let mut fixture = TestScheduler::new();
     let gang = JobSpec {
         shape: "2x0".parse().expect("a valid shape"),
@@ -65,8 +82,10 @@
     fixture.report(2, 1, held.clone());
     fixture.tick(100);
     assert_eq!(fixture.orders(), [], "released before the commit");
-    fixture.take_over();
-    fixture.report(2, 1, held);
+    go_on(&mut fixture, same_term);
+    if !same_term {
+        fixture.report(2, 1, held);
+    }
     let orders = fixture.orders();
     assert!(
         matches!(&orders[..], [Command::Release { tasks, .. }] if *tasks == parts),
