Don't start a job after its deadline that an earlier scheduler placed

Callers would see: a job with a deadline starts after it, if its placement was durable and the scheduler ended before it sent the start.

Cause: a takeover counts each part of a recovered run as possibly started, so that the job of one part never expires. It still sends the start once the worker's inventory lacks the task.

Until this scheduler has sent a start, a task that is not in the worker's whole inventory now counts as not begun. Its run is stopped, which also makes a late copy of the start void. `placed_too_late` found the start before the change; now a stop, and the job ends as (Expired, ran No).

--- a/crates/pistachiostair/src/gang.rs
+++ b/crates/pistachiostair/src/gang.rs
@@ -54,6 +54,8 @@
     pub(crate) incarnation: Incarnation,
     /// Start commands sent.
     pub(crate) starts_sent: u32,
+    /// Of these, start commands that an earlier scheduler may have sent.
+    pub(crate) starts_inherited: u32,
     /// Start commands that certainly had no effect.
     pub(crate) starts_void: u32,
     /// The worker's reason for refusing a start command.
@@ -109,6 +111,7 @@
                 worker: part.worker.clone(),
                 incarnation: part.incarnation,
                 starts_sent: 0,
+                starts_inherited: 0,
                 starts_void: 0,
                 refused: None,
                 last_state: None,
@@ -140,6 +143,7 @@
         run.running_since = run.released.then_some(now);
         for part in &mut run.parts {
             part.starts_sent = 1;
+            part.starts_inherited = 1;
         }
         run
     }
@@ -344,8 +348,13 @@
                 return Some(HaltReason::Withdrawn);
             }
         }
+        // A start command of an earlier scheduler that is still on its way is made void by the stop command.
+        let absent = |part: &PartRun| {
+            let synced = self.workers.get(&part.worker).is_some_and(|upstream| upstream.synced);
+            synced && part.last_state.is_none() && part.starts_sent == part.starts_inherited
+        };
         let begun = if run.parts.len() == 1 {
-            run.parts.iter().any(|part| !part.not_started())
+            run.parts.iter().any(|part| !part.not_started() && !absent(part))
         } else {
             run.released || run.releasing
         };
--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -272,3 +272,28 @@
     assert!(matches!(known, Some(Response::Guarantees { guarantees }) if guarantees.is_empty()));
     fixture.job(submit("a", "a", &spec(false)));
 }
+
+/// Guards against a job that starts after its deadline, since an earlier scheduler placed it and may have started it.
+#[test]
+fn placed_too_late() {
+    let mut fixture = TestScheduler::new();
+    let late = JobSpec {
+        deadline: Some(Millis(2_000)),
+        ..spec(false)
+    };
+    fixture.job(submit("a", "a", &late));
+    fixture.mute_commits = true;
+    fixture.report(1, 1, Vec::new());
+    fixture.tick(3_000);
+    fixture.take_over();
+    fixture.report(1, 1, Vec::new());
+    fixture.tick(200);
+    assert_eq!(fixture.starts(), [], "started after the deadline");
+    let orders = fixture.orders();
+    let [Command::Stop { task }] = orders[..] else {
+        panic!("expected a stop, got {orders:?}");
+    };
+    fixture.report(2, 1, vec![view(task, TaskState::NeverRan, 2, None)]);
+    let status = fixture.job(get("a")).status;
+    assert_eq!((status.phase, status.ran), (JobPhase::Expired, Ran::No));
+}
