Don't count a cut worker as crashed, and let no suspect overtake a gang

Its workers had been cut off and had disappeared from the list, which counted as a crash, and as a suspect that needs 7 empty workers it waited behind single ones for ever.

Only a refused connection or another incarnation at the address shows that a worker without an answer has ended. A gang that needs more workers than trials may take holds the suspects behind it back. Trials may take an eighth of the workers.

Tests: crash_not_by_cut, crash_gang_not_starved.

--- a/crates/pistachiostair/src/steps/crashes.rs
+++ b/crates/pistachiostair/src/steps/crashes.rs
@@ -42,7 +42,7 @@
 /// Time after a crash of a worker in which it is avoided for trials, since it may be what is at fault.
 const UNSTEADY_SPAN: Millis = Millis(30_000);
 
-/// Number of workers that may be used for trials at first, and again after one of them has crashed.
+/// Least number of workers that may be used for trials at first, and again after one of them has crashed.
 pub(crate) const MIN_TRIAL_WORKERS: usize = 2;
 
 record! {
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -148,6 +148,8 @@
     pub(crate) acked: u64,
     /// When the worker was last found to have crashed.
     pub(crate) crashed_at: Option<Millis>,
+    /// Whether another incarnation answered at its address since it last answered itself.
+    pub(crate) replaced: bool,
     /// Whether its present incarnation has drained, so that its end is expected.
     pub(crate) drained: bool,
     /// When a draining worker may be gone; none if it does not drain.
@@ -184,6 +186,7 @@
             ends: BTreeMap::new(),
             acked: 0,
             crashed_at: None,
+            replaced: false,
             drained: false,
             leaves_at: None,
             ejection: Ejection::default(),
@@ -210,6 +213,7 @@
         self.full_until = Millis::ZERO;
         self.refused_since = None;
         self.gone = false;
+        self.replaced = false;
         self.drained = false;
         self.leaves_at = None;
         self.ejection = Ejection::default();
@@ -304,9 +308,10 @@
         self.gone |= time_over && now >= since + REFUSAL_SPAN;
     }
 
-    /// Whether connections to the worker's address were refused since it last answered.
-    pub(crate) fn is_refusing(&self) -> bool {
-        self.refused_since.is_some()
+    /// Whether the worker is known to have ended: nothing or another incarnation listens at its address. A worker that is
+    /// only cut off is silent there, and may disappear from the platform's list as well.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.replaced || self.refused_since.is_some()
     }
 
     /// Whether the worker has left. One that no longer drains has not.
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -242,6 +242,7 @@
             OrderReply::Done { clock } => {
                 host.read_clock(*clock, cx.now);
                 host.failures = 0;
+                host.replaced = false;
             }
             OrderReply::Undelivered | OrderReply::NoListener | OrderReply::Unanswered | OrderReply::Unhealthy => {
                 host.failures += 1;
@@ -249,7 +250,10 @@
                 self.replan = true;
             }
             // The next hold order brings the new incarnation with its runs and ends.
-            OrderReply::OtherIncarnation => host.synced = false,
+            OrderReply::OtherIncarnation => {
+                host.synced = false;
+                host.replaced = true;
+            }
             OrderReply::NoRoom => host.note_full(cx.now),
             _ => {}
         }
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -73,8 +73,7 @@
     /// arrives there is refused as late. Planned runs have had no order.
     fn end_expired_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
-        // A worker that is only cut off stays listed, and does not refuse connections.
-        if !host.listed || host.is_refusing() {
+        if host.has_ended() {
             self.note_crash(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -14,7 +14,8 @@
 use crate::steps::queue::StepKey;
 use crate::steps::spec::{JobKey, Step};
 
-/// Largest part of the usable workers that trials may take, as a divisor.
+/// Part of the usable workers that trials may always take, as a divisor, and the largest such part.
+const MIN_TRIAL_PART: usize = 8;
 const MAX_TRIAL_PART: usize = 2;
 
 /// A suspect that waits: a task, or all members of a gang.
@@ -39,8 +40,11 @@
         }
         let runs = self.trials.iter().filter_map(|key| self.runs.get(key));
         let hosts: BTreeSet<u32> = runs.map(|run| run.host).collect();
-        let most = (pass.free.len() / MAX_TRIAL_PART).max(1);
-        let mut slots = self.trial_workers.min(most).saturating_sub(hosts.len());
+        let (least, most) = (
+            pass.free.len() / MIN_TRIAL_PART,
+            (pass.free.len() / MAX_TRIAL_PART).max(1),
+        );
+        let mut slots = self.trial_workers.max(least).min(most).saturating_sub(hosts.len());
         let mut idle_region = hosts.is_empty();
         let mut jobs: BTreeSet<JobKey> = self.trials.iter().map(|(task, _)| task.job).collect();
         for suspect in suspects {
@@ -51,10 +55,14 @@
             }
             let (workers, placed) = self.find_trial(cx, pass, &suspect);
             let distinct: BTreeSet<u32> = workers.iter().copied().collect();
-            // A gang may need more workers than are allowed; then it is tried while nothing else is.
-            if distinct.is_empty() || distinct.len() > slots && !idle_region {
+            // A gang may need more workers than are allowed; then it is tried while nothing else is, and nothing overtakes
+            // it until then.
+            if distinct.is_empty() {
                 continue;
             }
+            if distinct.len() > slots && !idle_region {
+                break;
+            }
             for position in &distinct {
                 pass.free.withdraw(*position);
             }
--- a/crates/pistachiostair/tests/steps/crashes.rs
+++ b/crates/pistachiostair/tests/steps/crashes.rs
@@ -266,3 +266,42 @@
     assert!(world.workers.starts >= 6);
     world.check();
 }
+
+/// Guards against counting it as a crash that a worker is cut off and disappears from the list until its leases have ended.
+#[test]
+fn crash_not_by_cut() {
+    let mut world = World::new(2);
+    world.submit(gang(1, "normal", 2, ACCELERATORS, 9_000));
+    for _ in 0..6 {
+        world.run(1_000);
+        let entry = world.entry(0);
+        world.unreachable.insert(worker(0));
+        world.unlist(0);
+        world.run(12_000);
+        world.unreachable.clear();
+        world.relist_entry(entry);
+    }
+    run_until_completed(&mut world, &[1], 12_000);
+    world.check();
+}
+
+/// Guards against a suspected gang that needs more workers than trials may take and waits for ever behind other suspects.
+#[test]
+fn crash_gang_not_starved() {
+    let mut world = region(16, false);
+    world.submit(gang(1, "normal", 8, ACCELERATORS, 20_000));
+    world.run(500);
+    for round in 0..2 {
+        let names = world.workers.names();
+        let host = names.iter().find(|name| world.workers.running_on(name.as_str()) > 0);
+        world.crash(&[host.expect("a worker that runs a member").clone()]);
+        world.run(if round == 0 { 9_000 } else { 100 });
+    }
+    for key in 2..30 {
+        let (other, _) = deadly(key, Shape::Single, 0);
+        world.submit(other);
+        world.run(500);
+    }
+    run_until_completed(&mut world, &[1], 60_000);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -243,6 +243,12 @@
         self.listed[&worker(number)].clone()
     }
 
+    /// Lists a worker again that was removed from the list, and sends the list.
+    pub(crate) fn relist_entry(&mut self, entry: HostInfo) {
+        self.listed.insert(entry.name.clone(), entry);
+        self.send_list();
+    }
+
     /// Sends a change of one entry to the scheduler; the list itself stays as it is.
     pub(crate) fn send_entry(&mut self, entry: HostInfo) {
         let update = HostUpdate {
