--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -3,5 +3,6 @@
 mod crashes;
 mod life;
 mod load;
+mod review;
 mod takeover;
 mod world;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -43,6 +43,8 @@
     pub(crate) unreachable: BTreeSet<WorkerName>,
     /// Workers whose replies are lost; they carry orders out.
     pub(crate) reply_loss: BTreeSet<WorkerName>,
+    /// Number of stop orders that workers refuse as unhealthy from now on.
+    pub(crate) refuse_stops: u32,
     /// Whether no operation of the store succeeds.
     pub(crate) store_down: bool,
     /// Answers to calls so far.
@@ -81,6 +83,7 @@
             workers: StepWorkers::default(),
             unreachable: BTreeSet::new(),
             reply_loss: BTreeSet::new(),
+            refuse_stops: 0,
             store_down: false,
             answers: BTreeMap::new(),
             holds: 0,
@@ -389,6 +392,10 @@
     fn execute(&mut self, action: StepsAction, arrived: u64) {
         let now = Millis(self.now);
         let reply = match &action {
+            StepsAction::Stop { .. } if self.refuse_stops > 0 => {
+                self.refuse_stops -= 1;
+                Reply::Order(OrderReply::Unhealthy)
+            }
             StepsAction::Start { target, order } => {
                 Reply::Order(self.workers.start(now, &target.worker, target.incarnation, order))
             }
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -329,6 +329,12 @@
         self.workers.values().map(|worker| worker.tasks.len()).sum()
     }
 
+    /// Tasks of a job that run anywhere.
+    pub fn running_of(&self, job: pistachiostair::JobKey) -> usize {
+        let tasks = self.workers.values().flat_map(|worker| worker.tasks.keys());
+        tasks.filter(|task| task.job == job).count()
+    }
+
     /// Tasks that run on the worker `name`.
     pub fn running_on(&self, name: &str) -> usize {
         let worker = self.workers.get(&WorkerName::from(name));
