--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -29,3 +29,30 @@
     job
 }
 
+/// Guards against a worker that drains, leaves and is back under its name being taken for one that crashed.
+#[test]
+fn drain_is_no_crash() {
+    let mut world = World::new(4);
+    world.submit(job(1, "normal", 1, 1, 60_000));
+    let mut incarnation = 1;
+    for round in 0..6 {
+        world.run(4_000);
+        let phase = world.phase(1, "normal");
+        assert_eq!(
+            phase,
+            StepJobPhase::Running,
+            "round {round}, {} crashes",
+            crash_records(&world)
+        );
+        let name = busy(&world).expect("a worker that runs the task");
+        let number: usize = name.as_str()[1..].parse().unwrap();
+        world.leaving.insert(name.clone(), world.now + 50);
+        world.send_list();
+        world.run(50);
+        world.leaving.remove(&name);
+        incarnation += 1;
+        world.add_worker(number, incarnation);
+        world.send_list();
+    }
+    assert_eq!(crash_records(&world), 0);
+}
