--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -56,3 +56,42 @@
     }
     assert_eq!(crash_records(&world), 0);
 }
+
+/// Guards against runs that wait for trials for long since their worker crashed around a change of the scheduler.
+#[rstest]
+#[case::same_scheduler(false, 4_000)]
+#[case::taken_over(true, 4_000)]
+#[case::just_started(false, 200)]
+fn lasting_tasks_back_in_time(#[case] taken_over: bool, #[case] at: u64) {
+    let mut world = region(16, false);
+    for key in 1..=32 {
+        let token = world.call(pistachiostair::StepCall::Submit {
+            job: Box::new(lasting(key)),
+        });
+        let _ = token;
+    }
+    world.run(at);
+    assert_eq!(world.workers.running(), 32);
+    let names: Vec<WorkerName> = world.workers.names();
+    let names: Vec<WorkerName> = names
+        .into_iter()
+        .filter(|name| world.workers.running_on(name.as_str()) > 0)
+        .collect();
+    world.crash(&names);
+    if taken_over {
+        world.take_over();
+    }
+    let crashed = world.now;
+    while world.workers.running() < 32 && world.now < crashed + 120_000 {
+        world.run(100);
+        if (world.now - crashed) % 10_000 == 0 {
+            println!("{} ms: {} at work", world.now - crashed, world.workers.running());
+        }
+    }
+    let took = world.now - crashed;
+    println!(
+        "{} workers crashed; all tasks at work again after {took} ms",
+        names.len()
+    );
+    assert!(took <= 3_300 + 6_000 + 3_000, "{took} ms");
+}
