--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -95,3 +95,27 @@
     );
     assert!(took <= 3_300 + 6_000 + 3_000, "{took} ms");
 }
+
+/// Guards against a trial that keeps a guaranteed job from its capacity.
+#[rstest]
+fn trial_yields_to_guarantee(#[values(0, 2)] crashes: u32) {
+    let mut world = World::with_guarantee(4, 32);
+    world.workers.downtime = Some(Millis(1_000));
+    world.submit(job(1, "bulk", 1, 1, 600_000));
+    for _ in 0..crashes {
+        world.run(30_000);
+        let name = busy(&world).expect("a worker");
+        world.crash(&[name]);
+        world.run(3_000);
+    }
+    world.run(10_000);
+    assert_eq!((world.workers.running(), world.workers.names().len()), (1, 4));
+    let at = world.now;
+    world.submit(gang(2, "urgent", 4, ACCELERATORS, 500));
+    while world.phase(2, "urgent") == StepJobPhase::Queued && world.now < at + 60_000 {
+        world.run(100);
+    }
+    let took = world.now - at;
+    println!("begun after {took} ms");
+    assert!(took <= 2_700, "{took} ms");
+}
