--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -119,3 +119,24 @@
     println!("begun after {took} ms");
     assert!(took <= 2_700, "{took} ms");
 }
+
+/// Guards against stops that wait for a hold order of 2 s after each refusal.
+#[rstest]
+fn stop_refused(#[values(1, 2, 3)] refusals: u32, #[values(false, true)] taken_over: bool) {
+    let mut world = World::new(2);
+    world.submit(job(1, "normal", 1, 1, 60_000));
+    world.run(4_500);
+    world.refuse_stops = refusals;
+    world.cancel(1, "normal");
+    world.run(20);
+    if taken_over {
+        world.take_over();
+    }
+    let at = world.now;
+    while world.workers.running() > 0 && world.now < at + 60_000 {
+        world.run(10);
+    }
+    let took = world.now - at;
+    println!("{refusals} refusals: gone after {took} ms");
+    assert!(took <= 3_200, "{took} ms");
+}
