--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -140,3 +140,17 @@
     println!("{refusals} refusals: gone after {took} ms");
     assert!(took <= 3_200, "{took} ms");
 }
+
+/// Guards against a task whose start order met another incarnation, which did nothing, being taken for one that crashed.
+#[test]
+fn other_incarnation_is_no_crash() {
+    let mut world = region(1, false);
+    world.workers.downtime = Some(Millis(100));
+    world.list_lag = 1_000;
+    world.run(500);
+    world.crash(&[worker(0)]);
+    world.run(200);
+    world.submit(job(1, "normal", 1, 1, 20_000));
+    world.run(3_000);
+    assert_eq!(crash_records(&world), 0);
+}
