--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -154,3 +154,29 @@
     world.run(3_000);
     assert_eq!(crash_records(&world), 0);
 }
+
+/// Guards against giving up a task whose workers were cut off and did not crash.
+#[test]
+fn cut_is_no_crash() {
+    let mut world = World::new(4);
+    world.submit(job(1, "normal", 1, 1, 60_000));
+    for round in 0..6 {
+        world.run(1_000);
+        let phase = world.phase(1, "normal");
+        assert_eq!(
+            phase,
+            StepJobPhase::Running,
+            "round {round}, {} crashes",
+            crash_records(&world)
+        );
+        let name = busy(&world).expect("a worker that runs the task");
+        let number: usize = name.as_str()[1..].parse().unwrap();
+        world.unreachable.insert(name.clone());
+        world.unlist(number);
+        world.run(9_500);
+        world.unreachable.remove(&name);
+        world.add_worker(number, 1);
+        world.send_list();
+    }
+    assert_eq!(crash_records(&world), 0);
+}
