--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -180,3 +180,55 @@
     }
     assert_eq!(crash_records(&world), 0);
 }
+
+/// Guards against starts after three crashes that are not counted since they end without a further crash.
+#[test]
+fn starts_after_three_crashes() {
+    let mut world = region(10, false);
+    world.workers.downtime = Some(Millis(1_000));
+    let mut deadly = job(1, "normal", 1, 1, 60_000);
+    deadly.payload += " deadly=1 crash_after=4000";
+    world.submit(deadly);
+    let task = TaskKey {
+        job: JobKey(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    while world.workers.crashes_by(task) < 3 && world.now < 120_000 {
+        // Two other workers crash just before.
+        let crashes = world.workers.crashes_by(task);
+        while world.workers.running() == 0 && world.now < 120_000 {
+            world.run(10);
+        }
+        world.run(3_900);
+        let culprit = busy(&world);
+        let others = world
+            .workers
+            .names()
+            .into_iter()
+            .filter(|name| Some(name) != culprit.as_ref());
+        let others: Vec<WorkerName> = others.take(2).collect();
+        world.crash(&others);
+        while world.workers.crashes_by(task) == crashes && world.now < 120_000 {
+            world.run(10);
+        }
+    }
+    assert_eq!(world.workers.crashes_by(task), 3);
+    let starts = world.workers.starts_of(task);
+    for _ in 0..5 {
+        let before = world.workers.starts_of(task);
+        while world.workers.starts_of(task) == before && world.now < 200_000 {
+            world.run(10);
+        }
+        world.run(1_000);
+        if let Some(name) = busy(&world) {
+            world.leaving.clear();
+            world.leaving.insert(name, world.now + 2_000);
+            world.send_list();
+        }
+    }
+    let more = world.workers.starts_of(task) - starts;
+    println!("{more} starts after three crashes; {:?}", world.phase(1, "normal"));
+    assert!(more <= 2, "{more} starts after three crashes");
+}
