--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -232,3 +232,27 @@
     println!("{more} starts after three crashes; {:?}", world.phase(1, "normal"));
     assert!(more <= 2, "{more} starts after three crashes");
 }
+
+/// Guards against a suspect that never starts since each worker runs a lasting task.
+#[rstest]
+fn suspect_starts_beside_lasting(#[values(false, true)] crash: bool) {
+    let mut world = region(4, false);
+    let mut serving = job(1, "normal", 4, 1, 10_000_000);
+    serving.steps[0].long_running = true;
+    serving.steps[0].spread = Some(1);
+    world.submit(serving);
+    world.run(10_000);
+    assert_eq!(world.workers.running(), 4);
+    world.submit(job(2, "normal", 1, 1, 5_000));
+    let host = world
+        .workers
+        .names()
+        .into_iter()
+        .find(|name| world.workers.running_on(name.as_str()) == 2);
+    if crash {
+        world.crash(&[host.expect("a worker with both")]);
+    }
+    world.run(300_000);
+    assert_eq!(world.workers.running(), 4);
+    assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
+}
