--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -256,3 +256,31 @@
     assert_eq!(world.workers.running(), 4);
     assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
 }
+
+/// Guards against a guaranteed job that waits since a worker is kept free for a task on trial.
+#[rstest]
+fn kept_worker_yields_to_guarantee(#[values(false, true)] crash: bool) {
+    let mut world = World::with_guarantee(4, 24);
+    world.submit(job(2, "bulk", 24, 1, 600_000));
+    world.run(3_000);
+    world.submit(job(1, "bulk", 1, 1, 5_000));
+    let host = world
+        .workers
+        .names()
+        .into_iter()
+        .find(|name| world.workers.running_on(name.as_str()) == 1);
+    if crash {
+        world.crash(&[host.expect("a worker with one task")]);
+    }
+    world.unlist(3);
+    world.run(20_000);
+    assert_eq!(world.workers.running(), 24);
+    let at = world.now;
+    world.submit(gang(3, "urgent", 3, ACCELERATORS, 500));
+    while world.phase(3, "urgent") == StepJobPhase::Queued && world.now < at + 60_000 {
+        world.run(100);
+    }
+    let took = world.now - at;
+    println!("begun after {took} ms");
+    assert!(took <= 2_700, "{took} ms");
+}
