--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -284,3 +284,21 @@
     println!("begun after {took} ms");
     assert!(took <= 2_700, "{took} ms");
 }
+
+/// Guards against a worker that drained and left under an earlier scheduler being taken for one that crashed.
+#[test]
+fn left_before_takeover_is_no_crash() {
+    let mut world = World::new(4);
+    world.submit(job(1, "normal", 1, 1, 60_000));
+    world.run(4_000);
+    let name = busy(&world).expect("a worker that runs the task");
+    let number: usize = name.as_str()[1..].parse().unwrap();
+    world.leaving.insert(name.clone(), world.now + 50);
+    world.send_list();
+    world.run(50);
+    world.workers.crash(&name);
+    world.unlist(number);
+    world.take_over();
+    world.run(15_000);
+    assert_eq!(crash_records(&world), 0);
+}
