--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -302,3 +302,124 @@
     world.run(15_000);
     assert_eq!(crash_records(&world), 0);
 }
+
+/// Guards against too many starts of deadly tasks and against innocent jobs that fail, in random trouble.
+#[rstest]
+fn crash_random(
+    #[values(false, true)] renames: bool,
+    #[values(false, true)] takeovers: bool,
+    #[values(false, true)] cuts: bool,
+) {
+    let mut faults = Vec::new();
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut world = region(8, renames);
+        world.list_lag = random.u64(10..200) * 10;
+        let after = random.u64(0..4) * 1_000;
+        for key in 1..=2 {
+            let mut deadly = if random.bool() {
+                job(key, "normal", 1, 1, 60_000)
+            } else {
+                gang(key, "normal", 3, 4, 60_000)
+            };
+            deadly.payload += &format!(" deadly=1 crash_after={after}");
+            world.call(pistachiostair::StepCall::Submit { job: Box::new(deadly) });
+        }
+        for key in 11..=13 {
+            let innocent = if random.bool() {
+                job(key, "normal", 6, 1, 4_000)
+            } else {
+                gang(key, "normal", 3, 4, 4_000)
+            };
+            world.call(pistachiostair::StepCall::Submit {
+                job: Box::new(innocent),
+            });
+        }
+        world.run(100);
+        for _ in 0..60 {
+            world.run(random.u64(1..100) * 10);
+            let names = world.workers.names();
+            match random.u32(0..12) {
+                0 if takeovers => world.take_over(),
+                1 | 2 if cuts => drop(world.reply_loss.insert(worker(random.usize(0..8)))),
+                3 | 4 => world.reply_loss.clear(),
+                5 if cuts => drop(world.unreachable.insert(worker(random.usize(0..8)))),
+                6 | 7 => world.unreachable.clear(),
+                8 if !names.is_empty() => {
+                    let name = names[random.usize(0..names.len())].clone();
+                    world.crash(&[name]);
+                }
+                _ => {}
+            }
+        }
+        world.reply_loss.clear();
+        world.unreachable.clear();
+        world.run(120_000);
+        for key in 1..=2 {
+            let task = TaskKey {
+                job: JobKey(key),
+                occurrence: 0,
+                step: 0,
+                index: 0,
+            };
+            let under = world.workers.crashes.iter().filter(|crash| crash.tasks.contains(&task));
+            let third = under.map(|crash| crash.at).nth(2);
+            let starts = world
+                .workers
+                .log
+                .iter()
+                .filter(|(at, started, _, end)| {
+                    *started == task && end.is_none() && third.is_some_and(|third| *at > third)
+                })
+                .count();
+            if starts > 2 {
+                faults.push(format!("seed {seed} job {key}: {starts} starts after the third crash"));
+                let log = world.workers.log.iter().filter(|(_, other, ..)| other.job == task.job);
+                for (at, task, run, end) in log {
+                    println!("seed {seed}: {at} {task} {run} {end:?}");
+                }
+                for crash in world
+                    .workers
+                    .crashes
+                    .iter()
+                    .filter(|crash| crash.tasks.iter().any(|other| other.job == task.job))
+                {
+                    println!(
+                        "seed {seed}: {} crash of {} by {:?}",
+                        crash.at, crash.worker, crash.culprit
+                    );
+                }
+            }
+            let phase = world.phase(key, "normal");
+            if phase != StepJobPhase::Failed {
+                faults.push(format!(
+                    "seed {seed} deadly job {key}: {phase:?}, {} starts",
+                    world.workers.starts_of(task)
+                ));
+            }
+        }
+        for key in 11..=13 {
+            let phase = world.phase(key, "normal");
+            let crashes = (0..6)
+                .map(|index| {
+                    world.workers.crashes_under(TaskKey {
+                        job: JobKey(key),
+                        occurrence: 0,
+                        step: 0,
+                        index,
+                    })
+                })
+                .max();
+            if phase != StepJobPhase::Completed && crashes < Some(2) {
+                faults.push(format!(
+                    "seed {seed} innocent job {key}: {phase:?}, {crashes:?} crashes under a task"
+                ));
+            }
+        }
+        if !world.workers.violations.is_empty() {
+            faults.push(format!("seed {seed}: {:?}", world.workers.violations));
+        }
+    }
+    println!("{} faults", faults.len());
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
