--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -423,3 +423,62 @@
     println!("{} faults", faults.len());
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
+
+/// Guards against runs of cancelled jobs that go on, in random trouble up to 0.5 s after the answer.
+#[rstest]
+fn cancel_random(#[values(false, true)] drains: bool) {
+    let mut faults = Vec::new();
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut world = region(6, random.bool());
+        for key in 1..=6 {
+            let submitted = if random.bool() {
+                job(key, "normal", 6, 1, 60_000)
+            } else {
+                gang(key, "normal", 3, 2, 60_000)
+            };
+            world.call(pistachiostair::StepCall::Submit {
+                job: Box::new(submitted),
+            });
+        }
+        let mut gone = Vec::new();
+        let before = random.u64(2..400) * 10;
+        world.run(before);
+        let tokens: Vec<_> = (1..=4).map(|key| (key, world.cancel(key, "normal"))).collect();
+        for _ in 0..8 {
+            world.run(random.u64(1..9) * 10);
+            let number = random.usize(0..6);
+            match random.u32(0..8) {
+                0 | 1 => world.take_over(),
+                2 => drop(world.reply_loss.insert(worker(number))),
+                3 => drop(world.unreachable.insert(worker(number))),
+                4 => world.refuse_stops += 1,
+                5 if drains => {
+                    world.leaving.insert(worker(number), world.now + 20_000);
+                    world.send_list();
+                }
+                6 => world.crash(&[worker(number)]),
+                7 if drains && !gone.contains(&number) => {
+                    gone.push(number);
+                }
+                _ => {}
+            }
+        }
+        world.reply_loss.clear();
+        world.unreachable.clear();
+        world.refuse_stops = 0;
+        world.run(3_400);
+        for (key, token) in tokens {
+            if world.answers.get(&token) != Some(&pistachiostair::StepAnswer::Cancelled) {
+                continue;
+            }
+            // Starts less ends of the job, but for those that a crash ended.
+            let text = world.workers.running_of(JobKey(key));
+            if text > 0 {
+                faults.push(format!("seed {seed} job {key}: {text} runs go on"));
+            }
+        }
+    }
+    println!("{} faults", faults.len());
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
