--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -5,5 +5,6 @@
 mod life;
 mod load;
 mod odd_entries;
+mod review;
 mod takeover;
 mod world;
