Repeat a stop that a worker refused without waiting for its next lists

Callers would see runs that go on for up to 5.8 s after their job was cancelled, if the worker refuses the stop three times (429 or 503): review::stop_refused, 3.69 s at two refusals and 5.79 s at three, allowed 3.2 s.

Cause: stops were repeated only once a hold order had been answered, and none is sent while one that waits for an end, up to 2 s, is open. Stops are now repeated to every worker that answers at all, if only by a refusal; a silent one still waits for a hold order that is answered. The tests of stop_refused pass.

--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -132,6 +132,8 @@
     pub(crate) hold_after: Millis,
     /// Failed calls in a row: the host was not reached, did not answer or was unhealthy.
     pub(crate) failures: u32,
+    /// Whether the last call was not answered at all, not even by a refusal.
+    pub(crate) silent: bool,
     /// Time before which it gets no new tasks, since it refused one for want of room.
     full_until: Millis,
     /// When the first of the connections was refused that were refused in a row.
@@ -178,6 +180,7 @@
             last_hold: Millis::ZERO,
             hold_after: Millis::ZERO,
             failures: 0,
+            silent: false,
             full_until: Millis::ZERO,
             refused_since: None,
             gone: false,
@@ -210,6 +213,7 @@
         self.ends.clear();
         self.acked = 0;
         self.failures = 0;
+        self.silent = false;
         self.full_until = Millis::ZERO;
         self.refused_since = None;
         self.gone = false;
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -238,6 +238,10 @@
             return;
         };
         host.note_refusal(cx.now, *reply == OrderReply::NoListener);
+        host.silent = matches!(
+            reply,
+            OrderReply::Undelivered | OrderReply::NoListener | OrderReply::Unanswered
+        );
         match reply {
             OrderReply::Done { clock } => {
                 host.read_clock(*clock, cx.now);
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -158,14 +158,12 @@
         self.actions.push(StepsAction::Hold { target, order });
     }
 
-    /// Sends the stop orders that are due, to workers that answer. After a takeover they wait for the worker's lists, which
+    /// Sends the stop orders that are due, to workers that answer, if only by a refusal. After a takeover they wait for the worker's lists, which
     /// lack most runs of jobs that ended long ago: the end of such a run is not stored.
     fn repeat_stops(&mut self, cx: &Context<'_>) {
         let hosts = &self.hosts;
         let due = |run: &TaskRun| {
-            let reachable = hosts
-                .get(&run.worker)
-                .is_some_and(|host| host.failures == 0 && host.synced);
+            let reachable = hosts.get(&run.worker).is_some_and(|host| !host.silent && host.synced);
             let ordered = reachable && matches!(run.phase, RunPhase::Live | RunPhase::Ordered);
             ordered
                 && run.stop.is_some_and(|halt| {
