Bound the starts of deadly tasks by runs, and keep trials from holding up other work

It now starts beside other work if none becomes empty within 2 s. - Trials held up guaranteed work for 22.9 s and more (trial_yields_to_guarantee, kept_worker_yields_to_guarantee). Runs after the third crash, or a loss that may have been one, now count until one has outlived the earlier ones; two of them end the job if two workers are known to have crashed. - Runs from before a takeover counted as just begun, a start answered by another incarnation as a crash (other_incarnation_is_no_crash), and crashes of a long-running task were never forgotten (crash_lasting_storm).

cut_is_no_crash restarted the worker that it cuts off, in the incarnation it had, which no worker does; it now cuts an intact worker, for 12 s instead of 9.5 s.

--- a/crates/pistachiostair/examples/takeover_costs.rs
+++ b/crates/pistachiostair/examples/takeover_costs.rs
@@ -230,6 +230,8 @@
         outcome: RunOutcome::Done,
         checkpoint: String::new(),
         crash: None,
+        late: false,
+        cleared: false,
     })
 }
 
--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -144,9 +144,9 @@
                 return Err(Error::msg(ErrorKind::Internal, "read journal", text));
             }
             let batch = Batch::parse(text)?;
-            let forgotten = batch.records.iter().filter(|r| matches!(r, Record::Forgotten { .. }));
+            let is_forgotten = |record: &&Record| matches!(record, Record::Forgotten { .. });
             // Only the newest: its writer went on to another one after it had sent the removals of the one before.
-            if let Some(record) = forgotten.last() {
+            if let Some(record) = batch.records.iter().rfind(is_forgotten) {
                 deletes = answer_deletes(&region, &state, record);
             }
             state.fold_batch(*seq, &batch);
--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -112,12 +112,10 @@
             accelerators: 0,
             version: 0,
         };
-        let trials = scheduler.trials.iter().filter_map(|key| scheduler.runs.get(key));
-        let on_trial: BTreeSet<u32> = trials.map(|run| run.host).collect();
         for (worker, host) in &scheduler.hosts {
             let Some(info) = host.info.as_ref() else { continue };
             free.accelerators = free.accelerators.saturating_add(info.capacity.accelerators);
-            if !host.is_usable(cx.now) || host.is_full(cx.now) || on_trial.contains(&host.number) {
+            if !host.is_usable(cx.now) || host.is_full(cx.now) {
                 continue;
             }
             free.positions[host.number as usize] = Some(free.candidates.len() as u32);
--- a/crates/pistachiostair/src/steps/crashes.rs
+++ b/crates/pistachiostair/src/steps/crashes.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::ids::WorkerName;
 use crate::record;
-use crate::steps::engine::{Context, RunPhase, StepScheduler, TaskRun, step_of};
+use crate::steps::engine::{Context, RunOrigin, RunPhase, StepScheduler, TaskRun, step_of};
 use crate::steps::host::{Host, RunKey};
 use crate::steps::job_table::{JobEntry, TaskEntry};
 use crate::steps::spec::TaskKey;
@@ -21,16 +21,23 @@
 /// Number of workers that have crashed under a task on trial at which it is given up.
 const MAX_TRIAL_CRASHES: u32 = 2;
 
-/// Number of workers that have crashed under a task at which it is given up whatever the cause: the platform allows no
-/// more than two starts after three crashes.
-const MAX_CRASHES: u32 = 5;
+/// Number of workers that may have crashed under a task from which on its runs are late ones, and the number of late runs
+/// at which it is given up whatever the cause: the platform allows no more than two starts after three crashes.
+const LATE_CRASHES: u32 = 3;
+const MAX_LATE_RUNS: u32 = 2;
 
 /// Time that a run on trial must outlast the longest earlier run under which a worker crashed. Runs are listed at least
 /// this often, so that the time of a crash is known no better.
 const TRIAL_MARGIN: Millis = Millis(3_000);
 
-/// Time at work after which a crash is not attributed to a long-running task: such tasks meet every failure of their
-/// workers over weeks.
+/// Longest trial: a worker is kept from other work for no longer.
+const MAX_TRIAL: Millis = Millis(10_000);
+
+/// Time that a run from before a takeover counts as having been at work, as far as that is not known.
+pub(crate) const RECOVERED_AGE: Millis = TRIAL_MARGIN;
+
+/// Time at work after which a crash is not attributed to a long-running task and earlier ones are forgotten: such tasks
+/// meet every failure of their workers over weeks.
 const LASTING_ACQUITTAL: Millis = Millis(60_000);
 
 /// Time within which crashes of other workers show that a crash has a common cause, such as a rack without power.
@@ -47,7 +54,7 @@
 
 record! {
     /// What is known of a crash of the worker under a run.
-    #[derive(Copy, Default)]
+    #[derive(Copy)]
     pub struct Crash {
         /// How long the run was known to be at work before.
         pub age: Millis,
@@ -65,6 +72,18 @@
         self.crash_age = self.crash_age.max(crash.age);
     }
 
+    /// Forgets all crashes.
+    pub(crate) fn clear_crashes(&mut self) {
+        (self.crashes, self.trial_crashes) = (0, 0);
+        (self.losses, self.late_runs) = (0, 0);
+        self.crash_age = Millis::ZERO;
+    }
+
+    /// Whether enough workers may have crashed under the task for its runs to be counted.
+    pub(crate) fn is_late(&self) -> bool {
+        self.crashes + self.losses >= LATE_CRASHES
+    }
+
     /// Whether the task is started on trial only.
     pub(crate) fn is_suspect(&self) -> bool {
         let at_start = self.crashes > 0 && self.crash_age == Millis::ZERO;
@@ -73,7 +92,8 @@
 
     /// Whether the task is given up, as it crashes the workers that start it.
     pub(crate) fn is_given_up(&self) -> bool {
-        !self.done && (self.trial_crashes >= MAX_TRIAL_CRASHES || self.crashes >= MAX_CRASHES)
+        let late = self.late_runs >= MAX_LATE_RUNS && self.crashes >= SUSPECT_CRASHES;
+        !self.done && (self.trial_crashes >= MAX_TRIAL_CRASHES || late)
     }
 }
 
@@ -85,14 +105,29 @@
         let gang = self.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
         let tasks = step.tasks.iter().filter(|(index, _)| gang || **index == task.index);
         let suspects = tasks.filter(|(_, task)| task.is_suspect());
-        suspects.map(|(_, task)| task.crash_age + TRIAL_MARGIN).max()
+        let spans = suspects.map(|(_, task)| task.crash_age + TRIAL_MARGIN);
+        spans.max().map(|span| span.min(MAX_TRIAL))
     }
 }
 
 impl TaskRun {
     /// How long the run is known to have been at work.
     fn age(&self) -> Millis {
-        self.listed_at.since(self.since)
+        match self.origin {
+            RunOrigin::Recovered => self.listed_at.since(self.since).max(RECOVERED_AGE),
+            RunOrigin::Fresh | RunOrigin::Checkpoint => self.listed_at.since(self.since),
+        }
+    }
+
+    /// Whether a run of a long-running task has been at work for long enough to forget earlier crashes.
+    pub(crate) fn clears_crashes(&self) -> bool {
+        self.age() >= LASTING_ACQUITTAL
+    }
+
+    /// Whether the run was ordered and has not been at work for longer than runs under which workers crashed.
+    pub(crate) fn has_not_outlived(&self, task: &TaskEntry) -> bool {
+        let listed = self.listed_at.since(self.since);
+        self.sends > 0 && listed < task.crash_age + TRIAL_MARGIN
     }
 
     /// Ends the run's trial if it has been at work for long enough; returns whether it has just passed.
@@ -133,7 +168,7 @@
             let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
             let Some(run) = self.runs.get_mut(&key) else { continue };
             let ordered = matches!(run.phase, RunPhase::Ordered | RunPhase::Live);
-            let acquitted = lasting && run.age() >= LASTING_ACQUITTAL;
+            let acquitted = lasting && run.clears_crashes();
             if !ordered || acquitted || run.incarnation != incarnation || run.crash.is_some() {
                 continue;
             }
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -10,7 +10,7 @@
 use crate::record;
 use crate::scheduler::Token;
 use crate::steps::calls::{StepAnswer, StepCall};
-use crate::steps::crashes::{Crash, MIN_TRIAL_WORKERS};
+use crate::steps::crashes::{Crash, MIN_TRIAL_WORKERS, RECOVERED_AGE};
 use crate::steps::host::{Host, HostUpdate, RunKey};
 use crate::steps::job_table::{JobEntry, StepJobTable};
 use crate::steps::outcome::RunOutcome;
@@ -518,12 +518,9 @@
                 progress: None,
                 stop: None,
                 listed_at: cx.now,
-                trial: entry.trial_span(&task),
+                trial: None,
                 crash: None,
             };
-            if run.trial.is_some() {
-                self.trials.insert((task, placed.run));
-            }
             self.charge(&entry.spec.account, step.demand.accelerators);
             self.runs.insert((task, placed.run), run);
         }
@@ -557,7 +554,8 @@
         let earlier: Vec<RunKey> = earlier.map(|(key, _)| *key).collect();
         for key in earlier {
             if let Some(run) = self.runs.get_mut(&key) {
-                run.crash.get_or_insert_default();
+                let age = RECOVERED_AGE;
+                run.crash.get_or_insert(Crash { age, alone: false });
             }
             self.stop_in_later_incarnation(cx, key);
         }
--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -54,6 +54,12 @@
         /// Number of them that crashed while the task ran on trial, apart from other work.
         #[serde(default, skip_serializing_if = "is_zero")]
         pub trial_crashes: u32,
+        /// Number of runs that were lost for a reason that is not known.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        pub losses: u32,
+        /// Number of runs that were ordered after three workers had crashed, and have not outlived them.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        pub late_runs: u32,
         /// Longest time that a run was at work before its worker crashed.
         #[serde(default, skip_serializing_if = "is_zero_time")]
         pub crash_age: Millis,
@@ -152,7 +158,7 @@
         (task, run): (&TaskKey, u32),
         outcome: RunOutcome,
         checkpoint: &str,
-        crash: Option<&Crash>,
+        (crash, late, cleared): (Option<&Crash>, bool, bool),
     ) {
         let gang = self.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
         let entry = self.task_mut(task);
@@ -161,6 +167,11 @@
             entry.checkpoint = checkpoint.to_owned();
         }
         entry.failures += u32::from(outcome.counts_as_attempt());
+        if cleared {
+            entry.clear_crashes();
+        }
+        entry.late_runs += u32::from(late);
+        entry.losses += u32::from(outcome == RunOutcome::Lost && crash.is_none());
         if let Some(crash) = crash {
             entry.record_crash(crash);
         }
@@ -265,9 +276,11 @@
                 outcome,
                 checkpoint,
                 crash,
+                late,
+                cleared,
             } => {
                 self.update(wall, task.job, |entry| {
-                    entry.record_end((task, *run), *outcome, checkpoint, crash.as_ref())
+                    entry.record_end((task, *run), *outcome, checkpoint, (crash.as_ref(), *late, *cleared))
                 });
             }
             StepRecord::Cancelled { job } => self.end_job(wall, *job, StepJobPhase::Cancelled),
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -218,11 +218,7 @@
                     }
                     run.seen = Some(run.seen.unwrap_or_default().max(reply.clock));
                     run.listed_at = cx.now;
-                    if run.passes_trial() {
-                        self.trials.remove(&key);
-                        self.trial_workers += 1;
-                        self.replan = true;
-                    }
+                    let passed = run.passes_trial();
                     match &mut run.progress {
                         Some(progress) => progress.advance(line.percent, cx.now),
                         None => {
@@ -237,6 +233,9 @@
                     if !line.checkpoint.is_empty() {
                         run.checkpoint.clone_from(&line.checkpoint);
                     }
+                    if passed {
+                        self.end_trial(cx, key);
+                    }
                 }
                 None => {
                     let target = self.target(worker, reply.incarnation);
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -123,6 +123,7 @@
                 self.log_run("not started", key, format!("the start order failed: {reply:?}"));
                 self.reject_start(cx, key, only_order);
             }
+            OrderReply::OtherIncarnation if run.sends == 1 => self.end_run(cx, key, RunOutcome::Refused, ""),
             OrderReply::OtherIncarnation => {}
             OrderReply::Unanswered => {
                 let fits = self.hosts.get(worker).is_some_and(|host| !host.is_over_capacity());
@@ -309,12 +310,20 @@
             self.remove_run(key);
             return;
         }
+        let task = entry.and_then(|entry| entry.task(&key.0)).filter(|task| task.is_late());
+        let ordered = !matches!(outcome, RunOutcome::Done | RunOutcome::Refused) || crash.is_some();
+        let run = self.runs.get(&key);
+        let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
+        let cleared = lasting && run.is_some_and(TaskRun::clears_crashes);
+        let late = ordered && task.is_some_and(|task| run.is_some_and(|run| run.has_not_outlived(task)));
         self.records.push(StepRecord::Ended {
             task: key.0,
             run: key.1,
             outcome,
             checkpoint,
             crash,
+            late,
+            cleared,
         });
     }
 
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -19,6 +19,7 @@
 use crate::steps::record::{StartRecord, StepRecord};
 use crate::steps::reservation::{NewReservation, Reservation, preempted_runs};
 use crate::steps::spec::{JobKey, ServiceName, Step, TaskKey};
+use crate::steps::trial::TrialPass;
 
 /// Factor by which a task's duration grows when it runs outside the rack of its data, or when its gang is spread over
 /// racks. This is the platform's default; only the order of choices and the comparison of runs depend on it.
@@ -32,6 +33,8 @@
     pub(crate) step: StepKey,
     /// Index of each placed task, and its worker.
     pub(crate) workers: Vec<(u32, WorkerName)>,
+    /// Whether the tasks are on trial, each worker being kept for them.
+    pub(crate) trial: bool,
     /// Why these workers were chosen, for the log.
     pub(crate) reason: &'static str,
 }
@@ -55,6 +58,7 @@
     reservable: u64,
     pub(crate) placements: Vec<StepPlacement>,
     reservations: Vec<NewReservation>,
+    pub(crate) trials: TrialPass,
 }
 
 /// A step that does not fit whole, and the workers that may run it.
@@ -167,17 +171,19 @@
             covered: self.guaranteed_jobs(cx),
             placements: Vec::new(),
             reservations: Vec::new(),
+            trials: self.trial_pass(),
         };
         self.use_reservations(&mut pass);
-        self.place_suspects(cx, &mut pass);
         let mut queue = self.planning_queue(cx, &pass.covered);
         while let Some(key) = queue.next() {
             let Some(entry) = cx.book.job(key.0) else { continue };
             let Some(step) = entry.spec.steps.get(key.2 as usize) else {
                 continue;
             };
-            if !self.reservations.contains_key(&key) {
-                let placed = self.place_step(cx, &mut pass, entry, (key, step));
+            self.place_suspects(cx, &mut pass, (key, entry, step));
+            let indices = self.ordinary_tasks(&pass, key);
+            if !self.reservations.contains_key(&key) && !indices.is_empty() {
+                let placed = self.place_step(cx, &mut pass, entry, (key, step, &indices));
                 queue.charge(&entry.spec.account, step.demand.accelerators * placed);
             }
         }
@@ -196,6 +202,7 @@
                 pass.placements.push(StepPlacement {
                     step: *key,
                     workers: workers.collect(),
+                    trial: false,
                     reason: "the capacity reserved for it is free",
                 });
             } else {
@@ -214,9 +221,8 @@
         cx: &Context<'_>,
         pass: &mut PlanningPass<'a>,
         entry: &JobEntry,
-        (key, step): (StepKey, &Step),
+        (key, step, indices): (StepKey, &Step, &BTreeSet<u32>),
     ) -> u64 {
-        let indices = &self.waiting[&key].indices;
         let count = indices.len() as u32;
         let requirements = Requirements {
             service: self.terms(entry).service.clone(),
@@ -270,6 +276,7 @@
             pass.placements.push(StepPlacement {
                 step: key,
                 workers: indices.iter().copied().zip(workers).collect(),
+                trial: false,
                 reason,
             });
         } else {
@@ -417,7 +424,9 @@
             let Some(host) = self.hosts.get_mut(&worker) else {
                 continue;
             };
-            host.used = host.used.plus(&step.demand);
+            let whole = host.info.as_ref().filter(|_| placement.trial);
+            let demand = whole.map_or(step.demand, |info| info.capacity.minus(&host.used));
+            host.used = host.used.plus(&demand);
             host.runs.insert((key(index), run));
             let (number, incarnation) = (host.number, host.incarnation);
             starts.push(StartRecord {
@@ -430,7 +439,7 @@
                 worker,
                 host: number,
                 incarnation,
-                demand: step.demand,
+                demand,
                 phase: RunPhase::Planned,
                 since: cx.now,
                 sends: 0,
@@ -444,14 +453,14 @@
                 progress: None,
                 stop: None,
                 listed_at: cx.now,
-                trial: entry.trial_span(&key(index)),
+                trial: entry.trial_span(&key(index)).filter(|_| placement.trial),
                 crash: None,
             };
             if task_run.trial.is_some() {
                 self.trials.insert((key(index), run));
             }
             self.runs.insert((key(index), run), task_run);
-            self.charge(&entry.spec.account, step.demand.accelerators);
+            self.charge(&entry.spec.account, demand.accelerators);
         }
         self.remove_waiting(placement.step, starts.iter().map(|start| start.task.index));
         let runs: Vec<RunKey> = starts.iter().map(|start| (start.task, start.run)).collect();
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -86,8 +86,7 @@
             classes: BTreeMap::new(),
             usage: self.usage.iter().map(|(account, used)| (account, *used)).collect(),
         };
-        let waiting = self.waiting.iter().filter(|(_, waiting)| !waiting.indices.is_empty());
-        for step in waiting.map(|(step, _)| step) {
+        for step in self.waiting.keys() {
             let Some(entry) = cx.book.job(step.0) else { continue };
             let rank = QueueRank {
                 uncovered: !covered.contains(&step.0),
--- a/crates/pistachiostair/src/steps/record.rs
+++ b/crates/pistachiostair/src/steps/record.rs
@@ -52,6 +52,12 @@
             /// What is known of the crash of its worker; absent if that did not crash.
             #[serde(default, skip_serializing_if = "Option::is_none")]
             crash: Option<Crash>,
+            /// Whether the run was ordered after three workers had crashed under the task, and has not outlived them.
+            #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+            late: bool,
+            /// Whether the run was at work for so long that earlier crashes no longer count against the task.
+            #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+            cleared: bool,
         },
         /// A caller cancelled a job that had not ended.
         Cancelled {
--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -1,13 +1,17 @@
 //! Placement of suspects: tasks that may have crashed the workers that started them, each started apart from other work.
 //!
-//! A trial takes a whole worker, which may crash. The number of workers used for trials at the same time is small at
-//! first, grows with each trial that is passed, and falls back with each worker that crashes.
+//! A trial takes a whole worker, which may crash: its run counts as using all of it, so that others may preempt it. The
+//! number of workers used for trials at the same time is small at first, grows with each trial that is passed, and falls
+//! back with each worker that crashes. A suspect for which no worker becomes empty soon starts beside other work.
 
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
+use crate::clock::Millis;
 use crate::steps::capacity::Eligible;
-use crate::steps::engine::{Context, StepScheduler};
+use crate::steps::engine::{Context, StepScheduler, step_of};
 use crate::steps::forecast::Forecast;
+use crate::steps::host::RunKey;
 use crate::steps::job_table::JobEntry;
 use crate::steps::place::{place_tasks, preferred_sets};
 use crate::steps::plan::{PlanningPass, StepPlacement};
@@ -18,144 +22,169 @@
 const MIN_TRIAL_PART: usize = 8;
 const MAX_TRIAL_PART: usize = 2;
 
-/// A suspect that waits: a task, or all members of a gang.
-struct Suspect<'a> {
-    /// Workers that crashed during earlier trials of any task of its job, and of the suspect itself, most first.
-    job_crashes: u32,
-    crashes: std::cmp::Reverse<u32>,
-    priority: u32,
-    key: StepKey,
-    indices: Vec<u32>,
-    entry: &'a JobEntry,
-    step: &'a Step,
+/// Longest time for which a suspect waits for workers to become empty.
+const MAX_EMPTY_WAIT: Millis = Millis(2_000);
+
+/// What one planning pass does about trials.
+pub(crate) struct TrialPass {
+    /// Number of workers that may still be used for trials.
+    slots: usize,
+    /// Whether no trial is in progress.
+    idle: bool,
+    /// Whether a gang waits for trials to end, so that no other one begins.
+    blocked: bool,
+    /// Jobs with a trial in progress.
+    jobs: BTreeSet<JobKey>,
+    /// Suspects that start beside other work.
+    ordinary: BTreeMap<StepKey, BTreeSet<u32>>,
+}
+
+/// Positions of workers for a trial.
+enum TrialPlace {
+    /// A worker for each task, all of them empty.
+    Empty(Vec<u32>),
+    /// Workers that are forecast to be empty soon.
+    Soon(Vec<u32>),
+    /// No workers become empty soon.
+    Busy,
 }
 
 impl StepScheduler {
-    /// Places suspects on workers that run nothing else, and keeps the workers that are forecast to be empty first free
-    /// for those that find none.
-    pub(crate) fn place_suspects<'a>(&'a self, cx: &Context<'_>, pass: &mut PlanningPass<'a>) {
-        let suspects = self.waiting_suspects(cx);
-        if suspects.is_empty() {
-            return;
-        }
+    /// The trials that a planning pass may begin.
+    pub(crate) fn trial_pass(&self) -> TrialPass {
+        let usable = self.hosts.values().filter(|host| host.listed && host.synced).count();
+        let (least, most) = (usable / MIN_TRIAL_PART, (usable / MAX_TRIAL_PART).max(1));
         let runs = self.trials.iter().filter_map(|key| self.runs.get(key));
         let hosts: BTreeSet<u32> = runs.map(|run| run.host).collect();
-        let (least, most) = (
-            pass.free.len() / MIN_TRIAL_PART,
-            (pass.free.len() / MAX_TRIAL_PART).max(1),
-        );
-        let mut slots = self.trial_workers.max(least).min(most).saturating_sub(hosts.len());
-        let mut idle_region = hosts.is_empty();
-        let mut jobs: BTreeSet<JobKey> = self.trials.iter().map(|(task, _)| task.job).collect();
-        for suspect in suspects {
-            // A job whose tasks crashed a worker on trial fails with the first of them that is given up.
-            let job = suspect.key.0;
-            if slots == 0 || suspect.job_crashes > 0 && jobs.contains(&job) {
+        let slots = self.trial_workers.max(least).min(most);
+        TrialPass {
+            slots: slots.saturating_sub(hosts.len()),
+            idle: hosts.is_empty(),
+            blocked: false,
+            jobs: self.trials.iter().map(|(task, _)| task.job).collect(),
+            ordinary: BTreeMap::new(),
+        }
+    }
+
+    /// Indices of the tasks of a waiting step that are placed beside other work.
+    pub(crate) fn ordinary_tasks(&self, pass: &PlanningPass<'_>, key: StepKey) -> BTreeSet<u32> {
+        let waiting = self.waiting.get(&key).map(|waiting| &waiting.indices);
+        let suspects = pass.trials.ordinary.get(&key);
+        waiting.into_iter().chain(suspects).flatten().copied().collect()
+    }
+
+    /// Places the suspects of a waiting step on workers that run nothing else, or keeps workers that are empty soon.
+    pub(crate) fn place_suspects<'a>(
+        &'a self,
+        cx: &Context<'_>,
+        pass: &mut PlanningPass<'a>,
+        (key, entry, step): (StepKey, &JobEntry, &Step),
+    ) {
+        let Some(waiting) = self.waiting.get(&key).filter(|waiting| !waiting.suspects.is_empty()) else {
+            return;
+        };
+        let tasks = entry.step(key.1, key.2).map(|step| &step.tasks);
+        let crashes = |index: &u32| tasks.and_then(|tasks| Some(tasks.get(index)?.trial_crashes));
+        // The task with the most crashes goes first, so that it is given up before others take more workers down.
+        let mut suspects: Vec<u32> = waiting.suspects.iter().copied().collect();
+        suspects.sort_by_key(|index| Reverse(crashes(index)));
+        let known = entry.steps.values().flat_map(|step| step.tasks.values());
+        let crashed = known.map(|task| task.trial_crashes).max() > Some(0);
+        let groups: Vec<Vec<u32>> = match step.gang {
+            true => vec![waiting.suspects.iter().copied().collect()],
+            false => suspects.into_iter().map(|index| vec![index]).collect(),
+        };
+        for indices in groups {
+            // A job of which a task crashed a worker on trial fails with the first one that is given up.
+            let waits = crashed && pass.trials.jobs.contains(&key.0);
+            if waits || pass.trials.blocked || pass.trials.slots == 0 {
+                if step.long_running && !crashed {
+                    pass.trials.ordinary.entry(key).or_default().extend(indices);
+                }
                 continue;
             }
-            let (workers, placed) = self.find_trial(cx, pass, &suspect);
-            let distinct: BTreeSet<u32> = workers.iter().copied().collect();
-            // A gang may need more workers than are allowed; then it is tried while nothing else is, and nothing overtakes
-            // it until then.
-            if distinct.is_empty() {
+            let (positions, placed) = match self.find_trial(cx, pass, (key, entry, step), indices.len() as u32) {
+                TrialPlace::Empty(positions) => (positions, true),
+                TrialPlace::Soon(positions) if !step.long_running => (positions, false),
+                TrialPlace::Soon(_) | TrialPlace::Busy => {
+                    pass.trials.ordinary.entry(key).or_default().extend(indices);
+                    continue;
+                }
+            };
+            let workers: BTreeSet<u32> = positions.iter().copied().collect();
+            if workers.len() > pass.trials.slots && !pass.trials.idle {
+                pass.trials.blocked = true;
                 continue;
             }
-            if distinct.len() > slots && !idle_region {
-                break;
-            }
-            for position in &distinct {
+            for position in &workers {
                 pass.free.withdraw(*position);
             }
-            slots = slots.saturating_sub(distinct.len());
-            idle_region = false;
+            pass.trials.slots = pass.trials.slots.saturating_sub(workers.len());
+            pass.trials.idle = false;
             if placed {
-                jobs.insert(job);
-                let workers = workers.iter().map(|position| pass.free.worker(*position).clone());
+                pass.trials.jobs.insert(key.0);
+                let names = positions.iter().map(|position| pass.free.worker(*position).clone());
                 pass.placements.push(StepPlacement {
-                    step: suspect.key,
-                    workers: suspect.indices.iter().copied().zip(workers).collect(),
+                    step: key,
+                    workers: indices.iter().copied().zip(names).collect(),
+                    trial: true,
                     reason: "on trial, apart from other work: workers crashed under it",
                 });
             }
         }
     }
 
-    /// Suspects that wait, in the order in which they are tried: jobs without a crash during a trial first; of one with
-    /// crashes, the task with most of them, so that it is given up before others take more workers down.
-    fn waiting_suspects<'a>(&self, cx: &Context<'a>) -> Vec<Suspect<'a>> {
-        let mut suspects = Vec::new();
-        for (key, waiting) in self.waiting.iter().filter(|(_, waiting)| !waiting.suspects.is_empty()) {
-            let Some(entry) = cx.book.job(key.0) else { continue };
-            let Some(step) = entry.spec.steps.get(key.2 as usize) else {
-                continue;
-            };
-            let tasks = entry.step(key.1, key.2).map(|step| &step.tasks);
-            let crashes = |index: &u32| Some(tasks?.get(index)?.trial_crashes);
-            let all = entry.steps.values().flat_map(|step| step.tasks.values());
-            let job_crashes = all.map(|task| task.trial_crashes).max().unwrap_or(0);
-            let groups: Vec<Vec<u32>> = match step.gang {
-                true => vec![waiting.suspects.iter().copied().collect()],
-                false => waiting.suspects.iter().map(|index| vec![*index]).collect(),
-            };
-            suspects.extend(groups.into_iter().map(|indices| Suspect {
-                job_crashes,
-                crashes: std::cmp::Reverse(indices.iter().filter_map(crashes).max().unwrap_or(0)),
-                priority: self.terms(entry).priority,
-                key: *key,
-                indices,
-                entry,
-                step,
-            }));
+    /// Gives the capacity that a run on trial does not need to others, once it has passed.
+    pub(crate) fn end_trial(&mut self, cx: &Context<'_>, key: RunKey) {
+        self.trials.remove(&key);
+        self.trial_workers += 1;
+        self.replan = true;
+        let (Some(entry), Some(step)) = (cx.book.job(key.0.job), step_of(cx.book, &key.0)) else {
+            return;
+        };
+        let Some(run) = self.runs.get_mut(&key) else { return };
+        let before = std::mem::replace(&mut run.demand, step.demand);
+        if let Some(host) = self.hosts.get_mut(&run.worker) {
+            host.used = host.used.minus(&before).plus(&step.demand);
         }
-        suspects.sort_by_key(|suspect| {
-            let Suspect {
-                job_crashes,
-                crashes,
-                priority,
-                key,
-                ..
-            } = suspect;
-            (*job_crashes, *crashes, *priority, suspect.entry.accepted, *key)
-        });
-        suspects
+        self.discharge(&entry.spec.account, before.accelerators);
+        self.charge(&entry.spec.account, step.demand.accelerators);
     }
 
-    /// Positions of workers for a suspect, and whether they are empty, so that it may start there at once. Otherwise they
-    /// are those that are forecast to be empty first. No position if it fits on no worker.
-    fn find_trial(&self, cx: &Context<'_>, pass: &mut PlanningPass<'_>, suspect: &Suspect<'_>) -> (Vec<u32>, bool) {
-        let (step, count) = (suspect.step, suspect.indices.len() as u32);
-        let terms = self.terms(suspect.entry);
-        let eligible = self.eligible(&pass.free, &terms.service, suspect.key, step);
-        let empty: Vec<Eligible> = eligible
-            .iter()
-            .copied()
-            .filter(|w| pass.free.is_empty(w.position))
-            .collect();
-        let steady = empty
-            .iter()
-            .copied()
-            .filter(|w| pass.free.is_steady(w.position))
-            .collect();
+    /// Finds workers for a trial of `count` tasks. Those that crashed lately are the last choice.
+    fn find_trial(
+        &self,
+        cx: &Context<'_>,
+        pass: &mut PlanningPass<'_>,
+        (key, entry, step): (StepKey, &JobEntry, &Step),
+        count: u32,
+    ) -> TrialPlace {
+        let terms = self.terms(entry);
+        let eligible = self.eligible(&pass.free, &terms.service, key, step);
+        let is_empty = |worker: &Eligible| pass.free.is_empty(worker.position);
+        let empty: Vec<Eligible> = eligible.iter().copied().filter(is_empty).collect();
+        let is_steady = |worker: &Eligible| pass.free.is_steady(worker.position);
+        let steady = empty.iter().copied().filter(is_steady).collect();
         for set in [steady, empty] {
             let preferred = preferred_sets(step, &set, &pass.free, &self.racks).unwrap_or_default();
             for sets in [preferred, vec![set]] {
                 let workers = place_tasks(step, (count, terms.priority == 0), &sets, &pass.free);
                 if workers.len() == count as usize {
-                    return (workers, true);
+                    return TrialPlace::Empty(workers);
                 }
             }
         }
         let free = &pass.free;
         let forecast = pass.forecast.get_or_insert_with(|| Forecast::new(self, cx, free));
-        let mut order: Vec<_> = eligible
+        let open = eligible
             .into_iter()
-            .filter(|worker| !free.is_withdrawn(worker.position))
-            .map(|worker| (forecast.empty_at(worker.position), worker))
-            .collect();
-        order.sort_by_key(|(at, worker)| (*at, worker.position));
+            .filter(|worker| !free.is_withdrawn(worker.position));
+        let timed = open.map(|worker| (forecast.empty_at(worker.position), worker));
+        let mut soon: Vec<(Millis, Eligible)> = timed.filter(|(at, _)| *at <= MAX_EMPTY_WAIT).collect();
+        soon.sort_by_key(|(at, worker)| (*at, worker.position));
         let mut missing = count;
         let mut workers = Vec::new();
-        for (_, worker) in order {
+        for (_, worker) in soon {
             if missing == 0 {
                 break;
             }
@@ -165,6 +194,9 @@
             missing -= fitting;
             workers.extend((fitting > 0).then_some(worker.position));
         }
-        (if missing == 0 { workers } else { Vec::new() }, false)
+        match missing {
+            0 => TrialPlace::Soon(workers),
+            _ => TrialPlace::Busy,
+        }
     }
 }
--- a/crates/pistachiostair/tests/state_size.rs
+++ b/crates/pistachiostair/tests/state_size.rs
@@ -65,6 +65,8 @@
                 outcome: RunOutcome::Done,
                 checkpoint: String::new(),
                 crash: None,
+                late: false,
+                cleared: false,
             });
         }
         if cancelled {
--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -84,7 +84,7 @@
     let crashed = world.now;
     while world.workers.running() < 32 && world.now < crashed + 120_000 {
         world.run(100);
-        if (world.now - crashed) % 10_000 == 0 {
+        if (world.now - crashed).is_multiple_of(10_000) {
             println!("{} ms: {} at work", world.now - crashed, world.workers.running());
         }
     }
@@ -172,11 +172,11 @@
         let name = busy(&world).expect("a worker that runs the task");
         let number: usize = name.as_str()[1..].parse().unwrap();
         world.unreachable.insert(name.clone());
+        let entry = world.entry(number);
         world.unlist(number);
-        world.run(9_500);
+        world.run(12_000);
         world.unreachable.remove(&name);
-        world.add_worker(number, 1);
-        world.send_list();
+        world.relist_entry(entry);
     }
     assert_eq!(crash_records(&world), 0);
 }
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -250,6 +250,8 @@
         outcome: RunOutcome::Lost,
         checkpoint: String::new(),
         crash: None,
+        late: false,
+        cleared: false,
     };
     let start = StartRecord {
         task,
