--- a/crates/pistachiostair/tests/steps/crashes.rs
+++ b/crates/pistachiostair/tests/steps/crashes.rs
@@ -245,3 +245,170 @@
     assert_eq!(world.workers.names(), [WorkerName::from(name)]);
     world.check();
 }
+
+/// Guards against a scheduler that counts a crash twice or not at all if another one takes over just after it.
+#[rstest]
+fn crash_takeover_each(
+    #[values(0, 40, 600, 3_100)] delay: u64,
+    #[values(0, 1_500)] crash_after: u64,
+    #[values(Shape::Single, Shape::WholeGang)] shape: Shape,
+    #[values(false, true)] renames: bool,
+) {
+    let mut world = region(6, renames);
+    let (job_deadly, tasks) = deadly(1, shape, crash_after);
+    world.submit(job_deadly);
+    let end = world.now + 120_000;
+    let mut seen = 0;
+    while world.now < end {
+        world.run(10);
+        if world.workers.crashes.len() > seen {
+            world.run(delay);
+            seen = world.workers.crashes.len();
+            world.take_over();
+        }
+    }
+    assert_given_up(&mut world, 1, &tasks);
+    world.check();
+}
+
+/// Guards against a bound that depends on how long crashed workers are away, or on when the list shows it.
+#[rstest]
+fn crash_any_downtime(
+    #[values(1_000, 12_000)] downtime: u64,
+    #[values(50, 900)] list_lag: u64,
+    #[values(0, 700, 6_000)] crash_after: u64,
+    #[values(Shape::Single, Shape::GangMember)] shape: Shape,
+) {
+    let mut world = region(6, false);
+    world.workers.downtime = Some(Millis(downtime));
+    world.list_lag = list_lag;
+    let (job_deadly, tasks) = deadly(1, shape, crash_after);
+    world.submit(job(2, "normal", 12, 1, 8_000));
+    world.submit(job_deadly);
+    world.run(180_000);
+    assert_given_up(&mut world, 1, &tasks);
+    assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// A long-running job with a task on each of `count` workers.
+fn services(key: u64, count: u32) -> StepJob {
+    let mut services = job(key, "normal", count, 2, 10_000_000);
+    services.steps[0].long_running = true;
+    services.steps[0].spread = Some(1);
+    services
+}
+
+/// Guards against deadly tasks that are not given up, and innocent ones that never end, since no worker is ever empty.
+#[rstest]
+#[case::lasting(true)]
+#[case::stream(false)]
+fn crash_busy_region(#[case] lasting: bool) {
+    let mut world = region(6, false);
+    match lasting {
+        true => drop(world.submit(services(10, 6))),
+        false => (10..16).for_each(|key| drop(world.submit(job(key, "normal", 40, 1, 15_000)))),
+    }
+    world.run(1_000);
+    let (job_deadly, tasks) = deadly(1, Shape::Single, 0);
+    world.submit(job_deadly);
+    world.submit(job(2, "normal", 6, 1, 12_000));
+    for _ in 0..2 {
+        world.run(4_000);
+        let names = world.workers.names();
+        world.crash(&names[..2]);
+    }
+    run_until_completed(&mut world, &[2], 180_000);
+    world.run(60_000);
+    assert_given_up(&mut world, 1, &tasks);
+    world.check();
+}
+
+/// Guards against an innocent task that waits for good after its worker crashed at its start, since each worker has a
+/// task that lasts and none is ever empty.
+#[test]
+fn crash_beside_services() {
+    let mut world = region(6, false);
+    world.submit(services(1, 6));
+    world.run(1_000);
+    world.submit(job(2, "normal", 1, 1, 4_000));
+    let names = world.workers.names();
+    let host = names.iter().find(|name| world.workers.running_on(name.as_str()) > 1);
+    world.crash(&[host.expect("a worker that runs the task").clone()]);
+    run_until_completed(&mut world, &[2], 120_000);
+    world.check();
+}
+
+/// Guards against a deadly step that lasts being started for ever.
+#[rstest]
+fn crash_lasting_deadly(#[values(0, 1_500, 20_000)] crash_after: u64) {
+    let mut world = region(6, false);
+    let (mut lasting, tasks) = deadly(1, Shape::Single, crash_after);
+    lasting.steps[0].long_running = true;
+    // The first value of a name counts.
+    lasting.payload = format!("work=10000000 {}", lasting.payload);
+    world.submit(lasting);
+    world.run(300_000);
+    assert_given_up(&mut world, 1, &tasks);
+    world.check();
+}
+
+/// Guards against giving up long-running tasks after storms of restarts that are minutes apart.
+#[rstest]
+fn crash_lasting_storm(#[values(1, 2)] storms: u32) {
+    let mut world = region(16, false);
+    world.workers.downtime = Some(Millis(1_000));
+    let mut lasting = job(1, "normal", 8, 1, 10_000_000);
+    lasting.steps[0].long_running = true;
+    world.submit(lasting);
+    for _ in 0..storms {
+        world.run(300_000);
+        for _ in 0..4 {
+            world.run(3_000);
+            let names = world.workers.names();
+            world.crash(&names);
+        }
+    }
+    world.run(60_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Running);
+    assert_eq!(world.workers.running(), 8);
+    world.check();
+}
+
+/// Guards against tasks of a wide deadly job that are started too often, and against giving up their neighbours.
+#[rstest]
+fn crash_wide(#[values(0, 1_500)] crash_after: u64, #[values(10, 40)] count: u32) {
+    let mut world = region(16, false);
+    let mut wide = job(1, "normal", count, 1, 60_000);
+    wide.payload = format!("{} deadly=all crash_after={crash_after}", wide.payload);
+    world.submit(job(2, "normal", 30, 1, 8_000));
+    world.submit(wide);
+    let tasks: Vec<TaskKey> = (0..count)
+        .map(|index| TaskKey {
+            job: JobKey(1),
+            occurrence: 0,
+            step: 0,
+            index,
+        })
+        .collect();
+    world.run(240_000);
+    assert_given_up(&mut world, 1, &tasks);
+    assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Guards against a deadly task that is tried for ever, or starves others, on the only worker that has its label.
+#[rstest]
+fn crash_one_eligible(#[values(0, 1_500)] crash_after: u64, #[values(false, true)] renames: bool) {
+    let mut world = region(5, renames);
+    let (mut only, tasks) = deadly(1, Shape::Single, crash_after);
+    only.steps[0].requires = Some("r1".to_owned());
+    world.submit(only);
+    let mut innocent = job(2, "normal", 6, 1, 8_000);
+    innocent.steps[0].requires = Some("r1".to_owned());
+    world.submit(innocent);
+    world.run(120_000);
+    assert_given_up(&mut world, 1, &tasks);
+    assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
+    world.check();
+}
