--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -42,6 +42,10 @@
 /// Time between two refused connections after which a draining worker whose time is over counts as gone.
 const REFUSAL_SPAN: Millis = Millis(300);
 
+/// Time for which a worker gets no new tasks after it refused one for want of room: the platform's list may show a
+/// smaller capacity only then.
+const NO_ROOM_PAUSE: Millis = Millis(500);
+
 /// Shortest time between two hold orders to a worker otherwise.
 const HOLD_GAP: Millis = Millis(20);
 
@@ -109,7 +113,10 @@
     pub(crate) info: Option<HostInfo>,
     /// Whether the platform's list has the worker at present.
     pub(crate) listed: bool,
+    /// The last incarnation that its own lists or the journal gave.
     pub(crate) incarnation: Incarnation,
+    /// A later incarnation that only the platform's list gives.
+    pub(crate) claimed: Option<Incarnation>,
     /// Whether its lists of runs and ends were read under this term, in this incarnation.
     pub(crate) synced: bool,
     clock: Option<ClockReading>,
@@ -125,6 +132,8 @@
     pub(crate) hold_after: Millis,
     /// Failed calls in a row: the host was not reached, did not answer or was unhealthy.
     pub(crate) failures: u32,
+    /// Time before which it gets no new tasks, since it refused one for want of room.
+    full_until: Millis,
     /// When the first of the connections was refused that were refused in a row.
     refused_since: Option<Millis>,
     /// Whether nothing listened at its address any more after it had drained and its time was over.
@@ -139,6 +148,8 @@
     pub(crate) acked: u64,
     /// When the worker was last found to have crashed.
     pub(crate) crashed_at: Option<Millis>,
+    /// Whether its present incarnation has drained, so that its end is expected.
+    pub(crate) drained: bool,
     /// When a draining worker may be gone; none if it does not drain.
     pub(crate) leaves_at: Option<Millis>,
     /// Whether the host is ejected after failures or for being slow, and until when.
@@ -156,6 +167,7 @@
             info: None,
             listed: false,
             incarnation,
+            claimed: None,
             synced: false,
             clock: None,
             expiry,
@@ -164,6 +176,7 @@
             last_hold: Millis::ZERO,
             hold_after: Millis::ZERO,
             failures: 0,
+            full_until: Millis::ZERO,
             refused_since: None,
             gone: false,
             used: Demand::default(),
@@ -171,6 +184,7 @@
             ends: BTreeMap::new(),
             acked: 0,
             crashed_at: None,
+            drained: false,
             leaves_at: None,
             ejection: Ejection::default(),
             relative_duration: 100,
@@ -193,16 +207,72 @@
         self.ends.clear();
         self.acked = 0;
         self.failures = 0;
+        self.full_until = Millis::ZERO;
         self.refused_since = None;
         self.gone = false;
+        self.drained = false;
         self.leaves_at = None;
         self.ejection = Ejection::default();
     }
 
-    /// Whether new tasks may be placed there: listed, not draining, its lists read, answering and not ejected.
+    /// Takes note of the incarnation in its entry of the platform's list. A later one than the known counts once the
+    /// worker's own lists give it, since the entry may come from another writer; until then it takes no new tasks.
+    /// Returns whether the worker must be asked.
+    pub(crate) fn claim(&mut self, incarnation: Incarnation) -> bool {
+        let listed = self.info.as_ref().map(|info| info.incarnation);
+        if incarnation <= self.incarnation {
+            self.claimed = None;
+            return false;
+        }
+        let new = listed != Some(incarnation);
+        if new {
+            self.claimed = Some(incarnation);
+            self.synced = false;
+            self.hold_after = Millis::ZERO;
+        }
+        new
+    }
+
+    /// Takes note of lists of the known incarnation, in reply to an order for `target`. They refute a claimed
+    /// incarnation if the order was sent after the claim; a reply to an earlier order may come from an earlier life.
+    pub(crate) fn sync(&mut self, target: Incarnation) {
+        let open = |claimed: &Incarnation| *claimed > self.incarnation && *claimed != target;
+        self.claimed = self.claimed.filter(open);
+        self.synced = self.claimed.is_none();
+    }
+
+    /// The incarnation that hold orders are meant for.
+    pub(crate) fn expected(&self) -> Incarnation {
+        self.claimed.unwrap_or(self.incarnation)
+    }
+
+    /// Whether its incarnation is not known yet: no lists were read, and the journal has no run there.
+    pub(crate) fn is_new(&self) -> bool {
+        self.incarnation == Incarnation::default() && self.runs.is_empty()
+    }
+
+    /// Whether new tasks may be placed there: listed in the present incarnation, not draining, its lists read, answering
+    /// and not ejected.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        let draining = self.info.as_ref().is_none_or(|info| info.draining);
-        self.listed && self.synced && !draining && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
+        // The capacity of an earlier incarnation may be another one. An entry without an incarnation has 0.
+        let current = |info: &HostInfo| info.incarnation >= self.incarnation || info.incarnation == Incarnation(0);
+        let open = self.info.as_ref().is_some_and(|info| !info.draining && current(info));
+        self.listed && self.synced && open && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
+    }
+
+    /// Takes note of a task that was refused for want of room.
+    pub(crate) fn note_full(&mut self, now: Millis) {
+        self.full_until = now + NO_ROOM_PAUSE;
+    }
+
+    /// Whether it refused a task for want of room a short time ago. What is reserved there stays reserved.
+    pub(crate) fn is_full(&self, now: Millis) -> bool {
+        now < self.full_until
+    }
+
+    /// Whether the runs there, including those that are being stopped, exceed its capacity, which may have shrunk.
+    pub(crate) fn is_over_capacity(&self) -> bool {
+        self.info.as_ref().is_some_and(|info| !self.used.fits(&info.capacity))
     }
 
     /// Whether a hold order is due: the host has runs, has ends to be acknowledged, or its lists were not read yet, no
--- a/crates/pistachiostair/tests/steps/crashes.rs
+++ b/crates/pistachiostair/tests/steps/crashes.rs
@@ -412,3 +412,24 @@
     assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Guards against counting it as a crash that a worker leaves after it has drained and starts again under its name.
+#[test]
+fn crash_not_by_draining() {
+    let mut world = World::new(1);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 4_000));
+    for incarnation in 2..8 {
+        world.run(1_000);
+        world.leaving.insert(worker(0), world.now + 500);
+        world.send_list();
+        world.unreachable.insert(worker(0));
+        world.run(600);
+        world.leaving.clear();
+        world.add_worker(0, incarnation);
+        world.unreachable.clear();
+        world.send_list();
+    }
+    run_until_completed(&mut world, &[1], 10_000);
+    assert!(world.workers.starts >= 6);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -20,6 +20,9 @@
 /// Resolution of the simulated clock.
 const TICK_MS: u64 = 10;
 
+/// Time after which the list shows a smaller capacity until a start may no longer exceed it.
+const RESIZE_GRACE_MS: u64 = 200;
+
 /// Accelerators of each worker.
 pub(crate) const ACCELERATORS: u64 = 8;
 
@@ -131,6 +134,28 @@
         world
     }
 
+    /// A region whose workers start what does not fit.
+    pub(crate) fn with_unguarded_workers(count: usize) -> Self {
+        let mut world = Self::new(count);
+        world.workers.unguarded = true;
+        world
+    }
+
+    /// Changes the number of accelerators of a worker; the list shows it from the next [`Self::send_list`] on.
+    pub(crate) fn resize_unseen(&mut self, number: usize, accelerators: u64) {
+        let name = worker(number);
+        let Some(info) = self.listed.get_mut(&name) else { return };
+        info.capacity.accelerators = accelerators;
+        let until = Millis(self.now + RESIZE_GRACE_MS);
+        self.workers.resize(&name, info.capacity, until);
+    }
+
+    /// Changes the number of accelerators of a worker and sends the list.
+    pub(crate) fn resize(&mut self, number: usize, accelerators: u64) {
+        self.resize_unseen(number, accelerators);
+        self.send_list();
+    }
+
     /// When the first run of a job started, and when its last run ended as done; none if that has not happened.
     pub(crate) fn span(&self, key: u64) -> (Option<u64>, Option<u64>) {
         let log = self.workers.log.iter().filter(|(_, task, ..)| task.job == JobKey(key));
@@ -213,7 +238,23 @@
         self.send_list();
     }
 
-    fn rules(&self) -> Rules {
+    /// The entry of a listed worker.
+    pub(crate) fn entry(&self, number: usize) -> HostInfo {
+        self.listed[&worker(number)].clone()
+    }
+
+    /// Sends a change of one entry to the scheduler; the list itself stays as it is.
+    pub(crate) fn send_entry(&mut self, entry: HostInfo) {
+        let update = HostUpdate {
+            full: false,
+            changed: vec![entry],
+            removed: Vec::new(),
+        };
+        self.feed(Event::Steps(StepsEvent::Hosts(update)));
+    }
+
+    /// The configuration that is in force after an election.
+    pub(crate) fn rules(&self) -> Rules {
         let queue = |name: &str, priority: u32, attempts: u32| Queue {
             name: QueueName::from(name),
             host: "host".to_owned(),
