Ask a worker again that did not answer and has no runs

Seen in a simulated region (cut_is_no_crash, cut_worker_used_again: a job that waits for ever beside a free worker): a worker that failed two calls and whose runs then ended was never used again under that term, unless the platform's list dropped it.

Cause: only an answer makes such a worker usable, and hold orders went only to workers with runs, ends to acknowledge or unread lists. It is now asked once a second.

--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -35,9 +35,9 @@
 /// Failed calls in a row from which on a host gets no new tasks until it answers.
 const SUSPECT_FAILURES: u32 = 2;
 
-/// Shortest time between two hold orders to a worker that lists ends which are not stored: a fraction of the lease that
-/// they renew.
-const UNSTORED_END_GAP: Millis = Millis(1_000);
+/// Shortest time between two hold orders to a worker that lists ends which are not stored, or that has no runs and does
+/// not answer: a fraction of the lease that they renew.
+const RETRY_GAP: Millis = Millis(1_000);
 
 /// Time between two refused connections after which a draining worker whose time is over counts as gone.
 const REFUSAL_SPAN: Millis = Millis(300);
@@ -285,14 +285,16 @@
 
     /// Whether a hold order is due: the host has runs, has ends to be acknowledged, or its lists were not read yet, no
     /// other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
-    /// while some are not stored yet it is asked less often.
+    /// while some are not stored yet it is asked less often, and so is one without runs that did not answer: only an
+    /// answer makes it usable again.
     pub(crate) fn is_hold_due(&self, now: Millis) -> bool {
         if self.waiting_hold || self.instant_hold || now < self.hold_after {
             return false;
         }
-        let needed = !self.runs.is_empty() || self.has_ack_due() || (!self.synced && self.listed);
-        let gap = if self.has_unstored_end() {
-            UNSTORED_END_GAP
+        let suspect = self.listed && self.failures >= SUSPECT_FAILURES;
+        let needed = !self.runs.is_empty() || self.has_ack_due() || (!self.synced && self.listed) || suspect;
+        let gap = if self.has_unstored_end() || suspect && self.runs.is_empty() {
+            RETRY_GAP
         } else {
             HOLD_GAP
         };
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -340,3 +340,17 @@
     assert_eq!(world.stop_orders, stops);
     world.check();
 }
+
+/// Guards against a worker that is never used again after it did not answer for a while and its runs were given up.
+#[test]
+fn cut_worker_used_again() {
+    let mut world = World::new(1);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 3_000));
+    world.run(500);
+    world.unreachable.insert(worker(0));
+    world.run(12_000);
+    world.unreachable.clear();
+    world.run(6_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
