--- a/crates/pistachiostair/tests/fault_sequences.rs
+++ b/crates/pistachiostair/tests/fault_sequences.rs
@@ -92,6 +92,19 @@
     }
 }
 
+/// Guards against an idempotent job that runs on a worker that froze and on another one at the same time.
+#[test]
+fn strike_sequence_frozen_twice() {
+    let faults = [
+        (39_001, Fault::WorkerFreezes),
+        (23_493, Fault::WorkerFreezes),
+        (9_201, Fault::WorkerRestarts),
+        (20_101, Fault::SchedulerDies),
+    ];
+    let wrong = run_in(World::new(0), &faults);
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Guards against a worker that is ignored for good since its clock was set back, so that its new
 /// incarnation is lower than the one before.
 #[test]
