--- a/crates/pistachiostair/src/steps/crashes.rs
+++ b/crates/pistachiostair/src/steps/crashes.rs
@@ -38,7 +38,7 @@
 
 /// Time at work after which a crash is not attributed to a long-running task and earlier ones are forgotten: such tasks
 /// meet every failure of their workers over weeks.
-const LASTING_ACQUITTAL: Millis = Millis(60_000);
+const CLEAR_AGE: Millis = Millis(60_000);
 
 /// Time within which crashes of other workers show that a crash has a common cause, such as a rack without power.
 const OUTAGE_SPAN: Millis = Millis(5_000);
@@ -124,7 +124,7 @@
 
     /// Whether a run of a long-running task has been at work for long enough to forget earlier crashes.
     pub(crate) fn clears_crashes(&self) -> bool {
-        self.age() >= LASTING_ACQUITTAL
+        self.age() >= CLEAR_AGE
     }
 
     /// Whether the run was ordered and has not been at work for longer than runs under which workers crashed.
@@ -171,8 +171,8 @@
             let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
             let Some(run) = self.runs.get_mut(&key) else { continue };
             let ordered = matches!(run.phase, RunPhase::Ordered | RunPhase::Live);
-            let acquitted = lasting && run.clears_crashes();
-            if !ordered || acquitted || run.incarnation != incarnation || run.crash.is_some() {
+            let cleared = lasting && run.clears_crashes();
+            if !ordered || cleared || run.incarnation != incarnation || run.crash.is_some() {
                 continue;
             }
             let crash = Crash {
--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -1,4 +1,4 @@
-//! Suspicions of a review: crashes that are none, trials that stand in the way, and stops that come late.
+//! Workers that end without a crash, trials beside other work, refused stops, and random events for all of them.
 
 use pistachiostair::{JobKey, Millis, StepJob, StepJobPhase, TaskKey, WorkerName};
 use rstest::rstest;
