--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -51,7 +51,13 @@
             std::thread::sleep(LIMIT);
             unable("it took too long")
         });
-        let mut fleet = Self { store, workers, record, daemons: Vec::new(), dir };
+        let mut fleet = Self {
+            store,
+            workers,
+            record,
+            daemons: Vec::new(),
+            dir,
+        };
         for number in 1..=daemons {
             let ip = format!("127.{net}.0.{number}");
             fleet.start_daemon(root, number, &ip, &address.to_string());
@@ -92,7 +98,8 @@
             .stdout(Stdio::from(log))
             .spawn()
             .unwrap_or_else(|error| unable(&format!("{PROGRAM}: {error}")));
-        self.record.line(&format!("daemon {number} started at {ip}, process {}", child.id()));
+        self.record
+            .line(&format!("daemon {number} started at {ip}, process {}", child.id()));
         DAEMONS.lock().unwrap().push(child);
         self.daemons.push(ip.to_owned());
     }
@@ -100,7 +107,10 @@
     fn wait_ready(&self) {
         let end = Instant::now() + Duration::from_secs(15);
         for ip in &self.daemons {
-            while !matches!(http::call(&format!("{ip}:8001"), ("GET", "x", "/-/ready"), ("", 1_000), b""), Ok((200, _))) {
+            while !matches!(
+                http::call(&format!("{ip}:8001"), ("GET", "x", "/-/ready"), ("", 1_000), b""),
+                Ok((200, _))
+            ) {
                 if Instant::now() > end {
                     unable("the daemons are not ready within 15 s");
                 }
@@ -112,9 +122,17 @@
 
     /// Sends a call to a daemon (counted from 0) and records it with its answer.
     pub fn ask(&self, daemon: usize, method: &str, path: &str, body: &Value) -> Result<(u16, Value), String> {
-        let bytes = if body.is_null() { Vec::new() } else { body.to_string().into_bytes() };
+        let bytes = if body.is_null() {
+            Vec::new()
+        } else {
+            body.to_string().into_bytes()
+        };
         let address = format!("{}:8000", self.daemons[daemon % self.daemons.len()]);
-        self.record.line(&format!("sent {method} {path} ({} bytes) to daemon {}", bytes.len(), daemon + 1));
+        self.record.line(&format!(
+            "sent {method} {path} ({} bytes) to daemon {}",
+            bytes.len(),
+            daemon + 1
+        ));
         let answer = http::call(&address, (method, HOST, path), (KEY, 3_000), &bytes);
         self.record.line(&format!("answered {method} {path}: {answer:?}"));
         answer
@@ -156,7 +174,11 @@
 
     /// Whether all daemons still run.
     pub fn all_alive(&self) -> bool {
-        DAEMONS.lock().unwrap().iter_mut().all(|child| matches!(child.try_wait(), Ok(None)))
+        DAEMONS
+            .lock()
+            .unwrap()
+            .iter_mut()
+            .all(|child| matches!(child.try_wait(), Ok(None)))
     }
 }
 
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -63,7 +63,11 @@
 }
 
 /// As [`serve`], while the gate is up.
-pub fn serve_gated(ip: &str, gate: Arc<Gate>, handler: impl Fn(Request) -> Reply + Send + Sync + 'static) -> SocketAddr {
+pub fn serve_gated(
+    ip: &str,
+    gate: Arc<Gate>,
+    handler: impl Fn(Request) -> Reply + Send + Sync + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind((ip, 0)).expect("a free port");
     let address = listener.local_addr().expect("an address");
     let handler = Arc::new(handler);
@@ -103,7 +107,10 @@
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
         let Some((status, body)) = handler(request) else { return };
-        let head = format!("HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+        let head = format!(
+            "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
         let mut bytes = head.into_bytes();
         bytes.extend(body);
         if writer.write_all(&bytes).is_err() {
@@ -134,7 +141,10 @@
 }
 
 fn read_body(reader: &mut impl BufRead, headers: &BTreeMap<String, String>) -> Option<Vec<u8>> {
-    if headers.get("transfer-encoding").is_some_and(|coding| coding == "chunked") {
+    if headers
+        .get("transfer-encoding")
+        .is_some_and(|coding| coding == "chunked")
+    {
         let mut body = Vec::new();
         loop {
             let length = usize::from_str_radix(&read_line(reader)?, 16).ok()?;
@@ -146,7 +156,10 @@
             body.extend(&chunk[..length]);
         }
     }
-    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
     Some(body)
@@ -158,17 +171,27 @@
     let (method, target) = (words.next()?.to_owned(), words.next()?);
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = query.map(|(name, value)| (name.to_owned(), decode_percent(value))).collect();
+    let query = query
+        .map(|(name, value)| (name.to_owned(), decode_percent(value)))
+        .collect();
     let headers = read_headers(reader)?;
     let body = read_body(reader, &headers)?;
-    Some(Request { method, path: decode_percent(path), query, headers, body })
+    Some(Request {
+        method,
+        path: decode_percent(path),
+        query,
+        headers,
+        body,
+    })
 }
 
 fn decode_percent(text: &str) -> String {
     let bytes = text.as_bytes();
     let (mut decoded, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let code = text.get(at + 1..at + 3).and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        let code = text
+            .get(at + 1..at + 3)
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
         match (bytes[at], code) {
             (b'%', Some(code)) => {
                 decoded.push(code);
@@ -193,7 +216,9 @@
     let address: SocketAddr = address.parse().map_err(|_| "bad address".to_owned())?;
     let fail = |error: std::io::Error| format!("no answer: {error}");
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).map_err(fail)?;
-    stream.set_read_timeout(Some(Duration::from_millis(deadline_ms))).map_err(fail)?;
+    stream
+        .set_read_timeout(Some(Duration::from_millis(deadline_ms)))
+        .map_err(fail)?;
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {host}\r\nApi-Key: {key}\r\nDeadline-Ms: {deadline_ms}\r\n\
          Content-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
@@ -205,7 +230,11 @@
     let mut reader = BufReader::new(stream);
     let none = || "no answer: the connection ended or the deadline passed".to_owned();
     let status = read_line(&mut reader).ok_or_else(none)?;
-    let status = status.split(' ').nth(1).and_then(|text| text.parse().ok()).ok_or_else(none)?;
+    let status = status
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(none)?;
     let headers = read_headers(&mut reader).ok_or_else(none)?;
     let body = read_body(&mut reader, &headers).ok_or_else(none)?;
     Ok((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -35,11 +35,18 @@
         "long-row" => long_row(&root, &record, trouble),
         _ => fleet::unable("no such case"),
     };
-    let verdict = if broken.is_empty() { "the rule held" } else { "the rule was BROKEN" };
+    let verdict = if broken.is_empty() {
+        "the rule held"
+    } else {
+        "the rule was BROKEN"
+    };
     for line in broken.iter().take(12) {
         record.say(line);
     }
-    record.say(&format!("{case}, disruption {trouble}: {verdict} ({} findings)", broken.len()));
+    record.say(&format!(
+        "{case}, disruption {trouble}: {verdict} ({} findings)",
+        broken.len()
+    ));
     ExitCode::from(u8::from(!broken.is_empty()))
 }
 
@@ -51,10 +58,18 @@
         tasks.entry(event.task.clone()).or_default().push(event);
     }
     for (task, events) in tasks {
-        let noted: Vec<u64> = events.iter().filter(|event| event.what == "noted").map(|event| event.run).collect();
-        let done = events.iter().find(|event| event.what == "done" && noted.contains(&event.run));
+        let noted: Vec<u64> = events
+            .iter()
+            .filter(|event| event.what == "noted")
+            .map(|event| event.run)
+            .collect();
+        let done = events
+            .iter()
+            .find(|event| event.what == "done" && noted.contains(&event.run));
         let again = done.and_then(|done| {
-            let later = events.iter().find(|event| event.what == "start" && event.at_ms > done.at_ms);
+            let later = events
+                .iter()
+                .find(|event| event.what == "start" && event.at_ms > done.at_ms);
             Some((done, later?))
         });
         if let Some((done, start)) = again {
@@ -79,7 +94,14 @@
     if !fleet.submit(path, &body) {
         fleet::unable("the job was not accepted");
     }
-    let started = |fleet: &Fleet| fleet.workers.events().iter().filter(|event| event.what == "start").count() as u64;
+    let started = |fleet: &Fleet| {
+        fleet
+            .workers
+            .events()
+            .iter()
+            .filter(|event| event.what == "start")
+            .count() as u64
+    };
     if !fleet.wait(Duration::from_secs(15), |fleet| started(fleet) >= TASKS) {
         fleet::unable("not all tasks were started");
     }
@@ -141,10 +163,16 @@
     }
     let (used, all) = fleet.workers.in_use();
     let state = fleet.state(0, path);
-    record.say(&format!("job is shown as {state}; {used} of {all} millicores in use; daemons alive: {}", fleet.all_alive()));
+    record.say(&format!(
+        "job is shown as {state}; {used} of {all} millicores in use; daemons alive: {}",
+        fleet.all_alive()
+    ));
     let lost = longest.iter().filter(|(_, span)| **span > Duration::from_secs(9));
     lost.map(|(task, span)| {
-        format!("LOST: {task}, which lasts, has not run for {} ms since its last run, and was not cancelled", span.as_millis())
+        format!(
+            "LOST: {task}, which lasts, has not run for {} ms since its last run, and was not cancelled",
+            span.as_millis()
+        )
     })
     .collect()
 }
@@ -168,7 +196,9 @@
     }
     std::thread::sleep(Duration::from_millis(500));
     let name = if trouble { "r-match-2" } else { "r-match" };
-    record.say(&format!("configuration 9 is written; the route at /match/ has the name {name}"));
+    record.say(&format!(
+        "configuration 9 is written; the route at /match/ has the name {name}"
+    ));
     fleet.store.put("op", "config", &config(9, name));
     // Later than config_apply_ms after its acknowledgement, and than visible_ms after that of the jobs.
     std::thread::sleep(Duration::from_secs(4));
@@ -176,7 +206,10 @@
     for daemon in 0..3 {
         let state = fleet.state(daemon, read);
         if state == "status 410" {
-            broken.push(format!("LOST: daemon {} answers 410 for the accepted job {read}, which nobody cancelled", daemon + 1));
+            broken.push(format!(
+                "LOST: daemon {} answers 410 for the accepted job {read}, which nobody cancelled",
+                daemon + 1
+            ));
         }
     }
     let answer = fleet.ask(1, "DELETE", cancelled, &Value::Null);
@@ -190,10 +223,15 @@
         std::thread::sleep(Duration::from_secs(8));
         let id = cancelled.rsplit('/').next().unwrap_or_default();
         let events = fleet.workers.events();
-        for event in events[before..].iter().filter(|event| event.what == "start" && event.task.starts_with(id)) {
+        for event in events[before..]
+            .iter()
+            .filter(|event| event.what == "start" && event.task.starts_with(id))
+        {
             broken.push(format!(
                 "UNASKED: {} run {} starts later than 3 s after the cancelling was acknowledged ({} ms since then now)",
-                event.task, event.run, acknowledged.elapsed().as_millis()
+                event.task,
+                event.run,
+                acknowledged.elapsed().as_millis()
             ));
         }
     }
@@ -220,7 +258,10 @@
         fleet::unable("the first job was not accepted");
     }
     std::thread::sleep(Duration::from_millis(1_500));
-    record.say(&format!("8 clients hand a job in {}", if trouble { "at once" } else { "one after the other" }));
+    record.say(&format!(
+        "8 clients hand a job in {}",
+        if trouble { "at once" } else { "one after the other" }
+    ));
     std::thread::scope(|scope| {
         for number in 0..8_u64 {
             let (fleet, body) = (&fleet, body(1));
@@ -239,10 +280,17 @@
         fleet.store.too_long().iter().take(3).collect::<Vec<_>>(),
         fleet.store.too_long().len()
     ));
-    let starts = fleet.workers.events().iter().filter(|e| e.what == "start" && e.task.starts_with("00000000000000aa")).count();
+    let starts = fleet
+        .workers
+        .events()
+        .iter()
+        .filter(|e| e.what == "start" && e.task.starts_with("00000000000000aa"))
+        .count();
     let mut broken = Vec::new();
     if state != "completed" {
-        broken.push(format!("LOST: the job {early}, accepted before, is shown as {state} and has begun {starts} of its 12 tasks"));
+        broken.push(format!(
+            "LOST: the job {early}, accepted before, is shown as {state} and has begun {starts} of its 12 tasks"
+        ));
     }
     broken
 }
@@ -286,12 +334,16 @@
         if state == "failed" {
             let id = path(number).rsplit('/').next().unwrap_or_default().to_owned();
             let events = fleet.workers.events();
-            let ends = events.iter().filter(|event| event.task.starts_with(&id) && event.what != "start");
+            let ends = events
+                .iter()
+                .filter(|event| event.task.starts_with(&id) && event.what != "start");
             let ends: Vec<&str> = ends.map(|event| event.what.as_str()).collect();
             if ends.contains(&"failed") {
                 continue;
             }
-            broken.push(format!("LOST: job {id} is shown as failed; its runs ended {ends:?}, none of them failed"));
+            broken.push(format!(
+                "LOST: job {id} is shown as failed; its runs ended {ends:?}, none of them failed"
+            ));
         }
         *states.entry(state).or_default() += 1;
     }
--- a/review/harness/src/record.rs
+++ b/review/harness/src/record.rs
@@ -15,7 +15,10 @@
 impl Record {
     pub fn create(path: &Path) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { file: Arc::new(Mutex::new(BufWriter::new(file))), started: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(BufWriter::new(file))),
+            started: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: &str) {
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -36,7 +36,10 @@
 
 impl Store {
     pub fn new() -> Self {
-        Self { rows: Arc::default(), started: Instant::now() }
+        Self {
+            rows: Arc::default(),
+            started: Instant::now(),
+        }
     }
 
     pub fn set_down(&self, down: bool) {
@@ -80,7 +83,10 @@
         let mut rows = self.rows.0.lock().unwrap();
         let held = |check: &Value| rows.rows.get(&row_id(check)).map_or(0, |(_, version)| *version);
         let checks = list("expected_rev");
-        if checks.iter().any(|check| Some(held(check)) != check["row_version"].as_u64()) {
+        if checks
+            .iter()
+            .any(|check| Some(held(check)) != check["row_version"].as_u64())
+        {
             let current: Vec<Value> = checks
                 .iter()
                 .filter_map(|check| {
@@ -89,10 +95,15 @@
                     Some(encode(&id, Some(value), *version))
                 })
                 .collect();
-            return http::json(412, &json!({"rows": current, "row_version": rows.version, "now_ms": self.now_ms()}));
+            return http::json(
+                412,
+                &json!({"rows": current, "row_version": rows.version, "now_ms": self.now_ms()}),
+            );
         }
         for write in list("writes") {
-            let length = STANDARD.decode(write["value"].as_str().unwrap_or_default()).map_or(0, |value| value.len());
+            let length = STANDARD
+                .decode(write["value"].as_str().unwrap_or_default())
+                .map_or(0, |value| value.len());
             if length > ROW_BYTES {
                 rows.too_long.push(length);
                 return json_error(400);
@@ -131,23 +142,41 @@
     }
 
     fn feed(&self, request: &Request) -> Reply {
-        let number = |name: &str| request.query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let number = |name: &str| {
+            request
+                .query
+                .get(name)
+                .and_then(|text| text.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         let table = request.query.get("table").cloned().unwrap_or_default();
-        let (after, end) = (number("after"), Instant::now() + Duration::from_millis(number("wait_ms").min(30_000)));
+        let (after, end) = (
+            number("after"),
+            Instant::now() + Duration::from_millis(number("wait_ms").min(30_000)),
+        );
         let mut rows = self.rows.0.lock().unwrap();
         loop {
             if rows.down {
                 return json_error(503);
             }
-            let changes = rows.history.iter().filter(|(version, id, _)| *version > after && id.0 == table);
-            let changed: Vec<Value> =
-                changes.map(|(version, id, value)| encode(id, value.as_deref(), *version)).collect();
+            let changes = rows
+                .history
+                .iter()
+                .filter(|(version, id, _)| *version > after && id.0 == table);
+            let changed: Vec<Value> = changes
+                .map(|(version, id, value)| encode(id, value.as_deref(), *version))
+                .collect();
             let left = end.saturating_duration_since(Instant::now());
             if !changed.is_empty() || left.is_zero() {
                 let body = json!({"rows": changed, "row_version": rows.version, "now_ms": self.now_ms()});
                 return http::json(200, &body);
             }
-            rows = self.rows.1.wait_timeout(rows, left.min(Duration::from_millis(50))).unwrap().0;
+            rows = self
+                .rows
+                .1
+                .wait_timeout(rows, left.min(Duration::from_millis(50)))
+                .unwrap()
+                .0;
         }
     }
 
@@ -162,7 +191,10 @@
                 rows.objects.insert(name, request.body.clone());
                 json_error(200)
             }
-            "GET" => rows.objects.get(&name).map_or_else(|| json_error(404), |body| Some((200, body.clone()))),
+            "GET" => rows
+                .objects
+                .get(&name)
+                .map_or_else(|| json_error(404), |body| Some((200, body.clone()))),
             "DELETE" => json_error(if rows.objects.remove(&name).is_some() { 200 } else { 404 }),
             _ => json_error(404),
         }
--- a/review/harness/src/worker.rs
+++ b/review/harness/src/worker.rs
@@ -103,7 +103,10 @@
 impl Workers {
     /// Starts `count` workers of `cpu` millicores and `mem_mb` with 8 GPUs, and enters them in the store.
     pub fn start(ip: &str, store: &Store, record: &Record, count: usize, (cpu, mem_mb): (u64, u64)) -> Self {
-        let shared = Shared { workers: BTreeMap::new(), events: Vec::new() };
+        let shared = Shared {
+            workers: BTreeMap::new(),
+            events: Vec::new(),
+        };
         let workers = Self {
             shared: Arc::new((Mutex::new(shared), Condvar::new())),
             record: record.clone(),
@@ -137,9 +140,11 @@
             });
         }
         let ticking = workers.clone();
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(5));
-            ticking.advance();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(5));
+                ticking.advance();
+            }
         });
         workers
     }
@@ -154,20 +159,36 @@
 
     /// Most ends that a worker had listed and not acknowledged at one time.
     pub fn most_ends(&self) -> usize {
-        self.shared.0.lock().unwrap().workers.values().map(|worker| worker.most_ends).max().unwrap_or(0)
+        self.shared
+            .0
+            .lock()
+            .unwrap()
+            .workers
+            .values()
+            .map(|worker| worker.most_ends)
+            .max()
+            .unwrap_or(0)
     }
 
     /// Workers and numbers of the runs of a task that are there now.
     pub fn running(&self, task: &str) -> Vec<(String, u64)> {
         let shared = self.shared.0.lock().unwrap();
-        let runs = shared.workers.iter().filter_map(|(name, worker)| Some((name.clone(), worker.running.get(task)?.run)));
+        let runs = shared
+            .workers
+            .iter()
+            .filter_map(|(name, worker)| Some((name.clone(), worker.running.get(task)?.run)));
         runs.collect()
     }
 
     /// Millicores of all tasks that run, and of all workers.
     pub fn in_use(&self) -> (u64, u64) {
         let shared = self.shared.0.lock().unwrap();
-        let used = shared.workers.values().flat_map(|worker| worker.running.values()).map(|running| running.cpu).sum();
+        let used = shared
+            .workers
+            .values()
+            .flat_map(|worker| worker.running.values())
+            .map(|running| running.cpu)
+            .sum();
         (used, shared.workers.values().map(|worker| worker.cpu).sum())
     }
 
@@ -194,7 +215,13 @@
         gate.crash();
         let running = std::mem::take(&mut shared.workers.get_mut(name).expect("a worker").running);
         for (task, running) in running {
-            let event = Event { at_ms: self.now(), worker: name.to_owned(), task, run: running.run, what: "gone".to_owned() };
+            let event = Event {
+                at_ms: self.now(),
+                worker: name.to_owned(),
+                task,
+                run: running.run,
+                what: "gone".to_owned(),
+            };
             self.note(&mut shared, event);
         }
         drop(shared);
@@ -211,19 +238,40 @@
     }
 
     fn note(&self, shared: &mut Shared, event: Event) {
-        self.record.line(&format!("worker {} task {} run {}: {}", event.worker, event.task, event.run, event.what));
+        self.record.line(&format!(
+            "worker {} task {} run {}: {}",
+            event.worker, event.task, event.run, event.what
+        ));
         shared.events.push(event);
     }
 
     fn end(&self, shared: &mut Shared, now: u64, name: &str, task: &str, how: &'static str) {
-        let Some(worker) = shared.workers.get_mut(name) else { return };
-        let Some(running) = worker.running.remove(task) else { return };
+        let Some(worker) = shared.workers.get_mut(name) else {
+            return;
+        };
+        let Some(running) = worker.running.remove(task) else {
+            return;
+        };
         worker.barred.insert(task.to_owned(), running.run);
-        worker.ends.push(End { number: worker.next, task: task.to_owned(), run: running.run, how });
+        worker.ends.push(End {
+            number: worker.next,
+            task: task.to_owned(),
+            run: running.run,
+            how,
+        });
         worker.next += 1;
         worker.most_ends = worker.most_ends.max(worker.ends.len());
         let (worker, task, run) = (name.to_owned(), task.to_owned(), running.run);
-        self.note(shared, Event { at_ms: now, worker, task, run, what: how.to_owned() });
+        self.note(
+            shared,
+            Event {
+                at_ms: now,
+                worker,
+                task,
+                run,
+                what: how.to_owned(),
+            },
+        );
     }
 
     fn advance(&self) {
@@ -283,7 +331,9 @@
                 }
                 let spec = body["spec"].as_str().unwrap_or_default();
                 let field = |name: &str| {
-                    let value = spec.split_whitespace().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+                    let value = spec
+                        .split_whitespace()
+                        .find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
                     value.and_then(|value| value.parse::<u64>().ok()).unwrap_or(0)
                 };
                 let used: u64 = worker.running.values().map(|running| running.cpu).sum();
@@ -300,7 +350,16 @@
                     stops_at: None,
                 };
                 worker.running.insert(task.clone(), running);
-                self.note(&mut shared, Event { at_ms: now, worker: name.to_owned(), task, run, what: "start".to_owned() });
+                self.note(
+                    &mut shared,
+                    Event {
+                        at_ms: now,
+                        worker: name.to_owned(),
+                        task,
+                        run,
+                        what: "start".to_owned(),
+                    },
+                );
                 http::json(200, &json!({"clock_ms": clock, "born": born}))
             }
             "/-/run-stop" => {
@@ -320,12 +379,23 @@
                     worker.deadline = worker.deadline.max(deadline.min(clock + MAX_HOLD_MS));
                 }
                 let ack = number("ack_cursor");
-                let (noted, left) = std::mem::take(&mut worker.ends).into_iter().partition(|end| end.number <= ack);
+                let (noted, left) = std::mem::take(&mut worker.ends)
+                    .into_iter()
+                    .partition(|end| end.number <= ack);
                 worker.ends = left;
                 let noted: Vec<End> = noted;
                 for end in noted.into_iter().filter(|end| end.how == "done") {
                     let (worker, what) = (name.to_owned(), "noted".to_owned());
-                    self.note(&mut shared, Event { at_ms: now, worker, task: end.task, run: end.run, what });
+                    self.note(
+                        &mut shared,
+                        Event {
+                            at_ms: now,
+                            worker,
+                            task: end.task,
+                            run: end.run,
+                            what,
+                        },
+                    );
                 }
                 let until = Instant::now() + Duration::from_millis(number("wait_ms").min(2_000));
                 loop {
@@ -355,8 +425,13 @@
             })
             .collect();
         let ends = worker.ends.iter().take(MAX_ENDS);
-        let finished: Vec<Value> = ends.map(|end| json!([end.number, end.task, end.run, end.how, ""])).collect();
+        let finished: Vec<Value> = ends
+            .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
+            .collect();
         let (clock, born) = (worker.clock(now), worker.born);
-        http::json(200, &json!({"clock_ms": clock, "born": born, "running": running, "finished": finished}))
+        http::json(
+            200,
+            &json!({"clock_ms": clock, "born": born, "running": running, "finished": finished}),
+        )
     }
 }
