--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -32,6 +32,7 @@
         "lasting-done" => lasting_done(&root, &record, trouble),
         "route-renamed" => route_renamed(&root, &record, trouble),
         "workers-crash" => workers_crash(&root, &record, trouble),
+        "same-id" => same_id(&root, &record, trouble),
         "long-row" => long_row(&root, &record, trouble),
         _ => fleet::unable("no such case"),
     };
@@ -321,7 +322,7 @@
             let names = fleet.workers.names();
             let name = &names[(random % names.len() as u64) as usize];
             record.line(&format!("worker {name} crashes and is back after 1 s"));
-            fleet.workers.crash(name, Duration::from_secs(1));
+            fleet.workers.crash(name, Duration::from_secs(1), Duration::ZERO);
             crashes += 1;
             next_crash += Duration::from_millis(2_600);
         }
@@ -350,3 +351,48 @@
     record.say(&format!("{crashes} crashes; states of the jobs: {states:?}"));
     broken
 }
+
+/// One of eight workers crashes and starts again under its id.
+fn same_id(root: &Path, record: &Record, trouble: bool) -> Vec<String> {
+    let fleet = Fleet::start(root, record.clone(), 3, 8, (32_000, 65_536));
+    let body = |work: u64, count: u64| {
+        json!({
+            "spec": format!("work={work} cpu=2000"),
+            "steps": [{"count": count, "cpu": 2000, "mem_mb": 1024, "estimated_ms": work}],
+        })
+    };
+    let completed = |fleet: &Fleet, path: &str| fleet.state(0, path) == "completed";
+    // Each worker ends some tasks, which the scheduler acknowledges.
+    let (early, long, late) = (
+        "/match/00000000000000aa",
+        "/match/00000000000000bb",
+        "/match/00000000000000cc",
+    );
+    if !fleet.submit(early, &body(600, 160)) || !fleet.wait(Duration::from_secs(15), |fleet| completed(fleet, early)) {
+        fleet::unable("the first job was not completed");
+    }
+    let task = "00000000000000bb.0.0.0";
+    if !fleet.submit(long, &body(9_400, 8))
+        || !fleet.wait(Duration::from_secs(5), |fleet| !fleet.workers.running(task).is_empty())
+    {
+        fleet::unable("the long job was not started");
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let Some((worker, _)) = fleet.workers.running(task).pop() else {
+        fleet::unable("the long job has ended")
+    };
+    if trouble {
+        record.say(&format!(
+            "worker {worker} crashes, is back after 500 ms, and writes its entry 800 ms later"
+        ));
+        let (down, unlisted) = (Duration::from_millis(500), Duration::from_millis(800));
+        fleet.workers.crash(&worker, down, unlisted);
+    }
+    std::thread::sleep(Duration::from_millis(1_000));
+    let accepted = fleet.submit(late, &body(600, 160));
+    let all = |fleet: &Fleet| completed(fleet, long) && completed(fleet, late);
+    let all_completed = fleet.wait(Duration::from_secs(30), all);
+    std::thread::sleep(Duration::from_secs(2));
+    record.say(&format!("accepted: {accepted}; all completed: {all_completed}"));
+    twice(&fleet)
+}
--- a/review/harness/src/worker.rs
+++ b/review/harness/src/worker.rs
@@ -52,6 +52,8 @@
     born: u64,
     /// When it started, by the clock of all workers; its own clock counts from then.
     started: u64,
+    /// Time after its start at which it writes its entry for the first time.
+    unlisted_ms: u64,
     token: u64,
     deadline: u64,
     running: BTreeMap<String, Running>,
@@ -69,6 +71,7 @@
             gate,
             born: unix.as_millis() as u64,
             started,
+            unlisted_ms: 0,
             token: 0,
             deadline: 0,
             running: BTreeMap::new(),
@@ -82,6 +85,14 @@
     fn clock(&self, now: u64) -> u64 {
         now - self.started + 1_000
     }
+
+    /// Forgets the ends up to `ack`. Returns those that were forgotten.
+    fn forget(&mut self, ack: u64) -> Vec<End> {
+        let ends = std::mem::take(&mut self.ends).into_iter();
+        let (forgotten, left) = ends.partition(|end| end.number <= ack);
+        self.ends = left;
+        forgotten
+    }
 }
 
 struct Shared {
@@ -124,8 +135,11 @@
                 let (mut seq, mut listed, mut written) = (0_u64, 0, Instant::now());
                 loop {
                     std::thread::sleep(Duration::from_millis(20));
-                    let born = entries.shared.0.lock().unwrap().workers[&name].born;
-                    if gate.is_down() || born == listed && written.elapsed() < HEARTBEAT {
+                    let (born, listable) = {
+                        let worker = &entries.shared.0.lock().unwrap().workers[&name];
+                        (worker.born, entries.now() >= worker.started + worker.unlisted_ms)
+                    };
+                    if gate.is_down() || !listable || born == listed && written.elapsed() < HEARTBEAT {
                         continue;
                     }
                     seq = if born == listed { seq + 1 } else { 1 };
@@ -208,8 +222,9 @@
         self.shared.0.lock().unwrap().workers.keys().cloned().collect()
     }
 
-    /// Crashes a worker; it starts again under its id, without anything of before, after `down`.
-    pub fn crash(&self, name: &str, down: Duration) {
+    /// Crashes a worker; it starts again under its id, without anything of before, after `down`, and writes its entry
+    /// after `unlisted` more.
+    pub fn crash(&self, name: &str, down: Duration, unlisted: Duration) {
         let mut shared = self.shared.0.lock().unwrap();
         let gate = shared.workers[name].gate.clone();
         gate.crash();
@@ -232,7 +247,9 @@
             let now = workers.now();
             if let Some(worker) = shared.workers.get_mut(&name) {
                 *worker = Worker::new(worker.cpu, gate.clone(), now);
+                worker.unlisted_ms = unlisted.as_millis() as u64;
             }
+            workers.record.line(&format!("worker {name} is back"));
             gate.start();
         });
     }
@@ -378,27 +395,31 @@
                 if let Some(deadline) = body["deadline_ms"].as_u64() {
                     worker.deadline = worker.deadline.max(deadline.min(clock + MAX_HOLD_MS));
                 }
-                let ack = number("ack_cursor");
-                let (noted, left) = std::mem::take(&mut worker.ends)
-                    .into_iter()
-                    .partition(|end| end.number <= ack);
-                worker.ends = left;
-                let noted: Vec<End> = noted;
-                for end in noted.into_iter().filter(|end| end.how == "done") {
-                    let (worker, what) = (name.to_owned(), "noted".to_owned());
-                    self.note(
-                        &mut shared,
-                        Event {
-                            at_ms: now,
-                            worker,
-                            task: end.task,
-                            run: end.run,
-                            what,
-                        },
-                    );
+                let (ack, wait) = (number("ack_cursor"), number("wait_ms").min(2_000));
+                if ack >= worker.next {
+                    self.record.line(&format!(
+                        "worker {name}, born {born}, has had {} ends and gets a hold with ack_cursor {ack}, wait_ms {wait}",
+                        worker.next - 1
+                    ));
                 }
-                let until = Instant::now() + Duration::from_millis(number("wait_ms").min(2_000));
+                let until = Instant::now() + Duration::from_millis(wait);
                 loop {
+                    // The answer has the ends that are not up to `ack`, as the page says.
+                    let now = self.now();
+                    let worker = shared.workers.get_mut(name).filter(|worker| worker.born == born)?;
+                    for end in worker.forget(ack).into_iter().filter(|end| end.how == "done") {
+                        let (worker, what) = (name.to_owned(), "noted".to_owned());
+                        self.note(
+                            &mut shared,
+                            Event {
+                                at_ms: now,
+                                worker,
+                                task: end.task,
+                                run: end.run,
+                                what,
+                            },
+                        );
+                    }
                     let worker = &shared.workers[name];
                     let left = until.saturating_duration_since(Instant::now());
                     if !worker.ends.is_empty() || left.is_zero() {
