Don't take a run for absent while its worker's list of ends is cut off

Cause: workers list 500 ends at a time. end_absent_runs ended as Refused each confirmed run that was in neither of a worker's lists, also when its end was only beyond those listed. HoldReply did not say whether the list was complete.

The stand-in of a worker lists 500 ends at a time.

--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -153,6 +153,8 @@
         pub running: Vec<RunReport>,
         /// Ends that have not been acknowledged, lowest number first.
         pub finished: Vec<RunEnd>,
+        /// Whether there may be further such ends, which the worker lists once these are acknowledged.
+        pub more_ends: bool,
     }
 }
 
@@ -379,6 +381,8 @@
     pub waiting: usize,
     /// Runs that may be alive or whose end is not durable.
     pub runs: usize,
+    /// Ends that workers list and that are not durable.
+    pub unstored_ends: usize,
 }
 
 /// The scheduler of step jobs under one term.
@@ -579,6 +583,7 @@
             passes: self.passes,
             waiting: self.waiting.len(),
             runs: self.runs.len(),
+            unstored_ends: self.hosts.values().map(Host::unstored_ends).sum(),
         }
     }
 
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -146,6 +146,8 @@
     pub(crate) runs: BTreeSet<RunKey>,
     /// Ends that the host lists, by number.
     ends: BTreeMap<u64, ListedEnd>,
+    /// Whether its last lists lacked ends that it has not listed before.
+    pub(crate) more_ends: bool,
     /// Number of the last end that the host knows to be acknowledged.
     pub(crate) acked: u64,
     /// When the worker was last found to have crashed.
@@ -187,6 +189,7 @@
             used: Demand::default(),
             runs: BTreeSet::new(),
             ends: BTreeMap::new(),
+            more_ends: false,
             acked: 0,
             crashed_at: None,
             replaced: false,
@@ -211,6 +214,7 @@
         self.clock = None;
         self.expiry = Millis::ZERO;
         self.ends.clear();
+        self.more_ends = false;
         self.acked = 0;
         self.failures = 0;
         self.silent = false;
@@ -382,6 +386,11 @@
         self.ends.values().any(|end| !end.durable)
     }
 
+    /// Number of listed ends that are not stored yet.
+    pub(crate) fn unstored_ends(&self) -> usize {
+        self.ends.values().filter(|end| !end.durable).count()
+    }
+
     /// Whether ends may be acknowledged that the host does not know to be.
     pub(crate) fn has_ack_due(&self) -> bool {
         self.ack_cursor() > self.acked
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -2,7 +2,7 @@
 //! hold order.
 //!
 //! The platform's list tells which workers exist and in which incarnation; a worker's own lists tell what became of
-//! its runs.
+//! its runs. That a run is in none of a worker's lists tells that it is not there only if the lists are complete.
 
 use std::collections::BTreeSet;
 
@@ -169,7 +169,10 @@
         }
         self.apply_ends(cx, worker, &reply);
         self.apply_running(cx, worker, &reply);
-        self.end_absent_runs(cx, worker, &reply);
+        self.note_completeness(worker, &reply);
+        if !reply.more_ends {
+            self.end_absent_runs(cx, worker, &reply);
+        }
         let groups: BTreeSet<StepKey> = reply.running.iter().map(|line| line.task.step_key()).collect();
         for group in groups {
             self.check_stragglers(cx, group);
@@ -255,9 +258,31 @@
         }
     }
 
+    /// Takes note of whether the worker's lists have all its ends, and logs when that changes.
+    fn note_completeness(&mut self, worker: &WorkerName, reply: &HoldReply) {
+        let Some(host) = self.hosts.get_mut(worker) else { return };
+        if std::mem::replace(&mut host.more_ends, reply.more_ends) == reply.more_ends {
+            return;
+        }
+        let runs = host.runs.len();
+        let reason = match reply.more_ends {
+            true => format!(
+                "{} ends are listed and more may follow; of {runs} runs, those in no list may have ended",
+                reply.finished.len()
+            ),
+            false => format!("all ends are listed; {runs} runs are open"),
+        };
+        let what = if reply.more_ends {
+            "lists cut off"
+        } else {
+            "lists complete"
+        };
+        self.log_worker(what, worker, reason);
+    }
+
     /// Ends as `Refused` the runs that the worker lists neither as running nor as ended: one that it confirmed before
-    /// and no longer has, or one that was stopped before it began. The lists must be later than the confirmation of the
-    /// run or of the stop, by the worker's clock.
+    /// and no longer has, or one that was stopped before it began. The lists must be complete, and later than the
+    /// confirmation of the run or of the stop, by the worker's clock.
     fn end_absent_runs(&mut self, cx: &Context<'_>, worker: &WorkerName, reply: &HoldReply) {
         let Some(host) = self.hosts.get(worker) else { return };
         let mut absent = Vec::new();
@@ -273,10 +298,25 @@
                 .is_some_and(|acked| acked < reply.clock);
             let ordered = matches!(run.phase, RunPhase::Live | RunPhase::Ordered);
             if !listed && ordered && (confirmed || acked) {
-                absent.push(*key);
+                absent.push((
+                    *key,
+                    if confirmed {
+                        "it was confirmed"
+                    } else {
+                        "its stop was confirmed"
+                    },
+                ));
             }
         }
-        for key in absent {
+        for (key, proof) in absent {
+            self.log_run(
+                "absent",
+                key,
+                format!(
+                    "in neither of the worker's complete lists at {}, after {proof}",
+                    reply.clock
+                ),
+            );
             self.end_run(cx, key, RunOutcome::Refused, "");
         }
     }
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -245,6 +245,7 @@
             incarnation: target.incarnation,
             running: Vec::new(),
             finished: Vec::new(),
+            more_ends: false,
         };
         for (task, run) in runs {
             let outcomes = [
--- a/crates/pistachiostair/tests/steps/capacity.rs
+++ b/crates/pistachiostair/tests/steps/capacity.rs
@@ -300,6 +300,7 @@
         incarnation: Incarnation(2),
         running: Vec::new(),
         finished: Vec::new(),
+        more_ends: false,
     };
     let target = Target {
         worker: name,
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod crashes;
 mod life;
+mod lists;
 mod load;
 mod odd_entries;
 mod review;
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -18,6 +18,8 @@
 const GANG_WAIT: Millis = Millis(3_000);
 /// Time that a stop takes.
 const STOP_TIME: Millis = Millis(100);
+/// Most ends that a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
 /// Work after which a checkpoint is made.
 const CHECKPOINT: Millis = Millis(1_000);
 
@@ -531,7 +533,8 @@
             clock: worker.clock(now),
             incarnation: worker.incarnation,
             running: worker.tasks.iter().map(line).collect(),
-            finished: worker.ends.clone(),
+            finished: worker.ends.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            more_ends: worker.ends.len() > MAX_LISTED_ENDS,
         };
         for task in noted {
             if self.workers.values().any(|worker| worker.tasks.contains_key(&task)) {
