Find a job by its key, whatever queue its URL selects

Cause: find_job compared the name of the queue that the URL selects now with the name stored at acceptance. The name belongs to the configuration in force; what identifies a job is its key, by which a repeated POST was found all along.

Change: GET and DELETE find a job by its key. So that this opens no job to callers without a key, a call through a public queue gets 401 for a job that was accepted with one, unless its queue or its URL is that of the acceptance; for this, jobs store the host and prefix under which they were submitted. A cancel through another queue is logged.

--- a/crates/pistachiostair/examples/step_costs.rs
+++ b/crates/pistachiostair/examples/step_costs.rs
@@ -375,6 +375,7 @@
         key: JobKey(key),
         account: AccountName::from(format!("account-{account}")),
         queue: QueueName::from(queue),
+        base_url: String::new(),
         settings: QueueSettings::default(),
         payload: format!("work={work} gang={gang} cpu={millicores} mem={memory} gpu={accelerators}"),
         steps: vec![step],
--- a/crates/pistachiostair/examples/takeover_costs.rs
+++ b/crates/pistachiostair/examples/takeover_costs.rs
@@ -173,6 +173,7 @@
         key: JobKey(key),
         account: format!("team-{}", key % 34).as_str().into(),
         queue: "urgent".into(),
+        base_url: String::new(),
         settings: QueueSettings {
             service: "svc".into(),
             ..QueueSettings::default()
--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -427,7 +427,9 @@
             Record::Finished { answer, .. } => answer.as_ref().map_or(0, String::len),
             Record::Placed { parts, .. } => parts.len() * 50,
             Record::Forgotten { jobs } => jobs.len() * 8,
-            Record::Steps(StepRecord::Accepted { job }) => 2 * job.payload.len() + job.steps.len() * 400,
+            Record::Steps(StepRecord::Accepted { job }) => {
+                2 * job.payload.len() + job.base_url.len() + job.steps.len() * 400
+            }
             Record::Steps(StepRecord::Started { starts }) => starts.len() * 150,
             Record::Steps(StepRecord::Forgotten { jobs }) => jobs.len() * 20,
             _ => 0,
--- a/crates/pistachiostair/src/gateway.rs
+++ b/crates/pistachiostair/src/gateway.rs
@@ -92,6 +92,7 @@
             StepAnswer::Cancelled => "cancelled",
             StepAnswer::Pending { .. } => "pending",
             StepAnswer::Unknown => "no such job",
+            StepAnswer::Denied => "denied",
             StepAnswer::Failed(_) => "failed",
         };
         if let Ok(metrics) = self.kernel.find::<Metrics>() {
--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Millis;
 use crate::error::{ErrorKind, Ran};
+use crate::ids::AccountName;
 use crate::message::Failure;
 use crate::record;
 use crate::scheduler::Token;
@@ -30,14 +31,15 @@
         State {
             /// The job.
             job: JobKey,
-            /// The queue that the caller named; the job is unknown in any other.
+            /// The queue that the caller's URL selects. Another one may have accepted the job, since configurations
+            /// rename and move queues.
             queue: QueueName,
         },
         /// Cancels a job and stops its runs; a job that has ended stays as it is.
         Cancel {
             /// The job.
             job: JobKey,
-            /// The queue that the caller named; the job is unknown in any other.
+            /// The queue that the caller's URL selects, as for [`Self::State`].
             queue: QueueName,
         },
         /// Counts the jobs of a queue of which no task has started.
@@ -68,8 +70,11 @@
             /// Number of the queue's jobs of which no task has started.
             jobs: u64,
         },
-        /// There is no such job in the queue.
+        /// There is no such job.
         Unknown,
+        /// The call came without an API key through a public queue, and the job was accepted with one under another
+        /// URL.
+        Denied,
         /// The call failed; the failure says whether it may have had an effect and when to repeat it.
         Failed(Failure),
     }
@@ -105,8 +110,9 @@
         self.actions.push(StepsAction::Reply { token, answer });
     }
 
-    /// The job of a call, or the answer if there is none. That a job does not exist is certain only while this
-    /// scheduler's lease is held: otherwise another scheduler may have accepted it.
+    /// The job of a call, or the answer if there is none. A job is found by its key alone: `queue` is the one that the
+    /// caller's URL selects now, which need not be the one that accepted the job. That a job does not exist is certain
+    /// only while this scheduler's lease is held: otherwise another scheduler may have accepted it.
     fn find_job<'a>(
         &self,
         cx: &Context<'a>,
@@ -114,9 +120,9 @@
         queue: &QueueName,
     ) -> Result<&'a crate::steps::JobEntry, StepAnswer> {
         if let Some(entry) = cx.book.job(job) {
-            return match entry.spec.queue == *queue {
-                true => Ok(entry),
-                false => Err(StepAnswer::Unknown),
+            return match self.is_denied(entry, queue) {
+                true => Err(StepAnswer::Denied),
+                false => Ok(entry),
             };
         }
         if self.accepting.contains_key(&job) {
@@ -128,6 +134,14 @@
         Err(StepAnswer::Unknown)
     }
 
+    /// Whether a call through `queue` may not reach a job: it needed no API key, but the job was accepted with one, in
+    /// another queue and under another URL.
+    fn is_denied(&self, entry: &crate::steps::JobEntry, queue: &QueueName) -> bool {
+        let other = self.rules.queues.get(queue).filter(|_| entry.spec.queue != *queue);
+        let has_account = entry.spec.account != AccountName::default();
+        has_account && other.is_some_and(|queue| queue.public && queue.base_url() != entry.spec.base_url)
+    }
+
     /// Accepts a job by queuing its record. Returns the answer if it is certain at once; otherwise it follows when the
     /// record is durable.
     fn submit(&mut self, cx: &Context<'_>, token: Token, job: Box<StepJob>) -> Option<StepAnswer> {
@@ -179,6 +193,10 @@
         if !cx.lease_held || cx.store_stalled {
             return Some(refusal(ErrorKind::Unavailable, "the store does not answer"));
         }
+        if entry.spec.queue != *queue {
+            let reason = format!("accepted in queue {}, cancelled through {queue}", entry.spec.queue);
+            self.log_job("other queue", job, reason);
+        }
         self.cancelling.insert(job, vec![token]);
         self.records.push(StepRecord::Cancelled { job });
         None
--- a/crates/pistachiostair/src/steps/rules.rs
+++ b/crates/pistachiostair/src/steps/rules.rs
@@ -32,6 +32,13 @@
     }
 }
 
+impl Queue {
+    /// What all URLs of its calls begin with: the host in lower case, and the prefix of the path.
+    pub fn base_url(&self) -> String {
+        format!("{}{}", self.host.to_ascii_lowercase(), self.prefix)
+    }
+}
+
 record! {
     /// Settings of a service, a pool of workers.
     pub struct ServiceRule {
--- a/crates/pistachiostair/src/steps/spec.rs
+++ b/crates/pistachiostair/src/steps/spec.rs
@@ -222,6 +222,10 @@
         pub account: AccountName,
         /// The queue that it was submitted to.
         pub queue: QueueName,
+        /// Host and URL prefix under which it was submitted, see [`Queue::base_url`](crate::steps::Queue::base_url);
+        /// empty for a job of an earlier release.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        pub base_url: String,
         /// Settings of the queue when the job was accepted; they apply once the queue is removed.
         #[serde(rename = "terms")]
         pub settings: QueueSettings,
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -147,6 +147,7 @@
             key: JobKey(self.jobs),
             account: AccountName::from(format!("account-{}", random.u32(0..3))),
             queue,
+            base_url: String::new(),
             settings: QueueSettings::default(),
             payload: String::new(),
             steps: vec![step.clone(), Step { after: vec![0], ..step }],
--- a/crates/pistachiostair/tests/state_size.rs
+++ b/crates/pistachiostair/tests/state_size.rs
@@ -20,6 +20,7 @@
         key: JobKey(key),
         account: AccountName::from("court"),
         queue: QueueName::from("bulk"),
+        base_url: String::new(),
         settings: QueueSettings::default(),
         payload: "x".repeat(2_000),
         steps: vec![Step {
--- /dev/null
+++ b/crates/pistachiostair/tests/steps/calls.rs
@@ -0,0 +1,136 @@
+//! Calls about jobs while the configuration changes the queues that their URLs select.
+
+use pistachiostair::{
+    Event, JobKey, Queue, QueueName, Revision, Rules, StepAnswer, StepCall, StepJob, StepJobPhase, StepsEvent,
+};
+use rstest::rstest;
+
+use crate::world::{World, job};
+
+/// What a new version of the configuration does to the queue `normal`.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    /// It gets another name, at the same host and prefix.
+    Renamed,
+    /// It keeps its name and gets another prefix.
+    Moved,
+    /// It and the queue `bulk` exchange their prefixes.
+    Exchanged,
+    /// It is removed.
+    Removed,
+}
+
+fn queue(world: &World, name: &str) -> Queue {
+    world.rules().queues[&QueueName::from(name)].clone()
+}
+
+/// Puts queues in force, in a new version of the configuration.
+fn put_queues(world: &mut World, queues: Vec<Queue>) {
+    let rules = Rules {
+        version: Revision(2),
+        queues: queues.into_iter().map(|queue| (queue.name.clone(), queue)).collect(),
+        ..world.rules()
+    };
+    world.feed(Event::Steps(StepsEvent::Rules(rules)));
+}
+
+/// A job as a daemon submits it for a caller of the queue `normal`.
+fn submission(world: &World, key: u64, count: u32, work: u64) -> StepJob {
+    let queue = queue(world, "normal");
+    StepJob {
+        base_url: queue.base_url(),
+        settings: queue.settings,
+        ..job(key, "normal", count, 1, work)
+    }
+}
+
+/// Carries out a change. Returns the name of the queue that the URL of a job accepted in `normal` selects afterwards, or
+/// that a caller may name after it was removed.
+fn change_queues(world: &mut World, change: Change) -> &'static str {
+    let (mut normal, mut bulk) = (queue(world, "normal"), queue(world, "bulk"));
+    match change {
+        Change::Renamed => {
+            normal.name = QueueName::from("standard");
+            put_queues(world, vec![normal, bulk]);
+            "standard"
+        }
+        Change::Moved => {
+            normal.prefix = "/elsewhere/".to_owned();
+            put_queues(world, vec![normal, bulk]);
+            "normal"
+        }
+        Change::Exchanged => {
+            std::mem::swap(&mut normal.prefix, &mut bulk.prefix);
+            put_queues(world, vec![normal, bulk]);
+            "bulk"
+        }
+        Change::Removed => {
+            put_queues(world, vec![bulk]);
+            "bulk"
+        }
+    }
+}
+
+/// Guards against accepted jobs that are unknown, and can't be cancelled, once the URL under which they were accepted
+/// selects a queue of another name.
+#[rstest]
+fn job_found_after_change(
+    #[values(Change::Renamed, Change::Moved, Change::Exchanged, Change::Removed)] change: Change,
+    #[values(false, true)] taken_over: bool,
+) {
+    let mut world = World::new(1);
+    let submitted = submission(&world, 1, 24, 2_000);
+    world.submit(submitted);
+    let submitted = submission(&world, 2, 1, 1_000);
+    world.submit(submitted);
+    let queue = change_queues(&mut world, change);
+    if taken_over {
+        world.take_over();
+        change_queues(&mut world, change);
+    }
+    assert_eq!(world.phase(1, queue), StepJobPhase::Running);
+    let repeated = world.submit(job(1, queue, 24, 1, 2_000));
+    assert_eq!(repeated, StepAnswer::Accepted { created: false });
+    let cancel = world.cancel(1, queue);
+    world.run(300);
+    assert_eq!(world.answers[&cancel], StepAnswer::Cancelled);
+    let starts = world.workers.starts;
+    world.run(5_000);
+    assert_eq!(world.phase(1, queue), StepJobPhase::Cancelled);
+    assert_eq!(world.phase(2, queue), StepJobPhase::Completed);
+    assert!(world.workers.starts <= starts + 1, "the cancelled job went on");
+    world.check();
+}
+
+/// Guards against a call without an API key reaching a job that was accepted with one, through a public queue. A call
+/// with the URL under which the job was accepted does.
+#[rstest]
+#[case::other_url(false)]
+#[case::same_url(true)]
+fn job_denied_without_key(#[case] same_url: bool) {
+    let mut world = World::new(1);
+    let (mut normal, mut public) = (queue(&world, "normal"), queue(&world, "bulk"));
+    let submitted = submission(&world, 1, 1, 60_000);
+    world.submit(submitted);
+    world.run(300);
+    public.public = true;
+    if same_url {
+        std::mem::swap(&mut public.prefix, &mut normal.prefix);
+    }
+    put_queues(&mut world, vec![normal, public]);
+    let state = world.call(StepCall::State {
+        job: JobKey(1),
+        queue: QueueName::from("bulk"),
+    });
+    let cancel = world.cancel(1, "bulk");
+    world.run(300);
+    let phase = StepJobPhase::Running;
+    let expected = match same_url {
+        true => [StepAnswer::State { phase }, StepAnswer::Cancelled],
+        false => [StepAnswer::Denied, StepAnswer::Denied],
+    };
+    assert_eq!(
+        [&world.answers[&state], &world.answers[&cancel]],
+        [&expected[0], &expected[1]]
+    );
+}
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler of step jobs against simulated workers that behave as the platform specifies.
 
+mod calls;
 mod capacity;
 mod crashes;
 mod life;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -575,6 +575,7 @@
         key: JobKey(key),
         account: AccountName::from("court"),
         queue: QueueName::from(queue),
+        base_url: String::new(),
         settings: QueueSettings::default(),
         payload: format!("work={work} gpu={accelerators}"),
         steps: vec![Step {
