Count the waiting jobs of a queue that got another name

Cause: as for GET and DELETE, the name of the queue that the URL selects now was compared with the name stored at acceptance.

Change: while the configuration lacks a job's queue, the job counts for the queue with the host and prefix under which it was submitted. A queue that still exists keeps its jobs, also under another prefix.

Failed before: calls::pending_after_change::case_1_renamed (0 of 3 jobs); its other four cases passed before and after.

--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -10,6 +10,7 @@
 use crate::record;
 use crate::scheduler::Token;
 use crate::steps::engine::{Context, StepScheduler, StepsAction};
+use crate::steps::job_table::JobEntry;
 use crate::steps::record::StepRecord;
 use crate::steps::spec::{JobKey, QueueName, StepJob, StepJobPhase};
 
@@ -113,12 +114,7 @@
     /// The job of a call, or the answer if there is none. A job is found by its key alone: `queue` is the one that the
     /// caller's URL selects now, which need not be the one that accepted the job. That a job does not exist is certain
     /// only while this scheduler's lease is held: otherwise another scheduler may have accepted it.
-    fn find_job<'a>(
-        &self,
-        cx: &Context<'a>,
-        job: JobKey,
-        queue: &QueueName,
-    ) -> Result<&'a crate::steps::JobEntry, StepAnswer> {
+    fn find_job<'a>(&self, cx: &Context<'a>, job: JobKey, queue: &QueueName) -> Result<&'a JobEntry, StepAnswer> {
         if let Some(entry) = cx.book.job(job) {
             return match self.is_denied(entry, queue) {
                 true => Err(StepAnswer::Denied),
@@ -136,7 +132,7 @@
 
     /// Whether a call through `queue` may not reach a job: it needed no API key, but the job was accepted with one, in
     /// another queue and under another URL.
-    fn is_denied(&self, entry: &crate::steps::JobEntry, queue: &QueueName) -> bool {
+    fn is_denied(&self, entry: &JobEntry, queue: &QueueName) -> bool {
         let other = self.rules.queues.get(queue).filter(|_| entry.spec.queue != *queue);
         let has_account = entry.spec.account != AccountName::default();
         has_account && other.is_some_and(|queue| queue.public && queue.base_url() != entry.spec.base_url)
@@ -203,12 +199,23 @@
     }
 
     fn pending(&self, cx: &Context<'_>, queue: &QueueName) -> StepAnswer {
-        let waiting =
-            |entry: &&crate::steps::JobEntry| entry.phase == StepJobPhase::Queued && entry.spec.queue == *queue;
+        let belongs = |job: &StepJob| job.queue == *queue || self.successor(job) == Some(queue);
+        let waiting = |entry: &&JobEntry| entry.phase == StepJobPhase::Queued && belongs(&entry.spec);
         let jobs = cx.book.open_jobs().filter(waiting).count() as u64;
         StepAnswer::Pending { jobs }
     }
 
+    /// The queue that has taken the place of a job's own, which the configuration no longer has: the one whose URLs begin
+    /// as those under which the job was submitted.
+    fn successor(&self, job: &StepJob) -> Option<&QueueName> {
+        let queues = &self.rules.queues;
+        let removed = !queues.contains_key(&job.queue);
+        let mut successors = queues
+            .values()
+            .filter(|queue| removed && queue.base_url() == job.base_url);
+        successors.next().map(|queue| &queue.name)
+    }
+
     /// Fails all calls whose record may or may not become durable. Called when this daemon is no longer the scheduler.
     pub(crate) fn fail_pending_calls(&mut self) {
         let pending = std::mem::take(&mut self.accepting).into_values();
--- a/crates/pistachiostair/tests/steps/calls.rs
+++ b/crates/pistachiostair/tests/steps/calls.rs
@@ -5,7 +5,7 @@
 };
 use rstest::rstest;
 
-use crate::world::{World, job};
+use crate::world::{ACCELERATORS, World, job};
 
 /// What a new version of the configuration does to the queue `normal`.
 #[derive(Clone, Copy, Debug)]
@@ -102,6 +102,27 @@
     world.check();
 }
 
+/// Guards against jobs that wait and that nobody counts once their queue has another name.
+#[rstest]
+#[case::renamed(Change::Renamed, "standard", 3)]
+#[case::moved(Change::Moved, "normal", 3)]
+#[case::exchanged(Change::Exchanged, "normal", 3)]
+#[case::other_queue(Change::Exchanged, "bulk", 0)]
+#[case::removed(Change::Removed, "bulk", 0)]
+fn pending_after_change(#[case] change: Change, #[case] queue: &str, #[case] expected: u64) {
+    let mut world = World::new(1);
+    let submitted = submission(&world, 1, ACCELERATORS as u32, 60_000);
+    world.submit(submitted);
+    for key in 2..5 {
+        let submitted = submission(&world, key, 1, 1_000);
+        world.submit(submitted);
+    }
+    change_queues(&mut world, change);
+    let queue = QueueName::from(queue);
+    let token = world.call(StepCall::Pending { queue });
+    assert_eq!(world.answers[&token], StepAnswer::Pending { jobs: expected });
+}
+
 /// Guards against a call without an API key reaching a job that was accepted with one, through a public queue. A call
 /// with the URL under which the job was accepted does.
 #[rstest]
