Store the cancel of an unknown key before answering 410

Cause: the 410 was given from the scheduler's present state. As the answer to a cancel it is a promise for later submissions, which may arrive seconds after their caller gave them up, and nothing stored held them to it.

A job that is accepted with that key later is cancelled at once, so that both orders of POST and DELETE end the same.

--- a/crates/pistachiostair/src/state.rs
+++ b/crates/pistachiostair/src/state.rs
@@ -12,7 +12,7 @@
 use crate::journal::{Batch, Part, Record, checksum, digest, revision};
 use crate::record;
 use crate::resource::{JobPhase, JobSpec};
-use crate::steps::{JobEntry, StepJobTable};
+use crate::steps::{JobEntry, JobKey, StepJobTable};
 
 record! {
     /// How a job ended. It does not change any more.
@@ -125,6 +125,8 @@
     jobs: Vec<JobState>,
     #[serde(default)]
     book: Vec<JobEntry>,
+    #[serde(default)]
+    barred: BTreeMap<JobKey, Millis>,
 }
 
 impl RegionState {
@@ -374,6 +376,7 @@
             drained: self.drained.clone(),
             jobs: self.jobs.values().cloned().collect(),
             book: self.step_jobs.jobs().cloned().collect(),
+            barred: self.step_jobs.barred().clone(),
         };
         let body = rmp_serde::to_vec_named(&image).unwrap_or_default();
         let mut bytes = checksum(&body).to_be_bytes().to_vec();
@@ -402,7 +405,7 @@
             last_job: image.last,
             compact_revision: image.floor,
             drained: image.drained,
-            step_jobs: StepJobTable::restore(image.book),
+            step_jobs: StepJobTable::restore(image.book, image.barred),
             ..Self::default()
         };
         for entry in image.jobs {
--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -19,6 +19,8 @@
 /// Largest number of jobs that are accepted and have not ended; further ones are refused. It is a multiple of the jobs
 /// per day of the largest deployment that the design is meant for.
 const MAX_UNFINISHED_JOBS: usize = 20_000;
+/// Largest number of cancelled keys that no job had and that are not forgotten; further such cancels are refused.
+const MAX_BARRED_KEYS: usize = 10_000;
 
 record! {
     /// A caller's request about step jobs.
@@ -36,7 +38,8 @@
             /// rename and move queues.
             queue: QueueName,
         },
-        /// Cancels a job and stops its runs; a job that has ended stays as it is.
+        /// Cancels a job and stops its runs; a job that has ended stays as it is. If there is no such job, one that is
+        /// submitted later is cancelled at once.
         Cancel {
             /// The job.
             job: JobKey,
@@ -71,7 +74,7 @@
             /// Number of the queue's jobs of which no task has started.
             jobs: u64,
         },
-        /// There is no such job.
+        /// There is no such job. As the answer to a cancel, it also promises that none with this key will run.
         Unknown,
         /// The call came without an API key through a public queue, and the job was accepted with one under another
         /// URL.
@@ -173,14 +176,19 @@
     /// record is durable.
     fn cancel(&mut self, cx: &Context<'_>, token: Token, job: JobKey, queue: &QueueName) -> Option<StepAnswer> {
         let entry = match self.find_job(cx, job, queue) {
-            Ok(entry) => entry,
+            Ok(entry) => Some(entry),
+            Err(StepAnswer::Unknown) => None,
             Err(answer) => return Some(answer),
         };
-        if entry.phase.is_final() {
-            let left = self.runs_of(job).count();
-            let reason = format!("answered from its stored phase {:?}; {left} runs left", entry.phase);
-            self.log_job("cancel repeated", job, reason);
-            return Some(StepAnswer::Cancelled);
+        match entry {
+            Some(entry) if entry.phase.is_final() => {
+                let left = self.runs_of(job).count();
+                let reason = format!("answered from its stored phase {:?}; {left} runs left", entry.phase);
+                self.log_job("cancel repeated", job, reason);
+                return Some(StepAnswer::Cancelled);
+            }
+            None if cx.book.barred().contains_key(&job) => return Some(StepAnswer::Unknown),
+            _ => {}
         }
         if let Some(tokens) = self.cancelling.get_mut(&job) {
             tokens.push(token);
@@ -189,7 +197,10 @@
         if !cx.lease_held || cx.store_stalled {
             return Some(refusal(ErrorKind::Unavailable, "the store does not answer"));
         }
-        if entry.spec.queue != *queue {
+        if entry.is_none() && cx.book.barred().len() >= MAX_BARRED_KEYS {
+            return Some(refusal(ErrorKind::Limited, "too many cancels of unknown jobs"));
+        }
+        if let Some(entry) = entry.filter(|entry| entry.spec.queue != *queue) {
             let reason = format!("accepted in queue {}, cancelled through {queue}", entry.spec.queue);
             self.log_job("other queue", job, reason);
         }
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -651,10 +651,20 @@
                 self.after_end(cx, task.job);
             }
             StepRecord::Cancelled { job } => {
+                let known = cx.book.job(*job).is_some();
+                let answer = if known {
+                    StepAnswer::Cancelled
+                } else {
+                    StepAnswer::Unknown
+                };
                 for token in self.cancelling.remove(job).unwrap_or_default() {
-                    self.reply(token, StepAnswer::Cancelled);
+                    self.reply(token, answer.clone());
                 }
-                self.log_job("cancelled", *job, "by a caller".to_owned());
+                let reason = match known {
+                    true => "by a caller",
+                    false => "by a caller, before it was submitted",
+                };
+                self.log_job("cancelled", *job, reason.to_owned());
                 self.after_end(cx, *job);
             }
             StepRecord::Exhausted { job } => {
--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -226,16 +226,20 @@
     /// Jobs that have not ended.
     open: BTreeSet<JobKey>,
     ended: BTreeSet<(Millis, JobKey)>,
+    /// Keys that were cancelled while no job had them, with the time of that: a job that is accepted with such a key is
+    /// cancelled at once.
+    barred: BTreeMap<JobKey, Millis>,
 }
 
 impl StepJobTable {
-    /// The table with the jobs of a snapshot.
-    pub(crate) fn restore(jobs: Vec<JobEntry>) -> Self {
+    /// The table with the jobs and the barred keys of a snapshot.
+    pub(crate) fn restore(jobs: Vec<JobEntry>, barred: BTreeMap<JobKey, Millis>) -> Self {
         let open = jobs.iter().filter(|entry| !entry.phase.is_final());
         let ended = jobs.iter().filter_map(|entry| Some((entry.ended?, entry.spec.key)));
         Self {
             open: open.map(|entry| entry.spec.key).collect(),
             ended: ended.collect(),
+            barred,
             jobs: jobs.into_iter().map(|entry| (entry.spec.key, entry)).collect(),
         }
     }
@@ -255,13 +259,18 @@
         self.open.iter().filter_map(|key| self.jobs.get(key))
     }
 
+    /// Keys that were cancelled while no job had them, with the time of that in milliseconds since the Unix epoch.
+    pub fn barred(&self) -> &BTreeMap<JobKey, Millis> {
+        &self.barred
+    }
+
     /// Number of jobs that have not ended.
     pub fn open_count(&self) -> usize {
         self.open.len()
     }
 
     /// Applies one record. `wall` is the wall clock of its journal row, in milliseconds since the Unix epoch. A record
-    /// of an unknown job changes nothing.
+    /// of an unknown job changes nothing, but for a cancel, which bars its key.
     pub fn apply(&mut self, wall: Millis, record: &StepRecord) {
         match record {
             StepRecord::Accepted { job } => self.accept(wall, job),
@@ -283,11 +292,15 @@
                     entry.record_end((task, *run), *outcome, checkpoint, (crash.as_ref(), *late, *cleared))
                 });
             }
+            StepRecord::Cancelled { job } if !self.jobs.contains_key(job) => {
+                self.barred.entry(*job).or_insert(wall);
+            }
             StepRecord::Cancelled { job } => self.end_job(wall, *job, StepJobPhase::Cancelled),
             StepRecord::Exhausted { job } => self.end_job(wall, *job, StepJobPhase::Failed),
             StepRecord::Forgotten { jobs } => {
                 for job in jobs {
                     self.open.remove(job);
+                    self.barred.remove(job);
                     if let Some(ended) = self.jobs.remove(job).and_then(|entry| entry.ended) {
                         self.ended.remove(&(ended, *job));
                     }
@@ -308,6 +321,9 @@
         if let Entry::Vacant(vacant) = self.jobs.entry(job.key) {
             vacant.insert(entry);
             self.open.insert(job.key);
+            if self.barred.remove(&job.key).is_some() {
+                self.end_job(wall, job.key, StepJobPhase::Cancelled);
+            }
         }
     }
 
@@ -336,13 +352,16 @@
         }
     }
 
-    /// Ended jobs that are older than the newest `keep` or ended before `before`, oldest first, at most `limit`.
+    /// Ended jobs that are older than the newest `keep` or ended before `before`, oldest first, and keys that were barred
+    /// before `before`, at most `limit` in all.
     pub fn past_retention(&self, before: Millis, keep: usize, limit: usize) -> Vec<JobKey> {
         let excess = self.ended.len().saturating_sub(keep);
         let old = self.ended.iter().enumerate();
-        old.take_while(|(index, (wall, _))| *index < excess || *wall < before)
+        let old = old.take_while(|(index, (wall, _))| *index < excess || *wall < before);
+        let barred = self.barred.iter().filter(|(_, wall)| **wall < before);
+        old.map(|(_, (_, job))| *job)
+            .chain(barred.map(|(job, _)| *job))
             .take(limit)
-            .map(|(_, (_, job))| *job)
             .collect()
     }
 }
--- a/crates/pistachiostair/src/steps/record.rs
+++ b/crates/pistachiostair/src/steps/record.rs
@@ -59,7 +59,8 @@
             #[serde(default, skip_serializing_if = "std::ops::Not::not")]
             cleared: bool,
         },
-        /// A caller cancelled a job that had not ended.
+        /// A caller cancelled a job that had not ended, or a key that no job had: a job that is accepted with it later is
+        /// cancelled at once.
         Cancelled {
             /// The job.
             job: JobKey,
--- a/crates/pistachiostair/tests/state_size.rs
+++ b/crates/pistachiostair/tests/state_size.rs
@@ -12,6 +12,8 @@
 const TASKS: u32 = 30;
 /// Number of jobs.
 const JOBS: u64 = 200;
+/// Wall clock of the journal rows.
+const WALL: Millis = Millis(1_000);
 /// Most bytes of a snapshot for a job that has ended: its specification without the payload.
 const ENDED_BYTES: usize = 1_000;
 
@@ -75,14 +77,17 @@
         }
     }
     let mut state = RegionState::default();
-    let batch = Batch {
+    state.fold_batch(Seq(1), &batch(records));
+    state
+}
+
+fn batch(records: Vec<StepRecord>) -> Batch {
+    Batch {
         write: "1-1".to_owned(),
         term: Term(1),
-        wall: Millis(1_000),
+        wall: WALL,
         records: records.into_iter().map(Record::Steps).collect(),
-    };
-    state.fold_batch(Seq(1), &batch);
-    state
+    }
 }
 
 /// Guards against a state that keeps every task of jobs that have ended, so that a takeover reads and decodes more with
@@ -107,3 +112,24 @@
         assert_eq!(placed, (TASKS - 4..TASKS).collect());
     }
 }
+
+/// Guards against a snapshot without the keys that were cancelled before a job had them, and against such keys that are
+/// kept for ever.
+#[test]
+fn snapshot_barred_key() {
+    let mut state = RegionState::default();
+    state.fold_batch(Seq(1), &batch(vec![StepRecord::Cancelled { job: JobKey(1) }]));
+    let mut state = RegionState::decode(&state.encode()).expect("a valid snapshot");
+    let old = |state: &RegionState, before: u64| state.step_jobs.past_retention(Millis(before), 100, 100);
+    assert_eq!(old(&state, WALL.0), []);
+    assert_eq!(old(&state, WALL.0 + 1), [JobKey(1)]);
+    let mut forgotten = state.clone();
+    forgotten.fold_batch(Seq(2), &batch(vec![StepRecord::Forgotten { jobs: vec![JobKey(1)] }]));
+    assert!(forgotten.step_jobs.barred().is_empty());
+    let accepted = StepRecord::Accepted { job: Box::new(job(1)) };
+    state.fold_batch(Seq(2), &batch(vec![accepted]));
+    let entry = state.step_jobs.job(JobKey(1)).expect("a job");
+    assert_eq!((entry.phase, entry.ended), (StepJobPhase::Cancelled, Some(WALL)));
+    assert_eq!(state.step_jobs.open_count(), 0);
+    assert!(state.step_jobs.barred().is_empty());
+}
--- a/crates/pistachiostair/tests/steps/calls.rs
+++ b/crates/pistachiostair/tests/steps/calls.rs
@@ -123,6 +123,57 @@
     assert_eq!(world.answers[&token], StepAnswer::Pending { jobs: expected });
 }
 
+/// Guards against a job that starts after its cancel was answered as unknown, since its submission arrived later.
+#[rstest]
+#[case::same_scheduler(false)]
+#[case::taken_over(true)]
+fn cancel_before_submit(#[case] taken_over: bool) {
+    let mut world = World::new(1);
+    let cancel = world.cancel(1, "normal");
+    world.run(100);
+    assert_eq!(world.answers[&cancel], StepAnswer::Unknown);
+    if taken_over {
+        world.take_over();
+    }
+    assert_eq!(
+        world.submit(job(1, "normal", 4, 1, 1_000)),
+        StepAnswer::Accepted { created: true }
+    );
+    world.run(5_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Cancelled);
+    assert_eq!(world.workers.starts, 0);
+    let again = world.cancel(1, "normal");
+    world.run(100);
+    assert_eq!(world.answers[&again], StepAnswer::Cancelled);
+    world.submit(job(2, "normal", 4, 1, 1_000));
+    world.run(2_000);
+    assert_eq!(world.phase(2, "normal"), StepJobPhase::Completed);
+}
+
+/// Guards against a cancel of an unknown job that is answered before it is stored: a later scheduler would not know of
+/// it. A submission that arrives meanwhile is accepted as cancelled.
+#[test]
+fn cancel_before_submit_stored() {
+    let mut world = World::new(1);
+    world.store_down = true;
+    let cancel = world.cancel(1, "normal");
+    let repeated = world.cancel(1, "normal");
+    let submitted = world.call(StepCall::Submit {
+        job: Box::new(job(1, "normal", 4, 1, 1_000)),
+    });
+    world.run(300);
+    assert!(
+        [cancel, repeated, submitted]
+            .iter()
+            .all(|call| !world.answers.contains_key(call))
+    );
+    world.store_down = false;
+    world.run(3_000);
+    assert_eq!(world.answers[&submitted], StepAnswer::Accepted { created: true });
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Cancelled);
+    assert_eq!(world.workers.starts, 0);
+}
+
 /// Guards against a call without an API key reaching a job that was accepted with one, through a public queue. A call
 /// with the URL under which the job was accepted does.
 #[rstest]
