--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -436,7 +436,12 @@
 #[case::two_of_three(1, 3, &[true, true, false])]
 #[case::three_of_four(1, 4, &[true, true, true, false])]
 #[case::half_at_random(8, 50, &[])]
-fn stop_reset(#[case] count: u32, #[case] variants: u64, #[case] pattern: &[bool]) {
+fn stop_reset(
+    #[case] count: u32,
+    #[case] variants: u64,
+    #[case] pattern: &[bool],
+    #[values(false, true)] taken_over: bool,
+) {
     for variant in 0..variants {
         let mut random = fastrand::Rng::with_seed(variant);
         let mut pattern = match pattern {
@@ -450,6 +455,10 @@
         world.run(3_000);
         world.resets.insert(worker(0), pattern);
         world.cancel(1, "normal");
+        if taken_over {
+            world.run(20);
+            world.take_over();
+        }
         let at = world.now;
         while world.workers.running() > 0 && world.now < at + 60_000 {
             world.run(10);
