--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -172,24 +172,20 @@
         }
     }
 
-    /// Cancels a job by queuing a record. Returns the answer if it is certain at once; otherwise it follows when the
+    /// Cancels a job, or bars the key of one that does not exist, by queuing a record. Returns the answer if it is certain at once; otherwise it follows when the
     /// record is durable.
     fn cancel(&mut self, cx: &Context<'_>, token: Token, job: JobKey, queue: &QueueName) -> Option<StepAnswer> {
         let entry = match self.find_job(cx, job, queue) {
-            Ok(entry) => Some(entry),
-            Err(StepAnswer::Unknown) => None,
-            Err(answer) => return Some(answer),
-        };
-        match entry {
-            Some(entry) if entry.phase.is_final() => {
+            Ok(entry) if entry.phase.is_final() => {
                 let left = self.runs_of(job).count();
                 let reason = format!("answered from its stored phase {:?}; {left} runs left", entry.phase);
                 self.log_job("cancel repeated", job, reason);
                 return Some(StepAnswer::Cancelled);
             }
-            None if cx.book.barred().contains_key(&job) => return Some(StepAnswer::Unknown),
-            _ => {}
-        }
+            Ok(entry) => Some(entry),
+            Err(StepAnswer::Unknown) if !cx.book.barred().contains_key(&job) => None,
+            Err(answer) => return Some(answer),
+        };
         if let Some(tokens) = self.cancelling.get_mut(&job) {
             tokens.push(token);
             return None;
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -151,7 +151,7 @@
     pub(crate) runs: BTreeSet<RunKey>,
     /// Ends that the host lists, by number.
     ends: BTreeMap<u64, ListedEnd>,
-    /// Whether its last lists lacked ends that it has not listed before.
+    /// Whether its last lists may lack ends, which it lists once others are acknowledged.
     pub(crate) more_ends: bool,
     /// Number of the last end that the host knows to be acknowledged.
     pub(crate) acked: u64,
