Don't repeat a stop that the worker has confirmed before its lists are read

A confirmed stop is due again only if later lists have the run. stop_confirmed is new; it was not run on the code before.

--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -323,19 +323,6 @@
     pub(crate) confirmed_at: Option<Millis>,
 }
 
-impl RunStop {
-    /// Whether the order is due, for the first time or again: one that failed after a short pause, any other one once it
-    /// should have had its effect.
-    pub(crate) fn is_due(&self, now: Millis, limits: StepLimits) -> bool {
-        let pause = if self.failed {
-            STOP_RETRY_DELAY
-        } else {
-            limits.stop_repeat()
-        };
-        self.sent_at.is_none_or(|sent| now.since(sent) >= pause)
-    }
-}
-
 /// Stage in the life of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -394,6 +381,22 @@
     pub(crate) crash: Option<Crash>,
 }
 
+impl TaskRun {
+    /// Whether an order to stop the run is due, for the first time or again: one that failed after a short pause, any
+    /// other one once it should have had its effect. A confirmed one is due again only if later lists have the run.
+    pub(crate) fn is_stop_due(&self, now: Millis, limits: StepLimits) -> bool {
+        let Some(stop) = self.stop else { return false };
+        let confirmed = stop
+            .confirmed_at
+            .is_some_and(|at| self.seen.is_none_or(|seen| seen <= at));
+        let pause = match stop.failed {
+            true => STOP_RETRY_DELAY,
+            false => limits.stop_repeat(),
+        };
+        !confirmed && stop.sent_at.is_none_or(|sent| now.since(sent) >= pause)
+    }
+}
+
 /// How much the scheduler of step jobs has to do.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StepLoad {
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -175,12 +175,12 @@
             if !matches!(run.phase, RunPhase::Live | RunPhase::Ordered) {
                 continue;
             }
-            let is_due = stop.is_due(cx.now, cx.limits);
+            let is_due = run.is_stop_due(cx.now, cx.limits);
             if host.synced && !host.is_silent(cx.now) {
                 due.extend(is_due.then_some(*key));
-            } else if !is_due {
+            } else if !is_due && stop.confirmed_at.is_none() {
                 single.insert(&run.worker, None);
-            } else if host.synced || cx.now.since(stop.asked_at) >= cx.limits.stop_repeat() {
+            } else if is_due && (host.synced || cx.now.since(stop.asked_at) >= cx.limits.stop_repeat()) {
                 let next = single.entry(&run.worker).or_insert(Some((stop.sent_at, *key)));
                 if let Some(next) = next {
                     *next = (*next).min((stop.sent_at, *key));
--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -469,6 +469,24 @@
     }
 }
 
+/// Guards against stops that are repeated although the worker has confirmed them, while its lists can't be read.
+#[test]
+fn stop_confirmed() {
+    let mut world = World::new(1);
+    world.submit(job(1, "normal", 8, 1, 60_000));
+    world.run(3_000);
+    world.cancel(1, "normal");
+    while world.stop_orders < 8 {
+        world.run(10);
+    }
+    world.resets.insert(worker(0), vec![true]);
+    world.run(4_000);
+    assert_eq!((world.workers.running(), world.stop_orders), (0, 8));
+    world.resets.clear();
+    world.run(1_000);
+    assert_eq!(world.workers.unacknowledged(), 0);
+}
+
 /// Guards against orders that pile up for a worker that does not answer, while its runs are to be stopped.
 #[test]
 fn stop_silent() {
