--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -34,6 +34,15 @@
     job
 }
 
+/// Runs until no task runs, at most 60 s. Returns how long that took, in milliseconds.
+fn run_until_idle(world: &mut World) -> u64 {
+    let at = world.now;
+    while world.workers.running() > 0 && world.now < at + 60_000 {
+        world.run(10);
+    }
+    world.now - at
+}
+
 /// Guards against a worker that drains, leaves and is back under its name being taken for one that crashed.
 #[test]
 fn drain_is_no_crash() {
@@ -137,11 +146,7 @@
     if taken_over {
         world.take_over();
     }
-    let at = world.now;
-    while world.workers.running() > 0 && world.now < at + 60_000 {
-        world.run(10);
-    }
-    let took = world.now - at;
+    let took = run_until_idle(&mut world);
     println!("{refusals} refusals: gone after {took} ms");
     assert!(took <= 3_200, "{took} ms");
 }
@@ -459,11 +464,7 @@
             world.run(20);
             world.take_over();
         }
-        let at = world.now;
-        while world.workers.running() > 0 && world.now < at + 60_000 {
-            world.run(10);
-        }
-        let took = world.now - at;
+        let took = run_until_idle(&mut world);
         println!("variant {variant}: gone after {took} ms");
         assert!(took <= CANCEL_MS + STOP_MS, "variant {variant}: {took} ms");
     }
