stop_confirmed: lose the lists after the confirmation

The test let a hold order that was sent before tell of the ends, so that it passed on, the code before, as well. Now it fails there (32 stop orders instead of 8) and passes on the present code.

--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -480,10 +480,12 @@
     while world.stop_orders < 8 {
         world.run(10);
     }
-    world.resets.insert(worker(0), vec![true]);
+    // The stops are confirmed, and the reply of the hold order that waits for their effect is lost.
+    world.run(20);
+    world.reply_loss.insert(worker(0));
     world.run(4_000);
     assert_eq!((world.workers.running(), world.stop_orders), (0, 8));
-    world.resets.clear();
+    world.reply_loss.clear();
     world.run(1_000);
     assert_eq!(world.workers.unacknowledged(), 0);
 }
