Log and count suspects that a planning pass leaves unplaced, and why

A task that counts as a suspect of a crash and waits wrote nothing: neither why nor behind whom, so that the two hypotheses of docs/incidents/2026-12-05-suspects-wait.md (suspects made by a wave; slots used up) could not be told apart.

--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -214,6 +214,8 @@
             .map_or_else(|_| Connections::default(), |clients| clients.hosts.connections());
         slog::info!(self.log, "load"; "term" => term.0, "passes" => steps.map(|load| load.passes),
             "waiting" => steps.map(|load| load.waiting), "runs" => steps.map(|load| load.runs),
+            "held_suspects" => steps.map(|load| load.held_suspects),
+            "longest_held" => steps.and_then(|load| load.held_since).map(|since| now.since(since).0),
             "unstored_ends" => steps.map(|load| load.unstored_ends),
             "orders_waiting" => self.order_slots.waiting(),
             "inbox" => self.inbox.len(), "orders" => self.open_orders.load(Ordering::Relaxed),
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -22,6 +22,7 @@
 use crate::steps::spec::{Demand, JobKey, QueueSettings, Step, StepJobPhase, TaskKey};
 use crate::steps::step_limits::StepLimits;
 use crate::steps::straggler::DurationsByStep;
+use crate::steps::trial::{HeldSuspect, Suspect};
 
 /// How long a scheduler may go on renewing worker leases after its own lease has ended, so that running tasks survive
 /// a store outage of this length. A new scheduler adds it to the expiry of leases that it did not grant itself.
@@ -406,6 +407,10 @@
     pub waiting: usize,
     /// Runs that may be alive or whose end is not durable.
     pub runs: usize,
+    /// Suspects that the last planning pass left unplaced.
+    pub held_suspects: usize,
+    /// When the first of them was left unplaced.
+    pub held_since: Option<Millis>,
     /// Ends that workers list and that are not durable.
     pub unstored_ends: usize,
 }
@@ -448,6 +453,8 @@
     pub(crate) trials: BTreeSet<RunKey>,
     /// Number of workers that may be used for trials at present.
     pub(crate) trial_workers: usize,
+    /// Suspects that the last planning pass left unplaced.
+    pub(crate) held: BTreeMap<Suspect, HeldSuspect>,
     /// Workers that crashed a short time ago, and when.
     pub(crate) crashes: BTreeMap<WorkerName, Millis>,
     /// Calls to answer once the job's [`StepRecord::Accepted`] is durable.
@@ -494,6 +501,7 @@
             forgetting: BTreeSet::new(),
             trials: BTreeSet::new(),
             trial_workers: MIN_TRIAL_WORKERS,
+            held: BTreeMap::new(),
             crashes: BTreeMap::new(),
             accepting: BTreeMap::new(),
             cancelling: BTreeMap::new(),
@@ -608,6 +616,8 @@
             passes: self.passes,
             waiting: self.waiting.len(),
             runs: self.runs.len(),
+            held_suspects: self.held.len(),
+            held_since: self.held.values().map(|held| held.since).min(),
             unstored_ends: self.hosts.values().map(Host::unstored_ends).sum(),
         }
     }
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -148,18 +148,20 @@
         }
         self.replan = false;
         if !self.workers_known || self.waiting.is_empty() {
+            self.held.clear();
             return;
         }
         self.passes += 1;
-        let (placements, reservations) = self.decide(cx);
+        let (placements, reservations, trials) = self.decide(cx);
         for placement in placements {
             self.assign(cx, placement);
         }
         self.apply_reservations(cx, reservations);
+        self.note_held(cx, trials);
     }
 
     /// Determines the placements and reservations of a pass without changing any state.
-    fn decide(&self, cx: &Context<'_>) -> (Vec<StepPlacement>, Vec<NewReservation>) {
+    fn decide(&self, cx: &Context<'_>) -> (Vec<StepPlacement>, Vec<NewReservation>, TrialPass) {
         let free = FreeCapacity::new(self, cx);
         let mut pass = PlanningPass {
             reservable: free.accelerators.saturating_mul(MAX_RESERVED_PERCENT) / 100,
@@ -187,7 +189,7 @@
                 queue.charge(&entry.spec.account, step.demand.accelerators * placed);
             }
         }
-        (pass.placements, pass.reservations)
+        (pass.placements, pass.reservations, pass.trials)
     }
 
     /// Places the steps whose reserved capacity has become free, and withholds that of the others from the pass.
--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -37,6 +37,41 @@
     jobs: BTreeSet<JobKey>,
     /// Suspects that start beside other work.
     ordinary: BTreeMap<StepKey, BTreeSet<u32>>,
+    /// Suspects that the pass leaves unplaced, and why.
+    held: BTreeMap<Suspect, HoldReason>,
+}
+
+/// A waiting suspect: its step and its index.
+pub(crate) type Suspect = (StepKey, u32);
+
+/// Why a planning pass leaves a suspect unplaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HoldReason {
+    /// Another task of its job is on trial, after one of them has crashed a worker alone.
+    JobOnTrial,
+    /// Trials use as many workers as they may.
+    NoSlot,
+    /// A gang waits for the trials in progress to end.
+    GangFirst,
+    /// A worker is forecast to become empty soon.
+    EmptySoon,
+}
+
+/// Since when a suspect has been left unplaced.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HeldSuspect {
+    pub(crate) since: Millis,
+}
+
+impl HoldReason {
+    fn text(self) -> &'static str {
+        match self {
+            Self::JobOnTrial => "another task of its job is on trial",
+            Self::NoSlot => "trials use as many workers as they may",
+            Self::GangFirst => "a gang waits for trials to end",
+            Self::EmptySoon => "a worker becomes empty soon",
+        }
+    }
 }
 
 /// Positions of workers for a trial.
@@ -49,6 +84,12 @@
     Busy,
 }
 
+impl TrialPass {
+    fn hold(&mut self, step: StepKey, indices: Vec<u32>, why: HoldReason) {
+        self.held.extend(indices.into_iter().map(|index| ((step, index), why)));
+    }
+}
+
 impl StepScheduler {
     /// The trials that a planning pass may begin.
     pub(crate) fn trial_pass(&self) -> TrialPass {
@@ -63,6 +104,26 @@
             blocked: false,
             jobs: self.trials.iter().map(|(task, _)| task.job).collect(),
             ordinary: BTreeMap::new(),
+            held: BTreeMap::new(),
+        }
+    }
+
+    /// Takes note of the suspects that a planning pass has left unplaced.
+    pub(crate) fn note_held(&mut self, cx: &Context<'_>, pass: TrialPass) {
+        let (slots, trials) = (pass.slots, self.trials.len());
+        self.held.retain(|suspect, _| pass.held.contains_key(suspect));
+        for ((step, index), why) in pass.held {
+            if self.held.contains_key(&(step, index)) {
+                continue;
+            }
+            self.held.insert((step, index), HeldSuspect { since: cx.now });
+            let reason = format!(
+                "task {index} of step {}: {}; {trials} runs on trial, {slots} workers left for trials of {} allowed at first",
+                step.2,
+                why.text(),
+                self.trial_workers
+            );
+            self.log_job("suspect waits", step.0, reason);
         }
     }
 
@@ -97,9 +158,15 @@
         for indices in groups {
             // A job of which a task crashed a worker on trial fails with the first one that is given up.
             let waits = crashed && pass.trials.jobs.contains(&key.0);
-            if waits || pass.trials.blocked || pass.trials.slots == 0 {
-                if step.long_running && !crashed {
-                    pass.trials.ordinary.entry(key).or_default().extend(indices);
+            let held = match (waits, pass.trials.blocked) {
+                (true, _) => Some(HoldReason::JobOnTrial),
+                (_, true) => Some(HoldReason::GangFirst),
+                _ => (pass.trials.slots == 0).then_some(HoldReason::NoSlot),
+            };
+            if let Some(why) = held {
+                match step.long_running && !crashed {
+                    true => pass.trials.ordinary.entry(key).or_default().extend(indices),
+                    false => pass.trials.hold(key, indices, why),
                 }
                 continue;
             }
@@ -114,6 +181,7 @@
             let workers: BTreeSet<u32> = positions.iter().copied().collect();
             if workers.len() > pass.trials.slots && !pass.trials.idle {
                 pass.trials.blocked = true;
+                pass.trials.hold(key, indices, HoldReason::GangFirst);
                 continue;
             }
             for position in &workers {
@@ -130,6 +198,8 @@
                     trial: true,
                     reason: "on trial, apart from other work: workers crashed under it",
                 });
+            } else {
+                pass.trials.hold(key, indices, HoldReason::EmptySoon);
             }
         }
     }
