--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -9,4 +9,5 @@
 mod odd_entries;
 mod review;
 mod takeover;
+mod waves;
 mod world;
--- /dev/null
+++ b/crates/pistachiostair/tests/steps/waves.rs
@@ -0,0 +1,161 @@
+//! Waves in which a large part of the workers is lost and comes back as other lives.
+
+use pistachiostair::{JobKey, Millis, StepJobPhase, TaskKey, WorkerName};
+use rstest::rstest;
+
+use crate::world::{ACCELERATORS, World, gang, job};
+
+const WORKERS: usize = 24;
+
+/// Longest time that a job with a task to start may have nothing running while less than half of the room is in use: the
+/// platform's bound.
+const MAX_IDLE_MS: u64 = 3_000;
+
+/// Length of a cut, shorter than the leases of the workers' runs.
+const CUT_MS: u64 = 5_500;
+
+/// Time after a crash in which its detection, by the end of a lease, is due.
+const DETECTION_MS: u64 = 12_000;
+
+fn region(renames: bool) -> World {
+    let mut world = World::new(WORKERS);
+    world.workers.downtime = Some(Millis(500));
+    world.workers.renames = renames;
+    world.by_name = true;
+    world
+}
+
+/// Jobs that are submitted while a region runs, with their longest time without a run beside free room.
+struct Stream {
+    jobs: Vec<(u64, u64)>,
+    next: u64,
+}
+
+impl Stream {
+    fn new() -> Self {
+        Self {
+            jobs: Vec::new(),
+            next: 100,
+        }
+    }
+
+    /// Submits one job of several kinds.
+    fn submit(&mut self, world: &mut World) {
+        let key = self.next;
+        self.next += 1;
+        let submitted = match key % 6 {
+            0 => gang(key, "normal", 3, 4, 4_000),
+            1 => job(key, "normal", 1, ACCELERATORS, 3_000),
+            _ => job(key, "normal", 3, 1, 4_000),
+        };
+        world.submit(submitted);
+        self.jobs.push((key, 0));
+    }
+
+    /// Runs for `span` milliseconds and submits a job each `gap` milliseconds; 0 for none.
+    fn run(&mut self, world: &mut World, span: u64, gap: u64) {
+        let end = world.now + span;
+        let mut last = world.now;
+        while world.now < end {
+            if gap > 0 && world.now >= last + gap {
+                last = world.now;
+                self.submit(world);
+            } else {
+                world.run(100);
+            }
+        }
+    }
+
+    /// Runs until all jobs are completed, and fails if one fails or waits for longer than allowed.
+    fn finish(&mut self, world: &mut World, limit: u64) {
+        let end = world.now + limit;
+        while !self.jobs.is_empty() {
+            assert!(world.now < end, "{} jobs open after {limit} ms", self.jobs.len());
+            world.run(100);
+            let idle = 2 * world.workers.accelerators_in_use() < WORKERS as u64 * ACCELERATORS;
+            self.jobs.retain_mut(|(key, waited)| {
+                let phase = world.phase(*key, "normal");
+                assert_ne!(phase, StepJobPhase::Failed, "job {key}");
+                let running = world.workers.running_of(JobKey(*key)) > 0;
+                *waited = if idle && !running { *waited + 100 } else { 0 };
+                assert!(*waited <= MAX_IDLE_MS, "job {key} waits beside free room");
+                phase != StepJobPhase::Completed
+            });
+        }
+    }
+}
+
+/// Cuts half of the workers off for a while, after which they are back as other lives.
+fn lose_half(world: &mut World, stream: &mut Stream, gap: u64) {
+    let names: Vec<WorkerName> = world.workers.names().into_iter().step_by(2).collect();
+    world.unreachable.extend(names.iter().cloned());
+    stream.run(world, CUT_MS, gap);
+    world.crash(&names);
+    names.iter().for_each(|name| drop(world.unreachable.remove(name)));
+}
+
+/// Guards against tasks that wait as suspects beside empty workers, since the workers that they were placed on were lost
+/// in a wave.
+#[rstest]
+fn lost_half_leaves_nobody_waiting(
+    #[values(false, true)] renames: bool,
+    #[values(1, 2, 3)] waves: u64,
+    #[values(250, 400)] gap: u64,
+) {
+    let mut world = region(renames);
+    let mut stream = Stream::new();
+    for _ in 0..waves {
+        stream.run(&mut world, 4_000, gap);
+        lose_half(&mut world, &mut stream, gap);
+    }
+    stream.run(&mut world, DETECTION_MS, 0);
+    stream.finish(&mut world, 60_000);
+    world.check();
+}
+
+/// Guards against suspects that wait for the end of trials beside empty workers.
+#[rstest]
+fn suspects_start_beside_free_room(#[values(0, 1)] lost: usize) {
+    let mut world = region(false);
+    let mut stream = Stream::new();
+    // Crashes one by one, far apart, so that each tells against the tasks that had just begun there.
+    for _ in 0..12 {
+        stream.submit(&mut world);
+        stream.submit(&mut world);
+        stream.submit(&mut world);
+        let names = world.workers.names();
+        let busy = names.iter().filter(|name| world.workers.running_on(name.as_str()) > 0);
+        let busy: Vec<WorkerName> = busy.take(1 + lost).cloned().collect();
+        world.crash(&busy);
+        stream.run(&mut world, 1_000, 0);
+    }
+    stream.finish(&mut world, 60_000);
+    world.check();
+}
+
+/// Guards against a deadly task that is not given up since workers are lost in waves beside it.
+#[rstest]
+fn deadly_beside_waves_given_up(#[values(0, 1_500)] crash_after: u64, #[values(false, true)] renames: bool) {
+    let mut world = region(renames);
+    let mut stream = Stream::new();
+    let mut deadly = job(1, "normal", 1, 1, 60_000);
+    deadly.payload = format!("{} deadly=1 crash_after={crash_after}", deadly.payload);
+    world.submit(deadly);
+    for _ in 0..2 {
+        stream.run(&mut world, 4_000, 400);
+        lose_half(&mut world, &mut stream, 400);
+    }
+    stream.run(&mut world, DETECTION_MS, 0);
+    stream.finish(&mut world, 60_000);
+    world.run(60_000);
+    let task = TaskKey {
+        job: JobKey(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let (starts, crashes) = (world.workers.starts_of(task), world.workers.crashes_by(task));
+    assert!(starts <= 7, "{starts} starts, {crashes} crashes");
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Failed);
+    world.check();
+}
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -373,6 +373,12 @@
         tasks.filter(|task| task.job == job).count()
     }
 
+    /// Number of accelerators that run on all workers take.
+    pub fn accelerators_in_use(&self) -> u64 {
+        let used = self.workers.values().map(|worker| worker.used().accelerators);
+        used.sum()
+    }
+
     /// Tasks that run on the worker `name`.
     pub fn running_on(&self, name: &str) -> usize {
         let worker = self.workers.get(&WorkerName::from(name));
