Don't count crashes in a wave of lost workers against the tasks that ran there

Cause: crashes were attributed one by one. A cut of half of the workers that come back as other lives made suspects of all tasks that had been placed there, also of those whose start orders went to a worker that no longer answered. `outage` compared when crashes were noted, which for one cut is over 19 s apart, as each worker's runs end with its own lease.

Change: workers count as lost at the same time by their last answers. If at least a quarter of the fleet, or of the rack, and six workers beside the one in question are lost at once, its crash is stored as `shared` and counts nothing. Workers on which a run had just begun or a suspect ran, and those of the same job unless a part of them outlasted it, are left out of that share, so that a job which crashes its workers is not excused by its own crashes. The log line has the counts.

Test: waves::lost_at_once_is_evidence.

--- a/crates/pistachiostair/src/steps/crashes.rs
+++ b/crates/pistachiostair/src/steps/crashes.rs
@@ -5,7 +5,7 @@
 //! until it has outlived its earlier runs. A worker that crashes during a trial is evidence against that task alone, so
 //! that its neighbours are not given up with it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
@@ -13,7 +13,7 @@
 use crate::steps::engine::{Context, RunOrigin, RunPhase, StepScheduler, TaskRun, step_of};
 use crate::steps::host::{Host, RunKey};
 use crate::steps::job_table::{JobEntry, TaskEntry};
-use crate::steps::spec::TaskKey;
+use crate::steps::spec::{JobKey, TaskKey};
 
 /// Number of workers that have crashed under a task from which on it is started on trial, however long it had run.
 const SUSPECT_CRASHES: u32 = 2;
@@ -40,11 +40,25 @@
 /// meet every failure of their workers over weeks.
 const CLEAR_AGE: Millis = Millis(60_000);
 
-/// Time within which crashes of other workers show that a crash has a common cause, such as a rack without power.
+/// Time between the last answers of two workers within which both count as lost at the same time: hold orders are
+/// answered at least every 2 s.
 const OUTAGE_SPAN: Millis = Millis(5_000);
 
-/// Number of workers that must crash within that time.
-const OUTAGE_WORKERS: usize = 3;
+/// Number of other workers that must be lost at the same time for a crash to possibly have another cause than the task.
+const OUTAGE_WORKERS: usize = 2;
+
+/// Number of other workers that must be lost at the same time for a crash to tell nothing against the task, and the least
+/// part of the fleet or of the rack that they must be, as a divisor. At a smaller part, an innocent task is hit five times
+/// in a row, which is what it takes to be given up, with a probability of at most 0.1%.
+const WAVE_WORKERS: usize = 6;
+const WAVE_PART: usize = 4;
+
+/// A job explains the loss of the workers that ran it unless at least one in this many of them outlasted its runs.
+const OWN_PART: usize = 5;
+
+/// Time for which a lost worker is remembered: workers of one outage are found lost at any time until their leases have
+/// ended.
+const LOST_SPAN: Millis = Millis(20_000);
 
 /// Time after a crash of a worker in which it is avoided for trials, since it may be what is at fault.
 const UNSTEADY_SPAN: Millis = Millis(30_000);
@@ -61,12 +75,88 @@
         /// Whether the run was on trial and nothing else can have caused the crash.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         pub alone: bool,
+        /// Whether so many other workers were lost at the same time that the crash tells nothing against the task.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub shared: bool,
+    }
+}
+
+/// A worker that was lost a short time ago.
+#[derive(Clone, Debug)]
+pub(crate) struct LostHost {
+    /// When it last answered.
+    alive_at: Millis,
+    /// When it was found to be lost.
+    noted_at: Millis,
+    rack: u32,
+    /// Jobs with a run there.
+    jobs: BTreeSet<JobKey>,
+    /// Whether a task may have crashed it: a run had just begun there, or a suspect ran there.
+    suspected: bool,
+}
+
+/// Workers that were lost at the same time as another one, and workers that outlasted that.
+#[derive(Clone, Copy, Debug, Default)]
+struct Toll {
+    lost: usize,
+    alive: usize,
+}
+
+/// What the workers that were lost at the same time say about the crash of one of them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Losses {
+    fleet: Toll,
+    rack: Toll,
+}
+
+impl Toll {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            lost: self.lost + other.lost,
+            alive: self.alive + other.alive,
+        }
+    }
+
+    fn is_wave(self) -> bool {
+        self.lost >= WAVE_WORKERS && self.lost * WAVE_PART >= self.lost + self.alive
+    }
+}
+
+impl Losses {
+    fn add(&mut self, lost: bool, in_rack: bool) {
+        for toll in [Some(&mut self.fleet), in_rack.then_some(&mut self.rack)] {
+            match (toll, lost) {
+                (Some(toll), true) => toll.lost += 1,
+                (Some(toll), false) => toll.alive += 1,
+                (None, _) => {}
+            }
+        }
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            fleet: self.fleet.plus(other.fleet),
+            rack: self.rack.plus(other.rack),
+        }
+    }
+
+    /// Whether the crash may have another cause than a task that ran alone on the worker.
+    fn is_outage(self) -> bool {
+        self.fleet.lost >= OUTAGE_WORKERS
+    }
+
+    /// Whether the crash tells nothing against any task.
+    fn is_wave(self) -> bool {
+        self.fleet.is_wave() || self.rack.is_wave()
     }
 }
 
 impl TaskEntry {
     /// Counts a crash of the worker under a run of the task.
     pub(crate) fn record_crash(&mut self, crash: &Crash) {
+        if crash.shared {
+            return;
+        }
         self.crashes += 1;
         self.trial_crashes += u32::from(crash.alone);
         self.crash_age = self.crash_age.max(crash.age);
@@ -157,18 +247,28 @@
             return;
         };
         host.crashed_at = Some(cx.now);
-        let incarnation = host.incarnation;
+        let (number, rack) = (host.number, host.rack);
+        let (incarnation, alive_at) = (host.incarnation, host.alive_at);
         let runs: Vec<RunKey> = host.runs.iter().copied().collect();
         let trial = runs.iter().any(|key| self.trials.contains(key));
-        self.crashes.retain(|_, at| cx.now.since(*at) < OUTAGE_SPAN);
-        let outage = self.crashes.len() + 1 >= OUTAGE_WORKERS;
-        // A crash that a trial explains does not speak for an outage.
-        if !trial {
-            self.crashes.insert(worker.clone(), cx.now);
-        }
+        self.lost_hosts
+            .retain(|_, lost| cx.now.since(lost.noted_at) < LOST_SPAN);
+        let jobs: BTreeSet<JobKey> = runs.iter().map(|(task, _)| task.job).collect();
+        let losses = |job: &JobKey| (*job, self.losses_beside(cx, (number, rack, alive_at), *job));
+        let losses: BTreeMap<JobKey, Losses> = jobs.iter().map(losses).collect();
+        let lost = LostHost {
+            alive_at,
+            noted_at: cx.now,
+            rack,
+            suspected: self.may_crash(cx, &runs),
+            jobs,
+        };
+        self.lost_hosts.insert(number, lost);
         let groups: BTreeSet<_> = runs.iter().map(|(task, run)| (task.step_key(), *run)).collect();
         for key in runs {
             let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
+            let Some(losses) = losses.get(&key.0.job) else { continue };
+            let (shared, outage) = (losses.is_wave(), losses.is_outage());
             let Some(run) = self.runs.get_mut(&key) else { continue };
             let ordered = matches!(run.phase, RunPhase::Ordered | RunPhase::Live);
             let cleared = lasting && run.clears_crashes();
@@ -177,17 +277,79 @@
             }
             let crash = Crash {
                 age: run.age(),
-                alone: run.trial.is_some() && groups.len() == 1 && !outage,
+                alone: run.trial.is_some() && groups.len() == 1 && !outage && !shared,
+                shared,
             };
             run.crash = Some(crash);
-            if trial {
+            if trial && !shared {
                 self.trial_workers = MIN_TRIAL_WORKERS;
             }
-            let reason = format!("its worker crashed after {} ms at work; {crash:?}", crash.age);
+            let reason = match shared {
+                true => format!(
+                    "its worker was lost in a wave after {} ms at work, which tells nothing against it; {losses:?}",
+                    crash.age
+                ),
+                false => format!(
+                    "its worker crashed after {} ms at work; {crash:?}; {losses:?}",
+                    crash.age
+                ),
+            };
             self.log_run("crashed", key, reason);
         }
     }
 
+    /// Other workers that were lost at the same time as the one with this number, rack and time of the last answer, and
+    /// those that have answered since. Workers that a task may have crashed don't count: what is left tells how many are lost
+    /// whatever is started on them. Workers on which the job ran count if part of them outlasted its runs.
+    fn losses_beside(&self, cx: &Context<'_>, (number, rack, alive_at): (u32, u32, Millis), job: JobKey) -> Losses {
+        let (mut others, mut own) = (Losses::default(), Losses::default());
+        let together = |other: Millis| other.since(alive_at).max(alive_at.since(other)) <= OUTAGE_SPAN;
+        for lost in self.lost_hosts.values() {
+            if !lost.suspected && together(lost.alive_at) {
+                let losses = if lost.jobs.contains(&job) {
+                    &mut own
+                } else {
+                    &mut others
+                };
+                losses.add(true, lost.rack == rack);
+            }
+        }
+        for host in self.hosts.values() {
+            let noted = host.number == number || self.lost_hosts.contains_key(&host.number);
+            if noted || self.may_crash(cx, &host.runs) {
+                continue;
+            }
+            let ages = host.runs.iter().filter(|(task, _)| task.job == job);
+            let oldest = ages.filter_map(|key| self.runs.get(key)).map(TaskRun::age).max();
+            let losses = if oldest.is_some() { &mut own } else { &mut others };
+            let outlasted = host.known_since <= alive_at
+                && host.alive_at > alive_at
+                && oldest.is_none_or(|age| age >= TRIAL_MARGIN);
+            if host.is_failing() && together(host.alive_at) {
+                losses.add(true, host.rack == rack);
+            } else if !host.is_failing() && outlasted {
+                losses.add(false, host.rack == rack);
+            }
+        }
+        match own.fleet.alive > 0 && own.fleet.alive * OWN_PART >= own.fleet.lost + own.fleet.alive {
+            true => others.plus(own),
+            false => others,
+        }
+    }
+
+    /// Whether one of a worker's runs may crash it: one that has just begun, or one of a suspect that has not outlived the
+    /// runs under which workers crashed.
+    fn may_crash<'a>(&self, cx: &Context<'_>, runs: impl IntoIterator<Item = &'a RunKey>) -> bool {
+        runs.into_iter().any(|key| {
+            let Some(run) = self.runs.get(key).filter(|run| run.sends > 0) else {
+                return false;
+            };
+            let task = cx.book.job(key.0.job).and_then(|entry| entry.task(&key.0));
+            let suspect = task.filter(|task| task.is_suspect());
+            run.age() == Millis::ZERO || suspect.is_some_and(|task| run.has_not_outlived(task))
+        })
+    }
+
     /// Why a job is given up because of crashes of workers; none if it is not.
     pub(crate) fn given_up(&self, entry: &JobEntry) -> Option<String> {
         let mut tasks = entry.steps.values().flat_map(|step| &step.tasks);
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -10,7 +10,7 @@
 use crate::record;
 use crate::scheduler::Token;
 use crate::steps::calls::{StepAnswer, StepCall};
-use crate::steps::crashes::{Crash, MIN_TRIAL_WORKERS, RECOVERED_AGE};
+use crate::steps::crashes::{Crash, LostHost, MIN_TRIAL_WORKERS, RECOVERED_AGE};
 use crate::steps::host::{Host, HostUpdate, RunKey};
 use crate::steps::job_table::{JobEntry, StepJobTable};
 use crate::steps::outcome::RunOutcome;
@@ -455,8 +455,8 @@
     pub(crate) trial_workers: usize,
     /// Suspects that the last planning pass left unplaced.
     pub(crate) held: BTreeMap<Suspect, HeldSuspect>,
-    /// Workers that crashed a short time ago, and when.
-    pub(crate) crashes: BTreeMap<WorkerName, Millis>,
+    /// Workers that were lost a short time ago, by number.
+    pub(crate) lost_hosts: BTreeMap<u32, LostHost>,
     /// Calls to answer once the job's [`StepRecord::Accepted`] is durable.
     pub(crate) accepting: BTreeMap<JobKey, Vec<Token>>,
     /// Calls to answer once the job's [`StepRecord::Cancelled`] is durable.
@@ -502,7 +502,7 @@
             trials: BTreeSet::new(),
             trial_workers: MIN_TRIAL_WORKERS,
             held: BTreeMap::new(),
-            crashes: BTreeMap::new(),
+            lost_hosts: BTreeMap::new(),
             accepting: BTreeMap::new(),
             cancelling: BTreeMap::new(),
             hold_wait: Millis::ZERO,
@@ -535,7 +535,7 @@
             let host = self.hosts.entry(placed.worker.clone());
             let host = host.or_insert_with(|| {
                 self.last_host += 1;
-                Host::new(self.last_host, placed.incarnation, expiry)
+                Host::new(self.last_host, placed.incarnation, expiry, cx.now)
             });
             host.incarnation = host.incarnation.max(placed.incarnation);
             host.used = host.used.plus(&step.demand);
@@ -592,7 +592,8 @@
         for key in earlier {
             if let Some(run) = self.runs.get_mut(&key) {
                 let age = RECOVERED_AGE;
-                run.crash.get_or_insert(Crash { age, alone: false });
+                let (alone, shared) = (false, false);
+                run.crash.get_or_insert(Crash { age, alone, shared });
             }
             self.stop_in_later_incarnation(cx, key);
         }
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -139,6 +139,10 @@
     last_unanswered: bool,
     /// When a call was last answered, if only by a refusal.
     answered_at: Millis,
+    /// Since when this scheduler has known its present incarnation.
+    pub(crate) known_since: Millis,
+    /// When that last answered a call, or [`Self::known_since`] if it has not.
+    pub(crate) alive_at: Millis,
     /// Time before which it gets no new tasks, since it refused one for want of room.
     full_until: Millis,
     /// When the first of the connections was refused that were refused in a row.
@@ -171,7 +175,7 @@
 
 impl Host {
     /// A worker whose lists are not read yet and whose runs, if any, may be alive until `expiry`.
-    pub(crate) fn new(number: u32, incarnation: Incarnation, expiry: Millis) -> Self {
+    pub(crate) fn new(number: u32, incarnation: Incarnation, expiry: Millis, now: Millis) -> Self {
         Self {
             number,
             rack: 0,
@@ -189,6 +193,8 @@
             failures: 0,
             last_unanswered: false,
             answered_at: Millis::ZERO,
+            known_since: now,
+            alive_at: now,
             full_until: Millis::ZERO,
             refused_since: None,
             gone: false,
@@ -214,8 +220,10 @@
 
     /// Replaces the earlier incarnation and forgets its clock, lease, ends and failures. Its runs stay for the caller
     /// to end.
-    pub(crate) fn restart(&mut self, incarnation: Incarnation) {
+    pub(crate) fn restart(&mut self, incarnation: Incarnation, now: Millis) {
         self.incarnation = incarnation;
+        self.known_since = now;
+        self.alive_at = now;
         self.synced = false;
         self.clock = None;
         self.expiry = Millis::ZERO;
@@ -319,6 +327,11 @@
         }
     }
 
+    /// Whether its last call failed and it has not answered since.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failures > 0 || self.replaced
+    }
+
     /// Whether it has answered nothing for a while. One that answers some of its calls is not silent.
     pub(crate) fn is_silent(&self, now: Millis) -> bool {
         self.last_unanswered && now.since(self.answered_at) >= SILENCE
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -54,7 +54,7 @@
         let host = self.hosts.entry(worker.clone());
         let host = host.or_insert_with(|| {
             self.last_host += 1;
-            Host::new(self.last_host, Incarnation::default(), Millis::ZERO)
+            Host::new(self.last_host, Incarnation::default(), Millis::ZERO, cx.now)
         });
         let next_rack = self.racks.len() as u32;
         host.rack = match self.racks.get(&info.rack) {
@@ -89,7 +89,7 @@
         self.note_crash(cx, worker);
         let Some(host) = self.hosts.get_mut(worker) else { return };
         let before = host.incarnation;
-        host.restart(incarnation);
+        host.restart(incarnation, cx.now);
         // An order for the earlier incarnation may have started a run here, under any lease that workers accept.
         host.expiry = cx.now + MAX_LEASE;
         let runs: Vec<RunKey> = host.runs.iter().copied().collect();
@@ -156,6 +156,7 @@
         }
         let Some(host) = self.hosts.get_mut(worker) else { return };
         host.failures = 0;
+        host.alive_at = cx.now;
         host.note_answer(cx.now, true);
         host.replaced = false;
         host.note_refusal(cx.now, false);
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -263,6 +263,7 @@
         match reply {
             OrderReply::Done { clock } => {
                 host.read_clock(*clock, cx.now);
+                host.alive_at = cx.now;
                 host.failures = 0;
                 host.replaced = false;
             }
@@ -332,7 +333,9 @@
         let run = self.runs.get(&key);
         let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
         let cleared = lasting && run.is_some_and(TaskRun::clears_crashes);
-        let late = ordered && task.is_some_and(|task| run.is_some_and(|run| run.has_not_outlived(task)));
+        let late = ordered
+            && !crash.is_some_and(|crash| crash.shared)
+            && task.is_some_and(|task| run.is_some_and(|run| run.has_not_outlived(task)));
         self.records.push(StepRecord::Ended {
             task: key.0,
             run: key.1,
--- a/crates/pistachiostair/tests/steps/waves.rs
+++ b/crates/pistachiostair/tests/steps/waves.rs
@@ -159,3 +159,26 @@
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Failed);
     world.check();
 }
+
+/// Guards against crashes of a large part of the workers being counted against the tasks that ran there.
+#[rstest]
+#[case::half(24, true)]
+#[case::few(3, false)]
+fn lost_at_once_is_evidence(#[case] lost: usize, #[case] wave: bool) {
+    let mut world = World::new(48);
+    world.workers.downtime = Some(Millis(500));
+    world.submit(job(1, "normal", 48, ACCELERATORS / 2 + 1, 60_000));
+    world.run(4_000);
+    assert_eq!(world.workers.running(), 48);
+    let names: Vec<WorkerName> = world.workers.names();
+    world.submit(job(2, "normal", 48, 1, 60_000));
+    world.run(4_000);
+    world.crash(&names[..lost]);
+    world.run(DETECTION_MS);
+    let rows = || world.rows.iter().map(|(_, row)| row.as_str());
+    let crashes: usize = rows().map(|row| row.matches("\"crash\":").count()).sum();
+    let shared: usize = rows().map(|row| row.matches("\"shared\":true").count()).sum();
+    assert!(crashes > lost, "{crashes} crashes");
+    assert_eq!(shared, if wave { crashes } else { 0 }, "of {crashes} crashes");
+    world.check();
+}
