Let suspects start beside free room within a bounded time

Cause: a suspect started on trial only, on a worker of its own, and waited without a bound while the slots for trials were used up, a gang waited for them or another worker was forecast to become empty, whatever else was free.

Change: a suspect that has waited for 2 s is on trial beside other work, on workers that have a trial already or on further ones up to a quarter of the usable ones; after 10 s it starts on any worker. So a worker's room is no longer kept from it, while tasks that do crash their workers still take few of them down at once (crash_bounds_risk).

--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -19,7 +19,7 @@
 use crate::steps::record::{StartRecord, StepRecord};
 use crate::steps::reservation::{NewReservation, Reservation, preempted_runs};
 use crate::steps::spec::{JobKey, ServiceName, Step, TaskKey};
-use crate::steps::trial::TrialPass;
+use crate::steps::trial::{TrialKind, TrialPass};
 
 /// Factor by which a task's duration grows when it runs outside the rack of its data, or when its gang is spread over
 /// racks. This is the platform's default; only the order of choices and the comparison of runs depend on it.
@@ -33,8 +33,8 @@
     pub(crate) step: StepKey,
     /// Index of each placed task, and its worker.
     pub(crate) workers: Vec<(u32, WorkerName)>,
-    /// Whether the tasks are on trial, each worker being kept for them.
-    pub(crate) trial: bool,
+    /// How the tasks are on trial; none if they are not.
+    pub(crate) trial: Option<TrialKind>,
     /// Why these workers were chosen, for the log.
     pub(crate) reason: &'static str,
 }
@@ -165,6 +165,7 @@
         let free = FreeCapacity::new(self, cx);
         let mut pass = PlanningPass {
             reservable: free.accelerators.saturating_mul(MAX_RESERVED_PERCENT) / 100,
+            trials: self.trial_pass(&free),
             free,
             forecast: None,
             victims: BTreeMap::new(),
@@ -173,7 +174,6 @@
             covered: self.guaranteed_jobs(cx),
             placements: Vec::new(),
             reservations: Vec::new(),
-            trials: self.trial_pass(),
         };
         self.use_reservations(&mut pass);
         let mut queue = self.planning_queue(cx, &pass.covered);
@@ -204,7 +204,7 @@
                 pass.placements.push(StepPlacement {
                     step: *key,
                     workers: workers.collect(),
-                    trial: false,
+                    trial: None,
                     reason: "the capacity reserved for it is free",
                 });
             } else {
@@ -278,7 +278,7 @@
             pass.placements.push(StepPlacement {
                 step: key,
                 workers: indices.iter().copied().zip(workers).collect(),
-                trial: false,
+                trial: None,
                 reason,
             });
         } else {
@@ -426,7 +426,7 @@
             let Some(host) = self.hosts.get_mut(&worker) else {
                 continue;
             };
-            let whole = host.info.as_ref().filter(|_| placement.trial);
+            let whole = host.info.as_ref().filter(|_| placement.trial == Some(TrialKind::Alone));
             let demand = whole.map_or(step.demand, |info| info.capacity.minus(&host.used));
             host.used = host.used.plus(&demand);
             host.runs.insert((key(index), run));
@@ -455,7 +455,7 @@
                 progress: None,
                 stop: None,
                 listed_at: cx.now,
-                trial: entry.trial_span(&key(index)).filter(|_| placement.trial),
+                trial: entry.trial_span(&key(index)).filter(|_| placement.trial.is_some()),
                 crash: None,
             };
             if task_run.trial.is_some() {
