--- a/crates/pistachiostair/src/gateway.rs
+++ b/crates/pistachiostair/src/gateway.rs
@@ -27,6 +27,9 @@
 /// election within 2.5 s, a restart by one within 0.2 s.
 const SCHEDULER_WAIT: Millis = Millis(1_500);
 
+/// Time from which on the answer to a read is logged: most take one round trip.
+const SLOW_READ: Millis = Millis(1_000);
+
 /// Retry time reported to the caller if the failure gives none.
 const RETRY_AFTER: Millis = Millis(400);
 
@@ -82,7 +85,7 @@
         }
     }
 
-    /// Counts every call in the metrics, and logs those that failed or may have changed a job.
+    /// Counts every call in the metrics, and logs those that failed, may have changed a job or took long.
     fn record_call(&self, call: &StepCall, answer: &StepAnswer, attempts: u32, took: Millis) {
         let (kind, id) = describe(call);
         let outcome = match answer {
@@ -112,7 +115,7 @@
             StepAnswer::Failed(failure) => slog::info!(self.log, "not served"; "call" => kind, "job" => id,
                 "error" => &failure.message, "ran" => ?failure.ran, "retry" => failure.retry, "attempts" => attempts,
                 "took" => took.0, "scheduler" => scheduler),
-            StepAnswer::State { .. } | StepAnswer::Pending { .. } => {}
+            StepAnswer::State { .. } | StepAnswer::Pending { .. } if took < SLOW_READ => {}
             _ => slog::info!(self.log, "served"; "call" => kind, "job" => id, "outcome" => outcome,
                 "attempts" => attempts, "took" => took.0, "scheduler" => scheduler),
         }
