--- a/crates/pistachiostair/src/steps/crashes.rs
+++ b/crates/pistachiostair/src/steps/crashes.rs
@@ -3,7 +3,8 @@
 //! Any of the tasks on a worker may have crashed it. A task is a suspect if its run had just begun, or once
 //! [`SUSPECT_CRASHES`] workers have crashed under it. It is then started on trial, on a worker that runs nothing else,
 //! until it has outlived its earlier runs. A worker that crashes during a trial is evidence against that task alone, so
-//! that its neighbours are not given up with it.
+//! that its neighbours are not given up with it. A worker that was lost in a wave, with a large part of the fleet or of its
+//! rack, makes no suspects.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -2,7 +2,8 @@
 //!
 //! A trial takes a whole worker, which may crash: its run counts as using all of it, so that others may preempt it. The
 //! number of workers used for trials at the same time is small at first, grows with each trial that is passed, and falls
-//! back with each worker that crashes. A suspect for which no worker becomes empty soon starts beside other work.
+//! back with each worker that crashes. A suspect for which no worker becomes empty soon starts beside other work. One that
+//! has waited for some time shares a worker with other suspects, and after some more starts anywhere.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
