accept_many_handshakes: looks at the connections for as long as it may

Timed beside 40 busy processes, the first connection appears after 110 to 1154 ms (six runs). The bound of 8 is now checked for 900 ms instead of 400, and that there is any connection until the calls have ended.

--- a/crates/pistachiostair/tests/peers.rs
+++ b/crates/pistachiostair/tests/peers.rs
@@ -420,21 +420,25 @@
     let authority = Authority::new();
     let server = Daemon::start_reporting("b", authority.tls(), echo(), None);
     let client = Daemon::start("a", authority.tls(), echo());
-    let mut most = 0;
+    // A peer gives up 1 s after it began, so that until then none of these connections is closing.
+    let closing = Instant::now() + Duration::from_millis(900);
     let calls: Vec<_> = (0..STORM)
         .map(|_| {
             let (peers, address) = (client.peers.clone(), one_way(&server.address()));
             std::thread::spawn(move || block_on(peers.call(&address, policy(0, 1), Millis(1_500))).is_err())
         })
         .collect();
-    // Until then no peer gives up, so that none of these connections is closing.
-    let end = Instant::now() + Duration::from_millis(400);
-    while Instant::now() < end {
-        most = most.max(server.peers.connections());
+    let (mut most, mut any) = (0, false);
+    while calls.iter().any(|call| !call.is_finished()) {
+        let open = server.peers.connections();
+        any |= open > 0;
+        if Instant::now() < closing {
+            most = most.max(open);
+        }
         std::thread::sleep(Duration::from_millis(5));
     }
     assert!(calls.into_iter().all(|call| call.join().unwrap()));
-    assert!((1..=MAX_OPEN).contains(&most), "{most} connections at once");
+    assert!(any && most <= MAX_OPEN, "{most} connections at once");
     // A peer that can be reached gets through as soon as the others have given up.
     let response = client.call(&server.address(), policy(1, 1), 3_000);
     assert!(response.is_ok(), "{response:?}");
