A cursor for one life of a worker never reaches the next one under its name

Cause: hold orders carry the number up to which the worker drops ends, and nothing in an order tells lives of one name apart. A worker that crashed and is back takes the cursor of its earlier life for its own and drops ends that nobody has seen; the scheduler finds the runs in no list and starts their tasks again. An order that waits at the worker for up to 2 s, or one that comes late, does so long after the scheduler knows of the new life.

The order that drops the ends is printed: ack 8 sent to an idle worker 300 ms after its last lists, which had crashed, come back and ended 8 runs since. Class: an order is valid for the life that it was meant for.

Change: a cursor is sent only in an order that is answered at once, within 50 ms after the worker's lists have told its incarnation, and not after a failed call; otherwise an order without one comes first. A worker that has restarted gets no new tasks for as long as an unanswered order with a cursor for the earlier life may still arrive (10.5 s, as for starts).

Cost: one more hold order for the ends of a worker whose record takes over 50 ms.

--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -39,6 +39,12 @@
 /// not answer: a fraction of the lease that they renew.
 const RETRY_GAP: Millis = Millis(1_000);
 
+/// Longest lease that workers accept, with a margin for slow clocks. Orders still on their way arrive within it.
+pub(crate) const MAX_LEASE: Millis = Millis(10_500);
+
+/// A worker takes longer than this to crash, start again and end a run.
+const MIN_RESTART: Millis = Millis(50);
+
 /// Time between two refused connections after which a draining worker whose time is over counts as gone.
 const REFUSAL_SPAN: Millis = Millis(300);
 
@@ -122,6 +128,8 @@
     pub(crate) claimed: Option<Incarnation>,
     /// Whether its lists of runs and ends were read under this term, in this incarnation.
     pub(crate) synced: bool,
+    /// When its lists were read last in this incarnation.
+    listed_at: Option<Millis>,
     clock: Option<ClockReading>,
     /// Time after which no run there can be alive, and no order still on its way can start one.
     pub(crate) expiry: Millis,
@@ -159,6 +167,14 @@
     pub(crate) more_ends: bool,
     /// Number of the last end that the host knows to be acknowledged.
     pub(crate) acked: u64,
+    /// Whether the last hold order was sent without a cursor, for the reply to confirm the incarnation.
+    pub(crate) confirming: bool,
+    /// When the order that carries a cursor was sent whose outcome is not known yet.
+    cursor_sent: Option<Millis>,
+    /// When the last order with a cursor was sent that was not answered.
+    cursor_lost: Option<Millis>,
+    /// Time before which a cursor that was meant for an earlier incarnation may still arrive.
+    cursor_until: Millis,
     /// When the worker was last found to have crashed.
     pub(crate) crashed_at: Option<Millis>,
     /// Whether another incarnation answered at its address since it last answered itself.
@@ -184,6 +200,7 @@
             incarnation,
             claimed: None,
             synced: false,
+            listed_at: None,
             clock: None,
             expiry,
             waiting_hold: false,
@@ -203,6 +220,10 @@
             ends: BTreeMap::new(),
             more_ends: false,
             acked: 0,
+            confirming: false,
+            cursor_sent: None,
+            cursor_lost: None,
+            cursor_until: Millis::ZERO,
             crashed_at: None,
             replaced: false,
             drained: false,
@@ -222,9 +243,14 @@
     /// to end.
     pub(crate) fn restart(&mut self, incarnation: Incarnation, now: Millis) {
         self.incarnation = incarnation;
+        let open = self.cursor_sent.take().max(self.cursor_lost.take());
+        self.cursor_until = open
+            .map_or(Millis::ZERO, |sent| sent + MAX_LEASE)
+            .max(self.cursor_until);
         self.known_since = now;
         self.alive_at = now;
         self.synced = false;
+        self.listed_at = None;
         self.clock = None;
         self.expiry = Millis::ZERO;
         self.ends.clear();
@@ -261,7 +287,8 @@
 
     /// Takes note of lists of the known incarnation, in reply to an order for `target`. They refute a claimed
     /// incarnation if the order was sent after the claim; a reply to an earlier order may come from an earlier life.
-    pub(crate) fn sync(&mut self, target: Incarnation) {
+    pub(crate) fn sync(&mut self, target: Incarnation, now: Millis) {
+        self.listed_at = Some(now);
         let open = |claimed: &Incarnation| *claimed > self.incarnation && *claimed != target;
         self.claimed = self.claimed.filter(open);
         self.synced = self.claimed.is_none();
@@ -277,13 +304,14 @@
         self.incarnation == Incarnation::default() && self.runs.is_empty()
     }
 
-    /// Whether new tasks may be placed there: listed in the present incarnation, not draining, its lists read, answering
-    /// and not ejected.
+    /// Whether new tasks may be placed there: listed in the present incarnation, not draining, its lists read and safe
+    /// from cursors of an earlier one, answering and not ejected.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
         // The capacity of an earlier incarnation may be another one. An entry without an incarnation has 0.
         let current = |info: &HostInfo| info.incarnation >= self.incarnation || info.incarnation == Incarnation(0);
         let open = self.info.as_ref().is_some_and(|info| !info.draining && current(info));
-        self.listed && self.synced && open && self.failures < SUSPECT_FAILURES && !self.ejection.is_ejected(now)
+        let reachable = self.synced && self.failures < SUSPECT_FAILURES && self.cursor_wait(now).is_none();
+        self.listed && reachable && open && !self.ejection.is_ejected(now)
     }
 
     /// Takes note of a task that was refused for want of room.
@@ -311,7 +339,8 @@
         }
         let suspect = self.listed && self.failures >= SUSPECT_FAILURES;
         let needed = !self.runs.is_empty() || self.has_ack_due() || (!self.synced && self.listed) || suspect;
-        let gap = if self.has_unstored_end() || suspect && self.runs.is_empty() {
+        let ack = self.has_ack_due() && self.is_certain(now);
+        let gap = if !ack && self.has_unstored_end() || suspect && self.runs.is_empty() {
             RETRY_GAP
         } else {
             HOLD_GAP
@@ -428,6 +457,39 @@
         self.ack_cursor() > self.acked
     }
 
+    /// The cursor for a hold order that is sent now and waits at the host for up to `wait`; 0 to acknowledge nothing.
+    ///
+    /// A later incarnation under the same name would drop ends by it that nobody has seen. So only orders that the host
+    /// answers at once carry one, a short time after its lists have told its incarnation.
+    pub(crate) fn send_cursor(&mut self, now: Millis, wait: Millis) -> u64 {
+        let certain = self.is_certain(now);
+        self.confirming = self.has_ack_due() && !certain;
+        if wait > Millis::ZERO || !certain || !self.has_ack_due() {
+            return 0;
+        }
+        self.cursor_sent = Some(now);
+        self.ack_cursor()
+    }
+
+    /// Whether it can't have restarted and ended a run since its last lists.
+    fn is_certain(&self, now: Millis) -> bool {
+        let answering = self.failures == 0 && !self.replaced;
+        self.synced && answering && self.listed_at.is_some_and(|at| now.since(at) <= MIN_RESTART)
+    }
+
+    /// Takes note of the outcome of a hold order that carried a cursor. One without an answer may still be carried out.
+    pub(crate) fn note_cursor_outcome(&mut self, unanswered: bool) {
+        let sent = self.cursor_sent.take();
+        if let Some(sent) = sent.filter(|_| unanswered) {
+            self.cursor_lost = Some(sent);
+        }
+    }
+
+    /// For how long an order to an earlier incarnation may still make this one drop ends; none if none can.
+    pub(crate) fn cursor_wait(&self, now: Millis) -> Option<Millis> {
+        (now < self.cursor_until).then(|| self.cursor_until.since(now))
+    }
+
     /// Drops the ends up to `cursor`, whose acknowledgement has reached the host.
     pub(crate) fn acknowledge(&mut self, cursor: u64) {
         self.acked = self.acked.max(cursor);
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -9,14 +9,11 @@
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
 use crate::steps::engine::{Context, HoldReply, OrderReply, RunOrigin, RunPhase, StepScheduler, Target};
-use crate::steps::host::{Host, HostInfo, HostUpdate, RunKey};
+use crate::steps::host::{Host, HostInfo, HostUpdate, MAX_LEASE, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::progress::RunProgress;
 use crate::steps::queue::StepKey;
 
-/// Longest lease that workers accept, with a margin for slow clocks.
-const MAX_LEASE: Millis = Millis(10_500);
-
 /// Longest time that a run takes to resume from a checkpoint; no progress is expected before.
 pub(crate) const RESTORE_TIME: Millis = Millis(600);
 
@@ -93,11 +90,11 @@
         // An order for the earlier incarnation may have started a run here, under any lease that workers accept.
         host.expiry = cx.now + MAX_LEASE;
         let runs: Vec<RunKey> = host.runs.iter().copied().collect();
-        self.log_worker(
-            "restarted",
-            worker,
-            format!("incarnation {incarnation} follows {before}; earlier runs are lost"),
-        );
+        let mut reason = format!("incarnation {incarnation} follows {before}; earlier runs are lost");
+        if let Some(wait) = host.cursor_wait(cx.now) {
+            reason += &format!("; no new tasks for {wait}, as it may still get a cursor meant for an earlier one");
+        }
+        self.log_worker("restarted", worker, reason);
         for key in runs {
             let Some(run) = self.runs.get(&key).filter(|run| run.incarnation < incarnation) else {
                 continue;
@@ -130,6 +127,9 @@
             true => host.waiting_hold = false,
             false => host.instant_hold = false,
         }
+        if ack > 0 {
+            host.note_cursor_outcome(matches!(reply, Err(OrderReply::Unanswered)));
+        }
         self.touched.insert(worker.clone());
         let reply = match reply {
             Ok(reply) => reply,
@@ -163,7 +163,7 @@
         if !host.synced || !host.is_usable(cx.now) {
             self.replan = true;
         }
-        host.sync(incarnation);
+        host.sync(incarnation, cx.now);
         host.read_clock(reply.clock, cx.now);
         if incarnation == reply.incarnation {
             host.acknowledge(ack);
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -6,7 +6,7 @@
 use crate::clock::Millis;
 use crate::ids::WorkerName;
 use crate::steps::engine::{Context, HoldOrder, RENEWAL_GRACE, RunPhase, StepScheduler, StepsAction, Target, step_of};
-use crate::steps::host::RunKey;
+use crate::steps::host::{Host, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::StepRecord;
 use crate::steps::spec::JobKey;
@@ -89,7 +89,8 @@
     /// Sends the hold orders that the event in progress made due, to the workers noted in `touched`.
     pub(crate) fn hold_touched(&mut self, cx: &Context<'_>) {
         while let Some(worker) = self.touched.pop_first() {
-            if let Some(host) = self.hosts.get_mut(&worker).filter(|host| host.runs.is_empty()) {
+            let idle = |host: &&mut Host| host.runs.is_empty() && !host.confirming;
+            if let Some(host) = self.hosts.get_mut(&worker).filter(idle) {
                 host.hold_after = host.hold_after.max(cx.now + ACK_DELAY);
             }
             self.hold_if_due(cx, &worker);
@@ -107,7 +108,7 @@
             .map(|step| step.estimate.0 / PROGRESS_REPORTS)
             .min()
             .unwrap_or(0);
-        let wait = match busy && host.synced {
+        let wait = match busy && host.synced && !host.has_ack_due() {
             true => Millis(shortest).max(self.hold_wait).clamp(MIN_HOLD_WAIT, MAX_HOLD_WAIT),
             false => Millis::ZERO,
         };
@@ -150,8 +151,7 @@
         host.last_hold = cx.now;
         let order = HoldOrder {
             term,
-            // Ends of an earlier incarnation say nothing about those of a later one.
-            ack: host.claimed.map_or_else(|| host.ack_cursor(), |_| 0),
+            ack: host.send_cursor(cx.now, wait),
             deadline,
             wait,
         };
--- a/crates/pistachiostair/tests/steps/crashes.rs
+++ b/crates/pistachiostair/tests/steps/crashes.rs
@@ -472,3 +472,26 @@
     run_until_completed(&mut world, &[1], 60_000);
     world.check();
 }
+
+/// Guards against ends of a worker's new life that are dropped by a cursor that was meant for an earlier life under the
+/// same name, so that their tasks start again.
+#[rstest]
+fn cursor_of_earlier_life(
+    #[values(50, 400)] downtime: u64,
+    #[values(50, 900)] list_lag: u64,
+    #[values(30, 200)] work: u64,
+) {
+    let mut world = region(2, false);
+    world.workers.downtime = Some(Millis(downtime));
+    world.list_lag = list_lag;
+    for key in 1..=12 {
+        world.submit(job(key, "normal", 100, 1, work));
+    }
+    for _ in 0..12 {
+        world.run(770);
+        let names = world.workers.names();
+        world.crash(&names[..1]);
+    }
+    world.run(60_000);
+    world.check();
+}
