Suspects held for 2 s start on up to half of the workers, not a quarter

Callers saw jobs that may be guilty wait 3.2 to 8.1 s beside free room in small regions and with tasks that take whole workers.

Cause: trials alone on a worker used the whole part that shared trials had. With 7 workers two trials ran alone, and 7 / 4 - 2 left no worker to share.

Change: a held suspect shares a worker with others or takes a further one, an empty one first, as long as trials use no more than half of the workers; a quarter while a worker with a trial does not answer. One worker of that half is left for sharing where it has three or more.

--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -3,7 +3,8 @@
 //! A trial takes a whole worker, which may crash: its run counts as using all of it, so that others may preempt it. The
 //! number of workers used for trials at the same time is small at first, grows with each trial that is passed, and falls
 //! back with each worker that crashes. A suspect for which no worker becomes empty soon starts beside other work. One that
-//! has waited for some time shares a worker with other suspects, and after some more starts anywhere.
+//! has waited for some time shares a worker with other suspects, or takes a further one as long as half of the workers stay
+//! free of trials, or three quarters while a worker with a trial does not answer; after some more time it starts anywhere.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,7 +13,7 @@
 use crate::steps::capacity::{Eligible, FreeCapacity};
 use crate::steps::engine::{Context, StepScheduler, step_of};
 use crate::steps::forecast::Forecast;
-use crate::steps::host::RunKey;
+use crate::steps::host::{Host, RunKey};
 use crate::steps::job_table::JobEntry;
 use crate::steps::place::{place_tasks, preferred_sets};
 use crate::steps::plan::{PlanningPass, StepPlacement};
@@ -23,11 +24,12 @@
 const MIN_TRIAL_PART: usize = 8;
 const MAX_TRIAL_PART: usize = 2;
 
-/// Part of the usable workers that may have trials, as a divisor, for suspects to start on further workers beside other work.
-const MAX_SHARED_PART: usize = 4;
+/// Part of the usable workers that may have trials, as a divisor, for suspects to start on further workers that they share
+/// while one with a trial does not answer. At other times it is [`MAX_TRIAL_PART`].
+const SHARED_PART: usize = 4;
 
-/// Longest time for which a suspect waits to be alone on a worker. Then it starts beside other work, on workers that trials
-/// may use.
+/// Longest time for which a suspect waits to be alone on a worker. Then it starts on a worker with other trials or on a
+/// further one that trials may use.
 const MAX_HELD: Millis = Millis(2_000);
 
 /// Longest time for which it waits for such a worker: as long as a trial takes at most. Then it starts on any worker.
@@ -79,8 +81,10 @@
     GangFirst,
     /// A worker is forecast to become empty soon.
     EmptySoon,
-    /// It may start beside other work, but there is no room.
+    /// It may start anywhere, but there is no room.
     NoRoom,
+    /// It may share a worker, but those that trials may use have no room.
+    NoSharedRoom,
 }
 
 impl HoldReason {
@@ -91,6 +95,7 @@
             Self::GangFirst => "a gang waits for trials to end",
             Self::EmptySoon => "a worker becomes empty soon",
             Self::NoRoom => "no room beside other work",
+            Self::NoSharedRoom => "no room on the workers that trials may use",
         }
     }
 }
@@ -124,10 +129,14 @@
         let (least, most) = (usable / MIN_TRIAL_PART, (usable / MAX_TRIAL_PART).max(1));
         let runs = self.trials.iter().filter_map(|key| self.runs.get(key));
         let hosts: BTreeSet<u32> = runs.map(|run| run.host).collect();
-        let slots = self.trial_workers.max(least).min(most);
+        // One is left for suspects that share it.
+        let slots = self.trial_workers.max(least).min(most.max(3) - 1).min(most);
+        let on_trial = |host: &Host| hosts.contains(&host.number);
+        let failing = self.hosts.values().any(|host| host.is_failing() && on_trial(host));
+        let shared = if failing { usable / SHARED_PART } else { most };
         TrialPass {
             slots: slots.saturating_sub(hosts.len()),
-            shared_slots: (usable / MAX_SHARED_PART).saturating_sub(hosts.len()),
+            shared_slots: shared.saturating_sub(hosts.len()),
             positions: hosts.iter().filter_map(|host| free.position(*host)).collect(),
             idle: hosts.is_empty(),
             blocked: false,
@@ -139,7 +148,7 @@
 
     /// Takes note of the suspects that a planning pass has left unplaced.
     pub(crate) fn note_held(&mut self, cx: &Context<'_>, pass: TrialPass) {
-        let (slots, trials) = (pass.slots, self.trials.len());
+        let (slots, shared, trials) = (pass.slots, pass.shared_slots, self.trials.len());
         self.held.retain(|suspect, _| pass.held.contains_key(suspect));
         for ((step, index), why) in pass.held {
             if self.held.contains_key(&(step, index)) {
@@ -147,7 +156,8 @@
             }
             self.held.insert((step, index), cx.now);
             let reason = format!(
-                "task {index} of step {}: {}; {trials} runs on trial, {slots} workers left for trials of {} allowed at first",
+                "task {index} of step {}: {}; {trials} runs on trial, {slots} workers left for trials of {} allowed at first, \
+                 {shared} to be shared",
                 step.2,
                 why.text(),
                 self.trial_workers
@@ -250,7 +260,8 @@
         }
     }
 
-    /// Places suspects beside other work, on workers with a trial or, as long as there are few of these, on others.
+    /// Places suspects on workers with a trial or, as long as there are few of these, on others. Workers that run nothing
+    /// else are preferred to those with other work, which would be lost in a crash.
     fn share_trial<'a>(
         &'a self,
         pass: &mut PlanningPass<'a>,
@@ -259,24 +270,27 @@
     ) {
         let terms = self.terms(entry);
         let eligible = self.eligible((&pass.free, &pass.placements), &terms.service, key, step);
+        let wanted = (indices.len() as u32, terms.priority == 0);
+        let place = |free: &FreeCapacity<'_>, set: Vec<Eligible>| {
+            let preferred = preferred_sets(step, &set, free, &self.racks).unwrap_or_default();
+            let placed = [preferred, vec![set]].map(|sets| place_tasks(step, wanted, &sets, free));
+            placed.into_iter().find(|workers| workers.len() == indices.len())
+        };
         let on_trial = |worker: &Eligible| pass.trials.positions.contains(&worker.position);
+        let new = |workers: &[u32]| {
+            let workers: BTreeSet<u32> = workers.iter().copied().collect();
+            workers.difference(&pass.trials.positions).count()
+        };
         let used: Vec<Eligible> = eligible.iter().copied().filter(on_trial).collect();
-        let wanted = (indices.len() as u32, terms.priority == 0);
-        let mut workers = Vec::new();
-        for set in [used, eligible] {
-            let preferred = preferred_sets(step, &set, &pass.free, &self.racks).unwrap_or_default();
-            for sets in [preferred, vec![set]] {
-                if workers.len() < indices.len() {
-                    workers = place_tasks(step, wanted, &sets, &pass.free);
-                }
-            }
-        }
-        let new: BTreeSet<u32> = workers.iter().copied().collect();
-        let new = new.difference(&pass.trials.positions).count();
-        if workers.len() < indices.len() || new > pass.trials.shared_slots {
-            return pass.trials.hold(key, indices, HoldReason::NoRoom);
-        }
-        pass.trials.shared_slots -= new;
+        let is_empty = |worker: &Eligible| on_trial(worker) || pass.free.is_empty(worker.position);
+        let empty: Vec<Eligible> = eligible.iter().copied().filter(is_empty).collect();
+        let found = [used, empty, eligible]
+            .into_iter()
+            .find_map(|set| place(&pass.free, set));
+        let Some(workers) = found.filter(|workers| new(workers) <= pass.trials.shared_slots) else {
+            return pass.trials.hold(key, indices, HoldReason::NoSharedRoom);
+        };
+        pass.trials.shared_slots -= new(&workers);
         pass.trials.positions.extend(workers.iter().copied());
         for worker in &workers {
             pass.free.take(*worker, &step.demand);
