suspect waits: only for suspects that the pass leaves unplaced

Readers of the log and of step_decisions_total saw suspects wait that the same pass placed beside other work, since they are held before the placement; and the present number of workers for trials under the name of the first one.

Change: suspects that no longer wait after the pass are left out; the number is called that at present.

--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -146,9 +146,14 @@
         }
     }
 
-    /// Takes note of the suspects that a planning pass has left unplaced.
-    pub(crate) fn note_held(&mut self, cx: &Context<'_>, pass: TrialPass) {
+    /// Takes note of the suspects that a planning pass has left unplaced, once its placements are made.
+    pub(crate) fn note_held(&mut self, cx: &Context<'_>, mut pass: TrialPass) {
         let (slots, shared, trials) = (pass.slots, pass.shared_slots, self.trials.len());
+        let waits = |(step, index): &Suspect| {
+            let waiting = self.waiting.get(step);
+            waiting.is_some_and(|waiting| waiting.suspects.contains(index))
+        };
+        pass.held.retain(|suspect, _| waits(suspect));
         self.held.retain(|suspect, _| pass.held.contains_key(suspect));
         for ((step, index), why) in pass.held {
             if self.held.contains_key(&(step, index)) {
@@ -156,7 +161,7 @@
             }
             self.held.insert((step, index), cx.now);
             let reason = format!(
-                "task {index} of step {}: {}; {trials} runs on trial, {slots} workers left for trials of {} allowed at first, \
+                "task {index} of step {}: {}; {trials} runs on trial, {slots} workers left for one alone of {} at present, \
                  {shared} to be shared",
                 step.2,
                 why.text(),
