A test of waits and idle room after a storm of crashes in a large region

300 workers, 2,000 jobs of one task, 20 crashes of one worker each within 6 s. Measures, from the crash on, the longest time that a lost task has no run while less than half of the room is in use and while any worker has room, and the time after the storm in which tasks wait although all 2,000 fit.

--- a/crates/pistachiostair/tests/steps/waves.rs
+++ b/crates/pistachiostair/tests/steps/waves.rs
@@ -1,6 +1,8 @@
 //! Waves in which a large part of the workers is lost and comes back as other lives.
 
-use pistachiostair::{JobKey, Millis, StepJobPhase, TaskKey, WorkerName};
+use std::collections::BTreeMap;
+
+use pistachiostair::{JobKey, Millis, StepCall, StepJobPhase, TaskKey, WorkerName};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, gang, job};
@@ -187,3 +189,66 @@
     assert_eq!(shared, if wave { crashes } else { 0 }, "of {crashes} crashes");
     world.check();
 }
+
+/// Guards against suspects that wait beside free room in a large region, with little in use or most of it.
+#[rstest]
+fn storm_leaves_nobody_waiting(#[values(3_000, 60_000)] work: u64) {
+    const LARGE: usize = 300;
+    let mut world = World::new(LARGE);
+    world.workers.downtime = Some(Millis(500));
+    world.by_name = true;
+    let mut lost: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
+    let (mut open, mut suspects, mut left_idle) = (Vec::new(), 0, 0);
+    let (mut beside_half, mut beside_idle) = (0, 0);
+    for round in 0..150_u64 {
+        if round < 60 && round % 3 == 0 {
+            for key in open.len() as u64 + 1..open.len() as u64 + 101 {
+                let job = Box::new(job(key, "normal", 1, 1, work));
+                world.call(StepCall::Submit { job });
+                open.push(key);
+            }
+        }
+        world.run(100);
+        if round < 60 && round % 3 == 1 {
+            let names = world.workers.names();
+            let busy = |name: &&WorkerName| world.workers.running_on(name.as_str()) > 0;
+            let busy: Vec<WorkerName> = names.iter().filter(busy).cloned().collect();
+            // The newest jobs run on the last of the workers in use.
+            world.crash(&busy[busy.len() - 1..]);
+            for key in &open[open.len() - 100..] {
+                if world.workers.running_of(JobKey(*key)) == 0 {
+                    lost.insert(*key, (0, 0));
+                }
+            }
+            suspects = lost.len();
+        }
+        // Tasks that wait, as far as none has ended, and the time after the storm for which they fit somewhere.
+        let waiting = open.len().saturating_sub(world.workers.running());
+        if round >= 60 && work > 30_000 && waiting > 0 && open.len() < LARGE * ACCELERATORS as usize {
+            left_idle = (round - 59) * 100;
+        }
+        let half = 2 * world.workers.accelerators_in_use() < LARGE as u64 * ACCELERATORS;
+        let names = world.workers.names();
+        let idle = |name: &WorkerName| world.workers.running_on(name.as_str()) < ACCELERATORS as usize;
+        let idle = names.iter().any(idle);
+        lost.retain(|key, (in_half, in_idle)| {
+            let waits = world.workers.running_of(JobKey(*key)) == 0;
+            *in_half = if waits && half { *in_half + 100 } else { 0 };
+            *in_idle = if waits && idle { *in_idle + 100 } else { 0 };
+            beside_half = beside_half.max(*in_half);
+            beside_idle = beside_idle.max(*in_idle);
+            !waits || world.phase(*key, "normal") == StepJobPhase::Running
+        });
+    }
+    println!(
+        "{suspects} lost: {beside_half} ms beside half of the room, {beside_idle} ms beside any, idle {left_idle} ms"
+    );
+    assert!(suspects >= 30, "{suspects} lost tasks");
+    // Besides the bound itself: the time until a crash is known.
+    let most = MAX_IDLE_MS + 1_000;
+    assert!(
+        beside_half <= most && beside_idle <= most && left_idle <= most,
+        "{beside_half} ms beside half of the room, {beside_idle} ms beside any, {left_idle} ms after the storm"
+    );
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -521,6 +521,11 @@
                 let row = self.rows.iter().find(|(row, _)| *row == seq);
                 AppendEvent::ReadBack(seq, row.map(|(_, value)| value.clone()))
             }
+            // There are no snapshots in this world.
+            AppendAction::ReadSnapshotRow { .. } => AppendEvent::SnapshotRow {
+                answered: false,
+                row: None,
+            },
             other => panic!("unexpected {other:?}"),
         };
         self.deliver_after(COMMIT_MS / 2, Delivery::Event(term, Box::new(Event::Stored(event))));
