A long-running task that ends as done starts again

Cause: the end was stored as done, which marks a task for good. PROTOCOL: such tasks "must be restarted however they end". TWICE forbids a start after done; docs/scheduling.md quotes both sentences, and the more specific one is followed.

Change: the scheduler handles and stores such an end as failed, so that every release reads the row alike. That brings the same back-off (ejection of the worker), late runs and checkpoint as any failed run. Old rows keep their meaning: done stays done, and a job whose tasks are all done stays completed. In an open job the task is ready all the same; its next start row marks it as not done. A scheduler of an earlier release that takes over such a job still counts it as done.

--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -43,7 +43,8 @@
         pub last_run: u32,
         /// Number of runs that ended as [`RunOutcome::Failed`].
         pub failures: u32,
-        /// Whether the task is done; it never runs again then.
+        /// Whether the task is done; it never runs again then. A long-running task is marked so only by rows of an
+        /// earlier release, until its next start.
         pub done: bool,
         /// The newest stored checkpoint, from which the next run resumes; empty if there is none or the task is done.
         #[serde(rename = "saved")]
@@ -147,6 +148,7 @@
         if !self.phase.is_final() {
             self.phase = StepJobPhase::Running;
         }
+        self.reopen(&start.task);
         let task = self.task_mut(&start.task);
         task.last_run = task.last_run.max(start.run);
         task.placed.push(PlacedRun {
@@ -193,6 +195,22 @@
         }
     }
 
+    /// Marks a task as not done: its start shows that it is a long-running one that an earlier release stored as done.
+    fn reopen(&mut self, task: &TaskKey) {
+        let lasting = self.spec.steps.get(task.step as usize);
+        if self.phase.is_final() || !lasting.is_some_and(|step| step.long_running) {
+            return;
+        }
+        let Some(step) = self.steps.get_mut(&(task.occurrence, task.step)) else {
+            return;
+        };
+        if let Some(entry) = step.tasks.get_mut(&task.index).filter(|entry| entry.done) {
+            entry.done = false;
+            step.done -= 1;
+            self.remaining_tasks += 1;
+        }
+    }
+
     /// Drops what nothing needs of a job that has ended: its payload, and tasks without a run that may be alive.
     fn drop_ended(&mut self) {
         self.spec.payload = String::new();
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -282,7 +282,8 @@
         }
     }
 
-    /// Ends a run: frees its resources, stops the rest of its gang unless the outcome is `Done`, and stores the end.
+    /// Ends a run: frees its resources, stops the rest of its gang unless the outcome is `Done`, and stores the end. A run
+    /// of a long-running task that ends as `Done` counts as failed, as the task must start again.
     /// An empty `checkpoint` leaves the newest one that is known. If the task is done or the job has ended, nothing
     /// depends on the end: it is not stored, and the run is forgotten at once. Does nothing if the run ended before.
     pub(crate) fn end_run(&mut self, cx: &Context<'_>, key: RunKey, outcome: RunOutcome, checkpoint: &str) {
@@ -290,6 +291,9 @@
             return;
         };
         run.phase = RunPhase::Ended;
+        let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
+        let listed = outcome;
+        let outcome = listed.for_task(lasting);
         if !checkpoint.is_empty() {
             checkpoint.clone_into(&mut run.checkpoint);
         }
@@ -320,7 +324,11 @@
             self.discharge(&entry.spec.account, demand.accelerators);
         }
         let done = entry.and_then(|entry| entry.task(&key.0)).is_some_and(|task| task.done);
-        self.log_run("ended", key, format!("{outcome:?}"));
+        let reason = match listed == outcome {
+            true => format!("{outcome:?}"),
+            false => format!("{listed:?}, counted as {outcome:?} since the task is long-running"),
+        };
+        self.log_run("ended", key, reason);
         if outcome != RunOutcome::Done {
             self.stop_gang(cx, key);
         }
@@ -331,7 +339,6 @@
         let task = entry.and_then(|entry| entry.task(&key.0)).filter(|task| task.is_late());
         let ordered = !matches!(outcome, RunOutcome::Done | RunOutcome::Refused) || crash.is_some();
         let run = self.runs.get(&key);
-        let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
         let cleared = lasting && run.is_some_and(TaskRun::clears_crashes);
         let late = ordered && task.is_some_and(|task| run.is_some_and(|run| run.has_not_outlived(task)));
         self.records.push(StepRecord::Ended {
--- a/crates/pistachiostair/src/steps/outcome.rs
+++ b/crates/pistachiostair/src/steps/outcome.rs
@@ -6,7 +6,7 @@
     /// How a run ended. The set is closed: for each outcome [`Self::may_run_again`] tells whether the task may be
     /// started again.
     pub enum RunOutcome {
-        /// The task completed. It never runs again.
+        /// The task completed. It never runs again. Not stored for long-running tasks, see [`Self::for_task`].
         Done,
         /// The task failed, because of itself or of the worker. The only outcome that counts as an attempt.
         Failed,
@@ -26,6 +26,14 @@
 }
 
 impl RunOutcome {
+    /// What the outcome means for a task: a long-running one is never done, so that a run of it that completed has failed.
+    pub(crate) fn for_task(self, long_running: bool) -> Self {
+        match self {
+            Self::Done if long_running => Self::Failed,
+            other => other,
+        }
+    }
+
     /// Whether the task may be started again after this outcome.
     pub fn may_run_again(self) -> bool {
         match self {
--- a/crates/pistachiostair/src/steps/ready.rs
+++ b/crates/pistachiostair/src/steps/ready.rs
@@ -1,5 +1,5 @@
 //! Readiness: which tasks of a job can be placed. A task is ready if its occurrence is due, the steps that it depends
-//! on are done, it is not done itself, and none of its runs may be alive.
+//! on are done, it is not done itself or is long-running, and none of its runs may be alive.
 
 use std::collections::BTreeSet;
 
@@ -62,7 +62,8 @@
     fn ready_tasks(&self, entry: &JobEntry, key: StepKey, step: &Step) -> BTreeSet<u32> {
         let (_, occurrence, number) = key;
         let unblocked = step.after.iter().all(|before| entry.is_step_done(occurrence, *before));
-        if !unblocked || entry.is_step_done(occurrence, number) {
+        let lasting = step.long_running;
+        if !unblocked || !lasting && entry.is_step_done(occurrence, number) {
             return BTreeSet::new();
         }
         let running: BTreeSet<u32> = self.runs_of_step(key).map(|(task, _)| task.index).collect();
@@ -73,9 +74,12 @@
             };
         }
         let step = entry.step(occurrence, number);
+        // An earlier release stored long-running tasks as done.
         let done = |index: &u32| {
-            step.and_then(|step| step.tasks.get(index))
-                .is_some_and(|task| task.done)
+            !lasting
+                && step
+                    .and_then(|step| step.tasks.get(index))
+                    .is_some_and(|task| task.done)
         };
         let count = entry.spec.steps[number as usize].count;
         (0..count)
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod capacity;
 mod crashes;
+mod lasting;
 mod life;
 mod lists;
 mod load;
