A table of drawn crashes: eight cells in which innocent jobs are given up (failing)

Seen: no deadly task is kept, none starts a third time after three crashes.

Trials, not landed: a bound on starts that asks whether the rate at which other workers crash explains the crashes under the task (Poisson, 1 in 1,000). Runs are listed each 2 s, so that their age at a crash is known too badly to tell the two apart.

--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod capacity;
+mod crash_rates;
 mod crashes;
 mod lasting;
 mod life;
