lasting: a wait for ends that are never stored fails instead of going on without end

On the code before store_as_done looped for ever: a run of lasting:: there was stopped after 13 minutes. There, two trials with time limits showed done_at_once (both cases) and done_keeps_checkpoint failed; the limits cut off the rest. Not compiled or run with this change.

--- a/crates/pistachiostair/tests/steps/lasting.rs
+++ b/crates/pistachiostair/tests/steps/lasting.rs
@@ -31,6 +31,7 @@
     const NOW: &str = "\"fate\":\"failed\"";
     let stored = |world: &World| -> usize { world.rows.iter().map(|(_, row)| row.matches(NOW).count()).sum() };
     while stored(world) < 2 {
+        assert!(world.now < 10_000, "the ends are not stored");
         world.run(10);
     }
     let mut left = count;
