--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -8,16 +8,15 @@
 use crate::clock::Millis;
 use crate::edge::{Check, Row, Transaction, Write};
 use crate::ids::{RegionName, Seq, Term};
-use crate::journal::{Batch, MAX_BATCH_RECORDS, Record, journal_key, term_key};
+use crate::journal::{Batch, MAX_BATCH_RECORDS, Record, batch_overhead, encoded_size, journal_key, term_key};
 use crate::snapshot::{SnapshotLimits, SnapshotWriter};
 use crate::state::RegionState;
-use crate::steps::StepRecord;
 
 /// Request of the journal's writer to the table service or object store, answered by an [`AppendEvent`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AppendAction {
     /// Commit this transaction, which writes the journal row `seq`. Answered by [`AppendEvent::Committed`],
-    /// [`AppendEvent::Conflict`] or [`AppendEvent::Unknown`].
+    /// [`AppendEvent::Conflict`], [`AppendEvent::Refused`] or [`AppendEvent::Unknown`].
     Commit {
         /// Position of the row.
         seq: Seq,
@@ -68,6 +67,8 @@
     Committed(Seq),
     /// The transaction did not take effect: a row no longer had the expected version.
     Conflict(Seq),
+    /// The store refuses this row and did nothing; it would refuse the same one again.
+    Refused(Seq),
     /// The commit was not answered. It may have taken effect, or may still do so.
     Unknown(Seq),
     /// Value of the journal row as read back; `None` if the row does not exist.
@@ -104,7 +105,7 @@
 const MIN_COMMIT_INTERVAL: Millis = Millis(10);
 /// Pause before a read-back or a commit is tried again during an outage of the table service.
 const RETRY_PAUSE: Millis = Millis(250);
-/// Most bytes of records in one batch, unless rows of the table service hold less.
+/// Most bytes of a row, unless rows of the table service hold less.
 const MAX_BATCH_BYTES: usize = 256 * 1024;
 
 /// What the batch in flight waits for.
@@ -147,7 +148,8 @@
 /// Writer of a region's journal in one term.
 ///
 /// Every pushed record is committed eventually, unless another scheduler took over: a transaction of unknown outcome
-/// is read back and sent again until one of the two is certain.
+/// is read back and sent again until one of the two is certain. A row that the store refuses is split; if it refuses one
+/// record alone, the writer gives its term up, and so no later record is stored without that one.
 #[derive(Clone, Debug)]
 pub struct Appender {
     region: RegionName,
@@ -157,13 +159,17 @@
     next_seq: Seq,
     /// Number of batches so far, for their write ids.
     writes: u64,
-    queue: VecDeque<Record>,
+    /// Records that are not sent yet, with their bytes as JSON.
+    queue: VecDeque<(Record, usize)>,
     in_flight: Option<InFlight>,
     /// When a transaction was last sent.
     last_sent: Option<Millis>,
     /// Committed batches not yet taken by [`Appender::next_committed`].
     committed: VecDeque<(Seq, Batch)>,
     superseded: bool,
+    /// Bytes of the record that the store refused alone.
+    refused: Option<usize>,
+    /// Most bytes of a row that holds more than one record.
     max_bytes: usize,
     snapshots: SnapshotWriter,
 }
@@ -184,17 +190,23 @@
             last_sent: None,
             committed: VecDeque::new(),
             superseded: false,
+            refused: None,
             max_bytes: MAX_BATCH_BYTES,
         }
     }
 
-    /// Limits the bytes of records in one batch to `bytes`, the most that a row of the table service holds.
+    /// Limits the text of a row to `bytes`, the most that a row of the table service holds.
     #[must_use]
     pub(crate) fn with_row_bytes(mut self, bytes: usize) -> Self {
         self.max_bytes = self.max_bytes.min(bytes);
         self
     }
 
+    /// Most bytes of a record, as JSON, that a row can hold.
+    pub(crate) fn record_bytes(&self) -> usize {
+        self.max_bytes.saturating_sub(batch_overhead())
+    }
+
     /// Sets what was read from the store: the bytes of the snapshot and of the rows after it.
     #[must_use]
     pub fn with_read(mut self, snapshot: usize, rows: usize) -> Self {
@@ -211,7 +223,11 @@
 
     /// Queues records for the next batch.
     pub fn push(&mut self, records: impl IntoIterator<Item = Record>) {
-        self.queue.extend(records);
+        let sized = records.into_iter().map(|record| {
+            let bytes = encoded_size(&record);
+            (record, bytes)
+        });
+        self.queue.extend(sized);
     }
 
     /// Whether a batch can be sent at `now`: none is in flight and the last one is long enough ago.
@@ -255,11 +271,17 @@
             .map_or(Millis::ZERO, |flight| now.since(flight.since))
     }
 
-    /// Whether another scheduler wrote to the journal or took over the region. The writer then sends nothing more.
+    /// Whether the term is over: another scheduler wrote to the journal or took over the region, or the store refused a
+    /// record. The writer then sends nothing more.
     pub fn superseded(&self) -> bool {
         self.superseded
     }
 
+    /// Bytes of the row of one record that the store refused, for which the writer gave its term up.
+    pub fn refused(&self) -> Option<usize> {
+        self.refused
+    }
+
     /// Removes and returns the next committed batch, in journal order; `None` if there is none at present.
     pub fn next_committed(&mut self) -> Option<(Seq, Batch)> {
         self.committed.pop_front()
@@ -281,9 +303,8 @@
         if self.queue.is_empty() || !self.ready(now) {
             return Vec::new();
         }
-        self.writes += 1;
         let batch = Batch {
-            write: format!("{}-{}", self.term, self.writes),
+            write: self.next_write(),
             term: self.term,
             wall,
             records: self.next_records(),
@@ -305,6 +326,7 @@
             AppendEvent::Committed(seq) if self.is_in_flight(seq) => self.finish_commit(),
             AppendEvent::Conflict(seq) if self.is_in_flight(seq) => return self.resolve(false),
             AppendEvent::Unknown(seq) if self.is_in_flight(seq) => return self.resolve(true),
+            AppendEvent::Refused(seq) if self.is_in_flight(seq) => self.split_refused(now),
             AppendEvent::ReadBack(seq, value) if self.is_in_flight(seq) => return self.compare_read_back(now, value),
             AppendEvent::ReadBackFailed(seq) if self.is_in_flight(seq) => {
                 self.set_step(Step::ReadAt(now + RETRY_PAUSE))
@@ -314,15 +336,23 @@
         Vec::new()
     }
 
+    fn next_write(&mut self) -> String {
+        self.writes += 1;
+        format!("{}-{}", self.term, self.writes)
+    }
+
+    /// Takes the records of the next row from the queue: as many as it holds, and at least one.
     fn next_records(&mut self) -> Vec<Record> {
-        let mut bytes = 0;
+        let mut left = self.record_bytes();
         let mut records = Vec::new();
-        while let Some(record) = self.queue.front() {
-            bytes += approximate_size(record);
-            if !records.is_empty() && (bytes > self.max_bytes || records.len() == MAX_BATCH_RECORDS) {
+        while let Some((_, bytes)) = self.queue.front() {
+            let comma = usize::from(!records.is_empty());
+            let fits = bytes + comma <= left && records.len() < MAX_BATCH_RECORDS;
+            if !records.is_empty() && !fits {
                 break;
             }
-            records.extend(self.queue.pop_front());
+            left = left.saturating_sub(bytes + comma);
+            records.extend(self.queue.pop_front().map(|(record, _)| record));
         }
         records
     }
@@ -390,6 +420,29 @@
         Vec::new()
     }
 
+    /// Sends the first half of a refused row as a row of its own, and puts the other half back. Gives the term up if the
+    /// row holds one record.
+    ///
+    /// An earlier try of the whole row may still arrive. It then takes the place of the half, which meets a conflict.
+    fn split_refused(&mut self, now: Millis) {
+        let write = self.next_write();
+        let Some(flight) = &mut self.in_flight else { return };
+        let count = flight.batch.records.len();
+        if count < 2 {
+            self.refused = Some(flight.bytes);
+            self.superseded = true;
+            return;
+        }
+        let rest = flight.batch.records.split_off(count / 2);
+        flight.batch.write = write;
+        flight.unanswered = false;
+        flight.step = Step::CommitAt(now + MIN_COMMIT_INTERVAL);
+        for record in rest.into_iter().rev() {
+            let bytes = encoded_size(&record);
+            self.queue.push_front((record, bytes));
+        }
+    }
+
     fn finish_commit(&mut self) {
         if let Some(flight) = self.in_flight.take() {
             self.snapshots.add_bytes(flight.bytes);
@@ -417,21 +470,3 @@
         writes: Vec::new(),
     }
 }
-
-/// Approximate size of a record in bytes, as JSON.
-fn approximate_size(record: &Record) -> usize {
-    const OVERHEAD: usize = 200;
-    OVERHEAD
-        + match record {
-            Record::Accepted { spec, .. } => spec.payload.as_ref().map_or(0, String::len),
-            Record::Finished { answer, .. } => answer.as_ref().map_or(0, String::len),
-            Record::Placed { parts, .. } => parts.len() * 50,
-            Record::Forgotten { jobs } => jobs.len() * 8,
-            Record::Steps(StepRecord::Accepted { job }) => {
-                2 * job.payload.len() + job.base_url.len() + job.steps.len() * 400
-            }
-            Record::Steps(StepRecord::Started { starts }) => starts.len() * 150,
-            Record::Steps(StepRecord::Forgotten { jobs }) => jobs.len() * 20,
-            _ => 0,
-        }
-}
--- a/crates/pistachiostair/src/commits.rs
+++ b/crates/pistachiostair/src/commits.rs
@@ -10,6 +10,7 @@
 use crate::journal::{Batch, Record, revision};
 use crate::planner::{AttemptEnd, Change};
 use crate::resource::JobPhase;
+use crate::scheduler::{Action, LogLine};
 use crate::state::RegionState;
 
 impl ActiveScheduler {
@@ -34,6 +35,11 @@
         }
         let actions = self.appender.on(now, event);
         self.append(actions);
+        if let Some(bytes) = self.appender.refused() {
+            let reason = format!("the store refuses a row of one record, {bytes} bytes");
+            let line = LogLine::of("term given up", self.term, reason);
+            self.actions.push(Action::Log(line));
+        }
     }
 
     /// Folds a committed batch into the state and applies the effects of each record. Called in journal order.
--- a/crates/pistachiostair/src/journal.rs
+++ b/crates/pistachiostair/src/journal.rs
@@ -3,6 +3,10 @@
 //! A scheduler writes a record before it acts on it. Its state is what folding all records in order gives, so that the
 //! next scheduler of the region can rebuild it.
 
+use std::io;
+
+use serde::Serialize;
+
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::{Attempt, Incarnation, JobId, JobName, RegionName, Revision, Seq, Term, WorkerName};
@@ -141,6 +145,46 @@
     }
 }
 
+/// Bytes of a value as JSON; 0 if it can't be written as JSON, which no record is.
+pub(crate) fn encoded_size<T: Serialize>(value: &T) -> usize {
+    let mut count = ByteCount(0);
+    match serde_json::to_writer(&mut count, value) {
+        Ok(()) => count.0,
+        Err(_) => 0,
+    }
+}
+
+/// Most bytes of a journal row besides its records and the commas between them.
+pub(crate) fn batch_overhead() -> usize {
+    encoded_size(&Batch {
+        write: format!("{}-{}", u64::MAX, u64::MAX),
+        term: Term(u64::MAX),
+        wall: Millis(u64::MAX),
+        records: Vec::new(),
+    })
+}
+
+/// Bytes of a record of step jobs as a [`Record`], besides those of the [`StepRecord`].
+pub(crate) fn step_overhead() -> usize {
+    let record = StepRecord::Forgotten { jobs: Vec::new() };
+    let inner = encoded_size(&record);
+    encoded_size(&Record::Steps(record)) - inner
+}
+
+/// Counts the bytes that are written to it.
+struct ByteCount(usize);
+
+impl io::Write for ByteCount {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Key of a journal row, `journal/REGION/SEQ`. Keys sort in the order of their positions.
 pub fn journal_key(region: &RegionName, seq: Seq) -> String {
     format!("journal/{region}/{:016}", seq.0)
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -217,7 +217,7 @@
         self
     }
 
-    /// Limits the bytes of records in one journal row to what the table service can store.
+    /// Limits the text of a journal row to what the table service can store.
     #[must_use]
     pub fn with_row_bytes(mut self, bytes: usize) -> Self {
         self.row_bytes = bytes;
--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -6,6 +6,7 @@
 use crate::clock::Millis;
 use crate::error::{ErrorKind, Ran};
 use crate::ids::AccountName;
+use crate::journal::encoded_size;
 use crate::message::Failure;
 use crate::record;
 use crate::scheduler::Token;
@@ -160,8 +161,19 @@
         if cx.book.open_count() >= MAX_UNFINISHED_JOBS {
             return Some(refusal(ErrorKind::Limited, "too many jobs have not ended"));
         }
-        self.accepting.insert(job.key, vec![token]);
-        self.records.push(StepRecord::Accepted { job });
+        let key = job.key;
+        let record = StepRecord::Accepted { job };
+        let bytes = encoded_size(&record);
+        if bytes > cx.record_bytes {
+            let reason = format!(
+                "the job is too long to be stored: {bytes} bytes of at most {}",
+                cx.record_bytes
+            );
+            self.log_job("refused", key, reason.clone());
+            return Some(refusal(ErrorKind::Invalid, &reason));
+        }
+        self.accepting.insert(key, vec![token]);
+        self.records.push(record);
         None
     }
 
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -277,6 +277,8 @@
     pub(crate) last_held: Millis,
     /// Limits of the platform and of this daemon.
     pub(crate) limits: StepLimits,
+    /// Most bytes of a record, as JSON, that a journal row can hold.
+    pub(crate) record_bytes: usize,
     /// Durable state, as folded from the journal.
     pub(crate) book: &'a StepJobTable,
 }
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
+use crate::journal::encoded_size;
 use crate::steps::engine::{
     Context, OrderReply, RunPhase, RunStop, RunStopReason, StartOrder, StepScheduler, StepsAction, Target, TaskRun,
     step_of,
@@ -334,7 +335,7 @@
         let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
         let cleared = lasting && run.is_some_and(TaskRun::clears_crashes);
         let late = ordered && task.is_some_and(|task| run.is_some_and(|run| run.has_not_outlived(task)));
-        self.records.push(StepRecord::Ended {
+        let ended = |checkpoint| StepRecord::Ended {
             task: key.0,
             run: key.1,
             outcome,
@@ -342,7 +343,19 @@
             crash,
             late,
             cleared,
-        });
+        };
+        let bytes = checkpoint.len();
+        let mut record = ended(checkpoint);
+        // Nothing bounds a checkpoint but its worker. Without it the task resumes from an earlier one.
+        if encoded_size(&record) > cx.record_bytes {
+            record = ended(String::new());
+            self.log_run(
+                "checkpoint dropped",
+                key,
+                format!("its {bytes} bytes are too long to be stored"),
+            );
+        }
+        self.records.push(record);
     }
 
     /// Forgets a run whose end is stored or need not be, and lets its worker's hold order acknowledge that end.
--- a/crates/pistachiostair/src/steps/record.rs
+++ b/crates/pistachiostair/src/steps/record.rs
@@ -1,6 +1,7 @@
 //! Journal records of step jobs: each is one durable change, applied to [`StepJobTable`](super::StepJobTable).
 
 use crate::ids::{Incarnation, WorkerName};
+use crate::journal::encoded_size;
 use crate::record;
 use crate::steps::crashes::Crash;
 use crate::steps::outcome::RunOutcome;
@@ -77,3 +78,24 @@
         },
     }
 }
+
+impl StepRecord {
+    /// Splits the starts of a step that don't fit into `limit` bytes over several records, so that a row can hold each.
+    /// Every other kind of record stays whole.
+    ///
+    /// A takeover between two rows of a gang's starts finds the gang incomplete and stops it, as after a lost member.
+    pub(crate) fn split(self, limit: usize) -> Vec<Self> {
+        if encoded_size(&self) <= limit {
+            return vec![self];
+        }
+        match self {
+            Self::Started { mut starts } if starts.len() > 1 => {
+                let second = starts.split_off(starts.len() / 2);
+                let mut records = Self::Started { starts }.split(limit);
+                records.extend(Self::Started { starts: second }.split(limit));
+                records
+            }
+            other => vec![other],
+        }
+    }
+}
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -45,6 +45,7 @@
         store_stalled: false,
         last_held: now,
         limits: StepLimits::default(),
+        record_bytes: usize::MAX,
         book,
     }
 }
--- a/crates/pistachiostair/src/steps_active.rs
+++ b/crates/pistachiostair/src/steps_active.rs
@@ -7,7 +7,7 @@
 use crate::calls::STORE_STALL;
 use crate::clock::Millis;
 use crate::ids::Term;
-use crate::journal::Record;
+use crate::journal::{Record, step_overhead};
 use crate::scheduler::Action;
 use crate::state::RegionState;
 use crate::steps::{Context, StepLimits, StepRecord, StepScheduler, StepsEvent};
@@ -22,6 +22,7 @@
         store_stalled: false,
         last_held: now,
         limits: StepLimits::default(),
+        record_bytes: usize::MAX,
         book: &state.step_jobs,
     };
     StepScheduler::recover(term, &cx)
@@ -40,11 +41,17 @@
             store_stalled: self.appender.stalled(now) >= STORE_STALL,
             last_held: self.last_held,
             limits: self.step_limits,
+            record_bytes: self.step_record_bytes(),
             book: &self.state.step_jobs,
         };
         work(&mut self.steps, &cx);
     }
 
+    /// Most bytes of a record of step jobs, as JSON, that a journal row can hold.
+    fn step_record_bytes(&self) -> usize {
+        self.appender.record_bytes().saturating_sub(step_overhead())
+    }
+
     /// Passes on an event.
     pub(crate) fn steps_event(&mut self, now: Millis, event: StepsEvent) {
         self.with_steps(now, |steps, cx| steps.handle(cx, event));
@@ -72,7 +79,9 @@
         }
         self.with_steps(now, StepScheduler::hold_touched);
         let records = std::mem::take(&mut self.steps.records);
-        self.appender.push(records.into_iter().map(Record::Steps));
+        let limit = self.step_record_bytes();
+        let records = records.into_iter().flat_map(|record| record.split(limit));
+        self.appender.push(records.map(Record::Steps));
         self.steps_flush();
     }
 
--- a/crates/pistachiostair/src/takeover.rs
+++ b/crates/pistachiostair/src/takeover.rs
@@ -8,7 +8,7 @@
 use crate::appender::{AppendAction, AppendEvent};
 use crate::clock::Clock;
 use crate::edge::{Commit, Row};
-use crate::error::{Error, ErrorKind, Result};
+use crate::error::{Error, ErrorKind, Ran, Result};
 use crate::ids::{RegionName, Seq};
 use crate::journal::journal_key;
 use crate::snapshot::{SnapshotRef, SnapshotRow, snapshot_key};
@@ -31,6 +31,12 @@
         AppendAction::Commit { seq, transaction } => match store.table.commit(&transaction).await {
             Ok(Commit::Done { .. }) => AppendEvent::Committed(seq),
             Ok(Commit::Conflict { .. }) => AppendEvent::Conflict(seq),
+            Err(error) if error.kind == ErrorKind::Invalid && error.ran == Ran::No => {
+                let bytes = transaction.writes.iter().filter_map(|write| write.value.as_ref());
+                slog::error!(log, "journal: row refused by the store"; "row" => seq.0, "error" => %error,
+                    "bytes" => bytes.map(String::len).sum::<usize>());
+                AppendEvent::Refused(seq)
+            }
             Err(error) => {
                 failed("commit not answered; its row is read back", &error);
                 AppendEvent::Unknown(seq)
--- a/crates/pistachiostair/tests/appender.rs
+++ b/crates/pistachiostair/tests/appender.rs
@@ -8,6 +8,7 @@
     Term, Transaction, WorkerName, journal_key, snapshot_key, term_key,
 };
 use proptest::prelude::*;
+use rstest::rstest;
 use standin::Tables;
 
 struct Store {
@@ -293,6 +294,52 @@
     assert_eq!((second.next_committed(), second.superseded()), (None, true));
 }
 
+/// Guards against records that are stored twice, or in another order, if the store refuses a row of which an earlier try
+/// is still on its way.
+#[rstest]
+#[case::never_arrives(false)]
+#[case::arrives_late(true)]
+fn refuse_after_lost_answer(#[case] late: bool) {
+    let (mut store, fence) = Store::new(vec![1]);
+    let mut writer = Appender::new("fi".into(), Term(1), fence, Seq(0), Seq(0));
+    writer.push((1..=5).map(|number| Record::Drained {
+        worker: WorkerName::from(format!("w{number}")),
+        drain: true,
+    }));
+    let mut first = writer.poll(Millis(0), Millis(0));
+    let Some(AppendAction::Commit { transaction, .. }) = first.pop() else {
+        panic!("no commit");
+    };
+    writer.on(Millis(10), AppendEvent::Unknown(Seq(1)));
+    writer.on(Millis(20), AppendEvent::ReadBack(Seq(1), None));
+    assert_eq!(writer.poll(Millis(500), Millis(0)).len(), 1);
+    writer.on(Millis(510), AppendEvent::Refused(Seq(1)));
+    if late {
+        store.tables.commit(&transaction);
+    }
+    for round in 6..60 {
+        let now = Millis(round * 100);
+        let mut actions = writer.poll(now, now);
+        while let Some(action) = actions.pop() {
+            let event = store.perform(action);
+            actions.extend(event.map_or_else(Vec::new, |event| writer.on(now, event)));
+        }
+    }
+    let rows = store.tables.scan("journal/fi/", "", usize::MAX);
+    let records = rows
+        .iter()
+        .flat_map(|row| Batch::parse(&row.value).expect("a row").records);
+    let names = records.map(|record| match record {
+        Record::Drained { worker, .. } => worker.to_string(),
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(names.collect::<Vec<_>>(), ["w1", "w2", "w3", "w4", "w5"]);
+    assert_eq!(
+        (rows.len(), writer.superseded()),
+        if late { (1, true) } else { (2, false) }
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 50, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -9,6 +9,7 @@
 mod odd_entries;
 mod review;
 mod review_waves;
+mod rows;
 mod takeover;
 mod waves;
 mod world;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -67,6 +67,12 @@
     pub(crate) list_lag: u64,
     /// Whether an order is carried out by whichever incarnation has the name of its worker.
     pub(crate) by_name: bool,
+    /// Most bytes of a journal row; the store refuses a longer one.
+    pub(crate) row_bytes: usize,
+    /// Bytes of the rows that the store refused.
+    pub(crate) refused_rows: Vec<usize>,
+    /// How often a scheduler stepped down.
+    pub(crate) step_downs: u32,
     scheduler: Scheduler,
     limits: StepLimits,
     pub(crate) term: Term,
@@ -101,6 +107,9 @@
             leaving: BTreeMap::new(),
             list_lag: 300,
             by_name: false,
+            row_bytes: usize::MAX,
+            refused_rows: Vec::new(),
+            step_downs: 0,
             scheduler: Scheduler::new("fi".into()),
             limits: StepLimits::default(),
             term: Term(0),
@@ -306,7 +315,9 @@
     /// Replaces the scheduler by that of another daemon, which does not know the list of workers yet.
     pub(crate) fn elect(&mut self) {
         self.term = Term(self.term.0 + 1);
-        self.scheduler = Scheduler::new("fi".into()).with_step_limits(self.limits);
+        self.scheduler = Scheduler::new("fi".into())
+            .with_step_limits(self.limits)
+            .with_row_bytes(self.row_bytes);
         let elected = Event::Elected {
             term: self.term,
             fence: self.term.0,
@@ -393,7 +404,8 @@
             match action {
                 Action::Append(append) => self.deliver_after(COMMIT_MS / 2, Delivery::Store(self.term, append)),
                 Action::Steps(action) => self.perform(action),
-                Action::Log(_) | Action::StepDown => {}
+                Action::StepDown => self.step_downs += 1,
+                Action::Log(_) => {}
                 other => panic!("unexpected {other:?}"),
             }
         }
@@ -511,10 +523,15 @@
             AppendAction::Commit { seq, .. } if self.store_down => AppendEvent::Unknown(seq),
             AppendAction::Commit { seq, .. } if term != self.term => AppendEvent::Conflict(seq),
             AppendAction::Commit { seq, transaction } => {
-                if let Some(value) = transaction.writes.into_iter().find_map(|write| write.value) {
-                    self.rows.push((seq, value));
+                let value = transaction.writes.into_iter().find_map(|write| write.value);
+                let bytes = value.as_ref().map_or(0, String::len);
+                if bytes > self.row_bytes {
+                    self.refused_rows.push(bytes);
+                    AppendEvent::Refused(seq)
+                } else {
+                    self.rows.extend(value.map(|value| (seq, value)));
+                    AppendEvent::Committed(seq)
                 }
-                AppendEvent::Committed(seq)
             }
             AppendAction::ReadBack { seq, .. } if self.store_down => AppendEvent::ReadBackFailed(seq),
             AppendAction::ReadBack { seq, .. } => {
