The cursor goes out at once after the lists that confirm the incarnation

A worker that has gone idle is asked without a cursor first; its reply arrives within 20 ms on a near link, when the next hold order is not due yet, and on the next tick, 100 ms later, it is too old. Ends stay unacknowledged and each tick sends an order. The simulated region has replies after 20 ms exactly, so that no test saw it.

The pause between two hold orders is left out after such a reply. Test: cursor_follows_confirmation, failed before.

--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -340,10 +340,11 @@
         let suspect = self.listed && self.failures >= SUSPECT_FAILURES;
         let needed = !self.runs.is_empty() || self.has_ack_due() || (!self.synced && self.listed) || suspect;
         let ack = self.has_ack_due() && self.is_certain(now);
-        let gap = if !ack && self.has_unstored_end() || suspect && self.runs.is_empty() {
-            RETRY_GAP
-        } else {
-            HOLD_GAP
+        let gap = match ack && self.confirming {
+            // The cursor goes out before the reply is too old.
+            true => Millis::ZERO,
+            false if !ack && self.has_unstored_end() || suspect && self.runs.is_empty() => RETRY_GAP,
+            false => HOLD_GAP,
         };
         needed && now >= self.last_hold + gap
     }
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -9,14 +9,14 @@
 use crate::steps::capacity::{Eligible, FreeCapacity, Room};
 use crate::steps::engine::{Context, RunPhase};
 use crate::steps::forecast::{Forecast, remaining};
-use crate::steps::host::RunKey;
+use crate::steps::host::{Host, RunKey};
 use crate::steps::place::{leftover, place_tasks};
 use crate::steps::preemption::{PreemptionLimits, Search, Victims, lost_work};
 use crate::steps::progress::RunProgress;
 use crate::steps::{
     AccountRule, Demand, HoldReply, HostInfo, HostUpdate, JobKey, OrderReply, Queue, QueueName, QueueSettings, Rules,
     RunEnd, RunOutcome, RunReport, ServiceName, Step, StepCall, StepJob, StepJobTable, StepLimits, StepScheduler,
-    StepsAction, StepsEvent, Target,
+    StepsAction, StepsEvent, Target, TaskKey,
 };
 
 const WORKERS: u64 = 12;
@@ -671,3 +671,30 @@
     progress.advance(100, Millis(2_700));
     assert_eq!(progress.remaining(Millis(9_000), Millis(2_000)), Some(Millis(0)));
 }
+
+/// Guards against ends that stay unacknowledged on a near worker: the lists that confirm its incarnation arrive before the
+/// next hold order is due otherwise, and are too old on the next tick.
+#[test]
+fn cursor_follows_confirmation() {
+    let incarnation = Incarnation(1);
+    let task = TaskKey {
+        job: JobKey(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let mut host = Host::new(1, incarnation, Millis::ZERO, Millis(1_000));
+    host.sync(incarnation, Millis(1_000));
+    host.add_end(1, (task, 1));
+    host.mark_end_durable((task, 1));
+    let asked = Millis(1_400);
+    assert!(host.is_hold_due(asked));
+    assert_eq!(host.send_cursor(asked, Millis::ZERO), 0);
+    host.last_hold = asked;
+    let answered = asked + Millis(1);
+    host.sync(incarnation, answered);
+    assert!(host.is_hold_due(answered));
+    assert_eq!(host.send_cursor(answered, Millis::ZERO), 1);
+    host.last_hold = answered;
+    assert!(!host.is_hold_due(answered));
+}
