evacuation: no task starts in a failure domain that operators have evacuated

The engine asks it when it plans, when the record of a start is durable and before an order is repeated; the order itself is checked again once it has its slot. What runs goes on. steps/evacuation.rs, about draining workers, is now steps/draining.rs.

--- a/crates/pistachiostair/src/edge.rs
+++ b/crates/pistachiostair/src/edge.rs
@@ -8,7 +8,9 @@
 use crate::error::Result;
 use crate::ids::{RegionName, Term};
 use crate::resource::MemberState;
-use crate::steps::{HoldOrder, HoldReply, HostUpdate, OrderReply, Rules, StartOrder, Target, TaskKey};
+use crate::steps::{
+    EvacuationUpdate, HoldOrder, HoldReply, HostUpdate, OrderReply, Rules, StartOrder, Target, TaskKey,
+};
 use crate::{closed_set, record};
 
 /// A boxed future that can move between threads.
@@ -167,14 +169,28 @@
     fn hosts(&self, after: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, HostUpdate)>>;
 }
 
-/// The platform's source of the configuration for jobs made of steps.
+record! {
+    /// What a read of [`RulesSource`] returns.
+    #[derive(Default)]
+    pub struct RulesUpdate {
+        /// The configuration; absent if it did not change or there is none yet.
+        pub rules: Option<Rules>,
+        /// Requests to evacuate failure domains: all that are in force, or the changes.
+        pub evacuations: EvacuationUpdate,
+    }
+}
+
+/// The platform's source of what operators set for jobs made of steps: the configuration, and requests to evacuate
+/// failure domains.
 pub trait RulesSource: Send + Sync {
-    /// Reads the configuration if `after` is `None`; otherwise waits at most `wait` for a change after that position.
-    /// Returns the position to continue from and the configuration; `None` if it did not change or there is none yet.
+    /// Reads everything if `after` is `None`; otherwise waits at most `wait` for a change after that position. Returns
+    /// the position to continue from and what was read.
+    ///
+    /// The result holds what was in force at some time after the call, so that the time of the call confirms it.
     ///
     /// # Errors
     ///
-    /// `Expired` if the changes after the position are no longer known; the caller then reads the configuration again
-    /// without a position.
-    fn rules(&self, after: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, Option<Rules>)>>;
+    /// `Expired` if the changes after the position are no longer known; the caller then reads everything again without a
+    /// position.
+    fn rules(&self, after: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, RulesUpdate)>>;
 }
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -125,8 +125,8 @@
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
 pub use edge::{
-    BoxFuture, Check, Commit, Connections, HostList, Hosts, Objects, Row, RulesSource, Table, Transaction, Vm, VmList,
-    VmRole, Write,
+    BoxFuture, Check, Commit, Connections, HostList, Hosts, Objects, Row, RulesSource, RulesUpdate, Table, Transaction,
+    Vm, VmList, VmRole, Write,
 };
 pub use ejection::Ejector;
 pub use election::{Election, ElectionAction, ElectionEvent, ElectionTimes};
@@ -172,10 +172,11 @@
 pub use snapshot::{SnapshotLimits, SnapshotRef, SnapshotRow, snapshot_key};
 pub use state::{JobOutcome, JobState, Placement, RegionState};
 pub use steps::{
-    AccountRule, Crash, Demand, HoldOrder, HoldReply, HostInfo, HostUpdate, JobEntry, JobKey, OrderReply, PlacedRun,
-    Queue, QueueName, QueueSettings, Recurrence, Rules, RunEnd, RunOutcome, RunReport, ServiceName, ServiceRule,
-    StartOrder, StartRecord, Step, StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepLimits,
-    StepLoad, StepRecord, StepScheduler, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
+    AccountRule, Crash, Demand, EvacuationSource, EvacuationUpdate, Evacuations, HoldOrder, HoldReply, HostInfo,
+    HostUpdate, JobEntry, JobKey, OrderReply, PlacedRun, Queue, QueueName, QueueSettings, Recurrence, Rules, RunEnd,
+    RunOutcome, RunReport, ServiceName, ServiceRule, StartOrder, StartRecord, Step, StepAnswer, StepCall, StepEntry,
+    StepJob, StepJobPhase, StepJobTable, StepLimits, StepLoad, StepRecord, StepScheduler, StepsAction, StepsEvent,
+    StepsLog, Target, TaskEntry, TaskKey,
 };
 pub use store::Store;
 pub use traffic::Traffic;
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -73,6 +73,10 @@
     pub order_latency: HistogramVec,
     /// Decisions of the scheduler of steps, by what was decided.
     pub step_decisions: IntCounterVec,
+    /// Evacuated failure domains with workers, at this daemon's scheduler.
+    pub evacuated: IntGauge,
+    /// Starts of tasks that were decided and not ordered because of an evacuation.
+    pub withheld: IntCounter,
     control: IntCounterVec,
     kinds: IntCounterVec,
     cpu: Gauge,
@@ -123,6 +127,14 @@
             step_orders: with.vec("step_orders_total", "Orders to workers.", &["order", "outcome"])?,
             order_latency: with.histogram("step_order_seconds", "Time until a worker answered.", &["order"])?,
             step_decisions: with.vec("step_decisions_total", "Decisions about steps.", &["decision"])?,
+            evacuated: with.gauge(
+                "evacuated_domains",
+                "Evacuated failure domains with workers; 0 if the scheduler runs elsewhere.",
+            )?,
+            withheld: with.counter(
+                "starts_withheld_total",
+                "Starts that were decided and not ordered because of an evacuation.",
+            )?,
             control: with.vec("control_bytes_total", "Bytes of the control plane.", &["direction"])?,
             kinds: with.vec(
                 "control_kind_bytes_total",
--- a/crates/pistachiostair/src/node_daemon.rs
+++ b/crates/pistachiostair/src/node_daemon.rs
@@ -136,7 +136,12 @@
             hosts: edges.hosts,
             listing: edges.listing,
         }))?;
-        let rules = RulesWatch::start(&kernel, edges.rules, component_logger(log, Component::Policy))?;
+        let rules = RulesWatch::start(
+            &kernel,
+            edges.rules,
+            settings.step_limits.evacuations,
+            component_logger(log, Component::Policy),
+        )?;
         let gateway = Arc::new(Gateway {
             kernel: kernel.clone(),
             log: component_logger(log, Component::Api),
--- a/crates/pistachiostair/src/rules_watch.rs
+++ b/crates/pistachiostair/src/rules_watch.rs
@@ -1,7 +1,8 @@
 //! Follows the platform's configuration for jobs made of steps (queues, services, accounts), keeps the newest version
-//! and the time at which it was last confirmed.
+//! and the time at which it was last confirmed, and the requests to evacuate failure domains likewise.
 //!
-//! A daemon that the platform's store turns away learns both from the scheduler, whose answers to probes carry them.
+//! A daemon that the platform's store turns away learns the configuration and its age from the scheduler, whose answers to
+//! probes carry them. The requests come from the store only, as only the scheduler needs them.
 
 use std::sync::{Arc, Mutex};
 
@@ -10,10 +11,11 @@
 use crate::clock::Millis;
 use crate::edge::RulesSource;
 use crate::error::{ErrorKind, Result};
+use crate::ids::DomainName;
 use crate::kernel::{Kernel, Service};
 use crate::message::{Request, Response, RulesAge};
 use crate::peers::Peers;
-use crate::steps::Rules;
+use crate::steps::{DomainGate, EvacuationSource, EvacuationUpdate, Evacuations, Rules, StartBan};
 
 #[cfg(test)]
 mod tests;
@@ -22,6 +24,10 @@
 /// source answers.
 const MAX_WAIT: Millis = Millis(1_000);
 
+/// Part of the age at which requests to evacuate count as outdated that a read may wait for a change, as a divisor. A
+/// read is confirmed as of its beginning, so that the age reaches the time that two reads take while nothing changes.
+const WAIT_PART: u64 = 3;
+
 /// Pause after a failed read.
 const RETRY_PAUSE: Millis = Millis(200);
 
@@ -37,6 +43,8 @@
     confirmed: Option<Millis>,
     /// When the last request was sent that the source answered; `None` before the first answer.
     source_answered: Option<Millis>,
+    /// The requests to evacuate failure domains.
+    gate: DomainGate,
     /// Whether a newer version is being read from another daemon.
     fetching: bool,
 }
@@ -78,6 +86,7 @@
 pub(crate) struct RulesWatch {
     kernel: Arc<Kernel>,
     source: Arc<dyn RulesSource>,
+    evacuations: EvacuationSource,
     log: slog::Logger,
     known: Mutex<Known>,
 }
@@ -88,10 +97,16 @@
 
 impl RulesWatch {
     /// Registers the service and starts to follow the source.
-    pub(crate) fn start(kernel: &Arc<Kernel>, source: Arc<dyn RulesSource>, log: slog::Logger) -> Result<Arc<Self>> {
+    pub(crate) fn start(
+        kernel: &Arc<Kernel>,
+        source: Arc<dyn RulesSource>,
+        evacuations: EvacuationSource,
+        log: slog::Logger,
+    ) -> Result<Arc<Self>> {
         let watch = Arc::new(Self {
             kernel: kernel.clone(),
             source,
+            evacuations,
             log,
             known: Mutex::default(),
         });
@@ -121,6 +136,25 @@
         answered.map(|answered| self.kernel.clock.now().since(answered))
     }
 
+    /// The requests to evacuate failure domains, with the time that confirmed them; `None` before the first read.
+    pub(crate) fn evacuations(&self) -> Option<Evacuations> {
+        self.known().gate.known().cloned()
+    }
+
+    /// Why nothing may be started in a failure domain at present; `None` if it may.
+    pub(crate) fn start_ban(&self, domain: &DomainName) -> Option<StartBan> {
+        let now = self.kernel.clock.now();
+        self.known().gate.ban_in(self.evacuations, domain, now)
+    }
+
+    /// Time that a read waits for a change.
+    fn wait(&self) -> Millis {
+        match self.evacuations {
+            EvacuationSource::Followed { max_age: Some(max_age) } => MAX_WAIT.min(Millis(max_age.0 / WAIT_PART)),
+            EvacuationSource::Followed { max_age: None } | EvacuationSource::None => MAX_WAIT,
+        }
+    }
+
     /// Version and age of the configuration in force, for other daemons; `None` before it was first confirmed.
     pub(crate) fn current(&self) -> Option<RulesAge> {
         let known = self.known();
@@ -167,7 +201,7 @@
         loop {
             let sent = self.kernel.clock.now();
             // A read that waits for a change and gets lost is given up later than one that asks for an answer at once.
-            let wait = if reached { MAX_WAIT } else { Millis::ZERO };
+            let wait = if reached { self.wait() } else { Millis::ZERO };
             let read = self.source.rules(position, wait).await;
             if read.is_ok() != reached {
                 reached = read.is_ok();
@@ -177,10 +211,10 @@
                 }
             }
             match read {
-                Ok((next, rules)) => {
+                Ok((next, update)) => {
                     position = Some(next);
-                    self.known().source_answered = Some(sent);
-                    self.apply((sent, Millis::ZERO), rules, "store");
+                    self.apply_evacuations(update.evacuations, sent);
+                    self.apply((sent, Millis::ZERO), update.rules, "store");
                 }
                 Err(error) if error.kind == ErrorKind::Expired => position = None,
                 Err(_) => {
@@ -190,6 +224,19 @@
         }
     }
 
+    /// Applies the requests to evacuate failure domains that the source returned for a read sent at `sent`.
+    fn apply_evacuations(&self, update: EvacuationUpdate, sent: Millis) {
+        let mut known = self.known();
+        known.source_answered = Some(sent);
+        for domain in &update.requested {
+            slog::info!(self.log, "evacuation requested"; "domain" => %domain, "full" => update.full);
+        }
+        for domain in &update.withdrawn {
+            slog::info!(self.log, "evacuation withdrawn"; "domain" => %domain);
+        }
+        known.gate.apply(update, sent);
+    }
+
     /// Records that the newest configuration was current `age` before `at`, and puts `rules` in force if they are newer
     /// than the present ones.
     fn apply(&self, (at, age): (Millis, Millis), rules: Option<Rules>, source: &str) {
--- a/crates/pistachiostair/src/rules_watch/tests.rs
+++ b/crates/pistachiostair/src/rules_watch/tests.rs
@@ -1,6 +1,7 @@
 //! What a daemon accepts of the configuration of another one. Pattern: the store turns a third of the daemons away while
 //! keys are withdrawn.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 
 use async_executor::Executor;
@@ -9,12 +10,12 @@
 
 use super::{Known, MAX_WAIT, RulesWatch};
 use crate::clock::Millis;
-use crate::edge::{BoxFuture, RulesSource};
+use crate::edge::{BoxFuture, RulesSource, RulesUpdate};
 use crate::error::{Error, ErrorKind, Result};
-use crate::ids::Revision;
+use crate::ids::{DomainName, Revision};
 use crate::kernel::Kernel;
 use crate::message::RulesAge;
-use crate::steps::Rules;
+use crate::steps::{EvacuationSource, EvacuationUpdate, Rules, StartBan};
 
 fn rules(version: u64) -> Rules {
     Rules {
@@ -23,6 +24,13 @@
     }
 }
 
+fn update(version: u64) -> RulesUpdate {
+    RulesUpdate {
+        rules: Some(rules(version)),
+        ..RulesUpdate::default()
+    }
+}
+
 fn aged(version: u64, age: u64) -> RulesAge {
     RulesAge {
         version: Revision(version),
@@ -97,14 +105,14 @@
 struct Source(Mutex<Vec<Millis>>);
 
 impl RulesSource for Source {
-    fn rules(&self, _: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, Option<Rules>)>> {
+    fn rules(&self, _: Option<u64>, wait: Millis) -> BoxFuture<'_, Result<(u64, RulesUpdate)>> {
         let mut waits = self.0.lock().unwrap();
         waits.push(wait);
         let number = waits.len();
         Box::pin(async move {
             match number {
                 2 => Err(Error::msg(ErrorKind::Timeout, "read rules", "no answer")),
-                1 | 3 => Ok((number as u64, Some(rules(number as u64)))),
+                1 | 3 => Ok((number as u64, update(number as u64))),
                 _ => futures_lite::future::pending().await,
             }
         })
@@ -119,10 +127,61 @@
     let kernel = Kernel::new(executor.clone());
     let source = Arc::new(Source::default());
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let watch = RulesWatch::start(&kernel, source.clone(), log).unwrap();
+    let watch = RulesWatch::start(&kernel, source.clone(), EvacuationSource::None, log).unwrap();
     while source.0.lock().unwrap().len() < 4 {
         block_on(executor.tick());
     }
     assert_eq!(*source.0.lock().unwrap(), [MAX_WAIT, MAX_WAIT, Millis::ZERO, MAX_WAIT]);
     assert_eq!(watch.rules().map(|rules| rules.version), Some(Revision(3)));
 }
+
+/// A source whose feed of changes has expired at the third read. It keeps the positions that it was asked for. A domain is
+/// evacuated before each of the first reads, and only the last one stays so.
+#[derive(Default)]
+struct Expiring(Mutex<Vec<Option<u64>>>);
+
+impl RulesSource for Expiring {
+    fn rules(&self, after: Option<u64>, _: Millis) -> BoxFuture<'_, Result<(u64, RulesUpdate)>> {
+        let mut reads = self.0.lock().unwrap();
+        reads.push(after);
+        let number = reads.len() as u64;
+        let evacuations = EvacuationUpdate {
+            full: after.is_none(),
+            requested: BTreeSet::from([format!("z{number}").into()]),
+            withdrawn: BTreeSet::new(),
+        };
+        Box::pin(async move {
+            match number {
+                3 => Err(Error::msg(ErrorKind::Expired, "read rules", "no history")),
+                1..=4 => Ok((
+                    number,
+                    RulesUpdate {
+                        rules: None,
+                        evacuations,
+                    },
+                )),
+                _ => futures_lite::future::pending().await,
+            }
+        })
+    }
+}
+
+/// Guards against requests that stay in force although they were withdrawn while the feed of changes was lost, and against
+/// starts in all domains until they are read.
+#[test]
+fn follow_expired_feed() {
+    let executor = Arc::new(Executor::new());
+    let kernel = Kernel::new(executor.clone());
+    let source = Arc::new(Expiring::default());
+    let followed = EvacuationSource::Followed { max_age: None };
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let watch = RulesWatch::start(&kernel, source.clone(), followed, log).unwrap();
+    let z1 = DomainName::from("z1");
+    assert_eq!(watch.start_ban(&z1), Some(StartBan::NotRead));
+    while source.0.lock().unwrap().len() < 5 {
+        block_on(executor.tick());
+    }
+    assert_eq!(*source.0.lock().unwrap(), [None, Some(1), Some(2), None, Some(4)]);
+    assert_eq!(watch.start_ban(&z1), None);
+    assert_eq!(watch.start_ban(&DomainName::from("z4")), Some(StartBan::Evacuated));
+}
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -11,7 +11,7 @@
 use crate::clock::Millis;
 use crate::edge::Transaction;
 use crate::error::{ErrorKind, Ran};
-use crate::ids::{AccountName, GuaranteeName, JobId, JobName, RegionName, Seq, Term, WorkerName};
+use crate::ids::{AccountName, DomainName, GuaranteeName, JobId, JobName, RegionName, Seq, Term, WorkerName};
 use crate::message::{Call, Failure, Response};
 use crate::number_id;
 use crate::resource::{AccountSpec, Guarantee, MemberState, Policy};
@@ -300,6 +300,18 @@
         self.active.as_ref().map(|active| active.steps.load())
     }
 
+    /// Number of evacuated failure domains with workers; `None` while this daemon is not the scheduler.
+    pub(crate) fn evacuated_domains(&self) -> Option<usize> {
+        self.active.as_ref().map(|active| active.steps.evacuated_domains())
+    }
+
+    /// The failure domain of a worker of step jobs; `None` if the worker is not listed, or while this daemon is not the
+    /// scheduler.
+    pub(crate) fn step_domain(&self, worker: &WorkerName) -> Option<DomainName> {
+        let active = self.active.as_ref()?;
+        active.steps.domain_of(worker).cloned()
+    }
+
     /// What the journal's writer holds; `None` while this daemon is not the scheduler.
     pub(crate) fn journal_load(&self) -> Option<JournalLoad> {
         self.active.as_ref().map(|active| active.appender.load())
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -153,6 +153,7 @@
         shared.lease = self.election.valid_lease(now);
         shared.penalized = self.election.is_penalized(now);
         drop(shared);
+        self.refresh_evacuations();
         self.handle_event(Event::Tick);
         self.send_renewals();
         self.sample_processor();
@@ -161,6 +162,8 @@
         self.metrics
             .tenure
             .set(self.elected.map_or(0, |(term, _)| term.0 as i64));
+        let evacuated = self.scheduler.evacuated_domains().unwrap_or(0);
+        self.metrics.evacuated.set(evacuated as i64);
     }
 
     /// Measures how long a task waits for the processor, at intervals while this daemon is the scheduler.
--- a/crates/pistachiostair/src/scheduler_updates.rs
+++ b/crates/pistachiostair/src/scheduler_updates.rs
@@ -1,4 +1,4 @@
-//! Forwards changes of accounts, guarantees, policy, step rules and the platform's list of workers to the scheduler.
+//! Forwards changes of accounts, guarantees, policy, step rules, evacuations and the platform's list of workers to the scheduler.
 
 use std::collections::BTreeMap;
 
@@ -9,7 +9,7 @@
 use crate::rules_watch::RulesWatch;
 use crate::scheduler::Event;
 use crate::scheduler_actor::SchedulerActor;
-use crate::steps::StepsEvent;
+use crate::steps::{Evacuations, StepsEvent};
 
 /// State last forwarded to the scheduler in this term, to send changes only.
 #[derive(Default)]
@@ -20,6 +20,8 @@
     pub(crate) policy: Option<Revision>,
     /// Version of the rules for jobs made of steps; `None` before the first ones.
     pub(crate) rules: Option<Revision>,
+    /// Requests to evacuate failure domains, with the time that confirmed them; `None` before the first ones.
+    pub(crate) evacuations: Option<Evacuations>,
     /// Workers in the platform's list; `None` before the first read.
     pub(crate) listed: Option<BTreeMap<WorkerName, MemberState>>,
 }
@@ -36,6 +38,7 @@
         if let Ok(watch) = self.kernel.find::<RulesWatch>() {
             self.refresh_rules(&watch);
         }
+        self.refresh_evacuations();
         if let Ok(members) = self.kernel.find::<Members>() {
             self.refresh_listed(&members);
         }
@@ -52,6 +55,24 @@
         self.handle_event(Event::Steps(StepsEvent::Rules(rules.as_ref().clone())));
     }
 
+    /// Feeds the scheduler with the requests to evacuate failure domains if they were confirmed since the last call. Does
+    /// nothing while this daemon is not the scheduler.
+    pub(crate) fn refresh_evacuations(&mut self) {
+        if self.shared.lock().expect("leader lock").term.is_none() {
+            return;
+        }
+        let Ok(watch) = self.kernel.find::<RulesWatch>() else {
+            return;
+        };
+        let known = watch.evacuations();
+        if known != self.forwarded.evacuations
+            && let Some(known) = known
+        {
+            self.forwarded.evacuations = Some(known.clone());
+            self.handle_event(Event::Steps(StepsEvent::Evacuations(known)));
+        }
+    }
+
     fn refresh_catalog(&mut self, config: &Config) {
         if self.forwarded.policy != Some(config.revision()) {
             let (revision, policy) = config.policy();
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -6,7 +6,8 @@
 //! - `engine`: the scheduler's state and the dispatch of events and committed records.
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
 //! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
-//! - `straggler`, `progress`, `ejection`, `evacuation`: slow runs, and workers that are slow, fail or leave.
+//! - `straggler`, `progress`, `ejection`, `draining`: slow runs, and workers that are slow, fail or leave.
+//! - `domains`, `withheld`: failure domains that operators evacuate, and starts that are withheld for it.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
 //! - `step_limits`: limits of the platform that decisions depend on.
 
@@ -14,9 +15,10 @@
 mod calls;
 mod capacity;
 mod crashes;
+mod domains;
+mod draining;
 mod ejection;
 mod engine;
-mod evacuation;
 mod forecast;
 mod host;
 mod job_table;
@@ -39,9 +41,12 @@
 mod tests;
 mod timers;
 mod trial;
+mod withheld;
 
 pub use calls::{StepAnswer, StepCall};
 pub use crashes::Crash;
+pub(crate) use domains::{DomainGate, StartBan};
+pub use domains::{EvacuationSource, EvacuationUpdate, Evacuations};
 pub(crate) use engine::Context;
 pub use engine::{
     HoldOrder, HoldReply, OrderReply, RunEnd, RunReport, StartOrder, StepLoad, StepScheduler, StepsAction, StepsEvent,
@@ -56,3 +61,4 @@
     Demand, JobKey, QueueName, QueueSettings, Recurrence, ServiceName, Step, StepJob, StepJobPhase, TaskKey,
 };
 pub use step_limits::StepLimits;
+pub(crate) use withheld::WITHHELD;
--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::{RackName, WorkerName};
 use crate::steps::engine::{Context, StepScheduler};
+use crate::steps::host::HostInfo;
 use crate::steps::plan::StepPlacement;
 use crate::steps::queue::StepKey;
 use crate::steps::spec::{Demand, ServiceName, Step};
@@ -98,7 +99,9 @@
     candidates: Vec<Candidate<'a>>,
     /// Position of each worker by its number.
     positions: Vec<Option<u32>>,
-    /// Accelerators of all known workers, whether they accept tasks or not.
+    /// Workers that would accept new tasks if their failure domains were not evacuated.
+    withheld: Vec<&'a HostInfo>,
+    /// Accelerators of all known workers outside of evacuated domains, whether they accept tasks or not.
     pub(crate) accelerators: u64,
     /// Raised with each change.
     pub(crate) version: u64,
@@ -110,11 +113,18 @@
         let mut free = Self {
             candidates: Vec::with_capacity(scheduler.hosts.len()),
             positions: vec![None; scheduler.last_host as usize + 1],
+            withheld: Vec::new(),
             accelerators: 0,
             version: 0,
         };
         for (worker, host) in &scheduler.hosts {
             let Some(info) = host.info.as_ref() else { continue };
+            if scheduler.host_ban(cx, host).is_some() {
+                if host.is_usable(cx.now) {
+                    free.withheld.push(info);
+                }
+                continue;
+            }
             free.accelerators = free.accelerators.saturating_add(info.capacity.accelerators);
             if !host.is_usable(cx.now) || host.is_full(cx.now) {
                 continue;
@@ -136,6 +146,17 @@
         free
     }
 
+    /// Number of workers that might run tasks of a step if their failure domains were not evacuated.
+    pub(crate) fn withheld(&self, service: &ServiceName, step: &Step) -> usize {
+        let label = step.requires.as_ref();
+        let matching = self.withheld.iter().filter(|info| {
+            info.service == *service
+                && label.is_none_or(|label| info.labels.contains(label))
+                && step.demand.fits(&info.capacity)
+        });
+        matching.count()
+    }
+
     /// Number of workers that accept new tasks.
     pub(crate) fn len(&self) -> usize {
         self.candidates.len()
--- a/crates/pistachiostair/src/steps/evacuation.rs
+++ b/crates/pistachiostair/src/steps/draining.rs
@@ -15,7 +15,7 @@
     /// Stops the runs of a draining worker that won't end before it leaves at `leaves_at`. Work that is not
     /// checkpointed would be lost when the worker leaves, so that such a run is stopped as soon as that is foreseeable.
     /// Others make progress until the last moment at which their checkpoint can still be read.
-    pub(crate) fn evacuate(&mut self, cx: &Context<'_>, worker: &WorkerName, leaves_at: Millis) {
+    pub(crate) fn stop_before_leaving(&mut self, cx: &Context<'_>, worker: &WorkerName, leaves_at: Millis) {
         let Some(host) = self.hosts.get(worker) else { return };
         let left = leaves_at.since(cx.now);
         let leaving = |key: &RunKey| {
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -6,11 +6,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::clock::Millis;
-use crate::ids::{AccountName, Incarnation, RackName, Term, WorkerName};
+use crate::ids::{AccountName, DomainName, Incarnation, RackName, Term, WorkerName};
 use crate::record;
 use crate::scheduler::Token;
 use crate::steps::calls::{StepAnswer, StepCall};
 use crate::steps::crashes::{Crash, LostHost, MIN_TRIAL_WORKERS, RECOVERED_AGE};
+use crate::steps::domains::{DomainGate, Evacuations, StartBan};
 use crate::steps::host::{Host, HostUpdate, RunKey};
 use crate::steps::job_table::{JobEntry, StepJobTable};
 use crate::steps::outcome::RunOutcome;
@@ -45,6 +46,8 @@
     Hosts(HostUpdate),
     /// A new configuration is in force; it replaces the previous one.
     Rules(Rules),
+    /// The requests to evacuate failure domains that are in force; they replace the previous ones.
+    Evacuations(Evacuations),
     /// Outcome of [`StepsAction::Start`].
     Started {
         /// The worker that the order was sent to.
@@ -109,6 +112,8 @@
     Undelivered,
     /// The order was not sent: the worker's machine refused the connection, since nothing listens at the address.
     NoListener,
+    /// The order was not sent: nothing may be started in the worker's failure domain any more.
+    Withheld,
     /// No answer came: the order may have been carried out, or may still be.
     Unanswered,
 }
@@ -382,6 +387,8 @@
     pub(crate) trial: Option<Millis>,
     /// Set once its worker is known to have crashed.
     pub(crate) crash: Option<Crash>,
+    /// Whether an order without an answer is not repeated because the worker's failure domain is evacuated.
+    pub(crate) withheld: bool,
 }
 
 impl TaskRun {
@@ -425,6 +432,14 @@
 pub struct StepScheduler {
     pub(crate) term: Term,
     pub(crate) rules: Rules,
+    /// Failure domains in which nothing may be started.
+    pub(crate) gate: DomainGate,
+    /// Domains whose evacuation was logged, with the number of their workers then.
+    pub(crate) evacuated: BTreeMap<DomainName, usize>,
+    /// Why nothing may be started in any domain, as it was logged.
+    pub(crate) suspended: Option<StartBan>,
+    /// Waiting steps of which it was logged that they wait for an evacuated domain.
+    pub(crate) withheld: BTreeSet<StepKey>,
     /// Whether the platform's whole list of workers was read under this term.
     pub(crate) workers_known: bool,
     /// Workers that are listed or that runs were placed on.
@@ -490,6 +505,10 @@
         let mut steps = Self {
             term,
             rules: Rules::default(),
+            gate: DomainGate::default(),
+            evacuated: BTreeMap::new(),
+            suspended: None,
+            withheld: BTreeSet::new(),
             workers_known: false,
             hosts: BTreeMap::new(),
             last_host: 0,
@@ -562,6 +581,7 @@
                 listed_at: cx.now,
                 trial: None,
                 crash: None,
+                withheld: false,
             };
             self.charge(&entry.spec.account, step.demand.accelerators);
             self.runs.insert((task, placed.run), run);
@@ -637,6 +657,7 @@
                 self.rules = rules;
                 self.replan = true;
             }
+            StepsEvent::Evacuations(known) => self.update_evacuations(cx, known),
             StepsEvent::Started {
                 target,
                 task,
@@ -679,9 +700,9 @@
                 self.refresh_job(cx, job.key);
             }
             StepRecord::Started { starts } => {
-                // One member of a gang that no longer fits keeps the others from being ordered.
+                // One member of a gang that may no longer start keeps the others from being ordered.
                 for start in starts {
-                    self.drop_start_over_capacity(cx, (start.task, start.run));
+                    self.drop_outdated_start(cx, (start.task, start.run));
                 }
                 for start in starts {
                     self.send_start(cx, (start.task, start.run));
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -41,6 +41,7 @@
             self.update_host(cx, info);
         }
         self.hosts.retain(|_, host| host.listed || !host.runs.is_empty());
+        self.log_evacuations();
         self.replan = true;
     }
 
@@ -173,6 +174,7 @@
         self.note_completeness(worker, &reply);
         if !reply.more_ends {
             self.end_absent_runs(cx, worker, &reply);
+            self.stop_unlisted(cx, worker);
         }
         let groups: BTreeSet<StepKey> = reply.running.iter().map(|line| line.task.step_key()).collect();
         for group in groups {
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -13,6 +13,7 @@
 use crate::steps::host::{Host, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::StepRecord;
+use crate::steps::withheld::WITHHELD;
 
 /// Number of start orders of one run after which an unanswered one is not repeated: the run is stopped instead. The
 /// members of a gang give up if it is not complete within 3 s, so a further order would come too late.
@@ -22,12 +23,16 @@
 const HOLD_RETRY_DELAY: Millis = Millis(300);
 
 impl StepScheduler {
-    /// Ends as `Refused` a run that was not ordered yet if its worker's capacity has shrunk below what is in use there.
-    pub(crate) fn drop_start_over_capacity(&mut self, cx: &Context<'_>, key: RunKey) {
+    /// Ends as `Refused` a run that was not ordered yet if its worker's capacity has shrunk below what is in use there, or
+    /// if nothing may be started in its worker's failure domain any more.
+    pub(crate) fn drop_outdated_start(&mut self, cx: &Context<'_>, key: RunKey) {
         let Some(run) = self.runs.get(&key).filter(|run| run.phase == RunPhase::Planned) else {
             return;
         };
-        if self.hosts.get(&run.worker).is_some_and(Host::is_over_capacity) {
+        if let Some(ban) = self.start_ban(cx, &run.worker) {
+            self.log_run(WITHHELD, key, ban.text().to_owned());
+            self.end_run(cx, key, RunOutcome::Refused, "");
+        } else if self.hosts.get(&run.worker).is_some_and(Host::is_over_capacity) {
             self.log_run("not started", key, "the worker's capacity has shrunk".to_owned());
             self.end_run(cx, key, RunOutcome::Refused, "");
         }
@@ -37,12 +42,19 @@
     ///
     /// Nothing is sent if the run is being stopped, its job has ended, its worker was restarted or exceeds its capacity,
     /// or the worker's clock or address is not known. The run then ends as `Refused`, or is stopped if an earlier order
-    /// may have started it.
+    /// may have started it. See [`Self::withhold_start`] for a worker in whose domain nothing may be started.
     pub(crate) fn send_start(&mut self, cx: &Context<'_>, key: RunKey) {
         let Some(run) = self.runs.get(&key) else { return };
         if run.phase == RunPhase::Ended {
             return;
         }
+        if run.stop.is_none()
+            && let Some(ban) = self.start_ban(cx, &run.worker)
+        {
+            let unsent = run.sends == 0;
+            self.withhold_start(cx, key, unsent, ban.text());
+            return;
+        }
         let host = self
             .hosts
             .get_mut(&run.worker)
@@ -107,7 +119,13 @@
                 self.log_run("started", key, "the worker confirmed it".to_owned());
             }
             OrderReply::OldTerm => self.outdated = true,
-            OrderReply::Late if run.stop.is_none() => self.send_start(cx, key),
+            OrderReply::Late if run.stop.is_none() => {
+                let only_order = run.sends == 1;
+                match self.start_ban(cx, worker) {
+                    Some(ban) => self.withhold_start(cx, key, only_order, ban.text()),
+                    None => self.send_start(cx, key),
+                }
+            }
             OrderReply::Late => self.stop_run(cx, key, RunStopReason::Unanswered),
             OrderReply::OldRun | OrderReply::NoRoom | OrderReply::Invalid { .. } => {
                 // An earlier order that was not answered may still arrive.
@@ -125,19 +143,33 @@
                 self.log_run("not started", key, format!("the start order failed: {reply:?}"));
                 self.reject_start(cx, key, only_order);
             }
+            OrderReply::Withheld => {
+                let only_order = run.sends == 1;
+                match run.stop {
+                    Some(_) => self.reject_start(cx, key, only_order),
+                    None => self.withhold_start(
+                        cx,
+                        key,
+                        only_order,
+                        "its domain was evacuated before the order was sent",
+                    ),
+                }
+            }
             OrderReply::OtherIncarnation if run.sends == 1 => self.end_run(cx, key, RunOutcome::Refused, ""),
             OrderReply::OtherIncarnation => {}
             OrderReply::Unanswered => {
                 let fits = self.hosts.get(worker).is_some_and(|host| !host.is_over_capacity());
                 let resend = run.sends < MAX_START_ORDERS && run.stop.is_none() && fits;
+                let ban = self.start_ban(cx, worker).filter(|_| resend);
                 self.log_run(
                     "unanswered",
                     key,
-                    format!("no answer to the start order; sent again: {resend}"),
+                    format!("no answer to the start order; sent again: {}", resend && ban.is_none()),
                 );
-                match resend {
-                    true => self.send_start(cx, key),
-                    false => self.stop_run(cx, key, RunStopReason::Unanswered),
+                match ban {
+                    Some(ban) => self.withhold_start(cx, key, false, ban.text()),
+                    None if resend => self.send_start(cx, key),
+                    None => self.stop_run(cx, key, RunStopReason::Unanswered),
                 }
             }
         }
@@ -256,6 +288,10 @@
         else {
             return;
         };
+        if *reply == OrderReply::Withheld {
+            // Nothing was sent, so that it tells nothing about the worker.
+            return;
+        }
         host.note_refusal(cx.now, *reply == OrderReply::NoListener);
         let unanswered = matches!(
             reply,
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -59,6 +59,8 @@
     pub(crate) placements: Vec<StepPlacement>,
     reservations: Vec<NewReservation>,
     pub(crate) trials: TrialPass,
+    /// Steps left waiting that workers of evacuated domains might run, with the number of these workers.
+    withheld: BTreeMap<StepKey, usize>,
 }
 
 /// A step that does not fit whole, and the workers that may run it.
@@ -91,6 +93,8 @@
     /// The sets of workers that it prefers; none if it has no preference.
     preferred: Option<Vec<Vec<Eligible>>>,
     eligible: Vec<Eligible>,
+    /// Number of further workers that might run it and are in evacuated domains.
+    withheld: usize,
 }
 
 /// When tasks can start without preemption.
@@ -147,25 +151,38 @@
             return;
         }
         self.replan = false;
-        if !self.workers_known || self.waiting.is_empty() {
+        let ban = self.gate.ban(cx.limits.evacuations, cx.now);
+        self.note_suspension(ban);
+        if !self.workers_known || self.waiting.is_empty() || ban.is_some() {
             self.held.clear();
+            self.withheld.clear();
             return;
         }
         self.passes += 1;
-        let (placements, reservations, trials) = self.decide(cx);
+        let (placements, reservations, trials, withheld) = self.decide(cx);
         for placement in placements {
             self.assign(cx, placement);
         }
         self.apply_reservations(cx, reservations);
         self.note_held(cx, trials);
+        self.note_withheld(&withheld);
     }
 
-    /// Determines the placements and reservations of a pass without changing any state.
-    fn decide(&self, cx: &Context<'_>) -> (Vec<StepPlacement>, Vec<NewReservation>, TrialPass) {
+    /// Determines the placements and reservations of a pass without changing any state, and which steps it leaves waiting
+    /// although workers of evacuated domains might run them, with the number of these workers.
+    fn decide(
+        &self,
+        cx: &Context<'_>,
+    ) -> (
+        Vec<StepPlacement>,
+        Vec<NewReservation>,
+        TrialPass,
+        BTreeMap<StepKey, usize>,
+    ) {
         let free = FreeCapacity::new(self, cx);
         let mut pass = PlanningPass {
             reservable: free.accelerators.saturating_mul(MAX_RESERVED_PERCENT) / 100,
-            trials: self.trial_pass(&free),
+            trials: self.trial_pass(cx, &free),
             free,
             forecast: None,
             victims: BTreeMap::new(),
@@ -174,6 +191,7 @@
             covered: self.guaranteed_jobs(cx),
             placements: Vec::new(),
             reservations: Vec::new(),
+            withheld: BTreeMap::new(),
         };
         self.use_reservations(&mut pass);
         let mut queue = self.planning_queue(cx, &pass.covered);
@@ -189,7 +207,7 @@
                 queue.charge(&entry.spec.account, step.demand.accelerators * placed);
             }
         }
-        (pass.placements, pass.reservations, pass.trials)
+        (pass.placements, pass.reservations, pass.trials, pass.withheld)
     }
 
     /// Places the steps whose reserved capacity has become free, and withholds that of the others from the pass.
@@ -238,7 +256,12 @@
             None => {
                 let eligible = self.eligible((&pass.free, &pass.placements), &requirements.service, key, step);
                 let preferred = preferred_sets(step, &eligible, &pass.free, &self.racks);
-                let sets = Rc::new(WorkerSets { preferred, eligible });
+                let withheld = pass.free.withheld(&requirements.service, step);
+                let sets = Rc::new(WorkerSets {
+                    preferred,
+                    eligible,
+                    withheld,
+                });
                 pass.sets.insert(requirements.clone(), sets.clone());
                 sets
             }
@@ -282,6 +305,9 @@
                 reason,
             });
         } else {
+            if blocked.sets.withheld > 0 {
+                pass.withheld.insert(key, blocked.sets.withheld);
+            }
             self.secure_capacity(cx, pass, &blocked, indices);
         }
         placed as u64
@@ -457,6 +483,7 @@
                 listed_at: cx.now,
                 trial: entry.trial_span(&key(index)).filter(|_| placement.trial.is_some()),
                 crash: None,
+                withheld: false,
             };
             if task_run.trial.is_some() {
                 self.trials.insert((key(index), run));
--- a/crates/pistachiostair/src/steps/reservation.rs
+++ b/crates/pistachiostair/src/steps/reservation.rs
@@ -58,13 +58,16 @@
     /// Drops reservations whose capacity has not become free in time, or of which a worker takes no new tasks any more;
     /// the next planning pass may make new ones.
     pub(crate) fn expire_reservations(&mut self, cx: &Context<'_>) {
-        let hosts = &self.hosts;
-        let usable = |worker: &WorkerName| hosts.get(worker).is_some_and(|host| host.is_usable(cx.now));
-        let (before, max_age) = (self.reservations.len(), cx.limits.reservation_age());
-        self.reservations.retain(|_, reservation| {
-            cx.now.since(reservation.since) < max_age && reservation.workers.values().all(usable)
+        let usable = |worker: &WorkerName| self.hosts.get(worker).is_some_and(|host| self.may_start(cx, host));
+        let max_age = cx.limits.reservation_age();
+        let expired = self.reservations.iter().filter(|(_, reservation)| {
+            cx.now.since(reservation.since) >= max_age || !reservation.workers.values().all(usable)
         });
-        self.replan |= self.reservations.len() < before;
+        let expired: Vec<StepKey> = expired.map(|(step, _)| *step).collect();
+        self.replan |= !expired.is_empty();
+        for step in expired {
+            self.reservations.remove(&step);
+        }
     }
 }
 
--- a/crates/pistachiostair/src/steps/step_limits.rs
+++ b/crates/pistachiostair/src/steps/step_limits.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Millis;
 use crate::record;
+use crate::steps::domains::EvacuationSource;
 
 /// Time beyond the stop itself until its capacity can be used: transit of the order and of the list with the end.
 const STOP_TRANSIT: Millis = Millis(50);
@@ -20,6 +21,8 @@
         pub reclaim: Millis,
         /// Most hold orders a second that the daemon sends only to learn of progress.
         pub hold_rate: u64,
+        /// Where requests to evacuate failure domains come from.
+        pub evacuations: EvacuationSource,
     }
 }
 
@@ -30,6 +33,7 @@
             stop: Millis(200),
             reclaim: Millis(2_700),
             hold_rate: u64::MAX,
+            evacuations: EvacuationSource::None,
         }
     }
 }
--- a/crates/pistachiostair/src/steps/straggler.rs
+++ b/crates/pistachiostair/src/steps/straggler.rs
@@ -171,7 +171,7 @@
             return;
         };
         let listed = self.hosts.values().filter(|host| host.listed).count();
-        let usable = self.hosts.values().filter(|host| host.is_usable(cx.now)).count();
+        let usable = self.hosts.values().filter(|host| self.may_start(cx, host)).count();
         if let Some(host) = self.hosts.get_mut(&worker) {
             let in_use = !host.ejection.is_ejected(cx.now);
             if !in_use || usable * 100 > listed * MIN_USABLE_PERCENT {
@@ -187,7 +187,9 @@
             }
         }
         let index = if step.gang { 0 } else { key.0.index };
-        let sooner = straggler.elsewhere.0 * MIN_SPEEDUP < straggler.remaining.0;
+        // A run that is stopped while nothing starts would wait for longer than the forecast says.
+        let open = self.gate.ban(cx.limits.evacuations, cx.now).is_none();
+        let sooner = open && straggler.elsewhere.0 * MIN_SPEEDUP < straggler.remaining.0;
         if sooner && self.durations.entry(key.0.step_key()).or_default().moved.insert(index) {
             self.stop_run(cx, key, RunStopReason::Straggler);
         }
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -64,7 +64,7 @@
         }
         let Some(host) = self.hosts.get(worker) else { return };
         if let Some(leaves_at) = host.leaves_at {
-            self.evacuate(cx, worker, leaves_at);
+            self.stop_before_leaving(cx, worker, leaves_at);
         }
         self.hold_if_due(cx, worker);
     }
--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -124,8 +124,9 @@
 
 impl StepScheduler {
     /// The trials that a planning pass may begin.
-    pub(crate) fn trial_pass(&self, free: &FreeCapacity<'_>) -> TrialPass {
-        let usable = self.hosts.values().filter(|host| host.listed && host.synced).count();
+    pub(crate) fn trial_pass(&self, cx: &Context<'_>, free: &FreeCapacity<'_>) -> TrialPass {
+        let synced = self.hosts.values().filter(|host| host.listed && host.synced);
+        let usable = synced.filter(|host| self.host_ban(cx, host).is_none()).count();
         let (least, most) = (usable / MIN_TRIAL_PART, (usable / MAX_TRIAL_PART).max(1));
         let runs = self.trials.iter().filter_map(|key| self.runs.get(key));
         let hosts: BTreeSet<u32> = runs.map(|run| run.host).collect();
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -9,13 +9,14 @@
 use crate::clock::Millis;
 use crate::edge::{HostList, Hosts};
 use crate::error::{ErrorKind, Result};
-use crate::ids::Term;
+use crate::ids::{DomainName, Term};
 use crate::kernel::Service;
 use crate::metrics::Metrics;
+use crate::rules_watch::RulesWatch;
 use crate::scheduler::Event;
 use crate::scheduler_actor::SchedulerActor;
 use crate::scheduler_service::Input;
-use crate::steps::{HostUpdate, OrderReply, StepsAction, StepsEvent, StepsLog};
+use crate::steps::{HostUpdate, OrderReply, StepsAction, StepsEvent, StepsLog, WITHHELD};
 
 /// Shortest time between two reads of the platform's list of workers while it changes.
 const LIST_INTERVAL: Millis = Millis(150);
@@ -61,6 +62,7 @@
                 let (open_orders, term) = (self.open_orders.clone(), self.elected.map(|(term, _)| term));
                 open_orders.fetch_add(1, Ordering::Relaxed);
                 let (slots, shared) = (self.order_slots.clone(), self.shared.clone());
+                let gate = self.start_gate(&action);
                 self.spawn_input(async move {
                     // Hold orders wait for ends.
                     let slot = match action {
@@ -69,9 +71,12 @@
                     };
                     let sent = clock.now();
                     let current = shared.lock().expect("leader lock").term == term;
-                    let event = match current {
-                        true => send_order(clients.hosts.as_ref(), action).await,
-                        false => unsent(action),
+                    // The requests may have changed since the decision, while the order waited for its slot.
+                    let banned = gate.is_some_and(|(watch, domain)| watch.start_ban(&domain).is_some());
+                    let event = match (current, banned) {
+                        (true, false) => send_order(clients.hosts.as_ref(), action).await,
+                        (true, true) => unsent(action, OrderReply::Withheld),
+                        (false, _) => unsent(action, OrderReply::Undelivered),
                     };
                     drop(slot);
                     open_orders.fetch_sub(1, Ordering::Relaxed);
@@ -85,8 +90,21 @@
         }
     }
 
+    /// For a start order, what tells whether it may still be sent: the requests to evacuate failure domains, and the
+    /// domain of its worker. None for other orders, and without a source of such requests.
+    fn start_gate(&self, action: &StepsAction) -> Option<(Arc<RulesWatch>, DomainName)> {
+        let StepsAction::Start { target, .. } = action else {
+            return None;
+        };
+        let watch = self.kernel.find::<RulesWatch>().ok()?;
+        Some((watch, self.scheduler.step_domain(&target.worker)?))
+    }
+
     /// Writes a decision to the log and counts it in the metrics.
     fn log_step(&self, line: &StepsLog) {
+        if line.what == WITHHELD {
+            self.metrics.withheld.inc();
+        }
         self.metrics.step_decisions.with_label_values(&[line.what]).inc();
         let job = line.job.map(|job| job.to_string());
         let task = line.task.map(|(task, _)| task.to_string());
@@ -170,7 +188,7 @@
         StepsEvent::Stopped { reply, .. } => ("stop", outcome(reply)),
         StepsEvent::Held { reply: Ok(_), .. } => ("hold", "done"),
         StepsEvent::Held { reply: Err(reply), .. } => ("hold", outcome(reply)),
-        StepsEvent::Call { .. } | StepsEvent::Hosts(_) | StepsEvent::Rules(_) => return,
+        StepsEvent::Call { .. } | StepsEvent::Hosts(_) | StepsEvent::Rules(_) | StepsEvent::Evacuations(_) => return,
     };
     metrics.step_orders.with_label_values(&[kind, outcome]).inc();
     metrics
@@ -192,13 +210,13 @@
         OrderReply::Invalid { .. } => "invalid",
         OrderReply::Undelivered => "undelivered",
         OrderReply::NoListener => "no listener",
+        OrderReply::Withheld => "withheld",
         OrderReply::Unanswered => "unanswered",
     }
 }
 
 /// The outcome of an order that was not sent, since this daemon is no longer the scheduler that gave it.
-fn unsent(action: StepsAction) -> StepsEvent {
-    let reply = OrderReply::Undelivered;
+fn unsent(action: StepsAction, reply: OrderReply) -> StepsEvent {
     match action {
         StepsAction::Start { target, order } => StepsEvent::Started {
             target,
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crash_rates;
 mod crashes;
+mod evacuation;
 mod lasting;
 mod life;
 mod lists;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -4,10 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use pistachiostair::{
-    AccountName, AccountRule, Action, AppendAction, AppendEvent, Demand, Event, HostInfo, HostUpdate, Incarnation,
-    JobKey, Millis, OrderReply, Queue, QueueName, QueueSettings, Revision, Rules, RunOutcome, Scheduler, Seq,
-    ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepLimits, StepsAction, StepsEvent, Target, Term,
-    Token, WorkerName,
+    AccountName, AccountRule, Action, AppendAction, AppendEvent, Demand, DomainName, EvacuationSource, Evacuations,
+    Event, HostInfo, HostUpdate, Incarnation, JobKey, Millis, OrderReply, Queue, QueueName, QueueSettings, Revision,
+    Rules, RunOutcome, Scheduler, Seq, ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepLimits,
+    StepsAction, StepsEvent, Target, Term, Token, WorkerName,
 };
 use standin::{StepWorkers, WorkerReturn};
 
@@ -23,6 +23,12 @@
 /// Time after which the list shows a smaller capacity until a start may no longer exceed it.
 const RESIZE_GRACE_MS: u64 = 200;
 
+/// Time between two reads of the requests to evacuate failure domains.
+const READ_MS: u64 = 500;
+
+/// Age of these requests from which on nothing starts.
+pub(crate) const MAX_AGE_MS: u64 = 3_500;
+
 /// Accelerators of each worker.
 pub(crate) const ACCELERATORS: u64 = 8;
 
@@ -61,6 +67,12 @@
     pub(crate) start_orders: u32,
     /// Number of stop orders that were sent.
     pub(crate) stop_orders: u32,
+    /// Start orders that were sent, with their times.
+    pub(crate) ordered: Vec<(u64, WorkerName)>,
+    /// Log lines about no job and no worker, and those that tell why a start is withheld.
+    pub(crate) lines: Vec<(&'static str, String)>,
+    /// The requests to evacuate failure domains that the store has; none while it can't be read.
+    pub(crate) requests: Option<BTreeSet<DomainName>>,
     /// Draining workers, with the time at which each will be gone.
     pub(crate) leaving: BTreeMap<WorkerName, u64>,
     /// Time after which the list shows that a crashed worker is back.
@@ -104,6 +116,9 @@
             holds: 0,
             start_orders: 0,
             stop_orders: 0,
+            ordered: Vec::new(),
+            lines: Vec::new(),
+            requests: None,
             leaving: BTreeMap::new(),
             list_lag: 300,
             by_name: false,
@@ -150,6 +165,41 @@
         world
     }
 
+    /// A region whose scheduler follows requests to evacuate failure domains; each rack is a domain, `z0` and so on.
+    pub(crate) fn with_domains(count: usize, guaranteed: u64) -> Self {
+        let mut world = Self::with_guarantee(count, guaranteed);
+        world.limits.evacuations = EvacuationSource::Followed {
+            max_age: Some(Millis(MAX_AGE_MS)),
+        };
+        world.take_over();
+        world.evacuate(&[]);
+        world.run(300);
+        world
+    }
+
+    /// Replaces the requests to evacuate failure domains, which the scheduler reads at once.
+    pub(crate) fn evacuate(&mut self, domains: &[&str]) {
+        self.requests = Some(domains.iter().map(|domain| DomainName::from(*domain)).collect());
+        self.read_requests();
+    }
+
+    fn read_requests(&mut self) {
+        if let Some(domains) = self.requests.clone() {
+            let confirmed = Millis(self.now);
+            self.feed(Event::Steps(StepsEvent::Evacuations(Evacuations {
+                domains,
+                confirmed,
+            })));
+        }
+    }
+
+    /// Number of start orders to the workers of a domain that were sent after `from`.
+    pub(crate) fn ordered_in(&self, domain: &str, from: u64) -> usize {
+        let ordered = self.ordered.iter().filter(|(at, _)| *at > from);
+        let inside = ordered.filter(|(_, worker)| self.listed[worker].domain.as_str() == domain);
+        inside.count()
+    }
+
     /// A region whose workers start what does not fit.
     pub(crate) fn with_unguarded_workers(count: usize) -> Self {
         let mut world = Self::new(count);
@@ -202,7 +252,7 @@
             name: name.clone(),
             address: format!("10.0.0.{number}:80"),
             service: ServiceName::from("orders"),
-            domain: "helsinki".into(),
+            domain: format!("z{}", number / 4).as_str().into(),
             rack: rack.as_str().into(),
             labels: BTreeSet::from(["a".to_owned(), rack]),
             capacity,
@@ -259,6 +309,11 @@
         self.listed[&worker(number)].clone()
     }
 
+    /// The entry of a listed worker, by its name.
+    pub(crate) fn entry_of(&self, name: &WorkerName) -> HostInfo {
+        self.listed[name].clone()
+    }
+
     /// Lists a worker again that was removed from the list, and sends the list.
     pub(crate) fn relist_entry(&mut self, entry: HostInfo) {
         self.listed.insert(entry.name.clone(), entry);
@@ -378,6 +433,9 @@
                 let delivery = entry.remove();
                 self.deliver(delivery);
             }
+            if self.now.is_multiple_of(READ_MS) {
+                self.read_requests();
+            }
             if self.now.is_multiple_of(100) {
                 self.feed(Event::Tick);
             } else if self.scheduler.wake_at().is_some_and(|wake| wake.0 <= self.now) {
@@ -423,13 +481,20 @@
             StepsAction::Reply { token, answer } => {
                 self.answers.insert(token, answer);
             }
-            StepsAction::Log(_) => {}
+            StepsAction::Log(line) => {
+                if line.worker.is_none() && line.job.is_none() || ["placed", "withheld", "waits"].contains(&line.what) {
+                    self.lines.push((line.what, line.reason));
+                }
+            }
             StepsAction::Start { ref target, .. }
             | StepsAction::Stop { ref target, .. }
             | StepsAction::Hold { ref target, .. } => {
                 match action {
                     StepsAction::Hold { .. } => self.holds += 1,
-                    StepsAction::Start { .. } => self.start_orders += 1,
+                    StepsAction::Start { .. } => {
+                        self.start_orders += 1;
+                        self.ordered.push((self.now, target.worker.clone()));
+                    }
                     StepsAction::Stop { .. } => self.stop_orders += 1,
                     _ => {}
                 }
