Account for wasted work by root cause and account

Cause: members of a broken gang were all stopped as "another member of its gang ended", and nothing summed up what stops lose, so that their causes could only be counted by hand from the log.

Change: steps/wasted.rs owns the totals in core-seconds and the set of causes; stop_run and stop_gang pass the root cause on. Metrics wasted_core_seconds_total{cause} and wasted_account_core_seconds_total{account}, a log line a minute and one at the end of a term. lost_work takes reported progress into account only for runs of an earlier term, as its comment says: for others an estimate that is too long raised the loss.

Tests: steps::wasted (9 unit cases), wasted::root_cause_passed_on (4 causes), amount_of_cancelled_gang.

--- a/crates/pistachiostair/examples/step_costs.rs
+++ b/crates/pistachiostair/examples/step_costs.rs
@@ -234,7 +234,7 @@
                     }
                 }
             }
-            StepsAction::Reply { .. } => {}
+            StepsAction::Reply { .. } | StepsAction::Wasted { .. } => {}
         }
     }
 
@@ -276,7 +276,7 @@
                     reply,
                 }
             }
-            StepsAction::Reply { .. } | StepsAction::Log(_) => return,
+            StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => return,
         };
         self.after(ONE_WAY_MS, Delivery::Event(Event::Steps(event)));
     }
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -4,7 +4,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    CounterVec, Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 use crate::error::{Error, ErrorKind, Ran, Result};
@@ -73,6 +74,10 @@
     pub order_latency: HistogramVec,
     /// Decisions of the scheduler of steps, by what was decided.
     pub step_decisions: IntCounterVec,
+    /// Work lost by runs that ended before their task was done, in core-seconds, by root cause.
+    wasted: CounterVec,
+    /// The same by account.
+    wasted_by_account: CounterVec,
     control: IntCounterVec,
     kinds: IntCounterVec,
     cpu: Gauge,
@@ -123,6 +128,12 @@
             step_orders: with.vec("step_orders_total", "Orders to workers.", &["order", "outcome"])?,
             order_latency: with.histogram("step_order_seconds", "Time until a worker answered.", &["order"])?,
             step_decisions: with.vec("step_decisions_total", "Decisions about steps.", &["decision"])?,
+            wasted: with.amounts("wasted_core_seconds_total", "Wasted work by root cause.", "cause")?,
+            wasted_by_account: with.amounts(
+                "wasted_account_core_seconds_total",
+                "Wasted work by account.",
+                "account",
+            )?,
             control: with.vec("control_bytes_total", "Bytes of the control plane.", &["direction"])?,
             kinds: with.vec(
                 "control_kind_bytes_total",
@@ -149,6 +160,15 @@
             .inc();
     }
 
+    /// Counts wasted work. The caller bounds the number of accounts.
+    pub(crate) fn count_waste(&self, cause: &str, account: &str, core_millis: u64) {
+        let core_seconds = core_millis as f64 / 1_000.0;
+        self.wasted.with_label_values(&[cause]).inc_by(core_seconds);
+        self.wasted_by_account
+            .with_label_values(&[account])
+            .inc_by(core_seconds);
+    }
+
     /// Takes over the planner's figures.
     pub fn set_figures(&self, figures: &PlannerStats) {
         self.queue.set(figures.waiting as i64);
@@ -195,6 +215,10 @@
         self.add(IntCounterVec::new(Opts::new(name, help), labels))
     }
 
+    fn amounts(&self, name: &str, help: &str, label: &str) -> Result<CounterVec> {
+        self.add(CounterVec::new(Opts::new(name, help), &[label]))
+    }
+
     fn histogram(&self, name: &str, help: &str, labels: &[&str]) -> Result<HistogramVec> {
         let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
         self.add(HistogramVec::new(options, labels))
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -343,6 +343,7 @@
         // They may change or be deleted before the next election.
         self.config.accounts.clear();
         self.config.guarantees.clear();
+        active.steps_finish_term();
         active.fail_pending_calls()
     }
 
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -8,6 +8,7 @@
 //! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `evacuation`: slow runs, and workers that are slow, fail or leave.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
+//! - `wasted`, `waste_counts`: work lost by runs that ended before their task was done.
 //! - `step_limits`: limits of the platform that decisions depend on.
 
 mod budget;
@@ -39,6 +40,8 @@
 mod tests;
 mod timers;
 mod trial;
+mod waste_counts;
+mod wasted;
 
 pub use calls::{StepAnswer, StepCall};
 pub use crashes::Crash;
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -23,6 +23,8 @@
 use crate::steps::step_limits::StepLimits;
 use crate::steps::straggler::DurationsByStep;
 use crate::steps::trial::Suspect;
+pub(crate) use crate::steps::wasted::RunStopReason;
+use crate::steps::wasted::WastedWork;
 
 /// How long a scheduler may go on renewing worker leases after its own lease has ended, so that running tasks survive
 /// a store outage of this length. A new scheduler adds it to the expiry of leases that it did not grant itself.
@@ -246,6 +248,15 @@
     },
     /// Write a log line.
     Log(StepsLog),
+    /// Count wasted work in the metrics.
+    Wasted {
+        /// Label of the root cause.
+        cause: &'static str,
+        /// The account of the job.
+        account: AccountName,
+        /// The work, in core-milliseconds; an accelerator counts as 8 cores.
+        core_millis: u64,
+    },
 }
 
 /// A log line about one decision or change.
@@ -283,37 +294,10 @@
     pub(crate) book: &'a StepJobTable,
 }
 
-/// Why the scheduler stops a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RunStopReason {
-    JobEnded,
-    GangBroken,
-    /// Preempted in favour of a step that waits.
-    Reclaimed,
-    /// The worker drains and leaves before the run would end.
-    WorkerLeaves,
-    /// Whether the order to start was carried out is not known.
-    Unanswered,
-    /// The run is much slower than others of its step.
-    Straggler,
-}
-
-impl RunStopReason {
-    pub(crate) fn text(self) -> &'static str {
-        match self {
-            Self::JobEnded => "the job has ended",
-            Self::GangBroken => "another member of its gang ended or did not start",
-            Self::Reclaimed => "preempted by a step that waits for its capacity",
-            Self::WorkerLeaves => "the worker drains and leaves before the run would end",
-            Self::Unanswered => "no certain answer to the order to start",
-            Self::Straggler => "it is much slower than others of its step",
-        }
-    }
-}
-
 /// State of the order to stop a run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunStop {
+    pub(crate) why: RunStopReason,
     /// When the stop was decided.
     pub(crate) asked_at: Millis,
     /// When the order was last sent; none if it has not been sent.
@@ -465,6 +449,8 @@
     pub(crate) accepting: BTreeMap<JobKey, Vec<Token>>,
     /// Calls to answer once the job's [`StepRecord::Cancelled`] is durable.
     pub(crate) cancelling: BTreeMap<JobKey, Vec<Token>>,
+    /// Work lost by runs that ended before their task was done.
+    pub(crate) wasted: WastedWork,
     /// Shortest time that hold orders let a worker wait for an end, as the daemon's own resources require.
     pub(crate) hold_wait: Millis,
     /// Workers to which a hold order may be due after the event in progress.
@@ -510,6 +496,7 @@
             lost_hosts: BTreeMap::new(),
             accepting: BTreeMap::new(),
             cancelling: BTreeMap::new(),
+            wasted: WastedWork::default(),
             hold_wait: Millis::ZERO,
             touched: BTreeSet::new(),
             replan: true,
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -161,6 +161,7 @@
             return;
         }
         run.stop = Some(RunStop {
+            why,
             asked_at: cx.now,
             sent_at: None,
             failed: false,
@@ -173,21 +174,22 @@
         if !planned {
             self.send_stop(cx, key);
         }
-        self.stop_gang(cx, key);
+        self.stop_gang(cx, key, why);
     }
 
-    /// Stops the other members of a gang after `task` in run `number` was stopped or ended without being done. Does
-    /// nothing if the task's step is not a gang.
-    pub(crate) fn stop_gang(&mut self, cx: &Context<'_>, (task, number): RunKey) {
+    /// Stops the other members of a gang after `task` in run `number` was stopped or ended without being done, for the
+    /// root cause `why`. Does nothing if the task's step is not a gang.
+    pub(crate) fn stop_gang(&mut self, cx: &Context<'_>, (task, number): RunKey, why: RunStopReason) {
         if !step_of(cx.book, &task).is_some_and(|step| step.gang) {
             return;
         }
+        self.wasted.note_gang(cx.now, (task.step_key(), number), why);
         let members = self.runs_of_step(task.step_key());
         let members: Vec<RunKey> = members
             .filter(|(other, run)| *run == number && *other != task)
             .collect();
         for member in members {
-            self.stop_run(cx, member, RunStopReason::GangBroken);
+            self.stop_run(cx, member, why.for_members());
         }
     }
 
@@ -332,7 +334,8 @@
         };
         self.log_run("ended", key, reason);
         if outcome != RunOutcome::Done {
-            self.stop_gang(cx, key);
+            let why = self.count_waste(cx, key, outcome);
+            self.stop_gang(cx, key, why);
         }
         if done || entry.is_none_or(|entry| entry.phase.is_final()) {
             self.remove_run(key);
--- a/crates/pistachiostair/src/steps/preemption.rs
+++ b/crates/pistachiostair/src/steps/preemption.rs
@@ -10,6 +10,7 @@
 use crate::steps::place::leftover;
 use crate::steps::queue::StepKey;
 use crate::steps::spec::{Demand, JobKey, Step, TaskKey};
+use crate::steps::waste_counts::earlier_work;
 
 /// Number of cores that an accelerator counts as when amounts of work are compared, as in the platform's prices.
 const ACCELERATOR_CORES: u64 = 8;
@@ -388,12 +389,14 @@
 /// Work that the end of a run loses, in core-milliseconds. A run that was started under an earlier term has worked for
 /// longer than this scheduler has observed, so that its reported progress counts if it shows more work.
 pub(crate) fn lost_work(cx: &Context<'_>, run: &TaskRun, step: &Step) -> u64 {
-    let percent = run.progress.map_or(0, |progress| progress.percent());
-    let worked = Millis(step.estimate.0 * u64::from(percent) / 100);
-    let span = cx.now.since(run.since).max(worked).max(Millis(1));
-    let span = match step.checkpointing {
+    let span = cx.now.since(run.since).max(earlier_work(run, step)).max(Millis(1));
+    core_millis(&run.demand, unsaved(span, step.checkpointing))
+}
+
+/// Part of a run's time at work that a stop loses. `saved` tells whether it saves checkpoints.
+pub(crate) fn unsaved(span: Millis, saved: bool) -> Millis {
+    match saved {
         true => span.min(MAX_CHECKPOINT_LOSS),
         false => span,
-    };
-    core_millis(&run.demand, span)
+    }
 }
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -229,7 +229,7 @@
                     },
                 }
             }
-            StepsAction::Reply { .. } | StepsAction::Log(_) => return,
+            StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => return,
         };
         self.handle(event);
     }
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -41,6 +41,7 @@
             self.check_host(cx, &worker);
         }
         self.repeat_stops(cx);
+        self.report_waste(cx);
         // Placement also depends on time: a step waits for a rack for a while, and ejections end.
         self.replan |= !self.waiting.is_empty();
     }
--- a/crates/pistachiostair/src/steps_active.rs
+++ b/crates/pistachiostair/src/steps_active.rs
@@ -85,8 +85,15 @@
         self.steps_flush();
     }
 
+    /// Queues the report of the work that was wasted in the term that ends.
+    pub(crate) fn steps_finish_term(&mut self) {
+        self.steps.report_term_waste();
+        self.steps_flush();
+    }
+
     /// Queues the actions of the scheduler of step jobs for the caller.
     pub(crate) fn steps_flush(&mut self) {
+        self.steps.count_wasted();
         let actions = std::mem::take(&mut self.steps.actions);
         self.actions.extend(actions.into_iter().map(Action::Steps));
     }
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -51,6 +51,11 @@
                 return;
             }
             StepsAction::Log(line) => return self.log_step(&line),
+            StepsAction::Wasted {
+                cause,
+                account,
+                core_millis,
+            } => return self.metrics.count_waste(cause, account.as_str(), core_millis),
             StepsAction::Start { .. } | StepsAction::Stop { .. } | StepsAction::Hold { .. } => {
                 self.kernel.find::<HostClients>()
             }
@@ -218,7 +223,9 @@
             long_poll: order.wait > Millis::ZERO,
             reply: Err(reply),
         },
-        StepsAction::Reply { .. } | StepsAction::Log(_) => unreachable!("handled before"),
+        StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => {
+            unreachable!("handled before")
+        }
     }
 }
 
@@ -248,6 +255,8 @@
             ack: order.ack,
             long_poll: order.wait > Millis::ZERO,
         },
-        StepsAction::Reply { .. } | StepsAction::Log(_) => unreachable!("handled before"),
+        StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => {
+            unreachable!("handled before")
+        }
     }
 }
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -13,5 +13,6 @@
 mod review_waves;
 mod rows;
 mod takeover;
+mod wasted;
 mod waves;
 mod world;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -6,8 +6,8 @@
 use pistachiostair::{
     AccountName, AccountRule, Action, AppendAction, AppendEvent, Demand, Event, HostInfo, HostUpdate, Incarnation,
     JobKey, Millis, OrderReply, Queue, QueueName, QueueSettings, Revision, Rules, RunOutcome, Scheduler, Seq,
-    ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepLimits, StepsAction, StepsEvent, Target, Term,
-    Token, WorkerName,
+    ServiceName, Step, StepAnswer, StepCall, StepJob, StepJobPhase, StepLimits, StepsAction, StepsEvent, Target,
+    TaskKey, Term, Token, WorkerName,
 };
 use standin::{StepWorkers, WorkerReturn};
 
@@ -71,6 +71,10 @@
     pub(crate) row_bytes: usize,
     /// Bytes of the rows that the store refused.
     pub(crate) refused_rows: Vec<usize>,
+    /// Wasted work that schedulers have counted, in core-milliseconds, by cause.
+    pub(crate) wasted: BTreeMap<&'static str, u64>,
+    /// Runs that schedulers decided to stop, and why.
+    pub(crate) stops: Vec<(TaskKey, u32, String)>,
     /// How often a scheduler stepped down.
     pub(crate) step_downs: u32,
     scheduler: Scheduler,
@@ -109,6 +113,8 @@
             by_name: false,
             row_bytes: usize::MAX,
             refused_rows: Vec::new(),
+            wasted: BTreeMap::new(),
+            stops: Vec::new(),
             step_downs: 0,
             scheduler: Scheduler::new("fi".into()),
             limits: StepLimits::default(),
@@ -423,7 +429,12 @@
             StepsAction::Reply { token, answer } => {
                 self.answers.insert(token, answer);
             }
-            StepsAction::Log(_) => {}
+            StepsAction::Log(line) => {
+                if let Some((task, run)) = line.task.filter(|_| line.what == "stopping") {
+                    self.stops.push((task, run, line.reason));
+                }
+            }
+            StepsAction::Wasted { cause, core_millis, .. } => *self.wasted.entry(cause).or_default() += core_millis,
             StepsAction::Start { ref target, .. }
             | StepsAction::Stop { ref target, .. }
             | StepsAction::Hold { ref target, .. } => {
@@ -498,7 +509,7 @@
                 }
                 Reply::Lists(lists)
             }
-            StepsAction::Reply { .. } | StepsAction::Log(_) => return,
+            StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => return,
         };
         let unanswered = matches!(reply, Reply::Order(OrderReply::Unanswered));
         let reply_lost = unanswered || self.reply_loss.contains(&target_of(&action).worker);
@@ -513,7 +524,7 @@
             StepsAction::Start { order, .. } => order.term,
             StepsAction::Stop { term, .. } => *term,
             StepsAction::Hold { order, .. } => order.term,
-            StepsAction::Reply { .. } | StepsAction::Log(_) => self.term,
+            StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => self.term,
         }
     }
 
@@ -560,7 +571,9 @@
         StepsAction::Start { target, .. } | StepsAction::Stop { target, .. } | StepsAction::Hold { target, .. } => {
             target
         }
-        StepsAction::Reply { .. } | StepsAction::Log(_) => panic!("{action:?} has no target"),
+        StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => {
+            panic!("{action:?} has no target")
+        }
     }
 }
 
@@ -593,7 +606,9 @@
                 _ => Err(OrderReply::Unanswered),
             },
         },
-        StepsAction::Reply { .. } | StepsAction::Log(_) => panic!("{action:?} has no outcome"),
+        StepsAction::Reply { .. } | StepsAction::Log(_) | StepsAction::Wasted { .. } => {
+            panic!("{action:?} has no outcome")
+        }
     }
 }
 
