--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -5,10 +5,11 @@
 //!
 //! - `engine`: the scheduler's state and the dispatch of events and committed records.
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
-//! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
+//! - `budget`, `preemption`, `victim`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `draining`: slow runs, and workers that are slow, fail or leave.
 //! - `domains`, `withheld`: failure domains that operators evacuate, and starts that are withheld for it.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
+//! - `wasted`, `waste_counts`: work lost by runs that ended before their task was done.
 //! - `step_limits`: limits of the platform that decisions depend on.
 
 mod budget;
@@ -41,6 +42,9 @@
 mod tests;
 mod timers;
 mod trial;
+mod victim;
+mod waste_counts;
+mod wasted;
 mod withheld;
 
 pub use calls::{StepAnswer, StepCall};
--- a/crates/pistachiostair/src/steps/reservation.rs
+++ b/crates/pistachiostair/src/steps/reservation.rs
@@ -5,10 +5,11 @@
 use crate::clock::Millis;
 use crate::ids::WorkerName;
 use crate::steps::capacity::FreeCapacity;
-use crate::steps::engine::{Context, RunStopReason, StepScheduler};
+use crate::steps::engine::{Context, RunStopReason, StepScheduler, step_of};
 use crate::steps::host::RunKey;
 use crate::steps::queue::StepKey;
-use crate::steps::spec::Demand;
+use crate::steps::spec::{Demand, TaskKey};
+use crate::steps::victim::counted_task;
 
 /// Capacity reserved for all waiting tasks of a step.
 #[derive(Clone, Debug)]
@@ -49,6 +50,11 @@
         for new in reservations {
             self.log_job("reclaims", new.step.0, new.reason);
             self.reservations.insert(new.step, new.reservation);
+            let gang = |task: &TaskKey| step_of(cx.book, task).is_some_and(|step| step.gang);
+            let counted = new.runs.iter().map(|(task, _)| counted_task(task, gang(task)));
+            for task in counted.collect::<BTreeSet<TaskKey>>() {
+                self.preempted.note(cx.now, task);
+            }
             for run in new.runs {
                 self.stop_run(cx, run, RunStopReason::Reclaimed);
             }
@@ -58,6 +64,7 @@
     /// Drops reservations whose capacity has not become free in time, or of which a worker takes no new tasks any more;
     /// the next planning pass may make new ones.
     pub(crate) fn expire_reservations(&mut self, cx: &Context<'_>) {
+        self.preempted.sweep(cx.now);
         let usable = |worker: &WorkerName| self.hosts.get(worker).is_some_and(|host| self.may_start(cx, host));
         let max_age = cx.limits.reservation_age();
         let expired = self.reservations.iter().filter(|(_, reservation)| {
