--- a/crates/standin/src/bin/standin-soak.rs
+++ b/crates/standin/src/bin/standin-soak.rs
@@ -34,6 +34,9 @@
     /// Neither stop nor end daemons, so that faults of connections and of the store last.
     #[arg(long)]
     steady: bool,
+    /// Evacuate failure domains and take them back.
+    #[arg(long)]
+    evacuations: bool,
     /// Keep logs although no promise was broken.
     #[arg(long)]
     keep: bool,
@@ -57,6 +60,7 @@
         slow_links: args.slow_links,
         memory_mb: args.memory_mb,
         steady: args.steady,
+        evacuations: args.evacuations,
         logs_kept: args.keep,
     };
     let mut failed = false;
--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -67,6 +67,12 @@
 /// Largest body of a request: an object of the store.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Time from a request to evacuate a failure domain until no start is ordered there, as in the daemons' settings.
+pub(crate) const EVACUATE_TIME: Millis = Millis(5_000);
+
+/// Number of failure domains of the workers.
+pub(crate) const WORKER_ZONES: usize = 3;
+
 /// Size of a fleet, and what its connections pass through.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetSetup {
@@ -415,7 +421,8 @@
             "node_name": format!("front-{number}"), "role": "node", "ip": ip.to_string(), "zone": "helsinki",
             "region": "fi-south", "listen": {"front": format!("{ip}:8000"), "ready_address": format!("{ip}:8001")},
             "port_range": [7000, 7015], "control_mode": "rpc", "limits": limits,
-            "bounds": {"revoke_fail_closed": true, "revoke_ms": 5_000, "grace_s": 6, "status_s": 120},
+            "bounds": {"revoke_fail_closed": true, "revoke_ms": 5_000, "grace_s": 6, "status_s": 120,
+                "evacuate_ms": EVACUATE_TIME.0},
             "platform": {"address": self.links[&number].1.to_string(), "row_bytes": 65_536},
         });
         let path = self.dir.join(format!("{number}.json"));
@@ -687,13 +694,18 @@
 fn worker_entry(number: usize, address: SocketAddr, incarnation: u64, state: &str) -> Value {
     let capacity = WORKER_CAPACITY;
     json!({
-        "service": "svc", "address": address.to_string(), "zone": "helsinki",
+        "service": "svc", "address": address.to_string(), "zone": worker_zone(number),
         "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "labels": ["a", "r1"],
         "capacity": {"cpu": capacity.millicores, "mem_mb": capacity.memory, "gpu": capacity.accelerators},
         "clock_ms": 1, "seq": 1, "born": incarnation, "machine": format!("m{number}"),
     })
 }
 
+/// The failure domain of a worker.
+pub(crate) fn worker_zone(number: usize) -> String {
+    format!("z{}", number % WORKER_ZONES)
+}
+
 fn worker_name(number: usize) -> WorkerName {
     WorkerName::from(format!("w{number}"))
 }
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -17,9 +17,11 @@
 use serde_json::{Value, json};
 
 use self::calls::{JobCaller, PATIENCE, Record, pause};
-use self::judge::{Disturbance, judge};
+use self::judge::{Disturbance, Evacuation, judge, judge_evacuations};
 use self::plan::{Fault, LinkFault, PeerFault, Plan, PlannedFault, Victim};
-use crate::node_fleet::{API_KEY, Fleet, FleetSetup, NodeCaller, URGENT, WorkerMode, node_config};
+use crate::node_fleet::{
+    API_KEY, Fleet, FleetSetup, NodeCaller, URGENT, WORKER_ZONES, WorkerMode, node_config, worker_zone,
+};
 use crate::node_store::StoreMode;
 use crate::relay::{Link, Relay};
 use crate::udp_relay::Impairment;
@@ -127,6 +129,7 @@
     RestoreWorker(usize),
     EndWorker(usize, Millis),
     StartWorker(usize),
+    TakeBack(usize),
 }
 
 /// Connections that pass through one relay.
@@ -151,6 +154,9 @@
     paused: BTreeSet<usize>,
     disturbances: Vec<Disturbance>,
     incarnations: BTreeMap<usize, u64>,
+    /// Failure domains that are evacuated, by number, and since when.
+    evacuated: BTreeMap<usize, Millis>,
+    evacuations: Vec<Evacuation>,
     /// Version of the configuration.
     version: u64,
     /// The key besides the one of all callers, and when it was removed.
@@ -178,6 +184,8 @@
             paused: BTreeSet::new(),
             disturbances: Vec::new(),
             incarnations: BTreeMap::new(),
+            evacuated: BTreeMap::new(),
+            evacuations: Vec::new(),
             version: 3,
             extra_key: None,
             revoked: Arc::default(),
@@ -340,6 +348,7 @@
                 *incarnation += 1;
                 self.fleet.start_worker(worker, *incarnation);
             }
+            Action::TakeBack(domain) => self.take_back(domain),
         }
     }
 
@@ -416,6 +425,12 @@
             }
             Fault::WorkerCrash(worker) => self.act(Action::EndWorker(worker, lasts)),
             Fault::WorkerRestart(worker) => self.act(Action::StartWorker(worker)),
+            Fault::Evacuate(domain) => {
+                self.fleet.store.put("op", &evacuation_key(domain), &json!({}));
+                let now = self.now();
+                self.evacuated.entry(domain).or_insert(now);
+                self.enter(end, Action::TakeBack(domain));
+            }
             Fault::WorkerDrain(worker) => {
                 let incarnation = self.incarnations.get(&worker).copied().unwrap_or(1_000);
                 self.fleet.list_worker(worker, incarnation, "draining");
@@ -424,6 +439,16 @@
         }
     }
 
+    /// Withdraws the request to evacuate a failure domain, if it is in force.
+    fn take_back(&mut self, domain: usize) {
+        let Some(from) = self.evacuated.remove(&domain) else {
+            return;
+        };
+        let to = self.now();
+        self.fleet.store.remove("op", &evacuation_key(domain));
+        self.evacuations.push(Evacuation { domain, from, to });
+    }
+
     /// The daemon that a fault strikes now.
     fn resolve(&self, victim: Victim) -> usize {
         match victim {
@@ -493,6 +518,7 @@
     fn heal(&mut self) {
         self.note("all faults end");
         self.fleet.store.set_mode(StoreMode::Healthy);
+        (0..WORKER_ZONES).for_each(|domain| self.take_back(domain));
         let stores = (0..self.setup.daemons).map(Connection::Store);
         let fronts = (0..self.setup.daemons).map(Connection::Front);
         let workers = (0..self.setup.workers).map(Connection::Worker);
@@ -539,7 +565,11 @@
         for entry in &mut workers.log {
             entry.0 = entry.0 - self.origin;
         }
+        for (sent, arrived, _) in &mut workers.orders {
+            (*sent, *arrived) = (sent.since(self.origin), *arrived - self.origin);
+        }
         report.broken.extend(judge(records, &workers, &self.disturbances));
+        report.broken.extend(judge_evacuations(&self.evacuations, &workers));
         report.broken.extend(self.revoked.lock().expect("keys lock").drain(..));
         let limit = self.setup.memory_mb * 1_024;
         if report.memory > limit {
@@ -572,6 +602,11 @@
     }
 }
 
+/// Key of the request to evacuate a failure domain.
+fn evacuation_key(domain: usize) -> String {
+    format!("evacuate/{}", worker_zone(domain))
+}
+
 /// When a key was removed from the configuration; `None` before.
 type Removed = Arc<Mutex<Option<Instant>>>;
 
--- a/crates/standin/src/soak/judge.rs
+++ b/crates/standin/src/soak/judge.rs
@@ -6,6 +6,7 @@
 use pistachiostair::{JobKey, Millis, RunOutcome, TaskKey};
 
 use super::calls::{Attempt, Record};
+use crate::node_fleet::{EVACUATE_TIME, worker_zone};
 use crate::step_worker::StepWorkers;
 
 /// Runs of a task that may fail before its job has failed, as in the configuration.
@@ -25,6 +26,14 @@
     pub(crate) to: Millis,
 }
 
+/// A time for which a failure domain, given by its number, was evacuated.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Evacuation {
+    pub(crate) domain: usize,
+    pub(crate) from: Millis,
+    pub(crate) to: Millis,
+}
+
 /// Starts and ends of the runs of one job, in their order.
 type JobLog = Vec<(Millis, TaskKey, u32, Option<RunOutcome>)>;
 
@@ -46,6 +55,25 @@
     broken
 }
 
+/// Starts that were ordered in evacuated domains later than the bound allows. An order that a worker executed late does
+/// not count. One that arrived after the domain was taken back may have been sent after it as well.
+pub(crate) fn judge_evacuations(evacuations: &[Evacuation], workers: &StepWorkers) -> Vec<String> {
+    let mut broken = Vec::new();
+    for Evacuation { domain, from, to } in evacuations {
+        let late = workers.orders.iter().filter(|(sent, arrived, worker)| {
+            let number = worker.as_str().trim_start_matches('w').parse().ok();
+            number.map(worker_zone) == Some(worker_zone(*domain)) && *sent > *from + EVACUATE_TIME && arrived < to
+        });
+        broken.extend(late.map(|(sent, arrived, worker)| {
+            format!(
+                "start on {} sent at {sent}, there at {arrived}: evacuated from {from} to {to}",
+                worker.as_str()
+            )
+        }));
+    }
+    broken
+}
+
 /// Answers that no caller may get, and answers that did not come.
 fn judge_calls(record: &Record, disturbances: &[Disturbance]) -> Vec<String> {
     let mut faults = Vec::new();
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -4,7 +4,7 @@
 use pistachiostair::{JobKey, Millis};
 use serde_json::{Value, json};
 
-use crate::node_fleet::WorkerMode;
+use crate::node_fleet::{WORKER_ZONES, WorkerMode};
 use crate::node_store::StoreMode;
 
 /// Times that callers who do not give up at once submit a job.
@@ -27,6 +27,8 @@
     pub memory_mb: u64,
     /// Whether daemons are neither stopped nor ended, so that faults of connections and of the store last.
     pub steady: bool,
+    /// Whether failure domains are evacuated and taken back.
+    pub evacuations: bool,
     /// Whether logs are kept although no promise was broken.
     pub logs_kept: bool,
 }
@@ -96,6 +98,8 @@
     WorkerRestart(usize),
     /// A worker is listed as draining, then ends, and starts again.
     WorkerDrain(usize),
+    /// A failure domain, by its number, is evacuated and taken back.
+    Evacuate(usize),
 }
 
 impl Fault {
@@ -206,11 +210,33 @@
             });
             at += rng.u64(200..2_000);
         }
+        if setup.evacuations {
+            faults.extend(draw_evacuations(seed, setup));
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, jobs }
     }
 }
 
+/// Evacuations, each of them for some seconds or, to follow each other quickly, a moment. They have draws of their own, so
+/// that the other faults of a seed stay as they are without them.
+fn draw_evacuations(seed: u64, setup: &SoakSetup) -> Vec<PlannedFault> {
+    let mut rng = Rng::with_seed(!seed);
+    let mut evacuations = Vec::new();
+    let mut at = rng.u64(100..1_500);
+    while at < setup.span.0 {
+        let longest = if rng.u8(..3) == 0 { 300 } else { 8_000 };
+        let lasts = Millis(rng.u64(20..longest).min(setup.span.0 - at));
+        evacuations.push(PlannedFault {
+            at: Millis(at),
+            lasts,
+            fault: Fault::Evacuate(rng.usize(..WORKER_ZONES)),
+        });
+        at += rng.u64(50..2_500);
+    }
+    evacuations
+}
+
 fn draw_job(rng: &mut Rng, setup: &SoakSetup) -> PlannedJob {
     let gang = rng.u8(..3) == 0;
     let second = if !gang && rng.u8(..4) == 0 { rng.u32(1..=3) } else { 0 };
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -16,6 +16,8 @@
 
 /// Longest lease that a worker grants.
 const MAX_LEASE: Millis = Millis(10_000);
+/// Lease that the scheduler grants, from when it sends an order.
+const LEASE: Millis = Millis(8_000);
 /// Time that a member of a gang waits for the others.
 const GANG_WAIT: Millis = Millis(3_000);
 /// Time that a stop takes.
@@ -182,6 +184,9 @@
     pub violations: Vec<String>,
     /// Starts and ends of runs in their order, with the run's number and, for an end, how it ended.
     pub log: Vec<(Millis, TaskKey, u32, Option<RunOutcome>)>,
+    /// The same starts: when the scheduler sent the order, as far as its lease tells, when it arrived, and the worker. The
+    /// first time may be too early, but not too late.
+    pub orders: Vec<(Millis, Millis, WorkerName)>,
     /// Time after which a crashed worker is back; none if it stays away.
     pub downtime: Option<Millis>,
     /// Whether a worker that is back has a new name.
@@ -450,6 +455,8 @@
         }
         self.starts += 1;
         self.log.push((now, order.task, order.run, None));
+        let age = LEASE.since(order.deadline.since(clock));
+        self.orders.push((now.since(age), now, name.clone()));
         if elsewhere {
             self.violations
                 .push(format!("{} runs twice at the same time", order.task));
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -22,6 +22,19 @@
 // A takeover left the last member of a broken gang running.
 #[case::broken_gang(45)]
 fn soak_seed(#[case] seed: u64) {
+    soak(seed, false);
+}
+
+/// Guards against starts in a failure domain that was evacuated, and against jobs that are lost or never end because of
+/// evacuations, under the other faults of a schedule.
+#[rstest]
+#[case(17)]
+#[case(31)]
+fn soak_evacuations(#[case] seed: u64) {
+    soak(seed, true);
+}
+
+fn soak(seed: u64, evacuations: bool) {
     let setup = SoakSetup {
         daemons: 5,
         workers: 8,
@@ -30,6 +43,7 @@
         slow_links: 0,
         memory_mb: 256,
         steady: false,
+        evacuations,
         logs_kept: false,
     };
     // A run that failed has nothing that later ones need.
