--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -8,6 +8,7 @@
 //! - `budget`, `preemption`, `victim`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `draining`: slow runs, and workers that are slow, fail or leave.
 //! - `domains`, `withheld`: failure domains that operators evacuate, and starts that are withheld for it.
+//! - `release`: workers that are replaced one after another.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
 //! - `wasted`, `waste_counts`: work lost by runs that ended before their task was done.
 //! - `step_limits`: limits of the platform that decisions depend on.
@@ -33,6 +34,7 @@
 mod queue;
 mod ready;
 mod record;
+mod release;
 mod reservation;
 mod rules;
 mod spec;
