Scarce capacity: jobs that can still be in time go before late ones

Cause: within one priority, steps were placed by account and age alone, so that a fleet without room served jobs that could no longer be in time while others still could. Accounts with equal use went by name. The wait of a recurring job counted from its acceptance, not from when its occurrence was due.

Change: the module urgency computes objective, remaining critical path and outlook (in time, late, expired, overdue); the planning queue orders by it within guarantee and priority, and the preemption budget uses the same computation instead of its own. Jobs that have waited six objectives are brought forward, one per eight jobs at work. Accounts with equal use go by the age of their oldest step.

The whole group of step tests was not run yet.

--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -5,6 +5,7 @@
 //!
 //! - `engine`: the scheduler's state and the dispatch of events and committed records.
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
+//! - `urgency`: which jobs can still end within their objective.
 //! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `evacuation`: slow runs, and workers that are slow, fail or leave.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
@@ -39,6 +40,7 @@
 mod tests;
 mod timers;
 mod trial;
+mod urgency;
 
 pub use calls::{StepAnswer, StepCall};
 pub use crashes::Crash;
--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -4,7 +4,9 @@
 use crate::steps::engine::{Context, StepScheduler};
 use crate::steps::job_table::JobEntry;
 use crate::steps::preemption::core_millis;
-use crate::steps::spec::{Step, StepJob};
+use crate::steps::queue::StepKey;
+use crate::steps::spec::Step;
+use crate::steps::urgency::{Timing, paths};
 
 /// Time from the acceptance of a job that a guarantee covers after which it may preempt any work without a guarantee,
 /// at any loss, so that several attempts to preempt fit into the time left until it must have started.
@@ -26,10 +28,6 @@
 /// late all the same.
 const OTHER_LOSS_PERCENT: u64 = 25;
 
-/// Time after which a job will be late even if its work takes as much less than estimated as estimates are off, in
-/// percent of its slack.
-const LATE_PERCENT: u64 = 150;
-
 /// Limits for a step that does not fit at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct PreemptionBudget {
@@ -41,26 +39,23 @@
 }
 
 impl StepScheduler {
-    /// The limits for a step, given as its number in the job and its specification, of which `count` tasks wait.
+    /// The limits for a step, given as its key and its specification, of which `count` tasks wait.
     /// `covered` tells whether a guarantee covers the job.
     pub(crate) fn preemption_budget(
         &self,
         cx: &Context<'_>,
         entry: &JobEntry,
-        step: (u32, &Step),
+        (key, step): (StepKey, &Step),
         count: usize,
         covered: bool,
     ) -> PreemptionBudget {
         let terms = self.terms(entry);
-        let (number, step) = step;
-        let (total, remaining) = critical_path(&entry.spec, number);
-        let waited = cx.wall.since(entry.accepted);
-        let objective = terms.allowance + Millis(total.0.saturating_mul(terms.stretch) / 1_000);
-        let slack = objective.since(remaining).since(waited);
+        let timing = self.timing(cx, entry, key, &paths(&entry.spec));
+        let Timing { remaining, waited, .. } = timing;
+        let slack = timing.slack();
         let own_work = core_millis(&step.demand, step.estimate).saturating_mul(count as u64);
         let urgent = terms.priority == 0;
-        let in_time = waited + cx.limits.stopped_after()
-            <= Millis(objective.since(remaining).0.saturating_mul(LATE_PERCENT) / 100);
+        let in_time = timing.can_be_in_time(cx.limits.stopped_after());
         let percent = if urgent && (in_time || covered) {
             URGENT_LOSS_PERCENT
         } else {
@@ -78,16 +73,3 @@
         }
     }
 }
-
-/// Estimated durations of the critical path of a job's whole step graph, and of the one that begins with step `from`.
-fn critical_path(spec: &StepJob, from: u32) -> (Millis, Millis) {
-    let mut paths = vec![Millis::ZERO; spec.steps.len()];
-    for (number, step) in spec.steps.iter().enumerate().rev() {
-        let later = spec.steps.iter().enumerate().skip(number + 1);
-        let later = later.filter(|(_, later)| later.after.contains(&(number as u32)));
-        let longest = later.map(|(later, _)| paths[later]).max().unwrap_or_default();
-        paths[number] = step.estimate + longest;
-    }
-    let total = paths.iter().copied().max().unwrap_or_default();
-    (total, paths.get(from as usize).copied().unwrap_or_default())
-}
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -306,7 +306,7 @@
             ..
         } = *blocked;
         let covered = pass.covered.contains(&key.0);
-        let budget = self.preemption_budget(cx, entry, (key.2, step), indices.len(), covered);
+        let budget = self.preemption_budget(cx, entry, (key, step), indices.len(), covered);
         let needed = step.demand.accelerators.saturating_mul(indices.len() as u64);
         let may_reserve = (step.gang || self.terms(entry).priority == 0) && needed <= pass.reservable;
         let unlimited = budget.max_loss.is_none();
--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -5,14 +5,19 @@
 
 use crate::clock::Millis;
 use crate::ids::AccountName;
-use crate::steps::engine::{Context, StepScheduler};
+use crate::steps::engine::{Context, RunOrigin, RunPhase, StepScheduler};
 use crate::steps::forecast::remaining;
 use crate::steps::job_table::JobEntry;
 use crate::steps::spec::{JobKey, TaskKey};
+use crate::steps::urgency::{Outlook, Timing, objective, paths};
 
 /// Error of the forecast of a job's end: workers report progress in whole percent, and a report may be 2 s old.
 const FORECAST_ERROR: Millis = Millis(500);
 
+/// Of so many jobs at work in a class of guarantee and priority, one may be a job that was brought forward because it was
+/// overdue. Without this bound an overload would end up serving only jobs that are worth nothing any more.
+const JOBS_PER_OVERDUE: usize = 8;
+
 /// A step of one occurrence of a job: the job, the occurrence, and the number of the step.
 pub(crate) type StepKey = (JobKey, u32, u32);
 
@@ -32,23 +37,30 @@
     pub(crate) suspects: BTreeSet<u32>,
 }
 
-/// Position of a step in the queue; the lowest goes first.
+/// Position of a step among those of its account and class; the lowest goes first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueRank {
+    /// When the job was accepted or its occurrence was due, by the wall clock.
+    since: Millis,
+    step: StepKey,
+}
+
+/// Steps that are placed before all those of a higher class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueueClass {
     /// False if the account's guarantee covers the job, which puts the step first.
     uncovered: bool,
     /// Priority of the job's queue; 0 is the most urgent.
     priority: u32,
-    /// When the job was accepted, by the wall clock.
-    accepted: Millis,
-    step: StepKey,
+    outlook: Outlook,
 }
 
-/// The queue of one planning pass. Covered jobs come first, then lower priority numbers; within one priority, the next
-/// step is the oldest one of the account that uses the fewest accelerators.
+/// The queue of one planning pass. Covered jobs come first, then lower priority numbers; within one priority, the jobs that
+/// can still be in time, then those that are late, then the rest. Within these, the next step is the oldest one of the
+/// account that uses the fewest accelerators.
 pub(crate) struct PlanningQueue<'a> {
-    /// Steps by (uncovered, priority) and account. Each list is in reverse order, so that the next step is its last.
-    classes: BTreeMap<(bool, u32), BTreeMap<&'a AccountName, Vec<QueueRank>>>,
+    /// Steps by class and account. Each list is in reverse order, so that the next step is its last.
+    classes: BTreeMap<QueueClass, BTreeMap<&'a AccountName, Vec<QueueRank>>>,
     /// Number of accelerators in use by each account.
     usage: BTreeMap<&'a AccountName, u64>,
 }
@@ -58,10 +70,9 @@
     pub(crate) fn next(&mut self) -> Option<StepKey> {
         let mut class = self.classes.first_entry()?;
         let accounts = class.get_mut();
-        let least = accounts
-            .keys()
-            .min_by_key(|name| self.usage.get(**name).copied().unwrap_or(0))
-            .copied()?;
+        let used = |name: &AccountName| self.usage.get(name).copied().unwrap_or(0);
+        let least = accounts.iter().min_by_key(|(name, ranks)| (used(name), ranks.last()));
+        let least = least.map(|(name, _)| *name)?;
         let ranks = accounts.get_mut(least)?;
         let rank = ranks.pop();
         if ranks.is_empty() {
@@ -73,6 +84,16 @@
         rank.map(|rank| rank.step)
     }
 
+    fn add(&mut self, (uncovered, priority, outlook): (bool, u32, Outlook), account: &'a AccountName, rank: QueueRank) {
+        let class = QueueClass {
+            uncovered,
+            priority,
+            outlook,
+        };
+        let class = self.classes.entry(class).or_default();
+        class.entry(account).or_default().push(rank);
+    }
+
     /// Adds accelerators that were assigned to an account in this pass to its usage.
     pub(crate) fn charge(&mut self, account: &'a AccountName, accelerators: u64) {
         *self.usage.entry(account).or_default() += accelerators;
@@ -86,16 +107,45 @@
             classes: BTreeMap::new(),
             usage: self.usage.iter().map(|(account, used)| (account, *used)).collect(),
         };
+        let mut overdue: BTreeMap<(bool, u32), Vec<(QueueRank, &'a AccountName)>> = BTreeMap::new();
+        let mut current: Option<(JobKey, Vec<Millis>)> = None;
         for step in self.waiting.keys() {
             let Some(entry) = cx.book.job(step.0) else { continue };
+            if current.as_ref().is_none_or(|(job, _)| *job != step.0) {
+                current = Some((step.0, paths(&entry.spec)));
+            }
+            let paths = current.as_ref().map_or(&[][..], |(_, paths)| paths);
+            let timing = self.timing(cx, entry, *step, paths);
             let rank = QueueRank {
-                uncovered: !covered.contains(&step.0),
-                priority: self.terms(entry).priority,
-                accepted: entry.accepted,
+                since: waits_since(entry, step.1),
                 step: *step,
             };
-            let class = queue.classes.entry((rank.uncovered, rank.priority)).or_default();
-            class.entry(&entry.spec.account).or_default().push(rank);
+            let (uncovered, priority) = (!covered.contains(&step.0), self.terms(entry).priority);
+            let outlook = match timing.outlook() {
+                Outlook::Overdue if !timing.long_running => {
+                    let waiting = overdue.entry((uncovered, priority)).or_default();
+                    waiting.push((rank, &entry.spec.account));
+                    continue;
+                }
+                outlook => outlook,
+            };
+            queue.add((uncovered, priority, outlook), &entry.spec.account, rank);
+        }
+        for ((uncovered, priority), mut waiting) in overdue {
+            waiting.sort_unstable();
+            let allowed = self.overdue_allowed(cx, covered, (uncovered, priority));
+            let mut forward = BTreeSet::new();
+            for (rank, account) in waiting {
+                let job = rank.step.0;
+                if forward.len() < allowed {
+                    forward.insert(job);
+                }
+                let outlook = match forward.contains(&job) {
+                    true => Outlook::Overdue,
+                    false => Outlook::Expired,
+                };
+                queue.add((uncovered, priority, outlook), account, rank);
+            }
         }
         for ranks in queue.classes.values_mut().flat_map(BTreeMap::values_mut) {
             ranks.sort_unstable_by(|a, b| b.cmp(a));
@@ -103,6 +153,76 @@
         queue
     }
 
+    /// The timing of a waiting step; `paths` is from [`paths`] of its job. Steps of the same occurrence that run count with
+    /// the time that they still need. A recovered run without a report counts as about to end, so that a takeover doesn't
+    /// make the outlook worse.
+    pub(crate) fn timing(&self, cx: &Context<'_>, entry: &JobEntry, key: StepKey, paths: &[Millis]) -> Timing {
+        let (job, occurrence, number) = key;
+        let path = |number: u32| paths.get(number as usize).copied().unwrap_or_default();
+        let estimate = |number: u32| {
+            entry
+                .spec
+                .steps
+                .get(number as usize)
+                .map_or(Millis::ZERO, |step| step.estimate)
+        };
+        let total = paths.iter().copied().max().unwrap_or_default();
+        let others = self.runs_of(job).filter(|(task, _)| {
+            let parallel = task.occurrence == occurrence && task.step != number;
+            parallel && path(task.step) > path(number)
+        });
+        let others = others.filter_map(|key| {
+            let run = self.runs.get(&key).filter(|run| run.phase != RunPhase::Ended)?;
+            let unknown = run.origin == RunOrigin::Recovered && run.progress.is_none();
+            let left = match unknown {
+                true => Millis::ZERO,
+                false => remaining(cx, &key.0, run).min(estimate(key.0.step)),
+            };
+            Some(left + path(key.0.step).since(estimate(key.0.step)))
+        });
+        Timing {
+            objective: objective(self.terms(entry), total),
+            remaining: others.max().unwrap_or_default().max(path(number)),
+            waited: cx.wall.since(waits_since(entry, occurrence)),
+            long_running: entry
+                .spec
+                .steps
+                .get(number as usize)
+                .is_some_and(|step| step.long_running),
+        }
+    }
+
+    /// Number of overdue jobs of a class of guarantee and priority that may be brought forward now: at least one unless such
+    /// jobs are at work already.
+    fn overdue_allowed(
+        &self,
+        cx: &Context<'_>,
+        covered: &BTreeSet<JobKey>,
+        (uncovered, priority): (bool, u32),
+    ) -> usize {
+        let jobs: BTreeSet<JobKey> = self.runs.keys().map(|(task, _)| task.job).collect();
+        let entries = jobs.iter().filter_map(|job| cx.book.job(*job));
+        let same = entries.filter(|entry| {
+            !entry.phase.is_final()
+                && self.terms(entry).priority == priority
+                && covered.contains(&entry.spec.key) != uncovered
+        });
+        let (mut at_work, mut brought) = (0, 0);
+        for entry in same {
+            let paths = paths(&entry.spec);
+            let total = paths.iter().copied().max().unwrap_or_default();
+            let timing = Timing {
+                objective: objective(self.terms(entry), total),
+                remaining: Millis::ZERO,
+                waited: cx.wall.since(waits_since(entry, 0)),
+                long_running: false,
+            };
+            at_work += 1;
+            brought += usize::from(timing.outlook() == Outlook::Overdue && !entry.spec.is_long_running());
+        }
+        (at_work / JOBS_PER_OVERDUE).max(1).saturating_sub(brought)
+    }
+
     /// Jobs of priority 0 that the guarantees of their accounts cover. Each account's jobs are counted against its
     /// guarantee from the oldest on. A job that exceeds it at present is covered all the same once no more time than
     /// two preemptions take is left until it must have started, if the older jobs that are forecast to outlast that
@@ -150,6 +270,11 @@
     }
 }
 
+/// When an occurrence of a job began to wait: when the job was accepted, or when the occurrence was due if that is later.
+fn waits_since(entry: &JobEntry, occurrence: u32) -> Millis {
+    entry.accepted.max(entry.spec.due(occurrence))
+}
+
 /// Jobs of one account that are counted against its guarantee.
 #[derive(Default)]
 struct Coverage<'a> {
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -12,6 +12,7 @@
 mod review;
 mod review_waves;
 mod rows;
+mod scarce;
 mod takeover;
 mod waves;
 mod world;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -82,6 +82,8 @@
     tokens: u64,
     listed: BTreeMap<WorkerName, HostInfo>,
     guaranteed: u64,
+    /// Stretch, in thousandths, and allowance, in milliseconds, of the queues `urgent`, `normal` and `bulk`.
+    objectives: [(u64, u64); 3],
 }
 
 impl World {
@@ -119,6 +121,7 @@
             tokens: 0,
             listed: BTreeMap::new(),
             guaranteed,
+            objectives: [(2_000, 300); 3],
         };
         for number in 0..count {
             world.add_worker(number, 1);
@@ -127,6 +130,15 @@
         world
     }
 
+    /// A region whose queues `urgent`, `normal` and `bulk` have these stretches, in thousandths, and allowances.
+    pub(crate) fn with_objectives(count: usize, objectives: [(u64, u64); 3]) -> Self {
+        let mut world = Self::with_slow_stops(count);
+        world.objectives = objectives;
+        world.take_over();
+        world.run(100);
+        world
+    }
+
     /// A region of a platform on which stops take up to 900 ms.
     pub(crate) fn with_slow_stops(count: usize) -> Self {
         let mut world = Self::new(count);
@@ -285,8 +297,8 @@
                 service: ServiceName::from("orders"),
                 priority,
                 attempts,
-                stretch: 2_000,
-                allowance: Millis(300),
+                stretch: self.objectives[priority as usize].0,
+                allowance: Millis(self.objectives[priority as usize].1),
             },
             timeout: Millis(3_000),
             public: false,
