--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -5,6 +5,7 @@
 //!
 //! - `engine`: the scheduler's state and the dispatch of events and committed records.
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
+//! - `urgency`: which jobs can still end within their objective.
 //! - `budget`, `preemption`, `victim`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `draining`: slow runs, and workers that are slow, fail or leave.
 //! - `domains`, `withheld`: failure domains that operators evacuate, and starts that are withheld for it.
@@ -44,6 +45,7 @@
 mod tests;
 mod timers;
 mod trial;
+mod urgency;
 mod victim;
 mod waste_counts;
 mod wasted;
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -13,6 +13,7 @@
 mod review;
 mod review_waves;
 mod rows;
+mod scarce;
 mod takeover;
 mod wasted;
 mod waves;
