--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -485,6 +485,16 @@
         line.trim().strip_suffix(" kB")?.parse().ok()
     }
 
+    /// Process id of a running daemon.
+    pub fn daemon_id(&self, number: usize) -> u32 {
+        self.daemons[&number].id()
+    }
+
+    /// Address at which callers reach a daemon that was started.
+    pub fn front(&self, number: usize) -> &str {
+        &self.fronts[&number]
+    }
+
     /// Directory of the daemons' settings and logs.
     pub fn dir(&self) -> &Path {
         &self.dir
