One budget a process for what clients make a daemon hold

Cause: bodies were collected as one buffer for each chunk on up to 2,000 connections, and nothing bounded the sum. Change: memory_budget.rs keeps accounts of all connections and decides who is shed; client_memory.rs shares it among the listeners of a process; request_body.rs reads a body into one buffer that is charged before it grows. Readiness, metrics and admin have a share of their own. Socket buffers are bounded, accepting stops at half of the descriptors, a body that stands still is refused after 5 to 10 s. Watches remember digests. New settings limits.memory and limits.progress; new metrics client_held_bytes and clients_shed_total.

--- a/crates/pistachiostair/src/api_watch.rs
+++ b/crates/pistachiostair/src/api_watch.rs
@@ -1,6 +1,7 @@
 //! Watches: JSON lines from a revision on.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -21,7 +22,7 @@
 use crate::route::Route;
 
 /// Lines that may wait for a slow reader before the watch is ended.
-const BACKLOG: usize = 256;
+const BACKLOG: usize = 64;
 
 /// Longest wait for a first change at the scheduler, and the time between two bookmarks.
 const POLL: Millis = Millis(5_000);
@@ -226,7 +227,7 @@
 
     /// Sends changes of objects that are compared as a whole.
     async fn objects(self, route: Route, from: Revision) {
-        let mut known: Option<BTreeMap<String, Value>> = None;
+        let mut known: Option<BTreeMap<String, u64>> = None;
         let mut revision = from;
         let mut quiet = Millis::ZERO;
         while !self.api.stopping.is_raised() {
@@ -239,7 +240,7 @@
                 } else {
                     changed_lines(&old, &objects, revision)
                 };
-                known = Some(objects);
+                known = Some(digests(&objects));
                 quiet = if changed.is_empty() { quiet + LOOK } else { Millis::ZERO };
                 for line in changed {
                     if !self.line(&line).await {
@@ -282,14 +283,29 @@
     }
 }
 
+/// What a watch remembers of the objects that it has sent: with the objects themselves, each watch of 350 workers would
+/// hold about half a megabyte.
+fn digests(objects: &BTreeMap<String, Value>) -> BTreeMap<String, u64> {
+    objects
+        .iter()
+        .map(|(name, object)| (name.clone(), digest(object)))
+        .collect()
+}
+
+fn digest(object: &Value) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    object.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn changed_lines(
-    old: &BTreeMap<String, Value>,
+    old: &BTreeMap<String, u64>,
     new: &BTreeMap<String, Value>,
     revision: Revision,
 ) -> Vec<WatchLine<Value>> {
     let mut lines = Vec::new();
     for (name, object) in new {
-        if old.get(name) != Some(object) {
+        if old.get(name) != Some(&digest(object)) {
             lines.push(WatchLine {
                 object: Some(object.clone()),
                 ..blank(revision)
--- a/crates/pistachiostair/src/daemon.rs
+++ b/crates/pistachiostair/src/daemon.rs
@@ -11,6 +11,7 @@
 
 use crate::active::Retention;
 use crate::api::{Api, error_reply};
+use crate::client_memory::{ClientMemory, client_connections};
 use crate::clock::{Millis, within};
 use crate::config::Config;
 use crate::election::ElectionTimes;
@@ -49,6 +50,9 @@
 /// Longest time for requests and connections to end after the drain.
 const END_TIMEOUT: Millis = Millis(10_000);
 
+/// Retry time of a request that was refused because clients hold too much memory.
+const SHED_RETRY: Millis = Millis(1_000);
+
 /// Addresses that a daemon serves on.
 #[derive(Clone, Debug)]
 pub struct Addresses {
@@ -113,6 +117,14 @@
             Box::pin(async move { api.handle(request).await })
         });
         let limits = settings.limits.http();
+        let connections = limits.connections.min(client_connections(None, 0));
+        let memory = ClientMemory::new(
+            settings.limits.memory << 20,
+            connections,
+            metrics.clients.clone(),
+            component_logger(&log, Component::Api),
+        );
+        let memory = Arc::new(memory);
         let server = |handler, limits| {
             Arc::new(HttpServer {
                 executor: executor.clone(),
@@ -121,12 +133,17 @@
                 refusal: refusal(),
                 stop: servers.clone(),
                 open: open.clone(),
+                memory: memory.clone(),
             })
         };
         executor.spawn(server(handler, limits).serve(api_listener)).detach();
         let admin = admin_handler(kernel.clone(), ready.clone());
+        let admin_limits = HttpLimits {
+            reserved: true,
+            ..HttpLimits::default()
+        };
         executor
-            .spawn(server(admin, HttpLimits::default()).serve(admin_listener))
+            .spawn(server(admin, admin_limits).serve(admin_listener))
             .detach();
         slog::info!(log, "serving"; "api" => %addresses.api, "admin" => %addresses.admin,
             "peers" => %addresses.peers);
@@ -302,9 +319,14 @@
     Arc::new(|status, reason| {
         let kind = match status {
             StatusCode::REQUEST_TIMEOUT => ErrorKind::Timeout,
+            StatusCode::SERVICE_UNAVAILABLE => ErrorKind::Unavailable,
             _ => ErrorKind::Invalid,
         };
-        let mut reply = error_reply(&Error::msg(kind, "read request", reason), false);
+        let mut error = Error::msg(kind, "read request", reason);
+        if kind == ErrorKind::Unavailable {
+            error = error.retry_after(SHED_RETRY.0);
+        }
+        let mut reply = error_reply(&error, false);
         reply.status = status;
         reply
     })
--- a/crates/pistachiostair/src/http_server.rs
+++ b/crates/pistachiostair/src/http_server.rs
@@ -6,7 +6,7 @@
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use async_executor::Executor;
 use async_io::Timer;
@@ -14,16 +14,19 @@
 use bytes::Bytes;
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt, Stream, future};
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::clock::Millis;
+use crate::client_memory::{Account, ClientMemory};
+use crate::clock::{Millis, within};
 use crate::edge::BoxFuture;
 use crate::kernel::Stop;
+use crate::memory_budget::Stage;
+use crate::request_body::{BodyLimits, Unread, read_body};
 
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
@@ -38,8 +41,12 @@
     pub read: Millis,
     /// Longest time without progress when writing a response.
     pub stall: Millis,
+    /// Longest time without a byte of a body whose end has not arrived.
+    pub progress: Millis,
     /// Longest life of a connection; it ends after the request in progress.
     pub age: Millis,
+    /// Whether its connections have a share of memory and descriptors of their own, as those of operators.
+    pub reserved: bool,
 }
 
 impl Default for HttpLimits {
@@ -50,7 +57,10 @@
             body: 64 * 1024,
             read: Millis(10_000),
             stall: Millis(10_000),
+            // Callers' links have disturbances of up to 1 s.
+            progress: Millis(5_000),
             age: Millis::from_secs(3600),
+            reserved: false,
         }
     }
 }
@@ -116,6 +126,31 @@
 /// Turns an over-long or unreadable request into a response: status and reason.
 pub type HttpRefusal = Arc<dyn Fn(StatusCode, &str) -> HttpReply + Send + Sync>;
 
+/// Bytes charged for a response in chunks: lines that wait for a reader, and what the handler knows that it has sent.
+const STREAM_BYTES: usize = 64 * 1024;
+
+/// Connections that are accepted before other tasks get a turn.
+const ACCEPTS_PER_TURN: u32 = 16;
+
+/// Longest time to write the refusal of an evicted request.
+const REFUSAL_TIME: Millis = Millis(500);
+
+/// Bytes of a head that the cost of every connection includes: hyper's first read buffer.
+const INCLUDED_HEAD: usize = 8 * 1024;
+
+/// Bytes of one read from which on hyper's read buffer may grow: it does when a read fills it.
+const LARGE_READ: usize = 4 * 1024;
+
+/// Why a connection is no longer served as before.
+enum Ended {
+    /// It has ended, whether well or not: the caller sees that.
+    Itself,
+    /// It is old, or the server stops: it ends after the request in progress.
+    Aged,
+    /// It has to let go of what it holds.
+    Evicted,
+}
+
 type Body = BoxBody<Bytes, Infallible>;
 
 /// An HTTP/1.1 server.
@@ -132,11 +167,24 @@
     pub stop: Stop,
     /// Connections open now.
     pub open: Arc<AtomicUsize>,
+    /// Budget for what connections hold, shared by all servers of a process.
+    pub memory: Arc<ClientMemory>,
+}
+
+/// Counts an open connection until it is dropped.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl HttpServer {
     /// Serves until the stop signal is raised; connections end by themselves after it.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        self.memory.bound_buffers(&listener);
+        let mut accepts = 0_u32;
         loop {
             let accepted = future::or(async { Some(listener.accept().await) }, async {
                 self.stop.wait().await;
@@ -146,35 +194,50 @@
                 None => return,
                 // Out of file descriptors, or the connection ended before it was accepted.
                 Some(Err(_)) => {
+                    self.memory.note_accept_error();
                     Timer::after(Millis(10).duration()).await;
                 }
                 Some(Ok((stream, _))) => self.clone().accept(stream),
             }
+            // Without this a crowd of connections to accept would keep other tasks from running.
+            accepts = accepts.wrapping_add(1);
+            if accepts.is_multiple_of(ACCEPTS_PER_TURN) {
+                future::yield_now().await;
+            }
         }
     }
 
     fn accept(self: Arc<Self>, stream: TcpStream) {
-        if self.open.fetch_add(1, Ordering::Relaxed) >= self.limits.connections {
-            self.open.fetch_sub(1, Ordering::Relaxed);
+        let before = self.open.fetch_add(1, Ordering::Relaxed);
+        let open = OpenConnection(self.open.clone());
+        if before >= self.limits.connections && !self.limits.reserved {
+            self.memory.note_closed();
             return;
         }
+        let Some(account) = self.memory.open(self.limits.reserved) else {
+            return;
+        };
         let executor = self.executor.clone();
         executor
             .spawn(async move {
                 let _ = stream.set_nodelay(true);
-                self.connection(stream).await;
-                self.open.fetch_sub(1, Ordering::Relaxed);
+                self.connection(stream, account).await;
+                drop(open);
             })
             .detach();
     }
 
-    async fn connection(&self, stream: TcpStream) {
+    async fn connection(&self, stream: TcpStream, account: Arc<Account>) {
         let io = FuturesIo::new(Progress {
             stream,
             stall: self.limits.stall,
             timer: None,
+            account: account.clone(),
+            head: 0,
+            grown: false,
+            limit: self.limits.head,
         });
-        let service = service_fn(|request| async { Ok::<_, Infallible>(self.answer(request).await) });
+        let service = service_fn(|request| async { Ok::<_, Infallible>(self.answer(request, &account).await) });
         let mut builder = http1::Builder::new();
         builder
             .timer(SmolTimer::new())
@@ -182,50 +245,119 @@
             .max_buf_size(self.limits.head.max(8192))
             .max_headers(64);
         let mut connection = pin!(builder.serve_connection(io, service));
-        let ended = future::or(async { Some(connection.as_mut().await) }, async {
-            let age = async {
-                Timer::after(self.limits.age.duration()).await;
-            };
-            future::or(self.stop.wait(), age).await;
-            None
-        })
+        let ended = future::or(
+            async {
+                let _ = connection.as_mut().await;
+                Ended::Itself
+            },
+            async {
+                let age = async {
+                    Timer::after(self.limits.age.duration()).await;
+                    Ended::Aged
+                };
+                let stop = async {
+                    self.stop.wait().await;
+                    Ended::Aged
+                };
+                let evicted = async {
+                    account.evicted().await;
+                    Ended::Evicted
+                };
+                future::or(stop, future::or(age, evicted)).await
+            },
+        )
         .await;
-        if ended.is_none() {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+        match ended {
+            Ended::Itself => {}
+            Ended::Aged => {
+                connection.as_mut().graceful_shutdown();
+                let evicted = async {
+                    account.evicted().await;
+                    Ok(())
+                };
+                let _ = future::or(connection, evicted).await;
+            }
+            // Only a request whose body is being read gets an answer; it is told that nothing has run.
+            Ended::Evicted if account.stage() == Some(Stage::Body) => {
+                within(REFUSAL_TIME, connection).await;
+            }
+            Ended::Evicted => {}
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Incoming>, account: &Account) -> Response<Body> {
         let (parts, body) = request.into_parts();
-        let read = async { Limited::new(body, self.limits.body).collect().await.map_err(Some) };
-        let lapsed = async {
-            Timer::after(self.limits.read.duration()).await;
-            Err(None)
+        account.enter(Stage::Body);
+        let limits = BodyLimits {
+            bytes: self.limits.body,
+            read: self.limits.read,
+            progress: self.limits.progress,
         };
-        let reply = match future::or(read, lapsed).await {
+        let reads = matches!(parts.method, Method::GET | Method::HEAD);
+        let reply = match read_body(body, limits, account).await {
+            // A second copy exists while the handler decodes the body and passes it on.
+            Ok(body) if !body.bytes.is_empty() && !account.charge(body.bytes.len()) => {
+                account.release(body.charged);
+                self.shed()
+            }
             Ok(body) => {
+                account.enter(if reads { Stage::Reading } else { Stage::Answering });
+                let charged = body.charged + body.bytes.len();
                 let request = HttpRequest {
                     method: parts.method,
                     path: parts.uri.path().to_owned(),
                     query: parse_query(parts.uri.query().unwrap_or_default()),
                     headers: text_headers(&parts.headers),
-                    body: body.to_bytes(),
+                    body: body.bytes,
                 };
-                (self.handler)(request).await
+                let reply = (self.handler)(request).await;
+                if charged > 0 {
+                    account.release(charged);
+                }
+                self.charge_answer(reply, reads, account)
+            }
+            Err(Unread::Late) => {
+                account.memory().note_stalled();
+                closing((self.refusal)(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "the body did not arrive in time",
+                ))
             }
-            Err(None) => closing((self.refusal)(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not arrive in time",
-            )),
-            Err(Some(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Unread::Long) => {
                 let reason = format!("the body is longer than {} bytes", self.limits.body);
                 closing((self.refusal)(StatusCode::PAYLOAD_TOO_LARGE, &reason))
             }
-            Err(Some(error)) => (self.refusal)(StatusCode::BAD_REQUEST, &format!("the body can't be read: {error}")),
+            Err(Unread::Broken(error)) => {
+                (self.refusal)(StatusCode::BAD_REQUEST, &format!("the body can't be read: {error}"))
+            }
+            Err(Unread::Shed) => self.shed(),
         };
+        // A stream is being answered until the connection ends. A refusal stays with the body that it refuses.
+        if matches!(reply.body, HttpBody::Full(_)) && account.stage() != Some(Stage::Body) {
+            account.enter(Stage::Idle);
+        }
         into_response(reply)
     }
+
+    /// Refuses a request that was not passed on, since too much memory is in use.
+    fn shed(&self) -> HttpReply {
+        let reason = "clients hold too much of this daemon's memory; nothing was done";
+        closing((self.refusal)(StatusCode::SERVICE_UNAVAILABLE, reason))
+    }
+
+    /// Charges an answer until it is written. One for which there is no memory is replaced if the request only `reads`;
+    /// any other is short, and callers need it.
+    fn charge_answer(&self, reply: HttpReply, reads: bool, account: &Account) -> HttpReply {
+        let bytes = match &reply.body {
+            HttpBody::Full(bytes) => bytes.len(),
+            HttpBody::Chunks(_) => STREAM_BYTES,
+        };
+        match account.charge_answer(bytes) {
+            true => reply,
+            false if reads => self.shed(),
+            false => closing(reply),
+        }
+    }
 }
 
 /// Tells the caller that the connection ends, since the rest of the body is not read: another request on it would be
@@ -319,15 +451,28 @@
     stream: TcpStream,
     stall: Millis,
     timer: Option<Timer>,
+    account: Arc<Account>,
+    /// Bytes of the present head that have arrived.
+    head: usize,
+    /// Whether hyper's read buffer was charged for more than its first size.
+    grown: bool,
+    /// Most bytes of a head.
+    limit: usize,
 }
 
 impl Progress {
     fn check<T>(&mut self, cx: &mut Context<'_>, poll: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if poll.is_ready() {
-            self.timer = None;
+            if self.timer.take().is_some() {
+                self.account.set_blocked(false);
+            }
             return poll;
         }
-        let timer = self.timer.get_or_insert_with(|| Timer::after(self.stall.duration()));
+        let (stall, account) = (self.stall, &self.account);
+        let timer = self.timer.get_or_insert_with(|| {
+            account.set_blocked(true);
+            Timer::after(stall.duration())
+        });
         match timer.poll(cx) {
             Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
             Poll::Pending => Poll::Pending,
@@ -337,13 +482,28 @@
 
 impl AsyncRead for Progress {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if read == 0 {
+            return Poll::Ready(Ok(0));
+        }
+        self.head = if self.account.received() { self.head + read } else { 0 };
+        if !self.grown && (read >= LARGE_READ || self.head > INCLUDED_HEAD) {
+            self.grown = true;
+            // hyper's buffer grows to up to twice the limit of a head, and stays as long.
+            if !self.account.charge(2 * self.limit) {
+                return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+            }
+        }
+        Poll::Ready(Ok(read))
     }
 }
 
 impl AsyncWrite for Progress {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(1..)) = &poll {
+            self.account.sent();
+        }
         self.check(cx, poll)
     }
 
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -34,6 +34,7 @@
 mod calls;
 mod capacity;
 mod claim_order;
+mod client_memory;
 mod clock;
 mod commands;
 mod commits;
@@ -70,6 +71,7 @@
 mod logging;
 mod members;
 mod membership;
+mod memory_budget;
 mod message;
 mod metrics;
 mod node_daemon;
@@ -88,6 +90,7 @@
 mod reclaim;
 mod reconcile;
 mod rendezvous;
+mod request_body;
 mod request_outcomes;
 mod resource;
 mod retry;
@@ -122,6 +125,7 @@
 pub use active::Retention;
 pub use appender::{AppendAction, AppendEvent, Appender};
 pub use capacity::Capacity;
+pub use client_memory::{ClientMemory, client_connections};
 pub use clock::{Clock, Millis};
 pub use daemon::{Addresses, Daemon};
 pub use edge::{
@@ -153,7 +157,7 @@
     Call, Envelope, Failure, Heartbeat, Leader, MAX_MESSAGE, MESSAGE_VERSION, Renewal, Request, Response, RulesAge,
     View,
 };
-pub use metrics::{Metrics, ProcessUsage, process_usage};
+pub use metrics::{ClientCounts, Metrics, ProcessUsage, process_usage};
 pub use node_daemon::{Admitted, Denial, Edges, StepDaemon, StepSettings};
 pub use peer_frame::decode_message;
 pub use peer_tls::PeerTls;
--- a/crates/pistachiostair/src/metrics.rs
+++ b/crates/pistachiostair/src/metrics.rs
@@ -21,6 +21,15 @@
 /// Bounds of the buckets of latencies in seconds: from an exchange within a failure domain to the longest deadline.
 const LATENCY_BUCKETS: [f64; 9] = [0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
 
+/// Metrics of the budget for what clients make a daemon hold.
+#[derive(Clone, Debug)]
+pub struct ClientCounts {
+    /// Bytes charged to connections of clients.
+    pub held: IntGauge,
+    /// Connections and requests that were shed, by reason.
+    pub shed: IntCounterVec,
+}
+
 /// Metrics of a daemon, each with the prefix `pistachiostair_`.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -73,6 +82,8 @@
     pub order_latency: HistogramVec,
     /// Decisions of the scheduler of steps, by what was decided.
     pub step_decisions: IntCounterVec,
+    /// What clients make this daemon hold.
+    pub clients: ClientCounts,
     control: IntCounterVec,
     kinds: IntCounterVec,
     cpu: Gauge,
@@ -123,6 +134,14 @@
             step_orders: with.vec("step_orders_total", "Orders to workers.", &["order", "outcome"])?,
             order_latency: with.histogram("step_order_seconds", "Time until a worker answered.", &["order"])?,
             step_decisions: with.vec("step_decisions_total", "Decisions about steps.", &["decision"])?,
+            clients: ClientCounts {
+                held: with.gauge("client_held_bytes", "Bytes charged to connections of clients.")?,
+                shed: with.vec(
+                    "clients_shed_total",
+                    "Connections and requests shed to bound memory and descriptors.",
+                    &["reason"],
+                )?,
+            },
             control: with.vec("control_bytes_total", "Bytes of the control plane.", &["direction"])?,
             kinds: with.vec(
                 "control_kind_bytes_total",
--- a/crates/pistachiostair/src/settings.rs
+++ b/crates/pistachiostair/src/settings.rs
@@ -17,6 +17,8 @@
 const DEFAULT_TIMEOUT: u64 = 2_000;
 const DEFAULT_DRAIN: u64 = 3_000;
 const DEFAULT_WATCHES: u64 = 500;
+/// Megabytes: what the smallest machine, of 120 MB, has beside the daemon's own 65 MB and a margin of 15 MB.
+const DEFAULT_MEMORY: u64 = 40;
 const MAX_WAIT: u64 = 600_000;
 const MAX_AGE: u64 = 7 * 24 * 3_600_000;
 
@@ -93,6 +95,10 @@
     pub watches: usize,
     /// Longest life of a connection.
     pub age: Millis,
+    /// Megabytes that all connections may hold.
+    pub memory: usize,
+    /// Longest time without a byte of a body whose end has not arrived.
+    pub progress: Millis,
 }
 
 impl LimitSettings {
@@ -103,6 +109,7 @@
             head: self.head,
             body: self.body,
             age: self.age,
+            progress: self.progress,
             ..HttpLimits::default()
         }
     }
@@ -257,7 +264,7 @@
     }
 
     fn limits(&mut self, root: &Section<'_>) -> LimitSettings {
-        const KEYS: &[&str] = &["connections", "head", "body", "watches", "age"];
+        const KEYS: &[&str] = &["connections", "head", "body", "watches", "age", "memory", "progress"];
         let section = self.section("limits", root.get("limits"), KEYS);
         let default = HttpLimits::default();
         let mut count = |key, least, most, default| self.optional(&section, key, |v| number(v, least, most), default);
@@ -268,6 +275,8 @@
             body: count("body", 1_024, 1_048_576, default.body as u64) as usize,
             watches: count("watches", 0, 100_000, DEFAULT_WATCHES) as usize,
             age: Millis(count("age", 1_000, MAX_AGE, default.age.0)),
+            memory: count("memory", 8, 65_536, DEFAULT_MEMORY) as usize,
+            progress: Millis(count("progress", 1_000, 60_000, default.progress.0)),
         }
     }
 
--- a/crates/pistachiostair/tests/http.rs
+++ b/crates/pistachiostair/tests/http.rs
@@ -31,6 +31,7 @@
         read: Millis(300),
         stall: Millis(300),
         age: Millis(60_000),
+        ..HttpLimits::default()
     }
 }
 
@@ -58,6 +59,7 @@
         refusal,
         stop: stop.clone(),
         open: open.clone(),
+        memory: Arc::default(),
     });
     executor.spawn(server.serve(listener)).detach();
     Served {
--- a/crates/pstair/tests/pstair/support.rs
+++ b/crates/pstair/tests/pstair/support.rs
@@ -41,6 +41,7 @@
             refusal: Arc::new(|status, reason| HttpReply::text(status, reason.to_owned())),
             stop: stop.clone(),
             open: Arc::new(AtomicUsize::new(0)),
+            memory: Arc::default(),
         });
         std::thread::spawn(move || future::block_on(executor.run(server.serve(listener))));
         Self {
--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -673,6 +673,7 @@
         refusal: Arc::new(|status, reason| HttpReply::text(status, reason.to_owned())),
         stop: stop.clone(),
         open: Arc::default(),
+        memory: Arc::default(),
     };
     executor.spawn(Arc::new(server).serve(listener)).detach();
     address
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -119,6 +119,7 @@
         refusal: Arc::new(|status, reason| HttpReply::text(status, reason.to_owned())),
         stop: Stop::new(),
         open: Arc::default(),
+        memory: Arc::default(),
     });
     executor.spawn(server.serve(listener)).detach();
     Ok(address)
--- a/crates/standin/tests/untrusted_clients/crowd.rs
+++ b/crates/standin/tests/untrusted_clients/crowd.rs
@@ -1,6 +1,6 @@
 //! Clients that hold a daemon's memory and descriptors: they send what they are told to, and never read.
 
-use std::io::{ErrorKind, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -97,3 +97,16 @@
         }
     }
 }
+
+/// Sends one request with `connection: close` and returns the status of its answer.
+pub(crate) fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(60)))
+        .expect("a timeout");
+    stream.write_all(bytes).expect("the request is taken");
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).expect("an answer");
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    answer.split(' ').nth(1).unwrap_or(&answer).to_owned()
+}
--- a/crates/standin/tests/untrusted_clients/main.rs
+++ b/crates/standin/tests/untrusted_clients/main.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 use standin::{Bench, Fleet, Setup, URGENT};
 
-use crowd::{Crowd, chunked, endless_head, press, reads, sized};
+use crowd::{Crowd, chunked, endless_head, exchange, press, reads, sized};
 use usage::Usage;
 
 /// Memory that clients may make a daemon hold, in bytes.
@@ -255,3 +255,55 @@
     fleet.wait_serving(entry, RECOVERY);
     fleet.wait_serving(leader, RECOVERY);
 }
+
+/// A request in chunks of one byte: JSON with spaces up to the limit of a body.
+fn in_bytes(request: &str, json: &str, length: usize) -> Vec<u8> {
+    let mut bytes = format!("{request} HTTP/1.1\r\nhost: orders.example\r\napi-key: key-of-court\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n").into_bytes();
+    for byte in json.bytes().chain(std::iter::repeat(b' ')).take(length) {
+        bytes.extend([b'1', b'\r', b'\n', byte, b'\r', b'\n']);
+    }
+    bytes.extend(b"0\r\n\r\n");
+    bytes
+}
+
+/// A read whose head has the largest length that is allowed.
+fn long_head(path: &str) -> Vec<u8> {
+    let start = format!(
+        "GET {path} HTTP/1.1\r\nhost: orders.example\r\napi-key: key-of-court\r\nconnection: close\r\nx-padding: "
+    );
+    let padding = "p".repeat(16 * 1024 - start.len() - 4);
+    format!("{start}{padding}\r\n\r\n").into_bytes()
+}
+
+/// Guards against limits that refuse a single legal request: the longest body in the smallest chunks, the longest head.
+#[test]
+fn daemon_single() {
+    let _alone = ALONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let setup = Setup {
+        daemons: 1,
+        workers: 1,
+        ..Setup::default()
+    };
+    let bench = Bench::start(setup).expect("bench");
+    let answered = || bench.block(bench.caller.read(0, "/v1/workers")).is_ok();
+    bench
+        .await_that("the daemon answers", RECOVERY, answered)
+        .expect("a first answer");
+    let address = bench.api(0).parse().expect("an address");
+    let account = r#"{"metadata": {"name": "court"}, "spec": {}}"#;
+    let status = exchange(address, &in_bytes("PUT /v1/accounts/court", account, 65_536));
+    assert!(["200", "201"].contains(&status.as_str()), "{status}");
+    assert_eq!(exchange(address, &long_head("/v1/workers")), "200");
+}
+
+/// As [`daemon_single`], for the platform's daemon.
+#[test]
+fn node_single() {
+    let _alone = ALONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let fleet = smallest(1);
+    let address = fleet.front(0).parse().expect("an address");
+    let job = r#"{"spec": "work=1 gpu=1", "steps": [{"count": 1, "gpu": 1}]}"#;
+    let status = exchange(address, &in_bytes("POST /urgent/0000000000000002", job, 262_144));
+    assert_eq!(status, "200");
+    assert_eq!(exchange(address, &long_head(URGENT)), "200");
+}
