--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -492,6 +492,16 @@
         line.trim().strip_suffix(" kB")?.parse().ok()
     }
 
+    /// Process id of a running daemon.
+    pub fn daemon_id(&self, number: usize) -> u32 {
+        self.daemons[&number].id()
+    }
+
+    /// Address at which callers reach a daemon that was started.
+    pub fn front(&self, number: usize) -> &str {
+        &self.fronts[&number]
+    }
+
     /// Directory of the daemons' settings and logs.
     pub fn dir(&self) -> &Path {
         &self.dir
@@ -670,6 +680,7 @@
         refusal: Arc::new(|status, reason| HttpReply::text(status, reason.to_owned())),
         stop: stop.clone(),
         open: Arc::default(),
+        memory: Arc::default(),
     };
     executor.spawn(Arc::new(server).serve(listener)).detach();
     address
