soak: evacuations last longer than the bound, so that its check has something to judge

Change: an evacuation lasts 6 to 10 s or a moment, up to the end of the schedule; one of an evacuated domain is left out.

--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -425,10 +425,11 @@
             }
             Fault::WorkerCrash(worker) => self.act(Action::EndWorker(worker, lasts)),
             Fault::WorkerRestart(worker) => self.act(Action::StartWorker(worker)),
+            Fault::Evacuate(domain) if self.evacuated.contains_key(&domain) => {}
             Fault::Evacuate(domain) => {
                 self.fleet.store.put("op", &evacuation_key(domain), &json!({}));
                 let now = self.now();
-                self.evacuated.entry(domain).or_insert(now);
+                self.evacuated.insert(domain, now);
                 self.enter(end, Action::TakeBack(domain));
             }
             Fault::WorkerDrain(worker) => {
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -218,15 +218,20 @@
     }
 }
 
-/// Evacuations, each of them for some seconds or, to follow each other quickly, a moment. They have draws of their own, so
+/// Evacuations, each of them for longer than the bound or, to follow each other quickly, a moment. They have draws of their own, so
 /// that the other faults of a seed stay as they are without them.
 fn draw_evacuations(seed: u64, setup: &SoakSetup) -> Vec<PlannedFault> {
     let mut rng = Rng::with_seed(!seed);
     let mut evacuations = Vec::new();
     let mut at = rng.u64(100..1_500);
     while at < setup.span.0 {
-        let longest = if rng.u8(..3) == 0 { 300 } else { 8_000 };
-        let lasts = Millis(rng.u64(20..longest).min(setup.span.0 - at));
+        // Only what starts after the bound of 5 s counts.
+        let lasts = if rng.u8(..3) == 0 {
+            rng.u64(20..300)
+        } else {
+            rng.u64(6_000..10_000)
+        };
+        let lasts = Millis(lasts.min(setup.span.0 - at));
         evacuations.push(PlannedFault {
             at: Millis(at),
             lasts,
