Calls whose record was never sent are known not to have run

Change: the writer tells which queued records were in no row that was sent; their calls fail with ran: no. Records that went back into the queue from a refused row stay unknown.

--- a/crates/pistachiostair/src/appender.rs
+++ b/crates/pistachiostair/src/appender.rs
@@ -161,6 +161,9 @@
     writes: u64,
     /// Records that are not sent yet, with their bytes as JSON.
     queue: VecDeque<(Record, usize)>,
+    /// Number of records at the front of the queue that were part of a row which was sent and refused; an earlier try of
+    /// that row may still arrive.
+    returned: usize,
     in_flight: Option<InFlight>,
     /// When a transaction was last sent.
     last_sent: Option<Millis>,
@@ -186,6 +189,7 @@
             next_seq: seq.next(),
             writes: 0,
             queue: VecDeque::new(),
+            returned: 0,
             in_flight: None,
             last_sent: None,
             committed: VecDeque::new(),
@@ -250,6 +254,11 @@
         free.then(|| self.last_sent.map_or(Millis::ZERO, |last| last + MIN_COMMIT_INTERVAL))
     }
 
+    /// Pushed records that were in no row that was sent. Once the writer is dropped they are never stored.
+    pub(crate) fn unsent(&self) -> impl Iterator<Item = &Record> {
+        self.queue.iter().skip(self.returned).map(|(record, _)| record)
+    }
+
     /// Number of pushed records that are not committed yet.
     pub fn backlog(&self) -> usize {
         self.queue.len() + self.in_flight.as_ref().map_or(0, |flight| flight.batch.records.len())
@@ -354,6 +363,7 @@
             left = left.saturating_sub(bytes + comma);
             records.extend(self.queue.pop_front().map(|(record, _)| record));
         }
+        self.returned = self.returned.saturating_sub(records.len());
         records
     }
 
@@ -437,6 +447,7 @@
         flight.batch.write = write;
         flight.unanswered = false;
         flight.step = Step::CommitAt(now + MIN_COMMIT_INTERVAL);
+        self.returned += rest.len();
         for record in rest.into_iter().rev() {
             let bytes = encoded_size(&record);
             self.queue.push_front((record, bytes));
--- a/crates/pistachiostair/src/calls.rs
+++ b/crates/pistachiostair/src/calls.rs
@@ -433,7 +433,11 @@
         for token in reads {
             self.fail(token, failure(Ran::No));
         }
-        self.steps.fail_pending_calls();
+        let unsent = self.appender.unsent().filter_map(|record| match record {
+            Record::Steps(record) => Some(record),
+            _ => None,
+        });
+        self.steps.fail_pending_calls(unsent);
         self.steps_flush();
         std::mem::take(&mut self.actions)
     }
--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -3,6 +3,8 @@
 //! A call that changes something is answered once its record is durable; calls for the same change in the meantime
 //! share that record. Calls that read are answered at once from the journal's state.
 
+use std::collections::BTreeSet;
+
 use crate::clock::Millis;
 use crate::error::{ErrorKind, Ran};
 use crate::ids::AccountName;
@@ -259,18 +261,36 @@
         successors.next().map(|queue| &queue.name)
     }
 
-    /// Fails all calls whose record may or may not become durable. Called when this daemon is no longer the scheduler.
-    pub(crate) fn fail_pending_calls(&mut self) {
-        let pending = std::mem::take(&mut self.accepting).into_values();
-        let pending = pending.chain(std::mem::take(&mut self.cancelling).into_values());
-        for token in pending.flatten().collect::<Vec<_>>() {
-            let failure = Failure {
-                kind: ErrorKind::Unavailable,
-                message: "another daemon became the scheduler".to_owned(),
-                ran: Ran::Unknown,
-                retry: Some(RETRY_AFTER.0),
+    /// Fails all calls that wait for a record. Called when this daemon is no longer the scheduler. `unsent` are the records
+    /// that were never sent to the store: they will never be stored, so that their calls certainly had no effect. The others
+    /// may or may not become durable.
+    pub(crate) fn fail_pending_calls<'a>(&mut self, unsent: impl Iterator<Item = &'a StepRecord>) {
+        let own = std::mem::take(&mut self.records);
+        let (mut accepts, mut cancels) = (BTreeSet::new(), BTreeSet::new());
+        let mut note = |record: &StepRecord| {
+            match record {
+                StepRecord::Accepted { job } => accepts.insert(job.key),
+                StepRecord::Cancelled { job } => cancels.insert(*job),
+                _ => false,
             };
-            self.reply(token, StepAnswer::Failed(failure));
+        };
+        unsent.for_each(&mut note);
+        own.iter().for_each(note);
+        let certainty = |unsent: bool| if unsent { Ran::No } else { Ran::Unknown };
+        let accepting = std::mem::take(&mut self.accepting).into_iter();
+        let accepting = accepting.map(|(job, tokens)| (certainty(accepts.contains(&job)), tokens));
+        let cancelling = std::mem::take(&mut self.cancelling).into_iter();
+        let cancelling = cancelling.map(|(job, tokens)| (certainty(cancels.contains(&job)), tokens));
+        for (ran, tokens) in accepting.chain(cancelling).collect::<Vec<_>>() {
+            for token in tokens {
+                let failure = Failure {
+                    kind: ErrorKind::Unavailable,
+                    message: "another daemon became the scheduler".to_owned(),
+                    ran,
+                    retry: Some(RETRY_AFTER.0),
+                };
+                self.reply(token, StepAnswer::Failed(failure));
+            }
         }
     }
 }
--- a/crates/pistachiostair/tests/steps/calls.rs
+++ b/crates/pistachiostair/tests/steps/calls.rs
@@ -1,7 +1,7 @@
 //! Calls about jobs while the configuration changes the queues that their URLs select.
 
 use pistachiostair::{
-    Event, JobKey, Queue, QueueName, Revision, Rules, StepAnswer, StepCall, StepJob, StepJobPhase, StepsEvent,
+    Event, JobKey, Queue, QueueName, Ran, Revision, Rules, StepAnswer, StepCall, StepJob, StepJobPhase, StepsEvent,
 };
 use rstest::rstest;
 
@@ -256,3 +256,34 @@
         ref other => panic!("{other:?}"),
     }
 }
+
+/// Guards against a submission that is reported as perhaps accepted although its record was never sent to the store, so
+/// that the caller can't try it again, and against one that is reported as not accepted while its row is on its way.
+#[test]
+fn deposed_before_sent() {
+    let mut world = World::new(1);
+    world.run(100);
+    let submit = |key: u64| StepCall::Submit {
+        job: Box::new(job(key, "normal", 1, 1, 100)),
+    };
+    let sent = world.call(submit(1));
+    let unsent = world.call(submit(2));
+    let repeated = world.call(submit(2));
+    let cancelled = world.cancel(3, "normal");
+    world.feed(Event::Deposed);
+    let ran = |world: &World, token| match world.answers.get(&token) {
+        Some(StepAnswer::Failed(failure)) => (failure.ran, failure.retry.is_some()),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(ran(&world, sent), (Ran::Unknown, true));
+    assert_eq!(
+        [unsent, repeated, cancelled].map(|token| ran(&world, token)),
+        [(Ran::No, true); 3]
+    );
+    world.run(100);
+    world.take_over();
+    world.run(1_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    assert_eq!(world.span(2), (None, None));
+    world.check();
+}
