--- a/crates/pistachiostair/src/steps/wasted.rs
+++ b/crates/pistachiostair/src/steps/wasted.rs
@@ -4,7 +4,7 @@
 //! A member of a gang whose end has no cause of its own ([`RunStopReason::GangBroken`]) takes that of its gang. Workers
 //! may list such an end before the one that caused it, so that it is kept open for a while.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use crate::clock::Millis;
@@ -188,7 +188,7 @@
     /// Since the last report.
     recent: Totals,
     /// Accounts with totals of their own.
-    accounts: BTreeMap<AccountName, ()>,
+    accounts: BTreeSet<AccountName>,
     reported_at: Option<Millis>,
     /// Work whose cause is known and that the owner has not yet taken for the metrics.
     counted: Vec<Waste>,
@@ -235,13 +235,13 @@
     }
 
     fn count(&mut self, cause: RunStopReason, account: AccountName, core_millis: u64) {
-        let known = self.accounts.contains_key(&account) || self.accounts.len() < MAX_ACCOUNTS;
+        let known = self.accounts.contains(&account) || self.accounts.len() < MAX_ACCOUNTS;
         let account = match known {
             true => account,
             false => AccountName::from(OTHER_ACCOUNTS),
         };
         if known {
-            self.accounts.insert(account.clone(), ());
+            self.accounts.insert(account.clone());
         }
         let waste = Waste {
             cause,
