scarce: the burst test holds measured figures

Cause: its comment named a figure that no run had given, and its bounds were met without the order too.

--- a/crates/pistachiostair/tests/steps/scarce.rs
+++ b/crates/pistachiostair/tests/steps/scarce.rs
@@ -111,9 +111,9 @@
     values.iter().sum::<f64>() / values.len().max(1) as f64
 }
 
-/// Load: bursts of two queues at once, x1.9 and x2.3, on a fleet that has no room for them. Guards against capacity that
-/// goes to jobs that can't be in time any more while others still could; in order of age, the patient queue kept 0.47 of
-/// its value. The urgent queue and the worst-served account are no worse for it.
+/// Load: bursts of two queues at once, x1.9 and x2.3 for 12 s, on a fleet that has no room for them. Guards against capacity
+/// that goes to jobs that can't be in time any more while others still could: by age alone, the patient queue kept 0.54 of its
+/// value instead of 0.62, and the worst-served account 0.78 instead of 0.81. The urgent queue keeps 0.93 either way.
 #[test]
 fn bursts_beyond_room() {
     let (mut urgent, mut bulk, mut worst) = (Vec::new(), Vec::new(), 1.0_f64);
@@ -131,8 +131,7 @@
         worst = accounts.values().map(|values| mean(values)).fold(worst, f64::min);
     }
     let values = (mean(&urgent), mean(&bulk), worst);
-    println!("{values:?}");
-    assert!(values.0 > 0.9 && values.1 > 0.5 && values.2 > 0.7, "{values:?}");
+    assert!(values.0 > 0.92 && values.1 > 0.58 && values.2 > 0.78, "{values:?}");
 }
 
 /// Load: a steady flow of new jobs, half as much again as fits. Guards against jobs that wait for ever behind later ones
