Speed of machines: urgent steps go to machines that are fast enough

On workers of speeds 0.6, 1.0 and 1.6 half of the urgent jobs were late although they started at once: a gang runs at the pace of its slowest member, and all that was known of a worker was whether it took more than 107% of the usual time.

steps/speed.rs estimates the speed of each machine, with its uncertainty, from the finished tasks of each step. A step whose objective needs fast machines prefers these, waits for them only if it then ends sooner, and reserves and preempts within the same set. Patient steps take the slowest machines that are fast enough. A gang takes members of one pace, in the rack where that is highest. Forecasts and stragglers use the duration expected on the worker. The key is the field `machine` of a worker's entry, or its name. Replaces Host::relative_duration, SLOW_PERCENT and the slow flag.

Not in this commit: estimates are not stored, a takeover loses them; no metric; nothing is learnt from runs that have not ended or from steps of less than three tasks.

searches_match_plain_ones compares with a plain search for the new preference, as strictly as before. Not run: step_costs before and after, the tests of the platform crate.

--- a/crates/pistachiostair/examples/step_costs.rs
+++ b/crates/pistachiostair/examples/step_costs.rs
@@ -162,6 +162,7 @@
             }
             let rack = format!("rack-{}", number / WORKERS_PER_RACK);
             load.listed.push(HostInfo {
+                machine: name.as_str().to_owned(),
                 name,
                 address: format!("10.0.{}.{}:80", number / 256, number % 256),
                 service: ServiceName::from("service"),
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -7,6 +7,7 @@
 //! - `plan`, `queue`, `ready`, `place`, `capacity`, `forecast`: assignment of workers to waiting tasks.
 //! - `budget`, `preemption`, `reservation`: when and what to preempt for a step that does not fit.
 //! - `straggler`, `progress`, `ejection`, `evacuation`: slow runs, and workers that are slow, fail or leave.
+//! - `speed`: how fast each machine is relative to the fleet.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
 //! - `step_limits`: limits of the platform that decisions depend on.
 
@@ -33,6 +34,7 @@
 mod reservation;
 mod rules;
 mod spec;
+mod speed;
 mod step_limits;
 mod straggler;
 #[cfg(test)]
--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -41,6 +41,20 @@
 }
 
 impl StepScheduler {
+    /// How long a step may take from now on for its job to end within its objective; zero if it is late.
+    pub(crate) fn allowed_duration(&self, cx: &Context<'_>, entry: &JobEntry, (number, step): (u32, &Step)) -> Millis {
+        let (total, remaining) = critical_path(&entry.spec, number);
+        let later = remaining.since(step.estimate);
+        let waited = cx.wall.since(entry.accepted);
+        self.objective(entry, total).since(later).since(waited)
+    }
+
+    /// Time within which a job must end, given the estimated duration of its critical path.
+    fn objective(&self, entry: &JobEntry, total: Millis) -> Millis {
+        let terms = self.terms(entry);
+        terms.allowance + Millis(total.0.saturating_mul(terms.stretch) / 1_000)
+    }
+
     /// The limits for a step, given as its number in the job and its specification, of which `count` tasks wait.
     /// `covered` tells whether a guarantee covers the job.
     pub(crate) fn preemption_budget(
@@ -55,7 +69,7 @@
         let (number, step) = step;
         let (total, remaining) = critical_path(&entry.spec, number);
         let waited = cx.wall.since(entry.accepted);
-        let objective = terms.allowance + Millis(total.0.saturating_mul(terms.stretch) / 1_000);
+        let objective = self.objective(entry, total);
         let slack = objective.since(remaining).since(waited);
         let own_work = core_millis(&step.demand, step.estimate).saturating_mul(count as u64);
         let urgent = terms.priority == 0;
--- a/crates/pistachiostair/src/steps/capacity.rs
+++ b/crates/pistachiostair/src/steps/capacity.rs
@@ -7,10 +7,7 @@
 use crate::steps::plan::StepPlacement;
 use crate::steps::queue::StepKey;
 use crate::steps::spec::{Demand, ServiceName, Step};
-
-/// Relative duration of tasks above which a worker counts as slow, in percent of the usual. It lies between the two
-/// kinds of workers in the users' deployments, which take 93 and 117 percent of the median.
-const SLOW_PERCENT: u64 = 107;
+use crate::steps::speed::SpeedClass;
 
 /// An amount of free capacity, and the part of the capacity in use that is reserved.
 #[derive(Clone, Copy, Debug, Default)]
@@ -80,8 +77,7 @@
     steady: bool,
     /// Whether it is kept for a task on trial.
     withdrawn: bool,
-    /// Whether tasks take longer on it than on most workers.
-    slow: bool,
+    speed: SpeedClass,
 }
 
 /// A worker on which a step may run: its position in [`FreeCapacity`], and the number of tasks of the step that it may
@@ -100,6 +96,8 @@
     positions: Vec<Option<u32>>,
     /// Accelerators of all known workers, whether they accept tasks or not.
     pub(crate) accelerators: u64,
+    /// The lowest and the highest speed of the candidates.
+    speeds: (SpeedClass, SpeedClass),
     /// Raised with each change.
     pub(crate) version: u64,
 }
@@ -111,6 +109,7 @@
             candidates: Vec::with_capacity(scheduler.hosts.len()),
             positions: vec![None; scheduler.last_host as usize + 1],
             accelerators: 0,
+            speeds: (SpeedClass::default(), SpeedClass::default()),
             version: 0,
         };
         for (worker, host) in &scheduler.hosts {
@@ -130,9 +129,12 @@
                 steady: !host.is_unsteady(cx.now),
                 withdrawn: false,
                 room: Room::new(&info.capacity, &host.used),
-                slow: host.relative_duration > SLOW_PERCENT,
+                speed: host.speed,
             });
         }
+        let speeds = free.candidates.iter().map(|candidate| candidate.speed);
+        let lowest = speeds.clone().min().unwrap_or_default();
+        free.speeds = (lowest, speeds.max().unwrap_or_default());
         free
     }
 
@@ -156,9 +158,25 @@
         self.candidates[position as usize].room
     }
 
-    /// Whether tasks take longer on the worker at this position than on most.
-    pub(crate) fn is_slow(&self, position: u32) -> bool {
-        self.candidates[position as usize].slow
+    /// Speed of the worker at this position.
+    pub(crate) fn speed(&self, position: u32) -> SpeedClass {
+        self.candidates[position as usize].speed
+    }
+
+    /// The lowest speed among the workers at these positions; the usual one if there are none.
+    pub(crate) fn lowest_speed(&self, positions: &[u32]) -> SpeedClass {
+        let speeds = positions.iter().map(|position| self.speed(*position));
+        speeds.min().unwrap_or_default()
+    }
+
+    /// The lowest and the highest speed of all workers.
+    pub(crate) fn speeds(&self) -> (SpeedClass, SpeedClass) {
+        self.speeds
+    }
+
+    /// Whether all workers count as equally fast.
+    pub(crate) fn is_uniform(&self) -> bool {
+        self.speeds.0 == self.speeds.1
     }
 
     /// Number of the rack of the worker at this position.
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -20,6 +20,7 @@
 use crate::steps::reservation::Reservation;
 use crate::steps::rules::Rules;
 use crate::steps::spec::{Demand, JobKey, QueueSettings, Step, StepJobPhase, TaskKey};
+use crate::steps::speed::{SpeedClass, Speeds};
 use crate::steps::step_limits::StepLimits;
 use crate::steps::straggler::DurationsByStep;
 use crate::steps::trial::Suspect;
@@ -359,6 +360,8 @@
     /// Incarnation of the worker on which it was placed.
     pub(crate) incarnation: Incarnation,
     pub(crate) demand: Demand,
+    /// Speed of the worker as it was known when the run was placed.
+    pub(crate) speed: SpeedClass,
     pub(crate) phase: RunPhase,
     /// When it was placed or, from [`RunPhase::Live`] on, when the worker first confirmed it.
     pub(crate) since: Millis,
@@ -445,6 +448,8 @@
     pub(crate) reservations: BTreeMap<StepKey, Reservation>,
     /// Durations of finished tasks, by step, of jobs that have not ended.
     pub(crate) durations: DurationsByStep,
+    /// Estimates of how fast each machine is.
+    pub(crate) speeds: Speeds,
     /// Jobs whose next occurrence is due later, by the wall clock at which it is.
     pub(crate) due: BTreeSet<(Millis, JobKey)>,
     /// Jobs that have ended under this term or whose end is being committed; nothing of them is placed any more.
@@ -500,6 +505,7 @@
             waiting: BTreeMap::new(),
             reservations: BTreeMap::new(),
             durations: DurationsByStep::new(),
+            speeds: Speeds::default(),
             due: BTreeSet::new(),
             closed: BTreeSet::new(),
             forgetting: BTreeSet::new(),
@@ -550,6 +556,7 @@
                 host: host.number,
                 incarnation: placed.incarnation,
                 demand: step.demand,
+                speed: SpeedClass::default(),
                 phase: RunPhase::Live,
                 since: cx.now,
                 sends: 1,
--- a/crates/pistachiostair/src/steps/forecast.rs
+++ b/crates/pistachiostair/src/steps/forecast.rs
@@ -171,7 +171,7 @@
             .since(cx.now)
             .max(MIN_STOP_REMAINING);
     }
-    let estimate = step.map_or(Millis::ZERO, |step| step.estimate);
+    let estimate = step.map_or(Millis::ZERO, |step| run.speed.duration(step.estimate));
     let known = run.progress.and_then(|progress| progress.forecast(cx.now, estimate));
     known.unwrap_or_else(|| estimate.since(cx.now.since(run.since)).max(MIN_UNKNOWN_REMAINING))
 }
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -11,6 +11,7 @@
 use crate::record;
 use crate::steps::ejection::Ejection;
 use crate::steps::spec::{Demand, ServiceName, TaskKey};
+use crate::steps::speed::SpeedClass;
 
 /// Identifies a run: its task and its run number, counted from 1 per task. Members of a gang share the number.
 pub(crate) type RunKey = (TaskKey, u32);
@@ -25,13 +26,6 @@
 /// Margin on the computed end of a lease, for rounding and for the time that a reply takes.
 const LEASE_SLACK: Millis = Millis(100);
 
-/// Weight of a new task in a host's relative duration, in percent: the average of about five tasks.
-const NEW_TASK_WEIGHT: u64 = 25;
-
-/// Upper bound on one task's part in the relative duration, in percent of the usual duration: a host that was slow for
-/// some seconds must not count as one that is always slow.
-const MAX_TASK_DURATION: u64 = 200;
-
 /// Failed calls in a row from which on a host gets no new tasks until it answers.
 const SUSPECT_FAILURES: u32 = 2;
 
@@ -81,6 +75,9 @@
         pub remaining: Option<Millis>,
         /// Its incarnation, which grows with each restart.
         pub incarnation: Incarnation,
+        /// The machine that it runs on, whose speed stays the same when the worker returns under another name; the
+        /// worker's name if the entry does not give it.
+        pub machine: String,
     }
 }
 
@@ -185,8 +182,8 @@
     pub(crate) leaves_at: Option<Millis>,
     /// Whether the host is ejected after failures or for being slow, and until when.
     pub(crate) ejection: Ejection,
-    /// Average duration of tasks there, in percent of the usual; above 100 for a slow worker.
-    pub(crate) relative_duration: u64,
+    /// Speed of its machine, from [`StepScheduler::speeds`](crate::steps::StepScheduler).
+    pub(crate) speed: SpeedClass,
 }
 
 impl Host {
@@ -229,16 +226,10 @@
             drained: false,
             leaves_at: None,
             ejection: Ejection::default(),
-            relative_duration: 100,
+            speed: SpeedClass::default(),
         }
     }
 
-    /// Adds a finished task to the relative duration; `percent` is how long it took against the usual.
-    pub(crate) fn record_duration(&mut self, percent: u64) {
-        self.relative_duration =
-            (self.relative_duration * (100 - NEW_TASK_WEIGHT) + percent.min(MAX_TASK_DURATION) * NEW_TASK_WEIGHT) / 100;
-    }
-
     /// Replaces the earlier incarnation and forgets its clock, lease, ends and failures. Its runs stay for the caller
     /// to end.
     pub(crate) fn restart(&mut self, incarnation: Incarnation, now: Millis) {
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -67,6 +67,7 @@
         let changed = host.info.as_ref() != Some(&info);
         let draining = info.draining;
         let incarnation = info.incarnation;
+        host.speed = self.speeds.class(&info.machine, cx.now);
         host.info = Some(info);
         if changed {
             self.log_worker(
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -13,18 +13,23 @@
 use crate::steps::forecast::Forecast;
 use crate::steps::host::RunKey;
 use crate::steps::job_table::JobEntry;
-use crate::steps::place::{place_tasks, preferred_sets};
+use crate::steps::place::{SpeedPreference, fast_parts, place_tasks, preferred_sets};
 use crate::steps::preemption::{Preemption, PreemptionLimits, Search, Victims};
 use crate::steps::queue::StepKey;
 use crate::steps::record::{StartRecord, StepRecord};
 use crate::steps::reservation::{NewReservation, Reservation, preempted_runs};
 use crate::steps::spec::{JobKey, ServiceName, Step, TaskKey};
+use crate::steps::speed::SpeedClass;
 use crate::steps::trial::{TrialKind, TrialPass};
 
 /// Factor by which a task's duration grows when it runs outside the rack of its data, or when its gang is spread over
 /// racks. This is the platform's default; only the order of choices and the comparison of runs depend on it.
 pub(crate) const REMOTE_SLOWDOWN: u64 = 3;
 
+/// Duration that a step is expected to take at most, in percent of its estimate on its workers: a gang ends with its
+/// longest task, and durations differ by 15 to 30%.
+const MARGIN_PERCENT: u64 = 115;
+
 /// Share of all accelerators that may at most be kept free for waiting steps, in percent.
 const MAX_RESERVED_PERCENT: u64 = 40;
 
@@ -68,6 +73,8 @@
     entry: &'a JobEntry,
     /// Number of its tasks that wait.
     count: u32,
+    /// Whether it only waits for faster workers than those that are free.
+    waits_for_speed: bool,
     requirements: Requirements,
     sets: Rc<WorkerSets>,
 }
@@ -79,15 +86,20 @@
     label: Option<String>,
     affinity: Option<String>,
     same_rack: bool,
+    /// The least speed at which it ends in time; none if any worker of the fleet will do, or none will.
+    speed: Option<SpeedClass>,
     /// The step itself, if it limits the number of its tasks on a worker.
     spread: Option<StepKey>,
 }
 
-/// A number of tasks with the same requirements and demand; the demand is in millicores, memory and accelerators.
-type TaskGroup = (Requirements, [u64; 3], u32);
+/// A number of tasks with the same requirements and demand; the demand is in millicores, memory and accelerators. Their
+/// estimate counts only if they require a speed, and is zero otherwise.
+type TaskGroup = (Requirements, [u64; 3], Millis, u32);
 
 /// The workers that may run a step.
 struct WorkerSets {
+    /// The parts of the preferred sets, or of all workers, that are fast enough; none if no speed is required.
+    fast: Option<Vec<Vec<Eligible>>>,
     /// The sets of workers that it prefers; none if it has no preference.
     preferred: Option<Vec<Vec<Eligible>>>,
     eligible: Vec<Eligible>,
@@ -102,11 +114,19 @@
     workers: Vec<u32>,
     /// Whether they are in one of the sets that the step prefers.
     preferred: bool,
+    /// Whether they are fast enough for the step; false if it requires no speed.
+    fast: bool,
 }
 
 impl Blocked<'_> {
+    /// Time from now until tasks end that start after `wait` on these workers, which have the speed of the slowest.
+    fn end(&self, free: &FreeCapacity<'_>, wait: Millis, workers: &[u32]) -> Millis {
+        wait + free.lowest_speed(workers).duration(self.step.estimate)
+    }
+
     /// The shortest time from now after which `count` tasks fit, and a worker for each: within one of the preferred sets
-    /// or, if they never fit there, anywhere. The flag tells whether it is a preferred set.
+    /// or, if they never fit there, anywhere. Workers that are fast enough are chosen if the tasks then end sooner than on
+    /// those that become free first.
     fn earliest_start(
         &self,
         scheduler: &StepScheduler,
@@ -116,7 +136,11 @@
     ) -> Option<ForecastStart> {
         let demand = &self.step.demand;
         let demand = [demand.millicores, demand.memory, demand.accelerators];
-        let tasks = (self.requirements.clone(), demand, count);
+        let estimate = match self.requirements.speed {
+            Some(_) => self.step.estimate,
+            None => Millis::ZERO,
+        };
+        let tasks = (self.requirements.clone(), demand, estimate, count);
         if let Some((version, start)) = pass.starts.get(&tasks)
             && *version == pass.free.version
         {
@@ -126,14 +150,36 @@
         let forecast = pass.forecast.get_or_insert_with(|| Forecast::new(scheduler, cx, free));
         let within =
             |set: &[Eligible], latest: Millis| forecast.earliest_start(set, free, (&self.step.demand, count), latest);
-        let mut best: Option<(Millis, Vec<u32>)> = None;
-        for set in self.sets.preferred.iter().flatten() {
-            let latest = best.as_ref().map_or(Millis::MAX, |(at, _)| *at);
-            best = best.into_iter().chain(within(set, latest)).min();
-        }
+        let first = |sets: &Option<Vec<Vec<Eligible>>>| {
+            let mut best: Option<(Millis, Vec<u32>)> = None;
+            for set in sets.iter().flatten() {
+                let latest = best.as_ref().map_or(Millis::MAX, |(at, _)| *at);
+                best = best.into_iter().chain(within(set, latest)).min();
+            }
+            best
+        };
+        let best = first(&self.sets.preferred);
         let preferred = best.is_some();
         let best = best.or_else(|| within(&self.sets.eligible, Millis::MAX));
-        let start = best.map(|(at, workers)| ForecastStart { at, workers, preferred });
+        let fast = first(&self.sets.fast).filter(|(at, workers)| {
+            let sooner =
+                |(other, others): &(Millis, Vec<u32>)| self.end(free, *at, workers) <= self.end(free, *other, others);
+            best.as_ref().is_none_or(sooner)
+        });
+        let start = match fast {
+            Some((at, workers)) => Some(ForecastStart {
+                at,
+                workers,
+                preferred: self.sets.preferred.as_ref().is_some_and(|sets| !sets.is_empty()),
+                fast: true,
+            }),
+            None => best.map(|(at, workers)| ForecastStart {
+                at,
+                workers,
+                preferred,
+                fast: false,
+            }),
+        };
         pass.starts.insert(tasks, (pass.free.version, start.clone()));
         start
     }
@@ -226,11 +272,13 @@
         (key, step, indices): (StepKey, &Step, &BTreeSet<u32>),
     ) -> u64 {
         let count = indices.len() as u32;
+        let (speed, preference) = self.speed_preference(cx, &pass.free, entry, (key.2, step));
         let requirements = Requirements {
             service: self.terms(entry).service.clone(),
             label: step.requires.clone(),
             affinity: step.affinity.clone(),
             same_rack: step.gang && step.same_rack,
+            speed,
             spread: step.spread.map(|_| key),
         };
         let sets = match pass.sets.get(&requirements) {
@@ -238,26 +286,53 @@
             None => {
                 let eligible = self.eligible((&pass.free, &pass.placements), &requirements.service, key, step);
                 let preferred = preferred_sets(step, &eligible, &pass.free, &self.racks);
-                let sets = Rc::new(WorkerSets { preferred, eligible });
+                let all = std::slice::from_ref(&eligible);
+                let sets = preferred.as_deref().filter(|sets| !sets.is_empty()).unwrap_or(all);
+                let fast = speed.map(|speed| fast_parts(sets, speed, &pass.free));
+                let sets = Rc::new(WorkerSets {
+                    fast,
+                    preferred,
+                    eligible,
+                });
                 pass.sets.insert(requirements.clone(), sets.clone());
                 sets
             }
         };
-        let blocked = Blocked {
+        let mut blocked = Blocked {
             key,
             step,
             entry,
             count,
+            waits_for_speed: false,
             requirements,
             sets,
         };
         let everywhere = std::slice::from_ref(&blocked.sets.eligible);
-        let wanted = (count, self.terms(entry).priority == 0);
+        let wanted = (count, preference);
         let sets = blocked.sets.preferred.as_deref().unwrap_or(everywhere);
-        let mut workers = place_tasks(step, wanted, sets, &pass.free);
-        let mut reason = "best fit";
-        let missing = count - workers.len() as u32;
-        if missing > 0 && blocked.sets.preferred.is_some() {
+        let fast = blocked.sets.fast.as_deref();
+        let mut workers = place_tasks(step, wanted, fast.unwrap_or(sets), &pass.free);
+        let mut reason = match fast {
+            Some(_) => "best fit among workers that are fast enough for its objective",
+            None => "best fit",
+        };
+        let mut missing = count - workers.len() as u32;
+        if missing > 0 && fast.is_some() {
+            let any_speed = place_tasks(step, wanted, sets, &pass.free);
+            if any_speed.len() > workers.len() {
+                let now = blocked.end(&pass.free, Millis::ZERO, &any_speed);
+                let later = blocked.earliest_start(self, cx, pass, missing);
+                let later = later.filter(|start| start.fast);
+                blocked.waits_for_speed =
+                    later.is_some_and(|start| blocked.end(&pass.free, start.at, &start.workers) < now);
+                if !blocked.waits_for_speed {
+                    workers = any_speed;
+                    missing = count - workers.len() as u32;
+                    reason = "workers that are fast enough for its objective don't become free soon enough";
+                }
+            }
+        }
+        if missing > 0 && !blocked.waits_for_speed && blocked.sets.preferred.is_some() {
             let anywhere = place_tasks(step, wanted, everywhere, &pass.free);
             let max_delay = Millis(step.estimate.0.saturating_mul(REMOTE_SLOWDOWN - 1));
             let in_time = |pass: &mut PlanningPass<'a>| {
@@ -287,6 +362,34 @@
         placed as u64
     }
 
+    /// The least speed at which a step is expected to end within its objective, and which of the fitting workers it
+    /// prefers. The speed is none if the slowest worker will do, or if even the fastest won't.
+    fn speed_preference(
+        &self,
+        cx: &Context<'_>,
+        free: &FreeCapacity<'_>,
+        entry: &JobEntry,
+        (number, step): (u32, &Step),
+    ) -> (Option<SpeedClass>, SpeedPreference) {
+        let (lowest, highest) = free.speeds();
+        let urgent = self.terms(entry).priority == 0;
+        let mut least = None;
+        if !free.is_uniform() && !step.long_running {
+            let allowed = self.allowed_duration(cx, entry, (number, step));
+            let expected = Millis(step.estimate.0.saturating_mul(MARGIN_PERCENT) / 100);
+            let speeds = (lowest.index()..=highest.index()).map(SpeedClass::from_index);
+            least = speeds
+                .into_iter()
+                .find(|speed| speed.duration(expected) <= allowed)
+                .filter(|speed| *speed > lowest);
+        }
+        let preference = match urgent {
+            true => SpeedPreference::Fastest,
+            false => SpeedPreference::SlowestFrom(least.unwrap_or(lowest)),
+        };
+        (least, preference)
+    }
+
     /// Secures capacity for a step of which no task fits. Preempts running tasks if the step would otherwise be late, can
     /// start sooner that way, and the loss of work is within its budget. Otherwise, for a gang or a step of priority 0,
     /// keeps the capacity that is forecast to become free first from other steps for the rest of this pass, if
@@ -375,6 +478,17 @@
         }
         let victims = &pass.victims[&priority];
         let tasks = (&blocked.step.demand, blocked.count);
+        if let Some(fast) = &blocked.sets.fast {
+            let found = fast.iter().map(|set| victims.find(set, &pass.free, tasks, max_loss));
+            let found = found.filter_map(|search| match search {
+                Search::Found(found) => Some(found),
+                Search::Impossible | Search::TooCostly => None,
+            });
+            let best = found.min_by_key(|found| found.lost);
+            if best.is_some() || blocked.waits_for_speed {
+                return best;
+            }
+        }
         let mut best: Option<Preemption> = None;
         let mut possible = false;
         for set in blocked.sets.preferred.iter().flatten() {
@@ -430,7 +544,7 @@
             let demand = whole.map_or(step.demand, |info| info.capacity.minus(&host.used));
             host.used = host.used.plus(&demand);
             host.runs.insert((key(index), run));
-            let (number, incarnation) = (host.number, host.incarnation);
+            let (number, incarnation, speed) = (host.number, host.incarnation, host.speed);
             starts.push(StartRecord {
                 task: key(index),
                 run,
@@ -442,6 +556,7 @@
                 host: number,
                 incarnation,
                 demand,
+                speed,
                 phase: RunPhase::Planned,
                 since: cx.now,
                 sends: 0,
--- a/crates/pistachiostair/src/steps/straggler.rs
+++ b/crates/pistachiostair/src/steps/straggler.rs
@@ -5,12 +5,15 @@
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::engine::{Context, RunPhase, RunStopReason, StepScheduler};
+use crate::steps::capacity::FreeCapacity;
+use crate::steps::engine::{Context, RunPhase, RunStopReason, StepScheduler, StepsAction, StepsLog, step_of};
 use crate::steps::host::RunKey;
 use crate::steps::lists::RESTORE_TIME;
+use crate::steps::place::{SpeedPreference, place_tasks};
 use crate::steps::plan::REMOTE_SLOWDOWN;
 use crate::steps::queue::StepKey;
 use crate::steps::spec::Step;
+use crate::steps::speed::{Sample, SpeedClass, is_common_pace};
 
 /// Factor by which a run must be slower than others of its step to count as a straggler, in tenths. On healthy workers
 /// the durations of a step's tasks differ by a factor of up to 1.7 (98% of 1,953 tasks of two calm deployments).
@@ -29,47 +32,75 @@
 /// A worker is ejected for being slow only while more than this share of the listed workers, in percent, is usable.
 const MIN_USABLE_PERCENT: usize = 75;
 
-/// Least number of finished tasks of a step from which the relative durations on their workers are taken.
-const MIN_TASKS: usize = 3;
-
 /// Durations observed in one step of a job that has not ended.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepDurations {
-    /// Duration and worker of each finished task.
-    durations: Vec<(Millis, WorkerName)>,
+    durations: Vec<TaskDuration>,
+    /// Whether its tasks are a gang.
+    gang: bool,
     /// Indices of tasks that were moved once; index 0 for a gang. A task that is a straggler again is slow by itself
     /// and is not moved any more.
     moved: BTreeSet<u32>,
 }
 
+/// Duration of a finished task.
+#[derive(Clone, Debug)]
+struct TaskDuration {
+    duration: Millis,
+    worker: WorkerName,
+    /// Speed of the worker as it was known when the task was placed.
+    speed: SpeedClass,
+}
+
 /// Observed durations by step.
 pub(crate) type DurationsByStep = BTreeMap<StepKey, StepDurations>;
 
 impl StepScheduler {
     /// Records the duration of a run that is done, if its reports suffice to tell it.
     pub(crate) fn record_duration(&mut self, cx: &Context<'_>, key: &RunKey) {
-        let worker = self.runs.get(key).map(|run| run.worker.clone());
-        if let (Some(duration), Some(worker)) = (self.duration(cx, key), worker) {
+        let run = self.runs.get(key).map(|run| (run.worker.clone(), run.speed));
+        if let (Some(duration), Some((worker, speed))) = (self.duration(cx, key), run) {
+            let gang = step_of(cx.book, &key.0).is_some_and(|step| step.gang);
             let step = self.durations.entry(key.0.step_key()).or_default();
-            step.durations.push((duration, worker));
+            step.gang = gang;
+            step.durations.push(TaskDuration {
+                duration,
+                worker,
+                speed,
+            });
         }
     }
 
-    /// Updates the relative durations of tasks on each worker from the steps of jobs that have ended, and drops what
-    /// was observed in those steps.
-    pub(crate) fn update_relative_durations(&mut self, cx: &Context<'_>) {
+    /// Learns the speeds of machines from the steps of jobs that have ended, and drops what was observed in those steps.
+    pub(crate) fn learn_speeds(&mut self, cx: &Context<'_>) {
         let open = |key: &StepKey| cx.book.job(key.0).is_some_and(|entry| !entry.phase.is_final());
         let ended: Vec<StepKey> = self.durations.keys().filter(|key| !open(key)).copied().collect();
-        for step in ended.iter().filter_map(|key| self.durations.remove(key)) {
-            let Some(usual) = median(step.durations.iter().map(|(duration, _)| *duration)) else {
-                continue;
-            };
-            if step.durations.len() < MIN_TASKS {
-                continue;
+        let mut changed = false;
+        for (key, step) in ended.iter().filter_map(|key| Some((key, self.durations.remove(key)?))) {
+            let machine = |worker: &WorkerName| Some(self.hosts.get(worker)?.info.as_ref()?.machine.as_str());
+            let samples = step.durations.iter().filter_map(|done| {
+                let machine = machine(&done.worker)?;
+                let duration = done.duration;
+                Some(Sample { machine, duration })
+            });
+            let samples: Vec<Sample<'_>> = samples.collect();
+            let learned = self.speeds.learn(cx.now, &samples, step.gang);
+            changed |= learned.changed;
+            if learned.dropped > 0 {
+                self.actions.push(StepsAction::Log(StepsLog {
+                    what: "durations dropped",
+                    job: Some(key.0),
+                    task: None,
+                    worker: None,
+                    reason: format!("{} durations are zero or longer than a day", learned.dropped),
+                }));
             }
-            for (duration, worker) in &step.durations {
-                if let Some(host) = self.hosts.get_mut(worker) {
-                    host.record_duration(duration.0 * 100 / usual.0.max(1));
+        }
+        if changed {
+            self.speeds.expire(cx.now);
+            for host in self.hosts.values_mut() {
+                if let Some(info) = &host.info {
+                    host.speed = self.speeds.class(&info.machine, cx.now);
                 }
             }
         }
@@ -87,12 +118,12 @@
         else {
             return;
         };
-        let Some((usual, limit)) = self.usual(cx, step_key) else {
+        let Some(usual) = self.usual(cx, step_key, step) else {
             return;
         };
         let runs: Vec<RunKey> = self.runs_of_step(step_key).collect();
         for key in runs {
-            if let Some(straggler) = self.straggler(cx, &key, step, (usual, limit)) {
+            if let Some(straggler) = self.straggler(cx, &key, step, usual) {
                 self.handle_straggler(cx, key, step, &straggler);
             }
         }
@@ -117,35 +148,39 @@
         if in_rack() == Some(false) { REMOTE_SLOWDOWN } else { 1 }
     }
 
-    /// The usual duration of a step's tasks and the factor, in tenths, above which a run is a straggler; none while no
-    /// duration is known.
-    fn usual(&self, cx: &Context<'_>, key: StepKey) -> Option<(Millis, u64)> {
+    /// The usual duration of a step's tasks; none while no duration is known.
+    fn usual(&self, cx: &Context<'_>, key: StepKey, step: &Step) -> Option<Usual> {
         let done = self.durations.get(&key).map_or(&[][..], |step| &step.durations);
-        let done = done.iter().map(|(duration, _)| *duration);
-        let running = self.runs_of_step(key).filter_map(|run| self.duration(cx, &run));
-        let durations: Vec<Millis> = done.chain(running).collect();
-        let usual = median(durations.iter().copied())?;
+        let done = done.iter().map(|done| (done.duration, done.speed));
+        let running = self.runs_of_step(key).filter_map(|run| {
+            let speed = self.runs.get(&run)?.speed;
+            Some((self.duration(cx, &run)?, speed))
+        });
+        let durations: Vec<(Millis, SpeedClass)> = done.chain(running).collect();
+        let common = step.gang && is_common_pace(durations.iter().map(|(duration, _)| *duration));
+        let members = self.runs_of_step(key).filter_map(|run| self.runs.get(&run));
+        let slowest = members.map(|run| run.speed).min().unwrap_or_default();
+        let pace = common.then_some(slowest);
+        let usual = |(duration, speed): &(Millis, SpeedClass)| pace.unwrap_or(*speed).usual(*duration);
+        let duration = median(durations.iter().map(usual))?;
         let limit = if durations.len() > 2 {
             LIMIT_TENTHS
         } else {
             LIMIT_OF_TWO_TENTHS
         };
-        Some((usual, limit))
+        Some(Usual { duration, limit, pace })
     }
 
     /// Forecasts for a run that is a straggler; none if it is not one, or is not worth moving since it ends soon.
-    fn straggler(
-        &self,
-        cx: &Context<'_>,
-        key: &RunKey,
-        step: &Step,
-        (usual, limit): (Millis, u64),
-    ) -> Option<Straggler> {
+    fn straggler(&self, cx: &Context<'_>, key: &RunKey, step: &Step, usual: Usual) -> Option<Straggler> {
         let run = self.runs.get(key)?;
         if run.phase != RunPhase::Live || run.stop.is_some() {
             return None;
         }
-        let usual = Millis(usual.0.saturating_mul(self.slowdown(cx, key)));
+        let limit = usual.limit;
+        let speed = usual.pace.unwrap_or(run.speed);
+        let work = Millis(usual.duration.0.saturating_mul(self.slowdown(cx, key)));
+        let usual = speed.duration(work);
         let progress = run.progress?;
         let left = 100u64.saturating_sub(progress.percent().into());
         let expected = Millis(usual.0.saturating_mul(left) / 100);
@@ -153,9 +188,10 @@
         if remaining.0.saturating_mul(10) <= expected.0.saturating_mul(limit) || remaining <= cx.limits.move_time() {
             return None;
         }
+        let other = self.speed_elsewhere(cx, key, step);
         let elsewhere = match step.checkpointing && !run.checkpoint.is_empty() {
-            true => expected + RESTORE_TIME,
-            false => usual,
+            true => other.duration(Millis(work.0.saturating_mul(left) / 100)) + RESTORE_TIME,
+            false => other.duration(work),
         };
         Some(Straggler {
             usual,
@@ -164,6 +200,24 @@
         })
     }
 
+    /// The speed at which a run, with the rest of its gang, would go on after a move: that of the fastest other workers that
+    /// have room, or the usual one if there is no room now.
+    fn speed_elsewhere(&self, cx: &Context<'_>, key: &RunKey, step: &Step) -> SpeedClass {
+        let free = FreeCapacity::new(self, cx);
+        let (Some(run), Some(entry)) = (self.runs.get(key), cx.book.job(key.0.job)) else {
+            return SpeedClass::default();
+        };
+        if free.is_uniform() {
+            return SpeedClass::default();
+        }
+        let service = &self.terms(entry).service;
+        let mut set = self.eligible((&free, &[]), service, key.0.step_key(), step);
+        set.retain(|worker| free.position(run.host) != Some(worker.position));
+        let count = if step.gang { step.count } else { 1 };
+        let workers = place_tasks(step, (count, SpeedPreference::Fastest), &[set], &free);
+        free.lowest_speed(&workers)
+    }
+
     /// Ejects the worker of a straggler and stops the run if it is forecast to end much sooner elsewhere. The worker is
     /// not ejected if that would leave too few usable ones.
     fn handle_straggler(&mut self, cx: &Context<'_>, key: RunKey, step: &Step, straggler: &Straggler) {
@@ -201,9 +255,20 @@
     durations.get(durations.len().checked_sub(1)? / 2).copied()
 }
 
+/// How long a step's tasks take.
+#[derive(Clone, Copy, Debug)]
+struct Usual {
+    /// The usual duration, in the rack of the data and at the usual speed.
+    duration: Millis,
+    /// Factor above which a run is a straggler, in tenths.
+    limit: u64,
+    /// The speed of the slowest member, if all members of a gang report its progress.
+    pace: Option<SpeedClass>,
+}
+
 /// Forecasts for a straggler.
 struct Straggler {
-    /// Usual duration of such a task in the rack that it runs in.
+    /// Usual duration of such a task on its worker.
     usual: Millis,
     /// Time until it ends where it is.
     remaining: Millis,
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -10,9 +10,10 @@
 use crate::steps::engine::{Context, RunPhase};
 use crate::steps::forecast::{Forecast, remaining};
 use crate::steps::host::{Host, RunKey};
-use crate::steps::place::{leftover, place_tasks};
+use crate::steps::place::{SpeedPreference, leftover, place_tasks};
 use crate::steps::preemption::{PreemptionLimits, Search, Victims, lost_work};
 use crate::steps::progress::RunProgress;
+use crate::steps::speed::{CLASSES, SpeedClass};
 use crate::steps::{
     AccountRule, Demand, HoldReply, HostInfo, HostUpdate, JobKey, OrderReply, Queue, QueueName, QueueSettings, Rules,
     RunEnd, RunOutcome, RunReport, ServiceName, Step, StepCall, StepJob, StepJobTable, StepLimits, StepScheduler,
@@ -99,6 +100,7 @@
             draining,
             remaining: draining.then_some(Millis(2_000)),
             incarnation: Incarnation(incarnation),
+            machine: name.as_str().to_owned(),
             name,
         }
     }
@@ -413,12 +415,15 @@
                 ..Step::default()
             };
             let count = region.random.u32(1..20);
-            let urgent = region.random.bool();
+            let preference = match region.random.bool() {
+                true => SpeedPreference::Fastest,
+                false => SpeedPreference::SlowestFrom(SpeedClass::from_index(region.random.usize(4..9))),
+            };
 
-            let workers = place_tasks(&step, (count, urgent), std::slice::from_ref(&set), &free);
+            let workers = place_tasks(&step, (count, preference), std::slice::from_ref(&set), &free);
             assert_eq!(
                 workers,
-                plain_pack(&step, (count, urgent), &set, &free),
+                plain_pack(&step, (count, preference), &set, &free),
                 "place, {what}"
             );
             placed += workers.len();
@@ -474,8 +479,41 @@
     }
 }
 
-/// Places one task after the other on the best of all workers.
-fn plain_pack(step: &Step, (count, urgent): (u32, bool), set: &[Eligible], free: &FreeCapacity<'_>) -> Vec<u32> {
+/// Places one task after the other on the best of all workers; those of a gang on the slowest that let it run at its pace,
+/// which is the highest possible or, if it asks for less, that.
+fn plain_pack(
+    step: &Step,
+    (count, preference): (u32, SpeedPreference),
+    set: &[Eligible],
+    free: &FreeCapacity<'_>,
+) -> Vec<u32> {
+    if !step.gang {
+        return plain_fill(step, (count, preference), set, free);
+    }
+    let mut paces = (0..CLASSES).rev().map(SpeedClass::from_index);
+    let highest = paces.find(|pace| {
+        let fast: Vec<Eligible> = set
+            .iter()
+            .filter(|worker| free.speed(worker.position) >= *pace)
+            .copied()
+            .collect();
+        plain_fill(step, (count, preference), &fast, free).len() == count as usize
+    });
+    let pace = highest.map(|pace| match preference {
+        SpeedPreference::Fastest => pace,
+        SpeedPreference::SlowestFrom(least) => pace.min(least),
+    });
+    pace.map_or_else(Vec::new, |pace| {
+        plain_fill(step, (count, SpeedPreference::SlowestFrom(pace)), set, free)
+    })
+}
+
+fn plain_fill(
+    step: &Step,
+    (count, preference): (u32, SpeedPreference),
+    set: &[Eligible],
+    free: &FreeCapacity<'_>,
+) -> Vec<u32> {
     let mut left: Vec<(Eligible, Demand)> = set
         .iter()
         .filter(|worker| free.room(worker.position).fits(&step.demand))
@@ -486,16 +524,17 @@
         let fitting = left
             .iter_mut()
             .filter(|(worker, free)| worker.limit > 0 && step.demand.fits(free));
-        let best = fitting
-            .min_by_key(|(worker, room)| (free.is_slow(worker.position) == urgent, leftover(room, &step.demand)));
+        let best = fitting.min_by_key(|(worker, room)| {
+            (
+                preference.rank(free.speed(worker.position)),
+                leftover(room, &step.demand),
+            )
+        });
         let Some((worker, room)) = best else { break };
         worker.limit -= 1;
         *room = room.minus(&step.demand);
         workers.push(worker.position);
     }
-    if step.gang && workers.len() < count as usize {
-        workers.clear();
-    }
     workers
 }
 
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -32,7 +32,7 @@
     pub(crate) fn tick(&mut self, cx: &Context<'_>) {
         self.release_due(cx);
         self.expire_reservations(cx);
-        self.update_relative_durations(cx);
+        self.learn_speeds(cx);
         let busy = self.hosts.values().filter(|host| !host.runs.is_empty()).count();
         self.hold_wait = cx.limits.hold_wait(busy);
         let due = self.hosts.iter().filter(|(_, host)| host.has_due_work(cx.now));
--- a/crates/pistachiostair/src/steps/trial.rs
+++ b/crates/pistachiostair/src/steps/trial.rs
@@ -15,7 +15,7 @@
 use crate::steps::forecast::Forecast;
 use crate::steps::host::{Host, RunKey};
 use crate::steps::job_table::JobEntry;
-use crate::steps::place::{place_tasks, preferred_sets};
+use crate::steps::place::{SpeedPreference, place_tasks, preferred_sets};
 use crate::steps::plan::{PlanningPass, StepPlacement};
 use crate::steps::queue::StepKey;
 use crate::steps::spec::{JobKey, Step};
@@ -275,7 +275,7 @@
     ) {
         let terms = self.terms(entry);
         let eligible = self.eligible((&pass.free, &pass.placements), &terms.service, key, step);
-        let wanted = (indices.len() as u32, terms.priority == 0);
+        let wanted = (indices.len() as u32, SpeedPreference::of_queue(terms.priority));
         let place = |free: &FreeCapacity<'_>, set: Vec<Eligible>| {
             let preferred = preferred_sets(step, &set, free, &self.racks).unwrap_or_default();
             let placed = [preferred, vec![set]].map(|sets| place_tasks(step, wanted, &sets, free));
@@ -336,6 +336,7 @@
     ) -> TrialPlace {
         let terms = self.terms(entry);
         let eligible = self.eligible((&pass.free, &pass.placements), &terms.service, key, step);
+        let wanted = (count, SpeedPreference::of_queue(terms.priority));
         let is_empty = |worker: &Eligible| pass.free.is_empty(worker.position);
         let empty: Vec<Eligible> = eligible.iter().copied().filter(is_empty).collect();
         let is_steady = |worker: &Eligible| pass.free.is_steady(worker.position);
@@ -343,7 +344,7 @@
         for set in [steady, empty] {
             let preferred = preferred_sets(step, &set, &pass.free, &self.racks).unwrap_or_default();
             for sets in [preferred, vec![set]] {
-                let workers = place_tasks(step, (count, terms.priority == 0), &sets, &pass.free);
+                let workers = place_tasks(step, wanted, &sets, &pass.free);
                 if workers.len() == count as usize {
                     return TrialPlace::Empty(workers);
                 }
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -12,6 +12,7 @@
 mod review;
 mod review_waves;
 mod rows;
+mod speed;
 mod takeover;
 mod waves;
 mod world;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -82,6 +82,8 @@
     tokens: u64,
     listed: BTreeMap<WorkerName, HostInfo>,
     guaranteed: u64,
+    /// Stretches of the queues `urgent`, `normal` and `bulk` from the next election on.
+    pub(crate) stretches: [u64; 3],
 }
 
 impl World {
@@ -119,6 +121,7 @@
             tokens: 0,
             listed: BTreeMap::new(),
             guaranteed,
+            stretches: [2_000; 3],
         };
         for number in 0..count {
             world.add_worker(number, 1);
@@ -209,6 +212,7 @@
             draining: false,
             remaining: None,
             incarnation,
+            machine: worker(number).as_str().to_owned(),
         };
         self.listed.insert(name, info);
     }
@@ -285,7 +289,7 @@
                 service: ServiceName::from("orders"),
                 priority,
                 attempts,
-                stretch: 2_000,
+                stretch: self.stretches[priority as usize],
                 allowance: Millis(300),
             },
             timeout: Millis(3_000),
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -4,6 +4,8 @@
 //!
 //! `lasts=1` says that the tasks are long-running: they start again after they have ended as done.
 //!
+//! `vary=25` lets the work of each task differ from `work` by up to 25%, the same in each of its runs.
+//!
 //! `deadly=2` lets the second task of each step (that with index 1) crash each worker that starts it, `deadly=all` lets
 //! every task do so: `crash_after=1500` milliseconds after the start, or without it before the start is answered.
 
@@ -42,6 +44,8 @@
 pub struct TaskPlan {
     /// Duration.
     pub work: Millis,
+    /// Most by which the duration of a task differs from that, in percent.
+    pub vary: u64,
     /// Members of the gang; 0 if each task works alone.
     pub gang: u32,
     /// The first runs that fail.
@@ -66,6 +70,7 @@
         let field = |name: &str| value(name).and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
         Self {
             work: Millis(field("work")),
+            vary: field("vary").min(99),
             gang: field("gang") as u32,
             fails: field("fails") as u32,
             demand: Demand {
@@ -84,6 +89,18 @@
         }
     }
 
+    /// The work of a task, drawn from its identity.
+    fn work_of(&self, task: &TaskKey) -> Millis {
+        let [occurrence, step, index] = [task.occurrence, task.step, task.index].map(u64::from);
+        let seed = [task.job.0, occurrence, step, index]
+            .into_iter()
+            .fold(0, |seed: u64, part| {
+                seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(part + 1)
+            });
+        let percent = 100 - self.vary + fastrand::Rng::with_seed(seed).u64(0..=2 * self.vary);
+        Millis(self.work.0 * percent / 100)
+    }
+
     /// Whether run `run` must not start after run `done` has ended as done, or go on beside that.
     fn is_barred(&self, run: u32, done: u32) -> bool {
         !self.lasts || run <= done
@@ -438,7 +455,8 @@
         if barred || worker.tasks.contains_key(&order.task) {
             return OrderReply::OldRun;
         }
-        let plan = TaskPlan::parse(&order.payload);
+        let mut plan = TaskPlan::parse(&order.payload);
+        plan.work = plan.work_of(&order.task);
         if self.unguarded {
             if worker.exceeds(now, &plan.demand) {
                 let violation = format!("{} exceeds the capacity of {}", order.task, name.as_str());
