--- a/crates/pistachiostair/src/client_memory.rs
+++ b/crates/pistachiostair/src/client_memory.rs
@@ -33,6 +33,9 @@
 /// Shortest time between two lines in the log.
 const LOG_INTERVAL: Millis = Millis(1_000);
 
+/// Least number of connections of clients, so that a wrong limit does not keep all callers out.
+const MIN_CONNECTIONS: usize = 64;
+
 /// Descriptors that a process may have if the kernel doesn't tell.
 const DEFAULT_FILES: usize = 1_024;
 
@@ -305,14 +308,19 @@
     }
 }
 
-/// Connections of clients that a process may have with `files` descriptors, or with those that the kernel allows it: half
-/// of those that aren't kept for files; the rest is for workers, other daemons and the store.
+/// Connections of clients that a process may have with `files` descriptors or, if that is not set, with those that the kernel
+/// allows it: half of those that aren't `kept` for files, at least [`MIN_CONNECTIONS`]; the rest is for workers, other daemons
+/// and the store. What is set goes before the kernel's limit, which on the users' platform counts files only.
 pub fn client_connections(files: Option<usize>, kept: usize) -> usize {
+    let files = files.unwrap_or_else(allowed_files);
+    (files.saturating_sub(kept) / 2).max(MIN_CONNECTIONS)
+}
+
+/// Descriptors that the kernel allows this process.
+fn allowed_files() -> usize {
     let allowed = std::fs::read_to_string("/proc/self/limits").ok().and_then(|text| {
         let line = text.lines().find_map(|line| line.strip_prefix("Max open files"))?;
         line.split_whitespace().next()?.parse().ok()
     });
-    let allowed: usize = allowed.unwrap_or(DEFAULT_FILES);
-    let files = files.map_or(allowed, |files| files.min(allowed));
-    (files.saturating_sub(kept) / 2).max(1)
+    allowed.unwrap_or(DEFAULT_FILES)
 }
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -10,6 +10,7 @@
 //! - `straggler`, `progress`, `ejection`, `draining`: slow runs, and workers that are slow, fail or leave.
 //! - `domains`, `withheld`: failure domains that operators evacuate, and starts that are withheld for it.
 //! - `release`: workers that are replaced one after another.
+//! - `speed`: how fast each machine is relative to the fleet.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
 //! - `wasted`, `waste_counts`: work lost by runs that ended before their task was done.
 //! - `step_limits`: limits of the platform that decisions depend on.
@@ -39,6 +40,7 @@
 mod reservation;
 mod rules;
 mod spec;
+mod speed;
 mod step_limits;
 mod straggler;
 #[cfg(test)]
--- a/crates/pistachiostair/src/steps/budget.rs
+++ b/crates/pistachiostair/src/steps/budget.rs
@@ -62,6 +62,13 @@
 }
 
 impl StepScheduler {
+    /// How long a step may take from now on for its job to end within its objective; zero if it is late.
+    pub(crate) fn allowed_duration(&self, cx: &Context<'_>, entry: &JobEntry, key: StepKey, step: &Step) -> Millis {
+        let timing = self.timing(cx, entry, key, &paths(&entry.spec));
+        let later = timing.remaining.since(step.estimate);
+        timing.objective.since(later).since(timing.waited)
+    }
+
     /// The limits for a step, given as its key and its specification, of which `count` tasks wait.
     /// `covered` tells whether a guarantee covers the job.
     pub(crate) fn preemption_budget(
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -10,10 +10,11 @@
 use crate::steps::engine::{Context, RunPhase};
 use crate::steps::forecast::{Forecast, remaining};
 use crate::steps::host::{Host, RunKey};
-use crate::steps::place::{leftover, place_tasks};
+use crate::steps::place::{SpeedPreference, leftover, place_tasks};
 use crate::steps::preemption::{PreemptionLimits, Search, Victims, known_remaining, lost_span, lost_work};
 use crate::steps::progress::RunProgress;
 use crate::steps::release::is_avoided;
+use crate::steps::speed::{CLASSES, SpeedClass};
 use crate::steps::victim::{Candidate, PROHIBITIVE, VictimCost, counted_task};
 use crate::steps::{
     AccountRule, Demand, HoldReply, HostInfo, HostUpdate, JobKey, OrderReply, Queue, QueueName, QueueSettings, Rules,
@@ -102,6 +103,7 @@
             remaining: draining.then_some(Millis(2_000)),
             incarnation: Incarnation(incarnation),
             version: ["1", "2", ""][self.random.usize(0..3)].to_owned(),
+            machine: name.as_str().to_owned(),
             name,
         }
     }
@@ -416,12 +418,15 @@
                 ..Step::default()
             };
             let count = region.random.u32(1..20);
-            let urgent = region.random.bool();
+            let preference = match region.random.bool() {
+                true => SpeedPreference::Fastest,
+                false => SpeedPreference::SlowestFrom(SpeedClass::from_index(region.random.usize(4..9))),
+            };
 
-            let workers = place_tasks(&step, (count, urgent), std::slice::from_ref(&set), &free);
+            let workers = place_tasks(&step, (count, preference), std::slice::from_ref(&set), &free);
             assert_eq!(
                 workers,
-                plain_pack(&step, (count, urgent), &set, &free),
+                plain_pack(&step, (count, preference), &set, &free),
                 "place, {what}"
             );
             placed += workers.len();
@@ -477,8 +482,41 @@
     }
 }
 
-/// Places one task after the other on the best of all workers.
-fn plain_pack(step: &Step, (count, urgent): (u32, bool), set: &[Eligible], free: &FreeCapacity<'_>) -> Vec<u32> {
+/// Places one task after the other on the best of all workers; those of a gang on the slowest that let it run at its pace,
+/// which is the highest possible or, if it asks for less, that.
+fn plain_pack(
+    step: &Step,
+    (count, preference): (u32, SpeedPreference),
+    set: &[Eligible],
+    free: &FreeCapacity<'_>,
+) -> Vec<u32> {
+    if !step.gang {
+        return plain_fill(step, (count, preference), set, free);
+    }
+    let mut paces = (0..CLASSES).rev().map(SpeedClass::from_index);
+    let highest = paces.find(|pace| {
+        let fast: Vec<Eligible> = set
+            .iter()
+            .filter(|worker| free.speed(worker.position) >= *pace)
+            .copied()
+            .collect();
+        plain_fill(step, (count, preference), &fast, free).len() == count as usize
+    });
+    let pace = highest.map(|pace| match preference {
+        SpeedPreference::Fastest => pace,
+        SpeedPreference::SlowestFrom(least) => pace.min(least),
+    });
+    pace.map_or_else(Vec::new, |pace| {
+        plain_fill(step, (count, SpeedPreference::SlowestFrom(pace)), set, free)
+    })
+}
+
+fn plain_fill(
+    step: &Step,
+    (count, preference): (u32, SpeedPreference),
+    set: &[Eligible],
+    free: &FreeCapacity<'_>,
+) -> Vec<u32> {
     let mut left: Vec<(Eligible, Demand)> = set
         .iter()
         .filter(|worker| free.room(worker.position).fits(&step.demand))
@@ -492,7 +530,7 @@
         let best = fitting.min_by_key(|(worker, room)| {
             let leaves = is_avoided(free.release(worker.position), step);
             (
-                free.is_slow(worker.position) == urgent,
+                preference.rank(free.speed(worker.position)),
                 leaves,
                 leftover(room, &step.demand),
             )
@@ -502,9 +540,6 @@
         *room = room.minus(&step.demand);
         workers.push(worker.position);
     }
-    if step.gang && workers.len() < count as usize {
-        workers.clear();
-    }
     workers
 }
 
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -14,6 +14,7 @@
 mod review_waves;
 mod rows;
 mod scarce;
+mod speed;
 mod takeover;
 mod wasted;
 mod waves;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -101,7 +101,7 @@
     listed: BTreeMap<WorkerName, HostInfo>,
     guaranteed: u64,
     /// Stretch, in thousandths, and allowance, in milliseconds, of the queues `urgent`, `normal` and `bulk`.
-    objectives: [(u64, u64); 3],
+    pub(crate) objectives: [(u64, u64); 3],
 }
 
 impl World {
@@ -281,6 +281,7 @@
             remaining: None,
             incarnation,
             version: self.version.clone(),
+            machine: worker(number).as_str().to_owned(),
         };
         self.listed.insert(name, info);
     }
