queue: order by outlook withdrawn, it serves fewer callers on uneven workers

Cause: jobs that count as late by estimates which are off by up to half waited behind all others of their priority.

Change: the queue goes by guarantee, priority, account and age again; accounts with equal use still go by age, not by name. The timing stays: preemption and the choice of fast machines use it.

--- a/crates/pistachiostair/src/steps/queue.rs
+++ b/crates/pistachiostair/src/steps/queue.rs
@@ -9,15 +9,11 @@
 use crate::steps::forecast::remaining;
 use crate::steps::job_table::JobEntry;
 use crate::steps::spec::{JobKey, TaskKey};
-use crate::steps::urgency::{Outlook, Timing, objective, paths};
+use crate::steps::urgency::{Timing, objective};
 
 /// Error of the forecast of a job's end: workers report progress in whole percent, and a report may be 2 s old.
 const FORECAST_ERROR: Millis = Millis(500);
 
-/// Of so many jobs at work in a class of guarantee and priority, one may be a job that was brought forward because it was
-/// overdue. Without this bound an overload would end up serving only jobs that are worth nothing any more.
-const JOBS_PER_OVERDUE: usize = 8;
-
 /// A step of one occurrence of a job: the job, the occurrence, and the number of the step.
 pub(crate) type StepKey = (JobKey, u32, u32);
 
@@ -45,22 +41,11 @@
     step: StepKey,
 }
 
-/// Steps that are placed before all those of a higher class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct QueueClass {
-    /// False if the account's guarantee covers the job, which puts the step first.
-    uncovered: bool,
-    /// Priority of the job's queue; 0 is the most urgent.
-    priority: u32,
-    outlook: Outlook,
-}
-
-/// The queue of one planning pass. Covered jobs come first, then lower priority numbers; within one priority, the jobs that
-/// can still be in time, then those that are late, then the rest. Within these, the next step is the oldest one of the
-/// account that uses the fewest accelerators.
+/// The queue of one planning pass. Covered jobs come first, then lower priority numbers; within one priority, the next
+/// step is the oldest one of the account that uses the fewest accelerators.
 pub(crate) struct PlanningQueue<'a> {
-    /// Steps by class and account. Each list is in reverse order, so that the next step is its last.
-    classes: BTreeMap<QueueClass, BTreeMap<&'a AccountName, Vec<QueueRank>>>,
+    /// Steps by (uncovered, priority) and account. Each list is in reverse order, so that the next step is its last.
+    classes: BTreeMap<(bool, u32), BTreeMap<&'a AccountName, Vec<QueueRank>>>,
     /// Number of accelerators in use by each account.
     usage: BTreeMap<&'a AccountName, u64>,
 }
@@ -84,16 +69,6 @@
         rank.map(|rank| rank.step)
     }
 
-    fn add(&mut self, (uncovered, priority, outlook): (bool, u32, Outlook), account: &'a AccountName, rank: QueueRank) {
-        let class = QueueClass {
-            uncovered,
-            priority,
-            outlook,
-        };
-        let class = self.classes.entry(class).or_default();
-        class.entry(account).or_default().push(rank);
-    }
-
     /// Adds accelerators that were assigned to an account in this pass to its usage.
     pub(crate) fn charge(&mut self, account: &'a AccountName, accelerators: u64) {
         *self.usage.entry(account).or_default() += accelerators;
@@ -107,45 +82,15 @@
             classes: BTreeMap::new(),
             usage: self.usage.iter().map(|(account, used)| (account, *used)).collect(),
         };
-        let mut overdue: BTreeMap<(bool, u32), Vec<(QueueRank, &'a AccountName)>> = BTreeMap::new();
-        let mut current: Option<(JobKey, Vec<Millis>)> = None;
         for step in self.waiting.keys() {
             let Some(entry) = cx.book.job(step.0) else { continue };
-            if current.as_ref().is_none_or(|(job, _)| *job != step.0) {
-                current = Some((step.0, paths(&entry.spec)));
-            }
-            let paths = current.as_ref().map_or(&[][..], |(_, paths)| paths);
-            let timing = self.timing(cx, entry, *step, paths);
             let rank = QueueRank {
                 since: waits_since(entry, step.1),
                 step: *step,
             };
-            let (uncovered, priority) = (!covered.contains(&step.0), self.terms(entry).priority);
-            let outlook = match timing.outlook() {
-                Outlook::Overdue if !timing.long_running => {
-                    let waiting = overdue.entry((uncovered, priority)).or_default();
-                    waiting.push((rank, &entry.spec.account));
-                    continue;
-                }
-                outlook => outlook,
-            };
-            queue.add((uncovered, priority, outlook), &entry.spec.account, rank);
-        }
-        for ((uncovered, priority), mut waiting) in overdue {
-            waiting.sort_unstable();
-            let allowed = self.overdue_allowed(cx, covered, (uncovered, priority));
-            let mut forward = BTreeSet::new();
-            for (rank, account) in waiting {
-                let job = rank.step.0;
-                if forward.len() < allowed {
-                    forward.insert(job);
-                }
-                let outlook = match forward.contains(&job) {
-                    true => Outlook::Overdue,
-                    false => Outlook::Expired,
-                };
-                queue.add((uncovered, priority, outlook), account, rank);
-            }
+            let class = (!covered.contains(&step.0), self.terms(entry).priority);
+            let accounts = queue.classes.entry(class).or_default();
+            accounts.entry(&entry.spec.account).or_default().push(rank);
         }
         for ranks in queue.classes.values_mut().flat_map(BTreeMap::values_mut) {
             ranks.sort_unstable_by(|a, b| b.cmp(a));
@@ -184,43 +129,7 @@
             objective: objective(self.terms(entry), total),
             remaining: others.max().unwrap_or_default().max(path(number)),
             waited: cx.wall.since(waits_since(entry, occurrence)),
-            long_running: entry
-                .spec
-                .steps
-                .get(number as usize)
-                .is_some_and(|step| step.long_running),
-        }
-    }
-
-    /// Number of overdue jobs of a class of guarantee and priority that may be brought forward now: at least one unless such
-    /// jobs are at work already.
-    fn overdue_allowed(
-        &self,
-        cx: &Context<'_>,
-        covered: &BTreeSet<JobKey>,
-        (uncovered, priority): (bool, u32),
-    ) -> usize {
-        let jobs: BTreeSet<JobKey> = self.runs.keys().map(|(task, _)| task.job).collect();
-        let entries = jobs.iter().filter_map(|job| cx.book.job(*job));
-        let same = entries.filter(|entry| {
-            !entry.phase.is_final()
-                && self.terms(entry).priority == priority
-                && covered.contains(&entry.spec.key) != uncovered
-        });
-        let (mut at_work, mut brought) = (0, 0);
-        for entry in same {
-            let paths = paths(&entry.spec);
-            let total = paths.iter().copied().max().unwrap_or_default();
-            let timing = Timing {
-                objective: objective(self.terms(entry), total),
-                remaining: Millis::ZERO,
-                waited: cx.wall.since(waits_since(entry, 0)),
-                long_running: false,
-            };
-            at_work += 1;
-            brought += usize::from(timing.outlook() == Outlook::Overdue && !entry.spec.is_long_running());
         }
-        (at_work / JOBS_PER_OVERDUE).max(1).saturating_sub(brought)
     }
 
     /// Jobs of priority 0 that the guarantees of their accounts cover. Each account's jobs are counted against its
