--- a/crates/pistachiostair/src/steps/preemption.rs
+++ b/crates/pistachiostair/src/steps/preemption.rs
@@ -203,8 +203,7 @@
     }
 
     /// Finds workers in a set for `count` tasks, one after the other, each where the least urgent and least work is lost.
-    /// Gives up once
-    /// the cost exceeds `max_loss`.
+    /// Gives up once the cost exceeds `max_loss`.
     pub(crate) fn find(
         &self,
         set: &[Eligible],
