--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -85,6 +85,8 @@
     seq: u64,
     listed: bool,
     down_since: Option<Instant>,
+    /// Whether its reports don't reach the store.
+    apart: bool,
 }
 
 #[derive(Default)]
@@ -120,6 +122,7 @@
             seq: 0,
             listed: false,
             down_since: None,
+            apart: false,
         });
         let fleet = Arc::new(Fleet {
             state: Mutex::new(State {
@@ -182,11 +185,16 @@
         self.paths(index).iter().for_each(|path| path.close());
     }
 
-    /// Cuts the paths from all daemons but one to a worker, or opens them again. What is sent gets lost.
-    pub fn silence_but(&self, index: usize, daemon: usize, cut: bool) {
-        let id = self.lock().workers[index].spec.id;
+    /// Cuts a worker off from the store and from all daemons but one, or ends that. What is sent gets lost.
+    pub fn set_apart(&self, index: usize, daemon: usize, cut: bool) {
+        let mut state = self.lock();
+        let worker = &mut state.workers[index];
+        worker.apart = cut;
+        worker.down_since = cut.then(Instant::now);
+        let id = worker.spec.id;
+        drop(state);
         let what = if cut { "are cut silently" } else { "are open again" };
-        self.record.line(format!("the paths to worker {id}, but that from daemon {daemon}, {what}"));
+        self.record.line(format!("the paths of worker {id}, but that from daemon {daemon}, {what}"));
         for (number, path) in self.paths(index).iter().enumerate() {
             if number != daemon {
                 path.set_silent(cut);
@@ -245,12 +253,12 @@
         for index in 0..count {
             let mut state = self.lock();
             let worker = &mut state.workers[index];
-            let up = worker.life.is_some();
+            let up = worker.life.is_some() && !worker.apart;
             let lapsed = worker.listed && worker.down_since.is_some_and(|since| since.elapsed() >= 3 * HEARTBEAT);
             worker.listed &= !lapsed;
-            let (id, listed) = (worker.spec.id, worker.listed);
+            let id = worker.spec.id;
             drop(state);
-            if up && listed {
+            if up {
                 self.report(index);
             } else if lapsed {
                 self.store.remove("servers", id);
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -67,6 +67,7 @@
     pub fn heal(&self, daemon: usize) {
         self.record.line(format!("the path of daemon {daemon} to the store is open again"));
         self.state.lock().unwrap().cut.remove(&daemon);
+        self.changed.notify_all();
     }
 
     /// Value of a row.
@@ -98,9 +99,12 @@
     }
 
     fn answer(&self, daemon: usize, request: &Request) -> Answer {
-        if self.is_cut(daemon) {
-            return Answer::Silence;
+        // What a partition holds up arrives when it ends.
+        let mut state = self.state.lock().unwrap();
+        while state.cut.contains(&daemon) {
+            state = self.changed.wait(state).unwrap();
         }
+        drop(state);
         let path = request.path.as_str();
         let (status, body) = match (request.method.as_str(), path) {
             ("POST", "/-/rows-tx") => {
