--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,4 +1,4 @@
-//! Plays one case of the review: `review-3 CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+//! Plays one case of the review: `cases-3 CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 //! could not run. With `TROUBLE=0` in the environment there is no disruption.
 
 mod fleet;
@@ -22,7 +22,7 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, path] = arguments.as_slice() else {
-        eprintln!("review-3 CASE RECORD");
+        eprintln!("cases-3 CASE RECORD");
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
