--- a/crates/pistachiostair/examples/step_costs.rs
+++ b/crates/pistachiostair/examples/step_costs.rs
@@ -184,7 +184,7 @@
             wall: Millis(1_000_000),
         };
         load.feed("other", elected);
-        load.feed("other", Event::LeaseChanged { held: true });
+        load.feed("other", Event::LeaseChanged { until: Millis::MAX });
         load.feed("other", Event::Steps(StepsEvent::Rules(rules())));
         let update = HostUpdate {
             full: true,
--- a/crates/pistachiostair/examples/tenure_costs/owners.rs
+++ b/crates/pistachiostair/examples/tenure_costs/owners.rs
@@ -66,7 +66,7 @@
                     let owner = &mut self.owners[owner];
                     owner.journal = Some(Appender::new(owner.region.clone(), term, fence, owner.last, Seq(0)));
                 }
-                ElectionAction::LeaseValid(held) => self.owners[owner].holder = held.then_some(daemon),
+                ElectionAction::LeaseValid { until } => self.owners[owner].holder = (sent < until).then_some(daemon),
                 ElectionAction::Deposed | ElectionAction::Resigned => self.deposed += 1,
                 ElectionAction::ClaimDelayed { .. } | ElectionAction::HandingOver { .. } => {}
             }
--- a/crates/pistachiostair/src/active.rs
+++ b/crates/pistachiostair/src/active.rs
@@ -63,8 +63,11 @@
     pub(crate) term: Term,
     /// Version of the term row, on which transactions are conditional.
     pub(crate) fence: u64,
-    /// Whether this daemon holds the scheduler's lease; without it no job is accepted, placed or started.
+    /// Whether this daemon holds the scheduler's lease at the event in progress; without it no job is accepted, placed
+    /// or started.
     pub(crate) lease_held: bool,
+    /// The end of that lease, which may have passed.
+    pub(crate) lease_until: Millis,
     /// A worker has seen a newer term.
     pub(crate) superseded: bool,
     pub(crate) elected_at: Millis,
@@ -113,8 +116,6 @@
     pub(crate) steps: StepScheduler,
     /// Limits of the platform and of this daemon for the runs of steps.
     pub(crate) step_limits: StepLimits,
-    /// When the scheduler's lease was last known to be held.
-    pub(crate) last_held: Millis,
 }
 
 impl ActiveScheduler {
@@ -163,6 +164,7 @@
             term,
             fence,
             lease_held: false,
+            lease_until: Millis::ZERO,
             superseded: false,
             elected_at: now,
             elected_wall: wall,
@@ -187,7 +189,6 @@
             dirty_workers: BTreeSet::new(),
             actions: deletes.into_iter().map(Action::Append).collect(),
             steps: recover_steps(now, wall, term, &state),
-            last_held: now,
             step_limits: StepLimits::default(),
             state,
         };
@@ -294,14 +295,12 @@
 
     pub(crate) fn on(&mut self, now: Millis, event: Event) -> Vec<Action> {
         self.wall = self.elected_wall + now.since(self.elected_at);
+        if let Event::LeaseChanged { until } = event {
+            self.lease_until = until;
+        }
+        self.check_lease(now);
         match event {
-            Event::LeaseChanged { held } => {
-                self.lease_held = held;
-                self.steps.replan = true;
-                self.replan = true;
-                self.dirty_workers.extend(self.workers.keys().cloned());
-                self.dirty_jobs.extend(self.runs.keys().copied());
-            }
+            Event::LeaseChanged { .. } => {}
             Event::Call { token, call } => self.handle_call(now, token, call),
             Event::Abandoned { token } => self.calls.abandon(token),
             Event::Report { worker, changes } => self.report(now, worker, changes),
@@ -335,6 +334,19 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Compares the end of the lease with the clock at each event: the process may have been paused since the last one.
+    fn check_lease(&mut self, now: Millis) {
+        let held = now < self.lease_until;
+        if held == self.lease_held {
+            return;
+        }
+        self.lease_held = held;
+        self.steps.replan = true;
+        self.replan = true;
+        self.dirty_workers.extend(self.workers.keys().cloned());
+        self.dirty_jobs.extend(self.runs.keys().copied());
+    }
+
     /// Processes what the event left pending: committed rows, dirty jobs, placements, records to write, dirty workers.
     fn process_pending(&mut self, now: Millis) {
         while let Some((seq, batch)) = self.appender.next_committed() {
--- a/crates/pistachiostair/src/election.rs
+++ b/crates/pistachiostair/src/election.rs
@@ -91,9 +91,13 @@
         /// Version of the term row, the precondition of every journal write.
         fence: u64,
     },
-    /// Whether the lease is valid at present, sent after [`ElectionAction::Elected`] and on every change. While it is
-    /// not, the scheduler must not accept, place or start anything, but keeps its term.
-    LeaseValid(bool),
+    /// Until when the lease is valid, on this daemon's clock. Sent after [`ElectionAction::Elected`], whenever that time
+    /// changes and once it has passed. From then on the scheduler must not accept, place or start anything, but keeps
+    /// its term.
+    LeaseValid {
+        /// The end of the lease, which may have passed.
+        until: Millis,
+    },
     /// This daemon is no longer the scheduler: another one claimed the lease, or this one began to release it.
     Deposed,
     /// This daemon is out of the election until [`Election::restart`]: the lease was released or not held, or its
@@ -215,6 +219,8 @@
     ttl: Millis,
     valid_until: Millis,
     valid: bool,
+    /// The end of the lease in the last [`ElectionAction::LeaseValid`] of this term.
+    reported_until: Option<Millis>,
     resigning: bool,
     order: ClaimOrder,
     /// Version of the lease row for which [`ElectionAction::ClaimDelayed`] was sent.
@@ -246,6 +252,7 @@
             ttl: ElectionTimes::default().ttl,
             valid_until: Millis::ZERO,
             valid: false,
+            reported_until: None,
             resigning: false,
             order: ClaimOrder::with_rank(Some(0)),
             delay_reported: None,
@@ -295,6 +302,11 @@
         self.is_leader(now).then_some((self.version, self.valid_until))
     }
 
+    /// The end of the lease that this daemon holds or held last, on its own clock.
+    pub fn lease_end(&self) -> Millis {
+        self.valid_until
+    }
+
     /// Whether this daemon holds a valid lease and may act as the scheduler at `now`.
     pub fn is_leader(&self, now: Millis) -> bool {
         self.valid && now < self.valid_until
@@ -339,8 +351,8 @@
                 self.read_rows(&mut actions);
             }
         }
-        self.report_validity(now, &mut actions);
         self.send_due(now, &mut actions);
+        self.report_validity(now, &mut actions);
         actions
     }
 
@@ -585,6 +597,7 @@
         self.elected_at = now;
         self.term = own.lease.term;
         self.valid = false;
+        self.reported_until = None;
         actions.push(ElectionAction::Elected { term: self.term, fence });
         self.lease_renewed(now, &own, version, actions);
     }
@@ -625,16 +638,17 @@
         }
     }
 
-    /// Reports whether the lease is valid, after the election and on each change.
+    /// Reports until when the lease is valid, after the election and on each change.
     fn report_validity(&mut self, now: Millis, actions: &mut Vec<ElectionAction>) {
         if self.role != Role::Holder {
             return;
         }
         let held = now < self.valid_until;
-        let elected = matches!(actions.last(), Some(ElectionAction::Elected { .. }));
-        if held != self.valid || elected {
+        let until = self.valid_until;
+        if held != self.valid || self.reported_until != Some(until) {
             self.valid = held;
-            actions.push(ElectionAction::LeaseValid(held));
+            self.reported_until = Some(until);
+            actions.push(ElectionAction::LeaseValid { until });
         }
     }
 
--- a/crates/pistachiostair/src/scheduler.rs
+++ b/crates/pistachiostair/src/scheduler.rs
@@ -43,11 +43,11 @@
         /// across takeovers.
         wall: Millis,
     },
-    /// The scheduler's own lease was renewed or lapsed. Without the lease it neither accepts, places nor starts jobs;
-    /// it still renews task leases, stops tasks and reclaims. A new scheduler starts without the lease.
+    /// The end of the scheduler's own lease changed. From that time on it neither accepts, places nor starts jobs; it
+    /// still renews task leases, stops tasks and reclaims. A new scheduler starts without the lease.
     LeaseChanged {
-        /// Whether the lease is held now.
-        held: bool,
+        /// The end of the lease, on the clock of this scheduler; it is not held if that has passed.
+        until: Millis,
     },
     /// This daemon is no longer the region's scheduler: all waiting calls fail and the state is dropped.
     Deposed,
--- a/crates/pistachiostair/src/scheduler_actor.rs
+++ b/crates/pistachiostair/src/scheduler_actor.rs
@@ -299,10 +299,13 @@
                 self.read_first_list();
                 self.load_journal(term, fence, Millis::ZERO);
             }
-            ElectionAction::LeaseValid(held) => {
-                slog::info!(self.log, "tenure changed"; "region" => %self.region, "held" => held);
-                self.shared.lock().expect("leader lock").lease = self.election.valid_lease(self.now());
-                self.handle_event(Event::LeaseChanged { held });
+            ElectionAction::LeaseValid { until } => {
+                let lease = self.election.valid_lease(self.now());
+                let before = std::mem::replace(&mut self.shared.lock().expect("leader lock").lease, lease);
+                if before.is_some() != lease.is_some() {
+                    slog::info!(self.log, "tenure changed"; "region" => %self.region, "held" => lease.is_some());
+                }
+                self.handle_event(Event::LeaseChanged { until });
             }
             ElectionAction::Deposed => {
                 slog::warn!(self.log, "deposed"; "region" => %self.region);
@@ -461,7 +464,7 @@
             return;
         }
         self.handle_event(Event::LeaseChanged {
-            held: self.election.is_leader(self.now()),
+            until: self.election.lease_end(),
         });
         let mut shared = self.shared.lock().expect("leader lock");
         shared.term = Some(term);
--- a/crates/pistachiostair/src/steps/calls.rs
+++ b/crates/pistachiostair/src/steps/calls.rs
@@ -131,7 +131,7 @@
         if self.accepting.contains_key(&job) {
             return Err(refusal(ErrorKind::Unavailable, "the job is being accepted"));
         }
-        if !cx.lease_held {
+        if !cx.holds_lease() {
             return Err(refusal(ErrorKind::Unavailable, "the scheduler's lease is not renewed"));
         }
         Err(StepAnswer::Unknown)
@@ -158,7 +158,7 @@
         if let Err(reason) = job.validate() {
             return Some(refusal(ErrorKind::Invalid, &reason));
         }
-        if !cx.lease_held || cx.store_stalled {
+        if !cx.holds_lease() || cx.store_stalled {
             return Some(refusal(ErrorKind::Unavailable, "the store does not answer"));
         }
         if cx.book.open_count() >= MAX_UNFINISHED_JOBS {
@@ -228,7 +228,7 @@
             tokens.push(token);
             return None;
         }
-        if !cx.lease_held || cx.store_stalled {
+        if !cx.holds_lease() || cx.store_stalled {
             return Some(refusal(ErrorKind::Unavailable, "the store does not answer"));
         }
         if entry.is_none() && cx.book.barred().len() >= MAX_BARRED_KEYS {
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -30,8 +30,9 @@
 pub(crate) use crate::steps::wasted::RunStopReason;
 use crate::steps::wasted::WastedWork;
 
-/// How long a scheduler may go on renewing worker leases after its own lease has ended, so that running tasks survive
-/// a store outage of this length. A new scheduler adds it to the expiry of leases that it did not grant itself.
+/// How long a scheduler may go on granting and renewing worker leases after its own lease has ended, so that running
+/// tasks survive a store outage of this length. A new scheduler adds it to the expiry of leases that it did not grant
+/// itself.
 pub(crate) const RENEWAL_GRACE: Millis = Millis(2_000);
 
 /// Time until an order to stop a run that failed is repeated.
@@ -288,12 +289,10 @@
     pub(crate) now: Millis,
     /// Wall clock, in milliseconds since the Unix epoch.
     pub(crate) wall: Millis,
-    /// Whether this scheduler holds the region's lease.
-    pub(crate) lease_held: bool,
+    /// The end of the region's lease that this scheduler holds, which may have passed.
+    pub(crate) lease_until: Millis,
     /// Whether a journal write has been waiting for the store for too long to accept further calls.
     pub(crate) store_stalled: bool,
-    /// When this scheduler was last known to hold the region's lease.
-    pub(crate) last_held: Millis,
     /// Limits of the platform and of this daemon.
     pub(crate) limits: StepLimits,
     /// Most bytes of a record, as JSON, that a journal row can hold.
@@ -302,6 +301,19 @@
     pub(crate) book: &'a StepJobTable,
 }
 
+impl Context<'_> {
+    /// Whether this scheduler holds the region's lease.
+    pub(crate) fn holds_lease(&self) -> bool {
+        self.now < self.lease_until
+    }
+
+    /// Whether this scheduler may grant or renew leases of workers. After that time another scheduler may be in charge,
+    /// which counts on no later ones; see [`StepScheduler::recover`].
+    pub(crate) fn may_grant(&self) -> bool {
+        self.now < self.lease_until + RENEWAL_GRACE
+    }
+}
+
 /// State of the order to stop a run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunStop {
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -10,6 +10,7 @@
 use crate::ids::{DomainName, Incarnation, RackName, WorkerName};
 use crate::record;
 use crate::steps::ejection::Ejection;
+use crate::steps::engine::Context;
 use crate::steps::spec::{Demand, ServiceName, TaskKey};
 use crate::steps::speed::SpeedClass;
 
@@ -400,10 +401,12 @@
         }
     }
 
-    /// Starts or renews the lease: returns its deadline on the host's clock, or none if that clock was not read yet.
+    /// Starts or renews the lease: returns its deadline on the host's clock, or none if that clock was not read yet or
+    /// this scheduler may grant no leases any more. Every order that carries a deadline takes it from here.
     /// Moves [`Self::expiry`] to a time by which the deadline has passed on the host's clock even if that is slow.
-    pub(crate) fn lease(&mut self, now: Millis) -> Option<Millis> {
-        let reading = self.clock?;
+    pub(crate) fn lease(&mut self, cx: &Context<'_>) -> Option<Millis> {
+        let reading = self.clock.filter(|_| cx.may_grant())?;
+        let now = cx.now;
         let deadline = reading.remote + now.since(reading.local) + LEASE;
         let span = Millis(deadline.since(reading.remote).0 * SLOW_CLOCK_PERMILLE / 1_000);
         self.expiry = self.expiry.max(reading.local + span + LEASE_SLACK);
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -41,7 +41,8 @@
     /// Sends the start order of a run whose start record is durable, also as a repetition.
     ///
     /// Nothing is sent if the run is being stopped, its job has ended, its worker was restarted or exceeds its capacity,
-    /// or the worker's clock or address is not known. The run then ends as `Refused`, or is stopped if an earlier order
+    /// the worker's clock or address is not known, or this scheduler's own lease ended so long ago that the order would
+    /// grant a lease on which a successor does not count. The run then ends as `Refused`, or is stopped if an earlier order
     /// may have started it. See [`Self::withhold_start`] for a worker in whose domain nothing may be started.
     pub(crate) fn send_start(&mut self, cx: &Context<'_>, key: RunKey) {
         let Some(run) = self.runs.get(&key) else { return };
@@ -59,11 +60,15 @@
             .hosts
             .get_mut(&run.worker)
             .filter(|host| host.incarnation == run.incarnation && !host.is_over_capacity());
-        let deadline = host.and_then(|host| host.lease(cx.now));
+        let deadline = host.and_then(|host| host.lease(cx));
         let target = self.target(&run.worker, run.incarnation);
         let wanted = run.stop.is_none() && cx.book.job(key.0.job).is_some_and(|entry| !entry.phase.is_final());
         let (Some(deadline), Some(target), true) = (deadline, target, wanted) else {
             let unsent = run.sends == 0;
+            if !cx.may_grant() {
+                let over = cx.now.since(cx.lease_until);
+                self.log_run("not started", key, format!("the scheduler's lease ended {over} ago"));
+            }
             self.reject_start(cx, key, unsent);
             return;
         };
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -193,7 +193,7 @@
     /// Runs one planning pass and records its placements and reservations. Does nothing while the scheduler's lease is
     /// not held or the list of workers was not read.
     pub(crate) fn plan(&mut self, cx: &Context<'_>) {
-        if !cx.lease_held {
+        if !cx.holds_lease() {
             return;
         }
         self.replan = false;
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -44,9 +44,8 @@
     Context {
         now,
         wall: now,
-        lease_held: true,
+        lease_until: Millis::MAX,
         store_stalled: false,
-        last_held: now,
         limits: StepLimits::default(),
         record_bytes: usize::MAX,
         book,
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::engine::{Context, HoldOrder, RENEWAL_GRACE, RunPhase, StepScheduler, StepsAction, Target, step_of};
+use crate::steps::engine::{Context, HoldOrder, RunPhase, StepScheduler, StepsAction, Target, step_of};
 use crate::steps::host::{Host, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::StepRecord;
@@ -129,11 +129,8 @@
     }
 
     /// Sends a hold order that lets the worker wait for `wait`, zero for an immediate reply. It renews the lease only
-    /// if the worker has runs, its lists were read, its last call did not fail, and this scheduler's own lease is held
-    /// or ended only a short time ago (the grace period for renewals).
+    /// if the worker has runs, its lists were read, its last call did not fail, and [`Host::lease`] may renew it.
     fn send_hold(&mut self, cx: &Context<'_>, worker: &WorkerName, wait: Millis) {
-        // After that time another scheduler may be in charge; then only its renewals count.
-        let grace_over = !cx.lease_held && cx.now.since(cx.last_held) >= RENEWAL_GRACE;
         let term = self.term;
         let Some(host) = self.hosts.get_mut(worker) else { return };
         let Some(info) = &host.info else { return };
@@ -143,8 +140,8 @@
             address: info.address.clone(),
         };
         // A call to a worker that does not answer might renew its lease without the scheduler learning of it.
-        let leased = !host.runs.is_empty() && host.synced && !grace_over && host.failures == 0;
-        let deadline = if leased { host.lease(cx.now) } else { None };
+        let leased = !host.runs.is_empty() && host.synced && host.failures == 0;
+        let deadline = if leased { host.lease(cx) } else { None };
         match wait {
             Millis::ZERO => host.instant_hold = true,
             _ => host.waiting_hold = true,
@@ -198,7 +195,7 @@
     /// `keep`. Jobs of which runs are left stay. Does nothing without the scheduler's lease or while the record before
     /// is not durable.
     pub(crate) fn forget_expired(&mut self, cx: &Context<'_>, span: Millis, keep: usize) {
-        if !cx.lease_held || !self.forgetting.is_empty() {
+        if !cx.holds_lease() || !self.forgetting.is_empty() {
             return;
         }
         let jobs: Vec<JobKey> = cx.book.past_retention(cx.wall.since(span), keep, FORGET_LIMIT);
--- a/crates/pistachiostair/src/steps_active.rs
+++ b/crates/pistachiostair/src/steps_active.rs
@@ -18,9 +18,8 @@
     let cx = Context {
         now,
         wall,
-        lease_held: false,
+        lease_until: Millis::ZERO,
         store_stalled: false,
-        last_held: now,
         limits: StepLimits::default(),
         record_bytes: usize::MAX,
         book: &state.step_jobs,
@@ -31,15 +30,11 @@
 impl ActiveScheduler {
     /// Calls the scheduler of step jobs with its view of this one: clocks, lease, state of the store, and stored jobs.
     fn with_steps(&mut self, now: Millis, work: impl FnOnce(&mut StepScheduler, &Context<'_>)) {
-        if self.lease_held {
-            self.last_held = now;
-        }
         let cx = Context {
             now,
             wall: self.wall,
-            lease_held: self.lease_held,
+            lease_until: self.lease_until,
             store_stalled: self.appender.stalled(now) >= STORE_STALL,
-            last_held: self.last_held,
             limits: self.step_limits,
             record_bytes: self.step_record_bytes(),
             book: &self.state.step_jobs,
--- a/crates/pistachiostair/tests/life/daemon.rs
+++ b/crates/pistachiostair/tests/life/daemon.rs
@@ -210,7 +210,7 @@
                     self.elected = Some(term);
                     out.push(Out::Store(StoreOp::Load { term, fence }));
                 }
-                ElectionAction::LeaseValid(held) => self.event(now, Event::LeaseChanged { held }, out),
+                ElectionAction::LeaseValid { until } => self.event(now, Event::LeaseChanged { until }, out),
                 ElectionAction::Deposed => {
                     self.leads = None;
                     self.elected = None;
@@ -246,8 +246,8 @@
                     },
                     out,
                 );
-                let held = self.tenure.is_leader(now);
-                self.event(now, Event::LeaseChanged { held }, out);
+                let until = self.tenure.lease_end();
+                self.event(now, Event::LeaseChanged { until }, out);
             }
             StoreEvent::Unloaded { term, fence } if self.elected == Some(term) => {
                 out.push(Out::Store(StoreOp::Load { term, fence }));
--- a/crates/pistachiostair/tests/outlier.rs
+++ b/crates/pistachiostair/tests/outlier.rs
@@ -36,7 +36,7 @@
             rows: Vec::new(),
             wall,
         });
-        region.on(Event::LeaseChanged { held: true });
+        region.on(Event::LeaseChanged { until: Millis::MAX });
         (0..3).for_each(|index| region.report(index, Vec::new()));
         region
     }
--- a/crates/pistachiostair/tests/record_consequences.rs
+++ b/crates/pistachiostair/tests/record_consequences.rs
@@ -24,14 +24,14 @@
     if !same_term {
         return fixture.take_over();
     }
-    fixture.on(Event::LeaseChanged { held: false });
+    fixture.on(Event::LeaseChanged { until: Millis::ZERO });
     fixture.mute_commits = false;
     fixture.sent.clear();
     let seq = fixture.rows.last().expect("a row").0;
     fixture.on(Event::Stored(AppendEvent::Committed(seq)));
     fixture.tick(300);
     assert!(fixture.sent.is_empty(), "sent without the lease");
-    fixture.on(Event::LeaseChanged { held: true });
+    fixture.on(Event::LeaseChanged { until: Millis::MAX });
 }
 
 /// Guards against an accepted job that the next scheduler does not start, or accepts a second time.
@@ -196,10 +196,10 @@
     fixture.tick(100);
     fixture.take_over();
     // Both workers are known once the job can be placed.
-    fixture.on(Event::LeaseChanged { held: false });
+    fixture.on(Event::LeaseChanged { until: Millis::ZERO });
     fixture.report_worker("w0", 3, 1, ended);
     fixture.report_worker("w1", 1, 1, Vec::new());
-    fixture.on(Event::LeaseChanged { held: true });
+    fixture.on(Event::LeaseChanged { until: Millis::MAX });
     fixture.tick(200);
     assert_eq!(fixture.orders(), [Command::Forget { tasks: vec![task] }]);
     let status = fixture.job(get("a")).status;
--- a/crates/pistachiostair/tests/scheduler_calls.rs
+++ b/crates/pistachiostair/tests/scheduler_calls.rs
@@ -76,7 +76,7 @@
 fn submit_without_lease() {
     let mut fixture = TestScheduler::new();
     fixture.job(submit("a", "a", &spec(false)));
-    fixture.on(Event::LeaseChanged { held: false });
+    fixture.on(Event::LeaseChanged { until: Millis::ZERO });
     fixture.report(1, 1, Vec::new());
     assert_eq!(fixture.failure(submit("b", "b", &spec(false))).ran, Ran::No);
     assert_eq!(
--- a/crates/pistachiostair/tests/scripted/mod.rs
+++ b/crates/pistachiostair/tests/scripted/mod.rs
@@ -69,7 +69,7 @@
             wall,
         };
         self.on(event);
-        self.on(Event::LeaseChanged { held: true });
+        self.on(Event::LeaseChanged { until: Millis::MAX });
     }
 
     /// Elects a scheduler under term 2, which reads all rows, in place of the present one.
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -15,6 +15,7 @@
 mod rows;
 mod scarce;
 mod speed;
+mod stale_term;
 mod takeover;
 mod wasted;
 mod waves;
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -44,11 +44,19 @@
     Relist(WorkerReturn),
 }
 
+/// A scheduler that does not know that its term is over.
+struct Former {
+    term: Term,
+    scheduler: Scheduler,
+    /// Events that it will handle once its process runs again; none if it is not paused.
+    paused: Option<Vec<Event>>,
+}
+
 /// The simulated region. Times are in milliseconds.
 pub(crate) struct World {
     pub(crate) now: u64,
     pub(crate) workers: StepWorkers,
-    /// Workers that no order reaches.
+    /// Workers that no order of the scheduler in charge reaches.
     pub(crate) unreachable: BTreeSet<WorkerName>,
     /// Workers whose replies are lost; they carry orders out.
     pub(crate) reply_loss: BTreeSet<WorkerName>,
@@ -91,6 +99,14 @@
     pub(crate) version: String,
     /// How often a scheduler stepped down.
     pub(crate) step_downs: u32,
+    /// Orders that granted or renewed the lease of a worker, with their times and the terms of their schedulers.
+    pub(crate) grants: Vec<(u64, Term)>,
+    /// Whether the answers of the store are kept back from now on.
+    pub(crate) store_mute: bool,
+    /// Answers of the store that were kept back.
+    kept_answers: Vec<Delivery>,
+    /// A scheduler that does not know that its term is over.
+    former: Option<Former>,
     scheduler: Scheduler,
     limits: StepLimits,
     pub(crate) term: Term,
@@ -136,6 +152,10 @@
             stops: Vec::new(),
             version: String::new(),
             step_downs: 0,
+            grants: Vec::new(),
+            store_mute: false,
+            kept_answers: Vec::new(),
+            former: None,
             scheduler: Scheduler::new("fi".into()),
             limits: StepLimits::default(),
             term: Term(0),
@@ -404,10 +424,44 @@
             wall: Millis(1_000_000 + self.now),
         };
         self.feed(elected);
-        self.feed(Event::LeaseChanged { held: true });
+        self.feed(Event::LeaseChanged { until: Millis::MAX });
         self.feed(Event::Steps(StepsEvent::Rules(self.rules())));
     }
 
+    /// Sets the end of the scheduler's own lease to `span` milliseconds from now, and returns it.
+    pub(crate) fn set_lease(&mut self, span: u64) -> u64 {
+        let until = self.now + span;
+        self.feed(Event::LeaseChanged { until: Millis(until) });
+        until
+    }
+
+    /// Like [`Self::take_over`], but the earlier scheduler does not learn of it and acts on, unless `paused` says that its
+    /// process does not run at present.
+    pub(crate) fn supersede(&mut self, paused: bool) {
+        self.former = Some(Former {
+            term: self.term,
+            scheduler: std::mem::replace(&mut self.scheduler, Scheduler::new("fi".into())),
+            paused: paused.then(Vec::new),
+        });
+        self.take_over();
+    }
+
+    /// Lets the paused process of the earlier scheduler run again: it handles what arrived meanwhile.
+    pub(crate) fn resume_former(&mut self) {
+        let paused = self.former.as_mut().and_then(|former| former.paused.take());
+        for event in paused.unwrap_or_default() {
+            self.feed_former(event);
+        }
+    }
+
+    /// Delivers the answers of the store that were kept back.
+    pub(crate) fn unmute_store(&mut self) {
+        self.store_mute = false;
+        for answer in std::mem::take(&mut self.kept_answers) {
+            self.deliver(answer);
+        }
+    }
+
     /// Sends a call to the scheduler; its answer appears in `answers`.
     pub(crate) fn call(&mut self, call: StepCall) -> Token {
         self.tokens += 1;
@@ -460,6 +514,7 @@
                 self.read_requests();
             }
             if self.now.is_multiple_of(100) {
+                self.feed_former(Event::Tick);
                 self.feed(Event::Tick);
             } else if self.scheduler.wake_at().is_some_and(|wake| wake.0 <= self.now) {
                 self.feed(Event::Wake);
@@ -481,9 +536,29 @@
 
     /// Passes an event to the scheduler and performs its actions.
     pub(crate) fn feed(&mut self, event: Event) {
-        for action in self.scheduler.on(Millis(self.now), event) {
+        let actions = self.scheduler.on(Millis(self.now), event);
+        self.carry_out(self.term, actions);
+    }
+
+    /// Passes an event to the scheduler that does not know that its term is over, if there is one.
+    fn feed_former(&mut self, event: Event) {
+        let Some(former) = &mut self.former else { return };
+        match &mut former.paused {
+            // A paused process misses its ticks.
+            Some(_) if event == Event::Tick => {}
+            Some(paused) => paused.push(event),
+            None => {
+                let actions = former.scheduler.on(Millis(self.now), event);
+                let term = former.term;
+                self.carry_out(term, actions);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, term: Term, actions: Vec<Action>) {
+        for action in actions {
             match action {
-                Action::Append(append) => self.deliver_after(COMMIT_MS / 2, Delivery::Store(self.term, append)),
+                Action::Append(append) => self.deliver_after(COMMIT_MS / 2, Delivery::Store(term, append)),
                 Action::Steps(action) => self.perform(action),
                 Action::StepDown => self.step_downs += 1,
                 Action::Log(_) => {}
@@ -517,9 +592,13 @@
             | StepsAction::Stop { ref target, .. }
             | StepsAction::Hold { ref target, .. } => {
                 match action {
-                    StepsAction::Hold { .. } => self.holds += 1,
-                    StepsAction::Start { .. } => {
+                    StepsAction::Hold { ref order, .. } => {
+                        self.holds += 1;
+                        self.grants.extend(order.deadline.map(|_| (self.now, order.term)));
+                    }
+                    StepsAction::Start { ref order, .. } => {
                         self.start_orders += 1;
+                        self.grants.push((self.now, order.term));
                         self.ordered.push((self.now, target.worker.clone()));
                     }
                     StepsAction::Stop { .. } => self.stop_orders += 1,
@@ -529,12 +608,13 @@
                     pattern.rotate_left(1);
                     pattern.last() == Some(&true)
                 });
+                let term = self.term_of(&action);
                 if reset {
-                    let event = Delivery::Event(self.term, Box::new(Event::Steps(outcome(&action, None))));
+                    let event = Delivery::Event(term, Box::new(Event::Steps(outcome(&action, None))));
                     self.deliver_after(2 * ONE_WAY_MS, event);
-                } else if self.unreachable.contains(&target.worker) {
+                } else if self.unreachable.contains(&target.worker) && term == self.term {
                     let event = outcome(&action, None);
-                    let event = Delivery::Event(self.term, Box::new(Event::Steps(event)));
+                    let event = Delivery::Event(term, Box::new(Event::Steps(event)));
                     self.deliver_after(TIMEOUT_MS, event);
                 } else {
                     let arrives = self.now + ONE_WAY_MS;
@@ -547,6 +627,9 @@
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Order(action, arrived) => self.execute(action, arrived),
+            Delivery::Event(term, event) if self.former.as_ref().is_some_and(|former| former.term == term) => {
+                self.feed_former(Event::Outcome { term, event });
+            }
             Delivery::Event(term, event) => self.feed(Event::Outcome { term, event }),
             Delivery::Store(term, action) => self.store(term, action),
             Delivery::Relist(back) => self.relist(back),
@@ -637,7 +720,11 @@
             },
             other => panic!("unexpected {other:?}"),
         };
-        self.deliver_after(COMMIT_MS / 2, Delivery::Event(term, Box::new(Event::Stored(event))));
+        let answer = Delivery::Event(term, Box::new(Event::Stored(event)));
+        match self.store_mute {
+            true => self.kept_answers.push(answer),
+            false => self.deliver_after(COMMIT_MS / 2, answer),
+        }
     }
 }
 
--- a/crates/pistachiostair/tests/tenure/main.rs
+++ b/crates/pistachiostair/tests/tenure/main.rs
@@ -84,7 +84,7 @@
     assert!(
         election
             .on(Millis(20), committed(1))
-            .contains(&ElectionAction::LeaseValid(true))
+            .contains(&ElectionAction::LeaseValid { until: Millis(3_510) })
     );
     election.on(Millis(100), ElectionEvent::Resign);
     assert_eq!(
@@ -104,7 +104,7 @@
     assert!(
         election
             .on(Millis(9_720), committed(3))
-            .contains(&ElectionAction::LeaseValid(true))
+            .contains(&ElectionAction::LeaseValid { until: Millis(13_240) })
     );
 }
 
--- a/crates/pistachiostair/tests/tenure/region.rs
+++ b/crates/pistachiostair/tests/tenure/region.rs
@@ -270,7 +270,7 @@
                         self.deliver_after(YIELD_AFTER, Delivery::Answer(self.process(index), ElectionEvent::Yield));
                     }
                 }
-                ElectionAction::LeaseValid(valid) => self.lease_valid[index] = valid,
+                ElectionAction::LeaseValid { until } => self.lease_valid[index] = clock < until,
                 ElectionAction::Deposed => self.lease_valid[index] = false,
                 ElectionAction::Resigned => {
                     if self.ranked {
