--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -27,6 +27,10 @@
 /// Margin on the computed end of a lease, for rounding and for the time that a reply takes.
 const LEASE_SLACK: Millis = Millis(100);
 
+/// Age of the last reading of a worker's clock from which on it is read again. A lease computed from it is up to 2.5% of
+/// the age shorter than it should be.
+const MAX_READING_AGE: Millis = Millis(60_000);
+
 /// Failed calls in a row from which on a host gets no new tasks until it answers.
 const SUSPECT_FAILURES: u32 = 2;
 
@@ -325,8 +329,8 @@
         self.info.as_ref().is_some_and(|info| !self.used.fits(&info.capacity))
     }
 
-    /// Whether a hold order is due: the host has runs, has ends to be acknowledged, or its lists were not read yet, no
-    /// other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
+    /// Whether a hold order is due: the host has runs, has ends to be acknowledged, its lists were not read yet or its
+    /// clock not for long, no other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
     /// while some are not stored yet it is asked less often, and so is one without runs that did not answer: only an
     /// answer makes it usable again.
     pub(crate) fn is_hold_due(&self, now: Millis) -> bool {
@@ -334,7 +338,8 @@
             return false;
         }
         let suspect = self.listed && self.failures >= SUSPECT_FAILURES;
-        let needed = !self.runs.is_empty() || self.has_ack_due() || (!self.synced && self.listed) || suspect;
+        let unread = self.listed && (!self.synced || self.is_reading_old(now));
+        let needed = !self.runs.is_empty() || self.has_ack_due() || unread || suspect;
         let ack = self.has_ack_due() && self.is_certain(now);
         let gap = match ack && self.confirming {
             // The cursor goes out before the reply is too old.
@@ -345,6 +350,12 @@
         needed && now >= self.last_hold + gap
     }
 
+    /// Whether its clock was read so long ago that a lease computed from it would be much too short.
+    fn is_reading_old(&self, now: Millis) -> bool {
+        self.clock
+            .is_some_and(|reading| now.since(reading.local) >= MAX_READING_AGE)
+    }
+
     /// Takes note of whether a call was answered, if only by a refusal.
     pub(crate) fn note_answer(&mut self, now: Millis, answered: bool) {
         self.last_unanswered = !answered;
@@ -406,11 +417,10 @@
     /// Moves [`Self::expiry`] to a time by which the deadline has passed on the host's clock even if that is slow.
     pub(crate) fn lease(&mut self, cx: &Context<'_>) -> Option<Millis> {
         let reading = self.clock.filter(|_| cx.may_grant())?;
-        let now = cx.now;
-        let deadline = reading.remote + now.since(reading.local) + LEASE;
-        let span = Millis(deadline.since(reading.remote).0 * SLOW_CLOCK_PERMILLE / 1_000);
-        self.expiry = self.expiry.max(reading.local + span + LEASE_SLACK);
-        Some(deadline)
+        // The clock may have been slow since the reading. A lease beyond LEASE would outlast what a successor counts on.
+        let elapsed = Millis(cx.now.since(reading.local).0 * 1_000 / SLOW_CLOCK_PERMILLE);
+        self.expiry = self.expiry.max(cx.now + Self::max_lease());
+        Some(reading.remote + elapsed + LEASE)
     }
 
     /// Longest duration of a lease that starts now, by the scheduler's clock.
--- a/crates/pistachiostair/tests/steps/stale_term.rs
+++ b/crates/pistachiostair/tests/steps/stale_term.rs
@@ -1,6 +1,6 @@
 //! A scheduler that does not know that its term is over, beside its successor.
 
-use pistachiostair::{StepJobPhase, Term};
+use pistachiostair::{Millis, StepCall, StepJobPhase, Term};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, job, worker};
@@ -66,3 +66,48 @@
     assert!(!granted_late(&world, lease_end));
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
 }
+
+/// Guards against a lease that outlasts the time for which a successor waits, since its deadline was computed from an old
+/// reading of a slow clock: a worker without tasks is seldom asked for its clock.
+#[rstest]
+fn start_after_old_reading(#[values(1_000, 30_000, 100_000, 400_000)] idle: u64) {
+    let mut world = World::new(1);
+    world.workers.slow_clock(&worker(0), Millis(world.now));
+    world.run(idle);
+    world.set_lease(200);
+    world.call(StepCall::Submit {
+        job: Box::new(job(1, "normal", 1, ACCELERATORS, 20_000)),
+    });
+    world.run(20);
+    world.store_mute = true;
+    world.run(180);
+    assert_eq!(world.start_orders, 0, "ordered before its row is stored");
+    world.store_mute = false;
+    world.unreachable.insert(worker(0));
+    world.add_worker(1, 1);
+    world.supersede(false);
+    world.run(1_700);
+    world.unmute_store();
+    assert_eq!(world.start_orders, 1);
+    world.run(15_000);
+    world.unreachable.clear();
+    world.run(40_000);
+    world.check();
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+}
+
+/// Guards against starts that are refused as late on a worker whose clock was not read for long, and against workers
+/// without tasks that are asked for it all the time.
+#[test]
+fn start_after_idling() {
+    let mut world = World::new(2);
+    world.run(1_000);
+    let holds = world.holds;
+    world.run(600_000);
+    let holds = world.holds - holds;
+    assert!((10..=20).contains(&holds), "{holds} hold orders in 10 minutes");
+    world.submit(job(1, "normal", 1, ACCELERATORS, 2_000));
+    world.run(3_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    assert_eq!(world.start_orders, 1);
+}
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -170,6 +170,8 @@
     earlier: Vec<(Millis, Demand)>,
     /// Its clock is ahead by this much.
     offset: Millis,
+    /// Since when its clock has been 2% slow; none if it is exact.
+    slow_since: Option<Millis>,
     token: Term,
     deadline: Millis,
     tasks: BTreeMap<TaskKey, Running>,
@@ -223,6 +225,7 @@
             capacity,
             earlier: Vec::new(),
             offset: Millis(incarnation.0 * 1_000),
+            slow_since: None,
             token: Term(0),
             deadline: now,
             tasks: BTreeMap::new(),
@@ -234,7 +237,8 @@
     }
 
     fn clock(&self, now: Millis) -> Millis {
-        now + self.offset
+        let behind = self.slow_since.map_or(0, |since| now.since(since).0 * 2 / 100);
+        now + self.offset - Millis(behind)
     }
 
     fn used(&self) -> Demand {
@@ -291,6 +295,13 @@
         }
     }
 
+    /// Lets the clock of a worker be 2% slow from now on.
+    pub fn slow_clock(&mut self, name: &WorkerName, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.slow_since = Some(now);
+        }
+    }
+
     /// Ends a worker with all that runs there.
     pub fn crash(&mut self, name: &WorkerName) {
         self.workers.remove(name);
