--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -116,7 +116,7 @@
     },
     /// The order was not sent, so it can't have been carried out.
     Undelivered,
-    /// The order was not sent: the worker's machine refused the connection, since nothing listens at the address.
+    /// The order was not sent: the connection was refused. The worker may have ended, or may be cut off and work on.
     NoListener,
     /// The order was not sent: nothing may be started in the worker's failure domain any more.
     Withheld,
@@ -328,6 +328,8 @@
     pub(crate) failures: u32,
     /// The worker's clock when it first confirmed the order; none if it has not.
     pub(crate) confirmed_at: Option<Millis>,
+    /// Time by which the run has ended for certain, since the worker has confirmed the order; none if it has not.
+    pub(crate) over_at: Option<Millis>,
 }
 
 /// Stage in the life of a run.
@@ -443,6 +445,8 @@
     pub(crate) withheld: BTreeSet<StepKey>,
     /// Whether the platform's whole list of workers was read under this term.
     pub(crate) workers_known: bool,
+    /// Time by which all leases have ended that schedulers of earlier terms may have granted.
+    pub(crate) earlier_leases: Millis,
     /// Workers that are listed or that runs were placed on.
     pub(crate) hosts: BTreeMap<WorkerName, Host>,
     /// Highest [`Host::number`] so far.
@@ -519,6 +523,7 @@
             suspended: None,
             withheld: BTreeSet::new(),
             workers_known: false,
+            earlier_leases: cx.now + RENEWAL_GRACE + Host::max_lease(),
             hosts: BTreeMap::new(),
             last_host: 0,
             racks: BTreeMap::new(),
@@ -564,7 +569,7 @@
     }
 
     fn recover_runs(&mut self, cx: &Context<'_>, entry: &JobEntry) {
-        let expiry = cx.now + RENEWAL_GRACE + Host::max_lease();
+        let expiry = self.earlier_leases;
         for (task, placed) in entry.placed_runs() {
             let Some(step) = entry.spec.steps.get(task.step as usize) else {
                 continue;
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -44,9 +44,6 @@
 /// A worker takes longer than this to crash, start again and end a run.
 const MIN_RESTART: Millis = Millis(50);
 
-/// Time between two refused connections after which a draining worker whose time is over counts as gone.
-const REFUSAL_SPAN: Millis = Millis(300);
-
 /// Time for which a worker gets no new tasks after it refused one for want of room: the platform's list may show a
 /// smaller capacity only then.
 const NO_ROOM_PAUSE: Millis = Millis(500);
@@ -159,10 +156,8 @@
     pub(crate) alive_at: Millis,
     /// Time before which it gets no new tasks, since it refused one for want of room.
     full_until: Millis,
-    /// When the first of the connections was refused that were refused in a row.
-    refused_since: Option<Millis>,
-    /// Whether nothing listened at its address any more after it had drained and its time was over.
-    gone: bool,
+    /// Whether the connection for the last order was refused.
+    pub(crate) refused: bool,
     /// Resources of the runs there that have not ended.
     pub(crate) used: Demand,
     /// Runs there whose end is not stored yet.
@@ -195,6 +190,12 @@
     pub(crate) speed: SpeedClass,
 }
 
+/// Time by the scheduler's clock after which `span` has passed on the clock of a worker for certain, counted from its
+/// reply.
+pub(crate) fn longest(span: Millis) -> Millis {
+    Millis(span.0 * SLOW_CLOCK_PERMILLE / 1_000) + LEASE_SLACK
+}
+
 impl Host {
     /// A worker whose lists are not read yet and whose runs, if any, may be alive until `expiry`.
     pub(crate) fn new(number: u32, incarnation: Incarnation, expiry: Millis, now: Millis) -> Self {
@@ -219,8 +220,7 @@
             known_since: now,
             alive_at: now,
             full_until: Millis::ZERO,
-            refused_since: None,
-            gone: false,
+            refused: false,
             used: Demand::default(),
             runs: BTreeSet::new(),
             ends: BTreeMap::new(),
@@ -259,8 +259,7 @@
         self.failures = 0;
         self.last_unanswered = false;
         self.full_until = Millis::ZERO;
-        self.refused_since = None;
-        self.gone = false;
+        self.refused = false;
         self.replaced = false;
         self.drained = false;
         self.leaves_at = None;
@@ -329,7 +328,7 @@
         self.info.as_ref().is_some_and(|info| !self.used.fits(&info.capacity))
     }
 
-    /// Whether a hold order is due: the host has runs, has ends to be acknowledged, its lists were not read yet or its
+    /// Whether a hold order is due: the host has runs, lists ends, its lists were not read yet or its
     /// clock not for long, no other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
     /// while some are not stored yet it is asked less often, and so is one without runs that did not answer: only an
     /// answer makes it usable again.
@@ -339,7 +338,7 @@
         }
         let suspect = self.listed && self.failures >= SUSPECT_FAILURES;
         let unread = self.listed && (!self.synced || self.is_reading_old(now));
-        let needed = !self.runs.is_empty() || self.has_ack_due() || unread || suspect;
+        let needed = !self.runs.is_empty() || !self.ends.is_empty() || unread || suspect;
         let ack = self.has_ack_due() && self.is_certain(now);
         let gap = match ack && self.confirming {
             // The cursor goes out before the reply is too old.
@@ -361,6 +360,7 @@
         self.last_unanswered = !answered;
         if answered {
             self.answered_at = now;
+            self.refused = false;
         }
     }
 
@@ -374,28 +374,16 @@
         self.last_unanswered && now.since(self.answered_at) >= SILENCE
     }
 
-    /// Takes note of whether the worker's machine refused the connection for the last order. A worker that drains, whose
-    /// time is over and whose address nothing listens at has ended, and with it all that ran there. Silence tells
-    /// nothing: the worker may be cut off or slow.
-    pub(crate) fn note_refusal(&mut self, now: Millis, refused: bool) {
-        if !refused {
-            self.refused_since = None;
-            return;
-        }
-        let since = *self.refused_since.get_or_insert(now);
-        let time_over = self.leaves_at.is_some_and(|leaves| now >= leaves);
-        self.gone |= time_over && now >= since + REFUSAL_SPAN;
-    }
-
-    /// Whether the worker is known to have ended: nothing or another incarnation listens at its address. A worker that is
-    /// only cut off is silent there, and may disappear from the platform's list as well.
-    pub(crate) fn has_ended(&self) -> bool {
-        self.replaced || self.refused_since.is_some()
+    /// Whether it is presumed to have crashed: nothing or another incarnation listens at its address. A refused connection
+    /// is no proof, since a worker that is cut off may refuse them while it works on, so that it ends no run.
+    pub(crate) fn seems_crashed(&self) -> bool {
+        self.replaced || self.refused
     }
 
-    /// Whether the worker has left. One that no longer drains has not.
-    pub(crate) fn is_gone(&self) -> bool {
-        self.gone && self.leaves_at.is_some()
+    /// Whether it drains, its least remaining time is over and its last call failed, so that it may have left. That is no
+    /// proof: connections to a worker that is cut off are refused or unanswered too, while it works on.
+    pub(crate) fn may_have_left(&self, now: Millis) -> bool {
+        self.failures > 0 && self.leaves_at.is_some_and(|leaves| now >= leaves)
     }
 
     /// Whether a tick has something to do: the lease of its runs has ended, it drains with runs on it, or a hold order
@@ -425,7 +413,7 @@
 
     /// Longest duration of a lease that starts now, by the scheduler's clock.
     pub(crate) fn max_lease() -> Millis {
-        Millis(LEASE.0 * SLOW_CLOCK_PERMILLE / 1_000) + LEASE_SLACK
+        longest(LEASE)
     }
 
     /// Adds an end that the host lists; false if it is known or acknowledged already.
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Millis;
 use crate::ids::{Incarnation, WorkerName};
-use crate::steps::engine::{Context, HoldReply, OrderReply, RunOrigin, RunPhase, StepScheduler, Target};
+use crate::steps::engine::{Context, HoldReply, OrderReply, RunEnd, RunOrigin, RunPhase, StepScheduler, Target};
 use crate::steps::host::{Host, HostInfo, HostUpdate, MAX_LEASE, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::progress::RunProgress;
@@ -165,7 +165,6 @@
         host.alive_at = cx.now;
         host.note_answer(cx.now, true);
         host.replaced = false;
-        host.note_refusal(cx.now, false);
         if !host.synced || !host.is_usable(cx.now) {
             self.replan = true;
         }
@@ -193,17 +192,16 @@
         for end in &reply.finished {
             let key = (end.task, end.run);
             let Some(host) = self.hosts.get_mut(worker) else { return };
-            if !host.add_end(end.number, key) {
+            let new = host.add_end(end.number, key);
+            if !new && host.leaves_at.is_none() {
                 continue;
             }
-            let known = self
-                .runs
-                .get(&key)
-                .is_some_and(|run| run.incarnation == reply.incarnation);
-            if known {
+            let run = self.runs.get(&key);
+            if new && run.is_some_and(|run| run.incarnation == reply.incarnation) {
                 self.end_run(cx, key, end.outcome, &end.checkpoint);
             }
             if !self.runs.contains_key(&key)
+                && !self.is_contradicted(cx, worker, end)
                 && let Some(host) = self.hosts.get_mut(worker)
             {
                 host.mark_end_durable(key);
@@ -211,6 +209,16 @@
         }
     }
 
+    /// Whether a run that its worker lists as done was ended as `Lost`, so that its task may run elsewhere. Such an end must
+    /// not be acknowledged before the worker's lease has ended: only then it no longer counts. Only the runs of a draining
+    /// worker may be ended earlier.
+    fn is_contradicted(&self, cx: &Context<'_>, worker: &WorkerName, end: &RunEnd) -> bool {
+        let leased = |host: &Host| host.leaves_at.is_some() && cx.now <= host.expiry.max(self.earlier_leases);
+        let entry = cx.book.job(end.task.job).filter(|entry| !entry.phase.is_final());
+        let open = entry.is_some_and(|entry| entry.task(&end.task).is_none_or(|task| !task.done));
+        end.outcome == RunOutcome::Done && open && self.hosts.get(worker).is_some_and(leased)
+    }
+
     /// Updates the runs that the worker lists as running: their confirmation, progress and checkpoint. A run that is
     /// not known in this incarnation is stopped.
     fn apply_running(&mut self, cx: &Context<'_>, worker: &WorkerName, reply: &HoldReply) {
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -10,7 +10,7 @@
     Context, OrderReply, RunPhase, RunStop, RunStopReason, StartOrder, StepScheduler, StepsAction, Target, TaskRun,
     step_of,
 };
-use crate::steps::host::{Host, RunKey};
+use crate::steps::host::{Host, RunKey, longest};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::StepRecord;
 use crate::steps::withheld::WITHHELD;
@@ -202,6 +202,7 @@
             failed: false,
             failures: 0,
             confirmed_at: None,
+            over_at: None,
         });
         let planned = run.phase == RunPhase::Planned;
         self.stopping.insert(key);
@@ -265,6 +266,7 @@
                 if let Some(halt) = halt {
                     halt.failures = 0;
                     halt.confirmed_at = Some(halt.confirmed_at.map_or(*clock, |acked| acked.min(*clock)));
+                    halt.over_at.get_or_insert(cx.now + longest(cx.limits.stop));
                 }
                 self.hold_now(cx, &target.worker);
             }
@@ -297,12 +299,12 @@
             // Nothing was sent, so that it tells nothing about the worker.
             return;
         }
-        host.note_refusal(cx.now, *reply == OrderReply::NoListener);
         let unanswered = matches!(
             reply,
             OrderReply::Undelivered | OrderReply::NoListener | OrderReply::Unanswered
         );
         host.note_answer(cx.now, !unanswered);
+        host.refused = *reply == OrderReply::NoListener;
         match reply {
             OrderReply::Done { clock } => {
                 host.read_clock(*clock, cx.now);
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Millis;
 use crate::ids::WorkerName;
-use crate::steps::engine::{Context, HoldOrder, RunPhase, StepScheduler, StepsAction, Target, step_of};
+use crate::steps::engine::{Context, HoldOrder, RunPhase, StepScheduler, StepsAction, Target, TaskRun, step_of};
 use crate::steps::host::{Host, RunKey};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::StepRecord;
@@ -60,8 +60,10 @@
     /// order that is due.
     fn check_host(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
-        if (cx.now > host.expiry || host.is_gone()) && !host.runs.is_empty() {
+        if cx.now > host.expiry && !host.runs.is_empty() {
             self.end_expired_runs(cx, worker);
+        } else if host.may_have_left(cx.now) {
+            self.end_stopped_runs(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
         if let Some(leaves_at) = host.leaves_at {
@@ -70,11 +72,11 @@
         self.hold_if_due(cx, worker);
     }
 
-    /// Ends as `Lost` the ordered runs of a worker whose lease has ended for certain, or that is gone. An order that still
-    /// arrives there is refused as late. Planned runs have had no order.
+    /// Ends as `Lost` the ordered runs of a worker whose lease has ended for certain. An order that still arrives there is
+    /// refused as late. Planned runs have had no order.
     fn end_expired_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
-        if host.has_ended() {
+        if host.seems_crashed() {
             self.note_crash(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
@@ -87,6 +89,18 @@
         }
     }
 
+    /// Ends as `Lost` the runs of a worker that it has confirmed to stop so long ago that they have ended for certain. Their
+    /// ends won't be read if the worker has left.
+    fn end_stopped_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
+        let Some(host) = self.hosts.get(worker) else { return };
+        let over = |run: &TaskRun| run.stop.and_then(|stop| stop.over_at).is_some_and(|at| cx.now > at);
+        let runs = host.runs.iter().copied();
+        let runs: Vec<RunKey> = runs.filter(|key| self.runs.get(key).is_some_and(over)).collect();
+        for run in runs {
+            self.end_run(cx, run, RunOutcome::Lost, "");
+        }
+    }
+
     /// Sends the hold orders that the event in progress made due, to the workers noted in `touched`.
     pub(crate) fn hold_touched(&mut self, cx: &Context<'_>) {
         while let Some(worker) = self.touched.pop_first() {
--- a/crates/pistachiostair/tests/steps/main.rs
+++ b/crates/pistachiostair/tests/steps/main.rs
@@ -10,6 +10,7 @@
 mod lists;
 mod load;
 mod odd_entries;
+mod refused;
 mod review;
 mod review_waves;
 mod rows;
--- /dev/null
+++ b/crates/pistachiostair/tests/steps/refused.rs
@@ -0,0 +1,91 @@
+//! Workers that are cut off by refused connections and work on.
+
+use pistachiostair::{StepJobPhase, WorkerName};
+use rstest::rstest;
+
+use crate::world::{ACCELERATORS, World, job, worker};
+
+/// The worker that runs something.
+fn busy_worker(world: &World, count: usize) -> WorkerName {
+    let busy = (0..count).find(|number| world.workers.running_on(worker(*number).as_str()) > 0);
+    worker(busy.expect("a worker that runs something"))
+}
+
+/// Guards against a task that runs twice since refused connections to a draining worker count as its end: its remaining
+/// time is the least, and it works on.
+#[rstest]
+fn refused_while_draining(
+    #[values(500, 2_000, 4_500)] remaining: u64,
+    #[values(false, true)] before_notice: bool,
+    #[values(false, true)] taken_over: bool,
+) {
+    let mut world = World::new(3);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 9_000));
+    world.run(1_000);
+    let member = busy_worker(&world, 3);
+    if before_notice {
+        world.refusing.insert(member.clone());
+        world.run(200);
+    }
+    world.leaving.insert(member.clone(), world.now + remaining);
+    world.send_list();
+    world.refusing.insert(member.clone());
+    if taken_over {
+        world.run(100);
+        world.take_over();
+    }
+    world.run(remaining + 4_000);
+    world.check();
+    world.refusing.clear();
+    world.run(30_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Guards against tasks that wait for the lease of a worker that has left, although it has confirmed to stop them.
+#[rstest]
+fn left_after_stop(#[values(false, true)] refuses: bool) {
+    let mut world = World::with_slow_stops(2);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 20_000));
+    world.run(1_000);
+    let member = busy_worker(&world, 2);
+    world.leaving.insert(member.clone(), world.now + 1_000);
+    world.send_list();
+    world.run(300);
+    world.workers.crash(&member);
+    if !refuses {
+        world.unreachable.insert(member.clone());
+    }
+    let starts = world.workers.starts;
+    // The stop, the rest of the remaining time, and a call that times out.
+    world.run(900 + 700 + 600);
+    assert_eq!(world.workers.starts, starts + 1);
+    world.run(25_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Guards against a task that runs again after its run has ended as done, if the worker that confirmed to stop it could not
+/// be reached when it ended: its end must not be acknowledged while it counts.
+#[rstest]
+fn done_while_stopping(#[values(false, true)] taken_over: bool) {
+    let mut world = World::with_slow_stops(2);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 1_300));
+    world.run(500);
+    let member = busy_worker(&world, 2);
+    world.leaving.insert(member.clone(), world.now + 600);
+    world.send_list();
+    world.run(110);
+    assert_eq!(world.stop_orders, 1);
+    world.refusing.insert(member);
+    world.run(1_300);
+    assert_eq!(world.workers.starts, 2, "the task does not run elsewhere");
+    if taken_over {
+        world.take_over();
+    }
+    world.refusing.clear();
+    world.run(15_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+    assert_eq!(world.workers.unacknowledged(), 0);
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -58,6 +58,8 @@
     pub(crate) workers: StepWorkers,
     /// Workers that no order of the scheduler in charge reaches.
     pub(crate) unreachable: BTreeSet<WorkerName>,
+    /// Workers to which connections are refused; they work on.
+    pub(crate) refusing: BTreeSet<WorkerName>,
     /// Workers whose replies are lost; they carry orders out.
     pub(crate) reply_loss: BTreeSet<WorkerName>,
     /// Workers that reset the connections of some orders, with the pattern by which they do: of successive orders, those
@@ -132,6 +134,7 @@
             now: 1_000,
             workers: StepWorkers::default(),
             unreachable: BTreeSet::new(),
+            refusing: BTreeSet::new(),
             reply_loss: BTreeSet::new(),
             resets: BTreeMap::new(),
             refuse_stops: 0,
@@ -612,6 +615,13 @@
                 if reset {
                     let event = Delivery::Event(term, Box::new(Event::Steps(outcome(&action, None))));
                     self.deliver_after(2 * ONE_WAY_MS, event);
+                } else if self.refusing.contains(&target.worker) {
+                    let reply = match action {
+                        StepsAction::Hold { .. } => Reply::Lists(Err(OrderReply::NoListener)),
+                        _ => Reply::Order(OrderReply::NoListener),
+                    };
+                    let event = Delivery::Event(term, Box::new(Event::Steps(outcome(&action, Some(reply)))));
+                    self.deliver_after(2 * ONE_WAY_MS, event);
                 } else if self.unreachable.contains(&target.worker) && term == self.term {
                     let event = outcome(&action, None);
                     let event = Delivery::Event(term, Box::new(Event::Steps(event)));
