--- a/crates/pistachiostair/examples/takeover_costs.rs
+++ b/crates/pistachiostair/examples/takeover_costs.rs
@@ -233,6 +233,7 @@
         crash: None,
         late: false,
         cleared: false,
+        refuted: None,
     })
 }
 
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -36,6 +36,7 @@
 mod queue;
 mod ready;
 mod record;
+mod refuted;
 mod release;
 mod reservation;
 mod rules;
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -18,6 +18,7 @@
 use crate::steps::progress::RunProgress;
 use crate::steps::queue::{StepKey, WaitingStep};
 use crate::steps::record::StepRecord;
+use crate::steps::refuted::PresumedCrash;
 use crate::steps::release::Releases;
 use crate::steps::reservation::Reservation;
 use crate::steps::rules::Rules;
@@ -483,6 +484,8 @@
     pub(crate) held: BTreeMap<Suspect, Millis>,
     /// Workers that were lost a short time ago, by number.
     pub(crate) lost_hosts: BTreeMap<u32, LostHost>,
+    /// Workers that are presumed to have crashed and may prove that they have not.
+    pub(crate) presumed: BTreeMap<WorkerName, PresumedCrash>,
     /// Calls to answer once the job's [`StepRecord::Accepted`] is durable.
     pub(crate) accepting: BTreeMap<JobKey, Vec<Token>>,
     /// Calls to answer once the job's [`StepRecord::Cancelled`] is durable.
@@ -542,6 +545,7 @@
             trial_workers: MIN_TRIAL_WORKERS,
             held: BTreeMap::new(),
             lost_hosts: BTreeMap::new(),
+            presumed: BTreeMap::new(),
             accepting: BTreeMap::new(),
             cancelling: BTreeMap::new(),
             releases: Releases::default(),
--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -316,9 +316,11 @@
                 crash,
                 late,
                 cleared,
+                refuted,
             } => {
-                self.update(wall, task.job, |entry| {
-                    entry.record_end((task, *run), *outcome, checkpoint, (crash.as_ref(), *late, *cleared))
+                self.update(wall, task.job, |entry| match refuted {
+                    Some(crash) => entry.task_mut(task).refute_crash(crash),
+                    None => entry.record_end((task, *run), *outcome, checkpoint, (crash.as_ref(), *late, *cleared)),
                 });
             }
             StepRecord::Cancelled { job } if !self.jobs.contains_key(job) => {
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -148,6 +148,8 @@
                 return;
             }
         };
+        self.refute_crash(cx, worker, reply.incarnation);
+        let Some(host) = self.hosts.get_mut(worker) else { return };
         if host.is_new() {
             host.incarnation = reply.incarnation;
         } else if reply.incarnation > host.incarnation {
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -395,6 +395,7 @@
             crash,
             late,
             cleared,
+            refuted: None,
         };
         let bytes = checkpoint.len();
         let mut record = ended(checkpoint);
--- a/crates/pistachiostair/src/steps/record.rs
+++ b/crates/pistachiostair/src/steps/record.rs
@@ -59,6 +59,10 @@
             /// Whether the run was at work for so long that earlier crashes no longer count against the task.
             #[serde(default, skip_serializing_if = "std::ops::Not::not")]
             cleared: bool,
+            /// A crash that an earlier record of the end of this run gave and that is taken back, since its worker has
+            /// not crashed. A record with this field says nothing else; its outcome, `Refused`, has no effect by itself.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            refuted: Option<Crash>,
         },
         /// A caller cancelled a job that had not ended, or a key that no job had: a job that is accepted with it later is
         /// cancelled at once.
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -77,7 +77,7 @@
     fn end_expired_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
         if host.seems_crashed() {
-            self.note_crash(cx, worker);
+            self.presume_crash(cx, worker);
         }
         let Some(host) = self.hosts.get(worker) else { return };
         let runs: Vec<RunKey> = host.runs.iter().copied().collect();
--- a/crates/pistachiostair/tests/state_size.rs
+++ b/crates/pistachiostair/tests/state_size.rs
@@ -70,6 +70,7 @@
                 crash: None,
                 late: false,
                 cleared: false,
+                refuted: None,
             });
         }
         if cancelled {
--- a/crates/pistachiostair/tests/steps/refused.rs
+++ b/crates/pistachiostair/tests/steps/refused.rs
@@ -89,3 +89,23 @@
     world.check();
     assert_eq!(world.workers.unacknowledged(), 0);
 }
+
+/// Guards against jobs that are given up since workers under their tasks were cut off again and again: connections were
+/// refused for longer than a lease, which was taken for crashes.
+#[rstest]
+fn cut_off_again(#[values(9_000, 12_000, 16_000)] cut: u64, #[values(0, 500)] pause: u64) {
+    let mut world = World::new(4);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 120_000));
+    world.run(1_000);
+    for _ in 0..7 {
+        let member = busy_worker(&world, 4);
+        world.refusing.insert(member.clone());
+        world.run(cut);
+        world.refusing.remove(&member);
+        world.run(1_500 + pause);
+        assert_ne!(world.phase(1, "normal"), StepJobPhase::Failed);
+    }
+    world.run(150_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -252,6 +252,7 @@
         crash: None,
         late: false,
         cleared: false,
+        refuted: None,
     };
     let start = StartRecord {
         task,
