--- a/crates/standin/src/node_fleet.rs
+++ b/crates/standin/src/node_fleet.rs
@@ -704,11 +704,12 @@
 /// Entry of a worker in the platform's list.
 fn worker_entry(number: usize, address: SocketAddr, incarnation: u64, state: &str) -> Value {
     let capacity = WORKER_CAPACITY;
+    let remaining = (state == "draining").then_some(0);
     json!({
         "service": "svc", "address": address.to_string(), "zone": worker_zone(number),
         "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0, "labels": ["a", "r1"],
         "capacity": {"cpu": capacity.millicores, "mem_mb": capacity.memory, "gpu": capacity.accelerators},
-        "clock_ms": 1, "seq": 1, "born": incarnation, "machine": format!("m{number}"),
+        "clock_ms": 1, "seq": 1, "remaining_ms": remaining, "born": incarnation, "machine": format!("m{number}"),
     })
 }
 
