--- a/crates/pistachiostair/src/steps/refuted.rs
+++ b/crates/pistachiostair/src/steps/refuted.rs
@@ -44,15 +44,12 @@
 }
 
 impl StepScheduler {
-    /// Notes that a worker seems to have crashed, before its runs are ended, and remembers what is recorded of them unless
-    /// the crash is certain.
+    /// Notes that a worker seems to have crashed, before its runs are ended, and remembers what will be recorded of them.
     pub(crate) fn presume_crash(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         self.note_crash(cx, worker);
         self.presumed
             .retain(|_, crash| cx.now.since(crash.noted_at) < REFUTABLE_SPAN);
-        let Some(host) = self.hosts.get(worker).filter(|host| !host.replaced) else {
-            return;
-        };
+        let Some(host) = self.hosts.get(worker) else { return };
         let crash = |key: &RunKey| Some((*key, self.runs.get(key)?.crash?));
         let presumed = PresumedCrash {
             incarnation: host.incarnation,
