--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -432,6 +432,11 @@
         }
     }
 
+    /// Whether a listed end may be acknowledged, or was.
+    pub(crate) fn is_end_durable(&self, number: u64) -> bool {
+        self.ends.get(&number).is_none_or(|end| end.durable)
+    }
+
     /// The number up to which all ends may be acknowledged. A host lists its unacknowledged ends lowest number first;
     /// ends below the listed ones were acknowledged by an earlier scheduler.
     pub(crate) fn ack_cursor(&self) -> u64 {
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -195,7 +195,7 @@
             let key = (end.task, end.run);
             let Some(host) = self.hosts.get_mut(worker) else { return };
             let new = host.add_end(end.number, key);
-            if !new && host.leaves_at.is_none() {
+            if host.is_end_durable(end.number) {
                 continue;
             }
             let run = self.runs.get(&key);
@@ -203,7 +203,7 @@
                 self.end_run(cx, key, end.outcome, &end.checkpoint);
             }
             if !self.runs.contains_key(&key)
-                && !self.is_contradicted(cx, worker, end)
+                && !self.may_contradict(cx, worker, end)
                 && let Some(host) = self.hosts.get_mut(worker)
             {
                 host.mark_end_durable(key);
@@ -211,14 +211,18 @@
         }
     }
 
-    /// Whether a run that its worker lists as done was ended as `Lost`, so that its task may run elsewhere. Such an end must
-    /// not be acknowledged before the worker's lease has ended: only then it no longer counts. Only the runs of a draining
-    /// worker may be ended earlier.
-    fn is_contradicted(&self, cx: &Context<'_>, worker: &WorkerName, end: &RunEnd) -> bool {
-        let leased = |host: &Host| host.leaves_at.is_some() && cx.now <= host.expiry.max(self.earlier_leases);
-        let entry = cx.book.job(end.task.job).filter(|entry| !entry.phase.is_final());
-        let open = entry.is_some_and(|entry| entry.task(&end.task).is_none_or(|task| !task.done));
-        end.outcome == RunOutcome::Done && open && self.hosts.get(worker).is_some_and(leased)
+    /// Whether an unknown run that its worker lists as done may have been ended as `Lost` before the worker's lease was over,
+    /// also by an earlier scheduler, so that its task was started elsewhere. Such an end must not be acknowledged until then:
+    /// afterwards it no longer counts.
+    fn may_contradict(&self, cx: &Context<'_>, worker: &WorkerName, end: &RunEnd) -> bool {
+        // Only runs of draining workers end so.
+        let drains = |host: &&Host| host.drained || host.leaves_at.is_some();
+        let leased = |host: &&Host| cx.now <= host.expiry.max(self.earlier_leases);
+        let listed = self.hosts.get(worker).filter(drains).filter(leased);
+        // Which run a task was done by is not stored once its job has ended.
+        let entry = cx.book.job(end.task.job).and_then(|entry| entry.task(&end.task));
+        let may_be_lost = entry.is_none_or(|task| !task.done || end.run < task.last_run);
+        end.outcome == RunOutcome::Done && listed.is_some() && may_be_lost
     }
 
     /// Updates the runs that the worker lists as running: their confirmation, progress and checkpoint. A run that is
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -89,8 +89,8 @@
         }
     }
 
-    /// Ends as `Lost` the runs of a worker that it has confirmed to stop so long ago that they have ended for certain. Their
-    /// ends won't be read if the worker has left.
+    /// Ends as `Lost` the runs that a worker has confirmed to stop so long ago that they have ended for certain. If it has
+    /// left, their ends will never be listed.
     fn end_stopped_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
         let over = |run: &TaskRun| run.stop.and_then(|stop| stop.over_at).is_some_and(|at| cx.now > at);
--- a/crates/pistachiostair/tests/steps/refused.rs
+++ b/crates/pistachiostair/tests/steps/refused.rs
@@ -68,7 +68,7 @@
 /// Guards against a task that runs again after its run has ended as done, if the worker that confirmed to stop it could not
 /// be reached when it ended: its end must not be acknowledged while it counts.
 #[rstest]
-fn done_while_stopping(#[values(false, true)] taken_over: bool) {
+fn done_while_stopping(#[values(false, true)] taken_over: bool, #[values(0, 2_000)] longer: u64) {
     let mut world = World::with_slow_stops(2);
     world.submit(job(1, "normal", 1, ACCELERATORS, 1_300));
     world.run(500);
@@ -80,6 +80,8 @@
     world.refusing.insert(member);
     world.run(1_300);
     assert_eq!(world.workers.starts, 2, "the task does not run elsewhere");
+    // With the longer cut, the second run has ended before the worker is back.
+    world.run(longer);
     if taken_over {
         world.take_over();
     }
--- a/crates/standin/src/step_worker.rs
+++ b/crates/standin/src/step_worker.rs
@@ -195,6 +195,8 @@
     pub unguarded: bool,
     /// Tasks whose end as done was acknowledged, with the highest run that ended so.
     noted: BTreeMap<TaskKey, u32>,
+    /// The highest run of each task that was started, without those of long-running tasks.
+    started: BTreeMap<TaskKey, u32>,
     /// Starts that were carried out.
     pub starts: u32,
     /// Orders to start that did not fit.
@@ -497,6 +499,9 @@
         {
             self.violations.push(format!("{} starts after it was done", order.task));
         }
+        if !plan.lasts {
+            self.started.insert(order.task, order.run);
+        }
         let worked = Millis(order.checkpoint.parse().unwrap_or(0));
         let running = Running {
             run: order.run,
@@ -597,6 +602,10 @@
             if running.any(|running| running.plan.is_barred(running.run, run)) {
                 self.violations
                     .push(format!("{task} runs while its end as done is acknowledged"));
+            } else if self.started.get(&task).is_some_and(|later| *later > run) {
+                self.violations.push(format!(
+                    "{task} was started again, and its earlier end as done is acknowledged"
+                ));
             }
             let noted = self.noted.entry(task).or_default();
             *noted = run.max(*noted);
