--- a/crates/pistachiostair/tests/fault_sequences.rs
+++ b/crates/pistachiostair/tests/fault_sequences.rs
@@ -152,3 +152,18 @@
         prop_assert!(wrong.is_empty(), "seed {seed}, {faults:?}: {wrong:#?}");
     }
 }
+
+/// Guards against an idempotent job that runs twice at a time, since a scheduler that is cut off from the store renews the
+/// leases of the workers on its side for ever, and its successor starts the job elsewhere.
+#[test]
+fn strike_sequence_long_cut() {
+    let mut world = World::new(0);
+    world.add_client("plain", spec("plain", "1x1", 90_000, true, false), false, 8_000);
+    world.run(Millis(14_000));
+    world.split = true;
+    world.faults.cut = world.now + Millis(60_000);
+    world.faults.cut_daemon = world.leader().expect("a scheduler");
+    world.settle(Millis(300_000));
+    let wrong = check::violations(&world);
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
