--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -34,8 +34,8 @@
 /// Failed calls in a row from which on a host gets no new tasks until it answers.
 const SUSPECT_FAILURES: u32 = 2;
 
-/// Shortest time between two hold orders to a worker that lists ends which are not stored, or that has no runs and does
-/// not answer: a fraction of the lease that they renew.
+/// Shortest time between two hold orders to a worker that lists ends which may not be acknowledged yet, or that has no
+/// runs and does not answer: a fraction of the lease that they renew.
 const RETRY_GAP: Millis = Millis(1_000);
 
 /// Longest lease that workers accept, with a margin for slow clocks. Orders still on their way arrive within it.
@@ -328,10 +328,10 @@
         self.info.as_ref().is_some_and(|info| !self.used.fits(&info.capacity))
     }
 
-    /// Whether a hold order is due: the host has runs, lists ends, its lists were not read yet or its
-    /// clock not for long, no other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at once, so
-    /// while some are not stored yet it is asked less often, and so is one without runs that did not answer: only an
-    /// answer makes it usable again.
+    /// Whether a hold order is due: the host has runs or lists ends, or its lists were not read yet or its clock not for
+    /// long; no other hold order is unanswered, and the last one is long enough ago. A host that lists ends replies at
+    /// once, so while some may not be acknowledged yet it is asked less often, and so is one without runs that did not
+    /// answer: only an answer makes it usable again.
     pub(crate) fn is_hold_due(&self, now: Millis) -> bool {
         if self.waiting_hold || self.instant_hold || now < self.hold_after {
             return false;
