Steps tests: the simulated list drops workers that are silent

Cause: the list of the simulated region kept the entry of a crashed worker until it was back, for good if it stayed away. PROTOCOL.md: an entry "is removed when the worker has left, or after three heartbeat intervals of silence". A rule that reads the list as a witness of crashes can't be tested against that.

Change: workers report each 1.5 s, at times of their own, as long as they are up and the store is, whether or not the scheduler reaches them; an entry without reports for 4.5 s is dropped. drop_lag lets the list keep it for longer.

Measured: silent_worker_dropped fails without the change of the list.

--- a/crates/pistachiostair/tests/steps/lists.rs
+++ b/crates/pistachiostair/tests/steps/lists.rs
@@ -3,7 +3,7 @@
 use pistachiostair::StepJobPhase;
 use rstest::rstest;
 
-use crate::world::{World, job};
+use crate::world::{World, job, worker};
 
 /// Number of tasks on one worker, more than the ends that it lists at a time.
 const TASKS: u32 = 700;
@@ -43,3 +43,26 @@
     assert!(world.now - back <= 2_000 + 5_000, "{} ms", world.now - back);
     world.check();
 }
+
+/// Guards against a simulated list that keeps the entry of a crashed worker for longer than the platform's, or drops that of
+/// one which is only cut off: the scheduler relies on both.
+#[rstest]
+#[case::as_specified(0)]
+#[case::late(3_000)]
+fn silent_worker_dropped(#[case] lag: u64) {
+    let mut world = World::new(9);
+    world.drop_lag = lag;
+    world.run(7_770);
+    for number in 0..8 {
+        world.workers.crash(&worker(number));
+    }
+    world.refusing.insert(worker(8));
+    let listed = |world: &World| (0..8).filter(|number| world.is_listed(&worker(*number))).count();
+    // The last report of a worker was at most one interval before.
+    world.run(2_980 + lag);
+    assert_eq!(listed(&world), 8);
+    world.run(1_540);
+    assert_eq!(listed(&world), 0);
+    world.run(20_000);
+    assert!(world.is_listed(&worker(8)));
+}
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -26,6 +26,15 @@
 /// Time between two reads of the requests to evacuate failure domains.
 const READ_MS: u64 = 500;
 
+/// Time between two reports of a worker to the platform's list.
+const HEARTBEAT_MS: u64 = 1_500;
+
+/// Time between the reports of two workers that follow each other in the list.
+const REPORT_OFFSET_MS: u64 = 210;
+
+/// Time without a report after which the list drops a worker.
+const SILENCE_MS: u64 = 3 * HEARTBEAT_MS;
+
 /// Age of these requests from which on nothing starts.
 pub(crate) const MAX_AGE_MS: u64 = 3_500;
 
@@ -117,6 +126,12 @@
     sent: u64,
     tokens: u64,
     listed: BTreeMap<WorkerName, HostInfo>,
+    /// When each worker last reported to the list.
+    reported: BTreeMap<WorkerName, u64>,
+    /// Entries that the list dropped since their workers were silent.
+    dropped: BTreeMap<WorkerName, HostInfo>,
+    /// Time by which the list keeps the entry of a silent worker for longer than [`SILENCE_MS`].
+    pub(crate) drop_lag: u64,
     guaranteed: u64,
     /// Stretch, in thousandths, and allowance, in milliseconds, of the queues `urgent`, `normal` and `bulk`.
     pub(crate) objectives: [(u64, u64); 3],
@@ -167,6 +182,9 @@
             sent: 0,
             tokens: 0,
             listed: BTreeMap::new(),
+            reported: BTreeMap::new(),
+            dropped: BTreeMap::new(),
+            drop_lag: 0,
             guaranteed,
             objectives: [(2_000, 300); 3],
         };
@@ -240,7 +258,8 @@
     /// Number of start orders to the workers of a domain that were sent after `from`.
     pub(crate) fn ordered_in(&self, domain: &str, from: u64) -> usize {
         let ordered = self.ordered.iter().filter(|(at, _)| *at > from);
-        let inside = ordered.filter(|(_, worker)| self.listed[worker].domain.as_str() == domain);
+        let info = |worker| self.listed.get(worker).or_else(|| self.dropped.get(worker));
+        let inside = ordered.filter(|(_, worker)| info(worker).is_some_and(|info| info.domain.as_str() == domain));
         inside.count()
     }
 
@@ -341,15 +360,54 @@
 
     /// Replaces the entry of a crashed worker by that of its next incarnation.
     fn relist(&mut self, back: WorkerReturn) {
-        let Some(mut info) = self.listed.remove(&back.before) else {
+        let listed = self.listed.remove(&back.before);
+        let Some(mut info) = listed.or_else(|| self.dropped.remove(&back.before)) else {
             return;
         };
         info.name = back.name.clone();
         info.incarnation = back.incarnation;
+        self.reported.insert(back.name.clone(), self.now);
         self.listed.insert(back.name, info);
         self.send_list();
     }
 
+    /// Lets the workers that are up report to the list, each at a time of its own, and drops the entries of those that have
+    /// been silent for too long.
+    fn update_list(&mut self) {
+        if self.store_down {
+            return;
+        }
+        let mut silent = Vec::new();
+        for (number, name) in (0..).zip(self.listed.keys()) {
+            let reported = self.reported.entry(name.clone()).or_insert(self.now);
+            let up = self.workers.incarnation(name).is_some();
+            if up && (self.now + number * REPORT_OFFSET_MS).is_multiple_of(HEARTBEAT_MS) {
+                *reported = self.now;
+            }
+            if !up && self.now >= *reported + SILENCE_MS + self.drop_lag {
+                silent.push(name.clone());
+            }
+        }
+        if silent.is_empty() {
+            return;
+        }
+        for name in &silent {
+            self.reported.remove(name);
+            self.dropped.extend(self.listed.remove_entry(name));
+        }
+        let update = HostUpdate {
+            full: false,
+            changed: Vec::new(),
+            removed: silent,
+        };
+        self.feed(Event::Steps(StepsEvent::Hosts(update)));
+    }
+
+    /// Whether the list has an entry of a worker.
+    pub(crate) fn is_listed(&self, name: &WorkerName) -> bool {
+        self.listed.contains_key(name)
+    }
+
     /// The entry of a listed worker.
     pub(crate) fn entry(&self, number: usize) -> HostInfo {
         self.listed[&worker(number)].clone()
@@ -513,6 +571,7 @@
                 let delivery = entry.remove();
                 self.deliver(delivery);
             }
+            self.update_list();
             if self.now.is_multiple_of(READ_MS) {
                 self.read_requests();
             }
