Steps: a refused connection counts as a crash only with proof

Cause: at the end of its lease, a worker that refuses connections counted as crashed, and the crash was taken back when it answered. The verdict on its tasks doesn't wait for that, and a scheduler that takes over didn't know which crashes were presumed.

Change: the platform's list is the second witness. A worker reports there by itself, on another path. At the end of the lease: - Dropped from the list: it crashed. Taken back if the same incarnation answers, by the next scheduler as well. - Still listed, or not known since the list was read too long ago or the store was down shortly before: the run counts as lost for an unknown reason, and the loss is open. It is decided by an answer, by the list once that would have dropped a worker that crashed under the run (heartbeat_ms, three times), or stays a loss. A task that open losses would give up waits for their verdict, at most 30 s. Reads of the list carry the time at which they were requested. Runs whose end is not stored yet no longer have their crash noted again at each tick, which overwrote what could be taken back.

Why it works: given_up counts only crashes of which an incarnation or the list tells; a worker that is cut off from its callers reports on, so that it never reaches the counts.

--- a/crates/pistachiostair/examples/step_costs.rs
+++ b/crates/pistachiostair/examples/step_costs.rs
@@ -189,7 +189,7 @@
         let update = HostUpdate {
             full: true,
             changed: load.listed.clone(),
-            removed: Vec::new(),
+            ..HostUpdate::default()
         };
         load.feed("list", Event::Steps(StepsEvent::Hosts(update)));
         load
--- a/crates/pistachiostair/examples/takeover_costs.rs
+++ b/crates/pistachiostair/examples/takeover_costs.rs
@@ -234,6 +234,8 @@
         late: false,
         cleared: false,
         refuted: None,
+        doubt: None,
+        verdict: None,
     })
 }
 
--- a/crates/pistachiostair/src/lib.rs
+++ b/crates/pistachiostair/src/lib.rs
@@ -179,10 +179,10 @@
 pub use state::{JobOutcome, JobState, Placement, RegionState};
 pub use steps::{
     AccountRule, Crash, Demand, EvacuationSource, EvacuationUpdate, Evacuations, HoldOrder, HoldReply, HostInfo,
-    HostUpdate, JobEntry, JobKey, OrderReply, PlacedRun, Queue, QueueName, QueueSettings, Recurrence, Rules, RunEnd,
-    RunOutcome, RunReport, ServiceName, ServiceRule, StartOrder, StartRecord, Step, StepAnswer, StepCall, StepEntry,
-    StepJob, StepJobPhase, StepJobTable, StepLimits, StepLoad, StepRecord, StepScheduler, StepsAction, StepsEvent,
-    StepsLog, Target, TaskEntry, TaskKey,
+    HostUpdate, JobEntry, JobKey, LossVerdict, LostRun, OrderReply, PlacedRun, Queue, QueueName, QueueSettings,
+    Recurrence, Rules, RunEnd, RunOutcome, RunReport, ServiceName, ServiceRule, StartOrder, StartRecord, Step,
+    StepAnswer, StepCall, StepEntry, StepJob, StepJobPhase, StepJobTable, StepLimits, StepLoad, StepRecord,
+    StepScheduler, StepsAction, StepsEvent, StepsLog, Target, TaskEntry, TaskKey,
 };
 pub use store::Store;
 pub use traffic::Traffic;
--- a/crates/pistachiostair/src/steps.rs
+++ b/crates/pistachiostair/src/steps.rs
@@ -11,6 +11,7 @@
 //! - `domains`, `withheld`: failure domains that operators evacuate, and starts that are withheld for it.
 //! - `release`: workers that are replaced one after another.
 //! - `speed`: how fast each machine is relative to the fleet.
+//! - `liveness`, `losses`: whether a worker that refuses connections has crashed.
 //! - `crashes`, `trial`: tasks that crash the workers that start them.
 //! - `wasted`, `waste_counts`: work lost by runs that ended before their task was done.
 //! - `step_limits`: limits of the platform that decisions depend on.
@@ -27,6 +28,8 @@
 mod host;
 mod job_table;
 mod lists;
+mod liveness;
+mod losses;
 mod orders;
 mod outcome;
 mod place;
@@ -36,7 +39,6 @@
 mod queue;
 mod ready;
 mod record;
-mod refuted;
 mod release;
 mod reservation;
 mod rules;
@@ -65,6 +67,7 @@
 };
 pub use host::{HostInfo, HostUpdate};
 pub use job_table::{JobEntry, PlacedRun, StepEntry, StepJobTable, TaskEntry};
+pub use losses::{LossVerdict, LostRun};
 pub use outcome::RunOutcome;
 pub use record::{StartRecord, StepRecord};
 pub use rules::{AccountRule, Queue, Rules, ServiceRule};
--- a/crates/pistachiostair/src/steps/crashes.rs
+++ b/crates/pistachiostair/src/steps/crashes.rs
@@ -78,9 +78,24 @@
         /// Whether it was in a wave of lost workers, so that it does not make the task a suspect.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         pub shared: bool,
+        /// Whether no later incarnation of the worker was seen, so that it may still answer if it was only cut off.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        pub unseen: bool,
     }
 }
 
+/// What the crash of a worker tells about the runs there.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashReport {
+    pub(crate) lost: LostHost,
+    /// The runs that it may have been caused by, or that it ended.
+    pub(crate) crashes: Vec<(RunKey, Crash)>,
+    /// Other workers that were lost at the same time, by job.
+    others: BTreeMap<JobKey, LossCount>,
+    /// Whether a run there was on trial.
+    trial: bool,
+}
+
 /// A worker that was lost a short time ago.
 #[derive(Clone, Debug)]
 pub(crate) struct LostHost {
@@ -167,6 +182,7 @@
         (self.crashes, self.trial_crashes, self.wave_crashes) = (0, 0, 0);
         (self.losses, self.late_runs) = (0, 0);
         self.crash_age = Millis::ZERO;
+        self.lost.clear();
     }
 
     /// Whether enough workers may have crashed under the task for its runs to be counted.
@@ -182,8 +198,14 @@
 
     /// Whether the task is given up, as it crashes the workers that start it.
     pub(crate) fn is_given_up(&self) -> bool {
-        let late = self.late_runs >= MAX_LATE_RUNS && self.crashes + self.wave_crashes >= SUSPECT_CRASHES;
-        !self.done && (self.trial_crashes >= MAX_TRIAL_CRASHES || late)
+        self.would_be_given_up(0, 0)
+    }
+
+    /// Whether the task is given up after that many further crashes, and that many further ones on trial.
+    pub(crate) fn would_be_given_up(&self, crashes: u32, trial_crashes: u32) -> bool {
+        let crashes = self.crashes + self.wave_crashes + crashes;
+        let late = self.late_runs >= MAX_LATE_RUNS && crashes >= SUSPECT_CRASHES;
+        !self.done && (self.trial_crashes + trial_crashes >= MAX_TRIAL_CRASHES || late)
     }
 }
 
@@ -241,54 +263,70 @@
 }
 
 impl StepScheduler {
-    /// Notes that a worker has crashed, before its runs are ended. One that has drained was expected to end.
+    /// Notes that a worker has crashed, before its runs are ended.
     pub(crate) fn note_crash(&mut self, cx: &Context<'_>, worker: &WorkerName) {
-        let Some(host) = self.hosts.get_mut(worker).filter(|host| !host.drained) else {
-            return;
-        };
-        host.crashed_at = Some(cx.now);
-        let (number, rack) = (host.number, host.rack);
-        let (incarnation, alive_at) = (host.incarnation, host.alive_at);
-        let runs: Vec<RunKey> = host.runs.iter().copied().collect();
-        let trial = runs.iter().any(|key| self.trials.contains(key));
+        if let Some(report) = self.assess_crash(cx, worker) {
+            self.record_crash(cx, worker, report);
+        }
+    }
+
+    /// What a crash of a worker tells about its runs, before they are ended. None if it has drained: its end was expected.
+    pub(crate) fn assess_crash(&mut self, cx: &Context<'_>, worker: &WorkerName) -> Option<CrashReport> {
         self.lost_hosts
             .retain(|_, lost| cx.now.since(lost.noted_at) < LOST_SPAN);
-        let jobs: BTreeSet<JobKey> = runs.iter().map(|(task, _)| task.job).collect();
-        let losses = self.losses_beside((number, rack, alive_at), &jobs);
-        let lost = LostHost {
-            alive_at,
-            noted_at: cx.now,
-            rack,
-            suspected: self.may_crash(&runs),
-            jobs,
-        };
-        self.lost_hosts.insert(number, lost);
-        let groups: BTreeSet<_> = runs.iter().map(|(task, run)| (task.step_key(), *run)).collect();
-        for key in runs {
-            let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
-            let Some(losses) = losses.get(&key.0.job) else { continue };
+        let host = self.hosts.get(worker).filter(|host| !host.drained)?;
+        let jobs: BTreeSet<JobKey> = host.runs.iter().map(|(task, _)| task.job).collect();
+        let losses = self.losses_beside((host.number, host.rack, host.alive_at), &jobs);
+        let groups: BTreeSet<_> = host.runs.iter().map(|(task, run)| (task.step_key(), *run)).collect();
+        let crash = |key: &RunKey| {
+            let (losses, run) = (losses.get(&key.0.job)?, self.runs.get(key)?);
             let (shared, outage) = (losses.is_wave(), losses.is_outage());
-            let Some(run) = self.runs.get_mut(&key) else { continue };
+            let lasting = step_of(cx.book, &key.0).is_some_and(|step| step.long_running);
             let ordered = matches!(run.phase, RunPhase::Ordered | RunPhase::Live);
             let cleared = lasting && run.clears_crashes();
-            if !ordered || cleared || run.incarnation != incarnation || run.crash.is_some() {
-                continue;
+            if !ordered || cleared || run.incarnation != host.incarnation || run.crash.is_some() {
+                return None;
             }
             let crash = Crash {
                 age: run.age(),
                 alone: run.trial.is_some() && groups.len() == 1 && !outage && !shared,
                 shared,
+                unseen: false,
             };
-            run.crash = Some(crash);
-            if trial && !shared {
+            Some((*key, crash))
+        };
+        Some(CrashReport {
+            lost: LostHost {
+                alive_at: host.alive_at,
+                noted_at: cx.now,
+                rack: host.rack,
+                suspected: self.may_crash(&host.runs),
+                jobs,
+            },
+            crashes: host.runs.iter().filter_map(crash).collect(),
+            others: losses.iter().map(|(job, losses)| (*job, losses.fleet)).collect(),
+            trial: host.runs.iter().any(|key| self.trials.contains(key)),
+        })
+    }
+
+    /// Notes that a worker has crashed, and what that tells about its runs.
+    pub(crate) fn record_crash(&mut self, cx: &Context<'_>, worker: &WorkerName, report: CrashReport) {
+        let Some(host) = self.hosts.get_mut(worker) else { return };
+        host.crashed_at = Some(cx.now);
+        self.lost_hosts.insert(host.number, report.lost);
+        for (key, crash) in report.crashes {
+            if let Some(run) = self.runs.get_mut(&key) {
+                run.crash = Some(crash);
+            }
+            if report.trial && !crash.shared {
                 self.trial_workers = MIN_TRIAL_WORKERS;
             }
-            let verdict = match (shared, crash.alone) {
+            let verdict = match (crash.shared, crash.alone) {
                 (true, _) => "in a wave of lost workers",
                 (_, true) => "the task ran there alone",
                 _ => "other tasks or causes are possible",
             };
-            let LossCount { lost, alive } = losses.fleet;
+            let LossCount { lost, alive } = report.others.get(&key.0.job).copied().unwrap_or_default();
             let reason = format!(
                 "its worker crashed after {} at work: {verdict}; {lost} others were lost and {alive} answered since",
                 crash.age
--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -14,11 +14,12 @@
 use crate::steps::domains::{DomainGate, Evacuations, StartBan};
 use crate::steps::host::{Host, HostUpdate, RunKey};
 use crate::steps::job_table::{JobEntry, StepJobTable};
+use crate::steps::liveness::ListReads;
+use crate::steps::losses::HostLoss;
 use crate::steps::outcome::RunOutcome;
 use crate::steps::progress::RunProgress;
 use crate::steps::queue::{StepKey, WaitingStep};
 use crate::steps::record::StepRecord;
-use crate::steps::refuted::PresumedCrash;
 use crate::steps::release::Releases;
 use crate::steps::reservation::Reservation;
 use crate::steps::rules::Rules;
@@ -391,6 +392,8 @@
     pub(crate) trial: Option<Millis>,
     /// Set once its worker is known to have crashed.
     pub(crate) crash: Option<Crash>,
+    /// What is known of the crash of its worker, if that turns out to have crashed.
+    pub(crate) doubt: Option<Crash>,
     /// Whether an order without an answer is not repeated because the worker's failure domain is evacuated.
     pub(crate) withheld: bool,
 }
@@ -484,8 +487,12 @@
     pub(crate) held: BTreeMap<Suspect, Millis>,
     /// Workers that were lost a short time ago, by number.
     pub(crate) lost_hosts: BTreeMap<u32, LostHost>,
-    /// Workers that are presumed to have crashed and may prove that they have not.
-    pub(crate) presumed: BTreeMap<WorkerName, PresumedCrash>,
+    /// Reads of the platform's list of workers.
+    pub(crate) list_reads: ListReads,
+    /// Workers that refused connections until their runs were lost, and may have crashed.
+    pub(crate) open_losses: BTreeMap<WorkerName, HostLoss>,
+    /// Workers whose crash only the list shows, so that they may still answer.
+    pub(crate) refutable: BTreeMap<WorkerName, HostLoss>,
     /// Calls to answer once the job's [`StepRecord::Accepted`] is durable.
     pub(crate) accepting: BTreeMap<JobKey, Vec<Token>>,
     /// Calls to answer once the job's [`StepRecord::Cancelled`] is durable.
@@ -545,7 +552,9 @@
             trial_workers: MIN_TRIAL_WORKERS,
             held: BTreeMap::new(),
             lost_hosts: BTreeMap::new(),
-            presumed: BTreeMap::new(),
+            list_reads: ListReads::default(),
+            open_losses: BTreeMap::new(),
+            refutable: BTreeMap::new(),
             accepting: BTreeMap::new(),
             cancelling: BTreeMap::new(),
             releases: Releases::default(),
@@ -562,6 +571,9 @@
         for entry in cx.book.jobs() {
             steps.recover_runs(cx, entry);
         }
+        for entry in cx.book.open_jobs() {
+            steps.recover_losses(cx, entry);
+        }
         steps.log_recovered(cx);
         steps.stop_earlier_incarnations(cx);
         let jobs = steps.runs.keys().map(|(task, _)| task.job);
@@ -604,6 +616,7 @@
                 listed_at: cx.now,
                 trial: None,
                 crash: None,
+                doubt: None,
                 withheld: false,
             };
             self.charge(&entry.spec.account, step.demand.accelerators);
@@ -640,8 +653,13 @@
         for key in earlier {
             if let Some(run) = self.runs.get_mut(&key) {
                 let age = RECOVERED_AGE;
-                let (alone, shared) = (false, false);
-                run.crash.get_or_insert(Crash { age, alone, shared });
+                let (alone, shared, unseen) = (false, false, false);
+                run.crash.get_or_insert(Crash {
+                    age,
+                    alone,
+                    shared,
+                    unseen,
+                });
             }
             self.stop_in_later_incarnation(cx, key);
         }
--- a/crates/pistachiostair/src/steps/host.rs
+++ b/crates/pistachiostair/src/steps/host.rs
@@ -91,6 +91,9 @@
     /// A change of the platform's list of workers, or the whole list.
     #[derive(Default)]
     pub struct HostUpdate {
+        /// Time at which the list was current for certain, by the scheduler's clock: when it was requested.
+        #[serde(default)]
+        pub confirmed: Millis,
         /// Whether `changed` is the whole list; workers that it lacks are then no longer listed.
         pub full: bool,
         /// New and changed entries.
@@ -374,12 +377,6 @@
         self.last_unanswered && now.since(self.answered_at) >= SILENCE
     }
 
-    /// Whether it is presumed to have crashed: nothing or another incarnation listens at its address. A refused connection
-    /// is no proof, since a worker that is cut off may refuse them while it works on, so that it ends no run.
-    pub(crate) fn seems_crashed(&self) -> bool {
-        self.replaced || self.refused
-    }
-
     /// Whether it drains, its least remaining time is over and its last call failed, so that it may have left. That is no
     /// proof: connections to a worker that is cut off are refused or unanswered too, while it works on.
     pub(crate) fn may_have_left(&self, now: Millis) -> bool {
--- a/crates/pistachiostair/src/steps/job_table.rs
+++ b/crates/pistachiostair/src/steps/job_table.rs
@@ -10,6 +10,7 @@
 use crate::ids::{Incarnation, WorkerName};
 use crate::record;
 use crate::steps::crashes::Crash;
+use crate::steps::losses::LostRun;
 use crate::steps::outcome::RunOutcome;
 use crate::steps::record::{StartRecord, StepRecord};
 use crate::steps::spec::{JobKey, StepJob, StepJobPhase, TaskKey};
@@ -71,6 +72,9 @@
         /// Longest time that a run was at work before its worker crashed.
         #[serde(default, skip_serializing_if = "is_zero_time")]
         pub crash_age: Millis,
+        /// Runs that were lost with workers which refused connections, and may still have crashed or answer.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub lost: Vec<LostRun>,
         /// Runs that may be alive; empty once the task is done.
         pub placed: Vec<PlacedRun>,
     }
@@ -131,21 +135,33 @@
         self.step(occurrence, step).is_some_and(|entry| entry.done >= count)
     }
 
-    /// All runs of the job that may be alive, with their tasks.
-    pub fn placed_runs(&self) -> impl Iterator<Item = (TaskKey, &PlacedRun)> {
+    /// All started tasks of the job.
+    fn tasks(&self) -> impl Iterator<Item = (TaskKey, &TaskEntry)> {
         self.steps.iter().flat_map(move |((occurrence, step), entry)| {
-            entry.tasks.iter().flat_map(move |(index, task)| {
+            entry.tasks.iter().map(move |(index, task)| {
                 let key = TaskKey {
                     job: self.spec.key,
                     occurrence: *occurrence,
                     step: *step,
                     index: *index,
                 };
-                task.placed.iter().map(move |placed| (key, placed))
+                (key, task)
             })
         })
     }
 
+    /// All runs of the job that may be alive, with their tasks.
+    pub fn placed_runs(&self) -> impl Iterator<Item = (TaskKey, &PlacedRun)> {
+        let tasks = self.tasks();
+        tasks.flat_map(|(key, task)| task.placed.iter().map(move |placed| (key, placed)))
+    }
+
+    /// The runs of the job that were lost with workers which refused connections, with their tasks.
+    pub(crate) fn lost_runs(&self) -> impl Iterator<Item = (TaskKey, &LostRun)> {
+        let tasks = self.tasks();
+        tasks.flat_map(|(key, task)| task.lost.iter().map(move |lost| (key, lost)))
+    }
+
     fn task_mut(&mut self, task: &TaskKey) -> &mut TaskEntry {
         let step = self.steps.entry((task.occurrence, task.step)).or_default();
         step.tasks.entry(task.index).or_default()
@@ -170,12 +186,14 @@
         (task, run): (&TaskKey, u32),
         outcome: RunOutcome,
         checkpoint: &str,
-        (crash, late, cleared): (Option<&Crash>, bool, bool),
+        (crash, doubt): (Option<&Crash>, Option<&Crash>),
+        (late, cleared): (bool, bool),
     ) {
         let gang = self.spec.steps.get(task.step as usize).is_some_and(|step| step.gang);
         self.begun |= outcome.shows_begin();
         let entry = self.task_mut(task);
-        entry.placed.retain(|placed| placed.run != run);
+        let placed = entry.placed.iter().position(|placed| placed.run == run);
+        let placed = placed.map(|position| entry.placed.remove(position));
         if !checkpoint.is_empty() && !entry.done {
             entry.checkpoint = checkpoint.to_owned();
         }
@@ -184,9 +202,17 @@
             entry.clear_crashes();
         }
         entry.late_runs += u32::from(late);
-        entry.losses += u32::from(outcome == RunOutcome::Lost && crash.is_none());
-        if let Some(crash) = crash {
-            entry.record_crash(crash);
+        let lost = placed.zip(crash.or(doubt).filter(|crash| crash.unseen));
+        match (lost, crash) {
+            (Some((placed, unseen)), _) => entry.record_loss(LostRun {
+                run,
+                worker: placed.worker,
+                incarnation: placed.incarnation,
+                crash: *unseen,
+                counted: crash.is_some(),
+            }),
+            (None, Some(crash)) => entry.record_crash(crash),
+            (None, None) => entry.losses += u32::from(outcome == RunOutcome::Lost),
         }
         let step = self.steps.entry((task.occurrence, task.step)).or_default();
         if outcome.counts_as_attempt() && gang {
@@ -237,6 +263,7 @@
             let entry = step.tasks.entry(index).or_default();
             if !std::mem::replace(&mut entry.done, true) {
                 entry.placed.clear();
+                entry.lost.clear();
                 entry.checkpoint.clear();
                 step.done += 1;
                 self.remaining_tasks = self.remaining_tasks.saturating_sub(1);
@@ -317,10 +344,14 @@
                 late,
                 cleared,
                 refuted,
+                doubt,
+                verdict,
             } => {
-                self.update(wall, task.job, |entry| match refuted {
-                    Some(crash) => entry.task_mut(task).refute_crash(crash),
-                    None => entry.record_end((task, *run), *outcome, checkpoint, (crash.as_ref(), *late, *cleared)),
+                let crash = (crash.as_ref(), doubt.as_ref());
+                self.update(wall, task.job, |entry| match (refuted, verdict) {
+                    (Some(crash), _) => entry.task_mut(task).refute_crash(*run, crash),
+                    (None, Some(verdict)) => entry.task_mut(task).record_verdict(*run, *verdict),
+                    (None, None) => entry.record_end((task, *run), *outcome, checkpoint, crash, (*late, *cleared)),
                 });
             }
             StepRecord::Cancelled { job } if !self.jobs.contains_key(job) => {
--- a/crates/pistachiostair/src/steps/lists.rs
+++ b/crates/pistachiostair/src/steps/lists.rs
@@ -40,6 +40,8 @@
         for info in update.changed {
             self.update_host(cx, info);
         }
+        self.list_reads.note(update.confirmed);
+        self.settle_losses(cx);
         self.hosts.retain(|_, host| host.listed || !host.runs.is_empty());
         let hosts = &self.hosts;
         self.releases.retain(|worker| hosts.contains_key(worker));
@@ -81,6 +83,9 @@
                 format!("incarnation {incarnation}, draining {draining}, {left} left"),
             );
         }
+        if draining && changed {
+            self.judge_draining(cx, &worker, incarnation);
+        }
         if claimed {
             self.hold_now(cx, &worker);
         }
@@ -148,7 +153,7 @@
                 return;
             }
         };
-        self.refute_crash(cx, worker, reply.incarnation);
+        self.judge_answer(cx, worker, reply.incarnation);
         let Some(host) = self.hosts.get_mut(worker) else { return };
         if host.is_new() {
             host.incarnation = reply.incarnation;
--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -343,7 +343,7 @@
             checkpoint.clone_into(&mut run.checkpoint);
         }
         let (worker, demand, checkpoint) = (run.worker.clone(), run.demand, run.checkpoint.clone());
-        let crash = run.crash;
+        let (crash, doubt) = (run.crash, run.doubt);
         self.trials.remove(&key);
         if let Some(host) = self.hosts.get_mut(&worker) {
             host.used = host.used.minus(&demand);
@@ -396,6 +396,8 @@
             late,
             cleared,
             refuted: None,
+            doubt,
+            verdict: None,
         };
         let bytes = checkpoint.len();
         let mut record = ended(checkpoint);
--- a/crates/pistachiostair/src/steps/plan.rs
+++ b/crates/pistachiostair/src/steps/plan.rs
@@ -596,6 +596,7 @@
                 listed_at: cx.now,
                 trial: entry.trial_span(&key(index)).filter(|_| placement.trial.is_some()),
                 crash: None,
+                doubt: None,
                 withheld: false,
             };
             if task_run.trial.is_some() {
--- a/crates/pistachiostair/src/steps/ready.rs
+++ b/crates/pistachiostair/src/steps/ready.rs
@@ -1,10 +1,11 @@
 //! Readiness: which tasks of a job can be placed. A task is ready if its occurrence is due, the steps that it depends
-//! on are done, it is not done itself or is long-running, and none of its runs may be alive.
+//! on are done, it is not done itself or is long-running, none of its runs may be alive, and it does not wait for a verdict on
+//! crashes by which it would be given up.
 
 use std::collections::BTreeSet;
 
 use crate::steps::engine::{Context, StepScheduler};
-use crate::steps::job_table::JobEntry;
+use crate::steps::job_table::{JobEntry, TaskEntry};
 use crate::steps::queue::{StepKey, WaitingStep};
 use crate::steps::record::StepRecord;
 use crate::steps::spec::{JobKey, Step, TaskKey};
@@ -67,23 +68,23 @@
             return BTreeSet::new();
         }
         let running: BTreeSet<u32> = self.runs_of_step(key).map(|(task, _)| task.index).collect();
+        let known = entry.step(occurrence, number);
+        let waits = |task: &TaskEntry| self.awaits_verdict(task);
         if step.gang {
-            return match running.is_empty() {
+            let waits = known.is_some_and(|step| step.tasks.values().any(waits));
+            return match running.is_empty() && !waits {
                 true => (0..step.count).collect(),
                 false => BTreeSet::new(),
             };
         }
-        let step = entry.step(occurrence, number);
         // An earlier release stored long-running tasks as done.
-        let done = |index: &u32| {
-            !lasting
-                && step
-                    .and_then(|step| step.tasks.get(index))
-                    .is_some_and(|task| task.done)
+        let closed = |index: &u32| {
+            let task = known.and_then(|step| step.tasks.get(index));
+            task.is_some_and(|task| !lasting && task.done || waits(task))
         };
         let count = entry.spec.steps[number as usize].count;
         (0..count)
-            .filter(|index| !running.contains(index) && !done(index))
+            .filter(|index| !running.contains(index) && !closed(index))
             .collect()
     }
 
--- a/crates/pistachiostair/src/steps/record.rs
+++ b/crates/pistachiostair/src/steps/record.rs
@@ -4,6 +4,7 @@
 use crate::journal::encoded_size;
 use crate::record;
 use crate::steps::crashes::Crash;
+use crate::steps::losses::LossVerdict;
 use crate::steps::outcome::RunOutcome;
 use crate::steps::spec::{JobKey, StepJob, TaskKey};
 
@@ -63,6 +64,14 @@
             /// not crashed. A record with this field says nothing else; its outcome, `Refused`, has no effect by itself.
             #[serde(default, skip_serializing_if = "Option::is_none")]
             refuted: Option<Crash>,
+            /// What is known of the crash of its worker, if that turns out to have crashed: it refused connections until the
+            /// lease of the run was over. A later record gives the verdict.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            doubt: Option<Crash>,
+            /// What became of the worker of a run that an earlier record gave a doubt about. A record with this field says
+            /// nothing else, like one with `refuted`.
+            #[serde(default, skip_serializing_if = "Option::is_none")]
+            verdict: Option<LossVerdict>,
         },
         /// A caller cancelled a job that had not ended, or a key that no job had: a job that is accepted with it later is
         /// cancelled at once.
--- a/crates/pistachiostair/src/steps/step_limits.rs
+++ b/crates/pistachiostair/src/steps/step_limits.rs
@@ -19,6 +19,8 @@
         pub stop: Millis,
         /// Time from its acceptance within which a job that a guarantee covers must have started.
         pub reclaim: Millis,
+        /// Time without a report after which the platform's list drops a worker.
+        pub list_silence: Millis,
         /// Most hold orders a second that the daemon sends only to learn of progress.
         pub hold_rate: u64,
         /// Where requests to evacuate failure domains come from.
@@ -32,6 +34,7 @@
         Self {
             stop: Millis(200),
             reclaim: Millis(2_700),
+            list_silence: Millis(4_500),
             hold_rate: u64::MAX,
             evacuations: EvacuationSource::None,
         }
--- a/crates/pistachiostair/src/steps/tests.rs
+++ b/crates/pistachiostair/src/steps/tests.rs
@@ -70,7 +70,7 @@
         region.handle(StepsEvent::Hosts(HostUpdate {
             full: true,
             changed,
-            removed: Vec::new(),
+            ..HostUpdate::default()
         }));
         region
     }
--- a/crates/pistachiostair/src/steps/timers.rs
+++ b/crates/pistachiostair/src/steps/timers.rs
@@ -40,6 +40,7 @@
         for worker in due {
             self.check_host(cx, &worker);
         }
+        self.settle_losses(cx);
         self.repeat_stops(cx);
         self.report_waste(cx);
         // Placement also depends on time: a step waits for a rack for a while, and ejections end.
@@ -76,16 +77,23 @@
     /// refused as late. Planned runs have had no order.
     fn end_expired_runs(&mut self, cx: &Context<'_>, worker: &WorkerName) {
         let Some(host) = self.hosts.get(worker) else { return };
-        if host.seems_crashed() {
-            self.presume_crash(cx, worker);
+        let (replaced, refused) = (host.replaced, host.refused);
+        let open = |key: &&RunKey| {
+            let run = self.runs.get(*key);
+            run.is_some_and(|run| matches!(run.phase, RunPhase::Ordered | RunPhase::Live))
+        };
+        // The ends of earlier runs may not be stored yet.
+        let runs: Vec<RunKey> = host.runs.iter().filter(open).copied().collect();
+        if runs.is_empty() {
+            return;
+        }
+        match (replaced, refused) {
+            (true, _) => self.note_crash(cx, worker),
+            (false, true) => self.note_refusing(cx, worker),
+            (false, false) => {}
         }
-        let Some(host) = self.hosts.get(worker) else { return };
-        let runs: Vec<RunKey> = host.runs.iter().copied().collect();
         for run in runs {
-            let ordered = self.runs.get(&run).is_some_and(|run| run.phase != RunPhase::Planned);
-            if ordered {
-                self.end_run(cx, run, RunOutcome::Lost, "");
-            }
+            self.end_run(cx, run, RunOutcome::Lost, "");
         }
     }
 
--- a/crates/pistachiostair/src/steps_io.rs
+++ b/crates/pistachiostair/src/steps_io.rs
@@ -6,7 +6,7 @@
 
 use async_io::Timer;
 
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
 use crate::edge::{HostList, Hosts};
 use crate::error::{ErrorKind, Result};
 use crate::ids::{DomainName, Term};
@@ -125,9 +125,12 @@
         let (sender, first) = async_channel::bounded(1);
         self.first_list = Some(first);
         if let Ok(clients) = self.kernel.find::<HostClients>() {
+            let clock = self.kernel.clock;
             self.kernel.spawn_until_stop(async move {
                 // Fails if the daemon is no longer the scheduler.
-                let _ = sender.send(clients.listing.hosts(None, Millis::ZERO).await).await;
+                let _ = sender
+                    .send(read_list(clock, &*clients.listing, None, Millis::ZERO).await)
+                    .await;
             });
         }
     }
@@ -141,6 +144,7 @@
             return;
         };
         let (inbox, shared, log) = (self.inbox.clone(), self.shared.clone(), self.log.clone());
+        let clock = self.kernel.clock;
         self.kernel.spawn_until_stop(async move {
             let mut position = None;
             let mut reached = true;
@@ -151,8 +155,8 @@
                 };
                 let read = match started {
                     Some(read) => read,
-                    None if reached => clients.listing.hosts(position, LIST_WAIT).await,
-                    None => clients.listing.hosts(position, Millis::ZERO).await,
+                    None if reached => read_list(clock, &*clients.listing, position, LIST_WAIT).await,
+                    None => read_list(clock, &*clients.listing, position, Millis::ZERO).await,
                 };
                 if read.is_ok() != reached {
                     reached = read.is_ok();
@@ -179,6 +183,14 @@
     }
 }
 
+/// Reads the list of workers, whole or from `position` on, and notes when the read was requested.
+async fn read_list(clock: Clock, listing: &dyn HostList, position: Option<u64>, wait: Millis) -> Listing {
+    let confirmed = clock.now();
+    let (next, mut update) = listing.hosts(position, wait).await?;
+    update.confirmed = confirmed;
+    Ok((next, update))
+}
+
 /// The outcome of an action that was returned under `term`; none while this daemon was not the scheduler.
 pub(crate) fn outcome_of(term: Option<Term>, event: Event) -> Input {
     let event = Box::new(event);
--- a/crates/pistachiostair/tests/state_size.rs
+++ b/crates/pistachiostair/tests/state_size.rs
@@ -71,6 +71,8 @@
                 late: false,
                 cleared: false,
                 refuted: None,
+                doubt: None,
+                verdict: None,
             });
         }
         if cancelled {
--- a/crates/pistachiostair/tests/steps/crashes.rs
+++ b/crates/pistachiostair/tests/steps/crashes.rs
@@ -495,3 +495,40 @@
     world.run(60_000);
     world.check();
 }
+
+/// Guards against a deadly task that is started for ever, or too often, since its crashed workers stay listed for longer than
+/// usual, or the store is down when the list would have shown their crashes.
+#[rstest]
+fn crash_listed_late(
+    #[values(0, 1_500, 3_000)] drop_lag: u64,
+    #[values(false, true)] outages: bool,
+    #[values(false, true)] takeovers: bool,
+    #[values(0, 700, 6_000)] crash_after: u64,
+) {
+    let mut world = region(12, false);
+    world.workers.downtime = Some(Millis(60_000));
+    world.drop_lag = drop_lag;
+    let (job_deadly, tasks) = deadly(1, Shape::Single, crash_after);
+    world.submit(job_deadly);
+    let mut seen = 0;
+    let end = world.now + 240_000;
+    while world.now < end {
+        world.run(100);
+        if world.workers.crashes.len() == seen {
+            continue;
+        }
+        seen = world.workers.crashes.len();
+        if outages {
+            world.run(2_000);
+            world.store_down = true;
+            world.run(7_000);
+            world.store_down = false;
+        }
+        if takeovers {
+            world.run(8_600);
+            world.take_over();
+        }
+    }
+    assert_given_up(&mut world, 1, &tasks);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/refused.rs
+++ b/crates/pistachiostair/tests/steps/refused.rs
@@ -111,3 +111,94 @@
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Guards against jobs that are given up since one worker after the other was cut off for good: each refused connections until
+/// its lease was over, and stayed listed.
+#[rstest]
+fn cut_off_for_good(#[values(9_000, 14_000)] pause: u64, #[values(false, true)] taken_over: bool) {
+    let mut world = World::new(9);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 200_000));
+    world.run(1_000);
+    for _ in 0..7 {
+        let member = busy_worker(&world, 9);
+        world.refusing.insert(member);
+        world.run(pause);
+        if taken_over {
+            world.take_over();
+            world.run(100);
+        }
+        let since = world.now;
+        while world.workers.running() == 0 {
+            world.run(100);
+            assert!(world.now < since + 15_000, "not started");
+        }
+        assert_ne!(world.phase(1, "normal"), StepJobPhase::Failed);
+    }
+    world.run(220_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Guards against crashes that stay on the counts since another scheduler takes over before the worker, which was cut off from
+/// the store too and so dropped from the list, answers again.
+#[rstest]
+fn cut_off_from_store(#[values(9_000, 12_000, 16_000)] cut: u64, #[values(0, 1, 2)] takeovers: u32) {
+    let mut world = World::new(4);
+    world.submit(job(1, "normal", 1, ACCELERATORS, 120_000));
+    world.run(1_000);
+    for _ in 0..7 {
+        let member = busy_worker(&world, 4);
+        let number: usize = member.as_str()[1..].parse().expect("a number");
+        let entry = world.entry(number);
+        world.refusing.insert(member.clone());
+        world.run(4_500);
+        world.unlist(number);
+        world.run(cut - 4_500);
+        for _ in 0..takeovers {
+            world.take_over();
+            world.run(100);
+        }
+        world.refusing.remove(&member);
+        world.relist_entry(entry);
+        world.run(2_000);
+        assert_ne!(world.phase(1, "normal"), StepJobPhase::Failed);
+    }
+    world.run(150_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
+
+/// Guards against jobs that are given up since workers were cut off while the store was down, so that the list as the
+/// scheduler knows it was old, or lacked workers that could not report.
+#[rstest]
+fn cut_off_beside_outage(
+    #[values(false, true)] lapses: bool,
+    #[values(6_000, 11_000)] outage: u64,
+    #[values(false, true)] taken_over: bool,
+) {
+    let mut world = World::new(9);
+    world.lapses = lapses;
+    world.submit(job(1, "normal", 1, ACCELERATORS, 200_000));
+    world.run(1_000);
+    for _ in 0..7 {
+        let member = busy_worker(&world, 9);
+        world.refusing.insert(member);
+        world.run(500);
+        world.store_down = true;
+        world.run(outage);
+        world.store_down = false;
+        if taken_over {
+            world.run(100);
+            world.take_over();
+        }
+        let back = world.now;
+        while world.workers.running() == 0 || world.now < back + 3_000 {
+            world.run(100);
+            assert!(world.now < back + 15_000, "not started");
+        }
+        assert_ne!(world.phase(1, "normal"), StepJobPhase::Failed);
+    }
+    world.run(220_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
--- a/crates/pistachiostair/tests/steps/takeover.rs
+++ b/crates/pistachiostair/tests/steps/takeover.rs
@@ -253,6 +253,8 @@
         late: false,
         cleared: false,
         refuted: None,
+        doubt: None,
+        verdict: None,
     };
     let start = StartRecord {
         task,
--- a/crates/pistachiostair/tests/steps/world.rs
+++ b/crates/pistachiostair/tests/steps/world.rs
@@ -32,6 +32,9 @@
 /// Time between the reports of two workers that follow each other in the list.
 const REPORT_OFFSET_MS: u64 = 210;
 
+/// Time after an outage of the store at which the workers whose entries have expired are listed again.
+const RELIST_MS: u64 = 1_900;
+
 /// Time without a report after which the list drops a worker.
 const SILENCE_MS: u64 = 3 * HEARTBEAT_MS;
 
@@ -132,6 +135,14 @@
     dropped: BTreeMap<WorkerName, HostInfo>,
     /// Time by which the list keeps the entry of a silent worker for longer than [`SILENCE_MS`].
     pub(crate) drop_lag: u64,
+    /// Whether entries expire while the store is down.
+    pub(crate) lapses: bool,
+    /// When the store was last down.
+    store_back: u64,
+    /// Whether the scheduler in charge has got the list.
+    list_sent: bool,
+    /// Whether the list has changed while it could not be read.
+    list_missed: bool,
     guaranteed: u64,
     /// Stretch, in thousandths, and allowance, in milliseconds, of the queues `urgent`, `normal` and `bulk`.
     pub(crate) objectives: [(u64, u64); 3],
@@ -185,6 +196,10 @@
             reported: BTreeMap::new(),
             dropped: BTreeMap::new(),
             drop_lag: 0,
+            lapses: false,
+            store_back: 0,
+            list_sent: false,
+            list_missed: false,
             guaranteed,
             objectives: [(2_000, 300); 3],
         };
@@ -338,10 +353,12 @@
             }
         }
         let update = HostUpdate {
+            confirmed: Millis(self.now),
             full: true,
             changed,
             removed: Vec::new(),
         };
+        self.list_sent = true;
         self.feed(Event::Steps(StepsEvent::Hosts(update)));
     }
 
@@ -372,35 +389,49 @@
     }
 
     /// Lets the workers that are up report to the list, each at a time of its own, and drops the entries of those that have
-    /// been silent for too long.
+    /// been silent for too long. While the store is down, nobody can report, and entries expire only if [`Self::lapses`] says
+    /// so; workers that are up are then listed again within 2 s of its return.
     fn update_list(&mut self) {
+        let mut update = HostUpdate::default();
         if self.store_down {
-            return;
+            self.store_back = self.now;
         }
         let mut silent = Vec::new();
         for (number, name) in (0..).zip(self.listed.keys()) {
             let reported = self.reported.entry(name.clone()).or_insert(self.now);
             let up = self.workers.incarnation(name).is_some();
-            if up && (self.now + number * REPORT_OFFSET_MS).is_multiple_of(HEARTBEAT_MS) {
+            if up && !self.store_down && (self.now + number * REPORT_OFFSET_MS).is_multiple_of(HEARTBEAT_MS) {
                 *reported = self.now;
             }
-            if !up && self.now >= *reported + SILENCE_MS + self.drop_lag {
+            let expires = if self.store_down { self.lapses } else { !up };
+            if expires && self.now >= *reported + SILENCE_MS + self.drop_lag {
                 silent.push(name.clone());
             }
         }
-        if silent.is_empty() {
+        for name in silent {
+            self.reported.remove(&name);
+            self.dropped.extend(self.listed.remove_entry(&name));
+            update.removed.push(name);
+        }
+        if !self.store_down && self.now == self.store_back + RELIST_MS {
+            let up = |name: &WorkerName, info: &HostInfo| self.workers.incarnation(name) == Some(info.incarnation);
+            let dropped = std::mem::take(&mut self.dropped);
+            let (back, dropped) = dropped.into_iter().partition(|(name, info)| up(name, info));
+            self.dropped = dropped;
+            update.changed = BTreeMap::values(&back).cloned().collect();
+            self.listed.extend(back);
+        }
+        if self.store_down || !self.list_sent {
+            self.list_missed |= self.store_down && !(update.removed.is_empty() && update.changed.is_empty());
             return;
         }
-        for name in &silent {
-            self.reported.remove(name);
-            self.dropped.extend(self.listed.remove_entry(name));
+        if std::mem::take(&mut self.list_missed) {
+            return self.send_list();
+        }
+        update.confirmed = Millis(self.now);
+        if self.now.is_multiple_of(READ_MS) || !update.removed.is_empty() || !update.changed.is_empty() {
+            self.feed(Event::Steps(StepsEvent::Hosts(update)));
         }
-        let update = HostUpdate {
-            full: false,
-            changed: Vec::new(),
-            removed: silent,
-        };
-        self.feed(Event::Steps(StepsEvent::Hosts(update)));
     }
 
     /// Whether the list has an entry of a worker.
@@ -427,9 +458,8 @@
     /// Sends a change of one entry to the scheduler; the list itself stays as it is.
     pub(crate) fn send_entry(&mut self, entry: HostInfo) {
         let update = HostUpdate {
-            full: false,
             changed: vec![entry],
-            removed: Vec::new(),
+            ..HostUpdate::default()
         };
         self.feed(Event::Steps(StepsEvent::Hosts(update)));
     }
@@ -474,6 +504,7 @@
     /// Replaces the scheduler by that of another daemon, which does not know the list of workers yet.
     pub(crate) fn elect(&mut self) {
         self.term = Term(self.term.0 + 1);
+        self.list_sent = false;
         self.scheduler = Scheduler::new("fi".into())
             .with_step_limits(self.limits)
             .with_row_bytes(self.row_bytes);
