Steps: an answer meant for a claimed incarnation shows no crash

Callers would see: a task that counts one crash more than its workers had. Found while reading what counts as proof of a crash.

Cause: 421 to an order for the incarnation that the list claims was read as the answer of another incarnation, so that the worker counted as replaced. It may be the known one that answers, as an entry may come from another writer. The run that was lost when its lease ended then counted a crash, which nothing took back.

Change: only 421 to an order for the known incarnation counts as that.

Evidence and test: claimed_incarnation_is_no_crash, an entry with a later `born` for 12 s, failed before (1 crash record, 0 expected).

--- a/crates/pistachiostair/src/steps/orders.rs
+++ b/crates/pistachiostair/src/steps/orders.rs
@@ -320,7 +320,8 @@
             // The next hold order brings the new incarnation with its runs and ends.
             OrderReply::OtherIncarnation => {
                 host.synced = false;
-                host.replaced = true;
+                // For an order to a claimed incarnation it may be the known one that answered.
+                host.replaced |= target.incarnation == host.incarnation;
             }
             OrderReply::NoRoom => host.note_full(cx.now),
             _ => {}
--- a/crates/pistachiostair/tests/steps/review.rs
+++ b/crates/pistachiostair/tests/steps/review.rs
@@ -165,6 +165,22 @@
     assert_eq!(crash_records(&world), 0);
 }
 
+/// Guards against a worker being taken for one that crashed since the list claims a later incarnation for it, while the known
+/// one answers and refuses what is meant for the claimed one.
+#[test]
+fn claimed_incarnation_is_no_crash() {
+    let mut world = World::new(2);
+    world.submit(job(1, "normal", 1, 1, 60_000));
+    world.run(2_000);
+    let name = busy(&world).expect("a worker that runs the task");
+    let mut entry = world.entry_of(&name);
+    entry.incarnation.0 += 5;
+    world.send_entry(entry);
+    world.run(12_000);
+    assert_eq!(crash_records(&world), 0);
+    world.check();
+}
+
 /// Guards against giving up a task whose workers were cut off and did not crash.
 #[test]
 fn cut_is_no_crash() {
