Steps: open losses are kept by life of a worker

Cause, found by reading: two lives of a worker may have open losses, from before a takeover, and the later one displaced the other, which was then never decided; a task could also be started between a verdict and its commit.

Change: losses are kept by worker and incarnation, an answer decides all up to its own, and a task goes on waiting while a verdict is being committed. A crash on trial that is known late lowers the number of workers for trials like any other.

No test showed the fault before.

--- a/crates/pistachiostair/src/steps/engine.rs
+++ b/crates/pistachiostair/src/steps/engine.rs
@@ -15,7 +15,7 @@
 use crate::steps::host::{Host, HostUpdate, RunKey};
 use crate::steps::job_table::{JobEntry, StepJobTable};
 use crate::steps::liveness::ListReads;
-use crate::steps::losses::HostLoss;
+use crate::steps::losses::{HostLife, HostLoss};
 use crate::steps::outcome::RunOutcome;
 use crate::steps::progress::RunProgress;
 use crate::steps::queue::{StepKey, WaitingStep};
@@ -490,9 +490,9 @@
     /// Reads of the platform's list of workers.
     pub(crate) list_reads: ListReads,
     /// Workers that refused connections until their runs were lost, and may have crashed.
-    pub(crate) open_losses: BTreeMap<WorkerName, HostLoss>,
+    pub(crate) open_losses: BTreeMap<HostLife, HostLoss>,
     /// Workers whose crash only the list shows, so that they may still answer.
-    pub(crate) refutable: BTreeMap<WorkerName, HostLoss>,
+    pub(crate) refutable: BTreeMap<HostLife, HostLoss>,
     /// Calls to answer once the job's [`StepRecord::Accepted`] is durable.
     pub(crate) accepting: BTreeMap<JobKey, Vec<Token>>,
     /// Calls to answer once the job's [`StepRecord::Cancelled`] is durable.
--- a/crates/pistachiostair/src/steps/liveness.rs
+++ b/crates/pistachiostair/src/steps/liveness.rs
@@ -15,10 +15,10 @@
 /// Time by which a read may lag behind the list, and a report behind its interval.
 const READ_LAG: Millis = Millis(1_000);
 
-/// What the list tells of a worker that was last known to be alive at some time.
+/// What the list tells of a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Liveness {
-    /// It has reported since.
+    /// It was alive after the given time.
     Alive,
     /// It is no longer listed, so that it has not reported for a while.
     Gone,
@@ -45,7 +45,8 @@
         self.confirmed = self.confirmed.max(confirmed);
     }
 
-    /// What the list tells of a worker at `at`, if it is listed there now and is dropped after `silence` without a report.
+    /// What the list tells of a worker: whether it was alive after `at`. `listed` says whether the newest read has it, and
+    /// `silence` after which time without a report it would be dropped.
     pub(crate) fn liveness(&self, listed: bool, at: Millis, silence: Millis) -> Liveness {
         // While the store is unavailable it may keep the entries of silent workers, or drop those of others.
         let (due, verdict) = match listed {
--- a/crates/pistachiostair/src/steps/losses.rs
+++ b/crates/pistachiostair/src/steps/losses.rs
@@ -14,7 +14,7 @@
 use crate::closed_set;
 use crate::ids::{Incarnation, WorkerName};
 use crate::record;
-use crate::steps::crashes::{Crash, LostHost};
+use crate::steps::crashes::{Crash, LostHost, MIN_TRIAL_WORKERS};
 use crate::steps::engine::{Context, StepScheduler};
 use crate::steps::host::RunKey;
 use crate::steps::job_table::{JobEntry, TaskEntry};
@@ -55,10 +55,12 @@
     }
 }
 
+/// One life of a worker.
+pub(crate) type HostLife = (WorkerName, Incarnation);
+
 /// The runs that were lost with a worker which refused connections.
 #[derive(Clone, Debug)]
 pub(crate) struct HostLoss {
-    incarnation: Incarnation,
     /// When the lease of the runs was over, or found to be over.
     at: Millis,
     /// The worker as one that was lost, and its number; none after a takeover.
@@ -116,9 +118,10 @@
     /// Whether a task is given up if its open losses turn out to be crashes, and not otherwise. It is not started until that
     /// is known, or the losses are old.
     pub(crate) fn awaits_verdict(&self, task: &TaskEntry) -> bool {
+        // A loss that is no longer open here is decided, and the record of that is being committed.
         let recent = |lost: &&LostRun| {
-            let loss = self.open_losses.get(&lost.worker);
-            loss.is_some_and(|loss| !loss.expired)
+            let loss = self.open_losses.get(&(lost.worker.clone(), lost.incarnation));
+            loss.is_none_or(|loss| !loss.expired)
         };
         let open = || task.lost.iter().filter(|lost| !lost.counted).filter(recent);
         let alone = open().filter(|lost| lost.crash.alone).count() as u32;
@@ -131,20 +134,19 @@
             return;
         };
         let Some(host) = self.hosts.get(worker) else { return };
-        let (number, incarnation) = (host.number, host.incarnation);
+        let (number, life) = (host.number, (worker.clone(), host.incarnation));
         for (_, crash) in &mut report.crashes {
             crash.unseen = true;
         }
         let loss = HostLoss {
-            incarnation,
             at: cx.now,
             host: Some((number, report.lost.clone())),
             expired: false,
             runs: report.crashes.iter().copied().collect(),
         };
-        if self.list_shows(cx, worker, incarnation, cx.now) == Liveness::Gone {
+        if self.list_shows(cx, &life, cx.now) == Liveness::Gone {
             self.record_crash(cx, worker, report);
-            self.add_refutable(cx, worker, loss);
+            self.add_refutable(cx, life, loss);
             return;
         }
         for (key, crash) in report.crashes {
@@ -154,7 +156,7 @@
             let reason = "its worker refuses connections; whether it crashed is not known yet".to_owned();
             self.log_run("loss open", key, reason);
         }
-        self.open_losses.insert(worker.clone(), loss);
+        self.open_losses.insert(life, loss);
     }
 
     /// Restores the losses that the journal has as open, and the crashes that may be taken back.
@@ -164,35 +166,36 @@
                 true => &mut self.refutable,
                 false => &mut self.open_losses,
             };
-            let loss = losses.entry(lost.worker.clone()).or_insert_with(|| HostLoss {
-                incarnation: lost.incarnation,
+            let loss = losses.entry((lost.worker.clone(), lost.incarnation));
+            let loss = loss.or_insert_with(|| HostLoss {
                 at: cx.now,
                 host: None,
                 expired: false,
                 runs: BTreeMap::new(),
             });
-            if loss.incarnation < lost.incarnation {
-                loss.incarnation = lost.incarnation;
-                loss.runs.clear();
-            }
-            if loss.incarnation == lost.incarnation {
-                loss.runs.insert((task, lost.run), lost.crash);
-            }
+            loss.runs.insert((task, lost.run), lost.crash);
         }
     }
 
-    /// Decides the open losses of which the list or the time tells enough.
+    /// Decides the open losses of which the list or the time tells enough, and ends waits for those that stay open for long.
     pub(crate) fn settle_losses(&mut self, cx: &Context<'_>) {
-        let decided = self.open_losses.iter().filter_map(|(worker, loss)| {
-            let verdict = match self.list_shows(cx, worker, loss.incarnation, loss.at) {
+        let decided = self.open_losses.iter().filter_map(|(life, loss)| {
+            let verdict = match self.list_shows(cx, life, loss.at) {
                 Liveness::Gone => LossVerdict::Crashed,
                 Liveness::Alive => LossVerdict::NotCrashed,
                 Liveness::Unknown if cx.now.since(loss.at) >= LOSS_SPAN => LossVerdict::NotCrashed,
                 Liveness::Unknown => return None,
             };
-            Some((worker.clone(), verdict))
+            Some((life.clone(), verdict))
         });
-        let decided: Vec<(WorkerName, LossVerdict)> = decided.collect();
+        let decided: Vec<(HostLife, LossVerdict)> = decided.collect();
+        for (life, verdict) in decided {
+            let reason = match verdict {
+                LossVerdict::Crashed => "its worker is no longer listed",
+                LossVerdict::NotCrashed => "its worker is still listed, or nothing is known of it",
+            };
+            self.settle_loss(cx, &life, verdict, reason);
+        }
         let mut jobs = BTreeSet::new();
         for loss in self.open_losses.values_mut() {
             if !loss.expired && cx.now.since(loss.at) >= MAX_VERDICT_WAIT {
@@ -203,49 +206,35 @@
         for job in jobs {
             self.refresh_job(cx, job);
         }
-        for (worker, verdict) in decided {
-            let reason = match verdict {
-                LossVerdict::Crashed => "its worker is no longer listed",
-                LossVerdict::NotCrashed => "its worker is still listed, or nothing is known of it",
-            };
-            self.settle_loss(cx, &worker, verdict, reason);
-        }
     }
 
-    /// Decides what the answer of an incarnation at the address of a worker tells: that the worker had not crashed, or that
-    /// it had.
+    /// Decides what the answer of an incarnation of a worker tells about that one and earlier ones.
     pub(crate) fn judge_answer(&mut self, cx: &Context<'_>, worker: &WorkerName, incarnation: Incarnation) {
-        match self.open_losses.get(worker) {
-            Some(loss) if loss.incarnation == incarnation => {
-                let reason = "its worker answers again in the same incarnation";
-                self.settle_loss(cx, worker, LossVerdict::NotCrashed, reason);
-            }
-            Some(loss) if loss.incarnation < incarnation => {
-                self.settle_loss(
-                    cx,
-                    worker,
-                    LossVerdict::Crashed,
-                    "its worker answers in a later incarnation",
-                );
-            }
-            _ => {}
+        let lives = (worker.clone(), Incarnation::default())..=(worker.clone(), incarnation);
+        let open: Vec<HostLife> = self.open_losses.range(lives).map(|(life, _)| life.clone()).collect();
+        for life in open {
+            let (verdict, reason) = match life.1 == incarnation {
+                true => (
+                    LossVerdict::NotCrashed,
+                    "its worker answers again in the same incarnation",
+                ),
+                false => (LossVerdict::Crashed, "its worker answers in a later incarnation"),
+            };
+            self.settle_loss(cx, &life, verdict, reason);
         }
-        let refutable = self.refutable.remove(worker);
-        if let Some(loss) = refutable.filter(|loss| loss.incarnation == incarnation) {
+        if let Some(loss) = self.refutable.remove(&(worker.clone(), incarnation)) {
             self.refute(cx, worker, loss);
         }
     }
 
     /// Decides the open loss of a worker that reports to the list as draining, since a crashed one reports nothing.
     pub(crate) fn judge_draining(&mut self, cx: &Context<'_>, worker: &WorkerName, incarnation: Incarnation) {
-        let loss = self.open_losses.get(worker);
-        if loss.is_some_and(|loss| loss.incarnation == incarnation) {
-            self.settle_loss(cx, worker, LossVerdict::NotCrashed, "its worker reports that it drains");
-        }
+        let life = (worker.clone(), incarnation);
+        self.settle_loss(cx, &life, LossVerdict::NotCrashed, "its worker reports that it drains");
     }
 
-    fn settle_loss(&mut self, cx: &Context<'_>, worker: &WorkerName, verdict: LossVerdict, reason: &str) {
-        let Some(loss) = self.open_losses.remove(worker) else {
+    fn settle_loss(&mut self, cx: &Context<'_>, life: &HostLife, verdict: LossVerdict, reason: &str) {
+        let Some(loss) = self.open_losses.remove(life) else {
             return;
         };
         let what = match verdict {
@@ -260,10 +249,13 @@
             if let Some((number, lost)) = loss.host.clone() {
                 self.lost_hosts.insert(number, lost);
             }
-            if let Some(host) = self.hosts.get_mut(worker) {
+            if let Some(host) = self.hosts.get_mut(&life.0) {
                 host.crashed_at = Some(cx.now);
             }
-            self.add_refutable(cx, worker, loss);
+            if loss.runs.values().any(|crash| crash.alone) {
+                self.trial_workers = MIN_TRIAL_WORKERS;
+            }
+            self.add_refutable(cx, life.clone(), loss);
         }
     }
 
@@ -282,17 +274,17 @@
         }
     }
 
-    fn add_refutable(&mut self, cx: &Context<'_>, worker: &WorkerName, loss: HostLoss) {
+    fn add_refutable(&mut self, cx: &Context<'_>, life: HostLife, loss: HostLoss) {
         self.refutable.retain(|_, loss| cx.now.since(loss.at) < LOSS_SPAN);
-        self.refutable.insert(worker.clone(), loss);
+        self.refutable.insert(life, loss);
     }
 
-    /// What the list tells of an incarnation of a worker that was last known to be alive at `at`.
-    fn list_shows(&self, cx: &Context<'_>, worker: &WorkerName, incarnation: Incarnation, at: Millis) -> Liveness {
+    /// What the list tells of a life of a worker: whether it has ended, or has gone on after `at`.
+    fn list_shows(&self, cx: &Context<'_>, (worker, incarnation): &HostLife, at: Millis) -> Liveness {
         let host = self.hosts.get(worker).filter(|host| host.listed);
         let listed = host.and_then(|host| host.info.as_ref());
         // An entry without an incarnation has 0.
-        let listed = listed.is_some_and(|info| info.incarnation <= incarnation);
+        let listed = listed.is_some_and(|info| info.incarnation <= *incarnation);
         self.list_reads.liveness(listed, at, cx.limits.list_silence)
     }
 }
