Steps: runs that were cut off don't count towards a verdict on crashes

A run that is lost for an unknown reason counts as a possible crash for the three after which starts are bounded, and the starts after that count as late; both stayed when it was known that the worker had not crashed. Two crashes then gave the job up.

Change: a loss that turns out to be none of a crash, by an answer or by the list, no longer counts, nor do late runs if less than three workers may have crashed before them. One that nothing is ever heard of stays.

Why it works: the bound on starts is for tasks under which three workers may have crashed; the witness says which may not have.

--- a/crates/pistachiostair/src/steps/losses.rs
+++ b/crates/pistachiostair/src/steps/losses.rs
@@ -33,8 +33,10 @@
     pub enum LossVerdict {
         /// It crashed.
         Crashed,
-        /// It did not crash, or that will not be known.
+        /// It did not crash.
         NotCrashed,
+        /// That will not be known.
+        Unknown,
     }
 }
 
@@ -94,11 +96,23 @@
                 self.losses = self.losses.saturating_sub(1);
                 self.record_crash(&crash);
             }
-            LossVerdict::NotCrashed => self.lost.retain(|lost| lost.run != run),
+            LossVerdict::NotCrashed => {
+                self.losses = self.losses.saturating_sub(1);
+                self.drop_loss(run);
+            }
+            LossVerdict::Unknown => self.drop_loss(run),
         }
     }
 
-    /// Takes a crash back that was counted before. The run was lost all the same.
+    /// Forgets a lost run. Runs no longer count as late if less than enough workers may have crashed before them.
+    fn drop_loss(&mut self, run: u32) {
+        self.lost.retain(|lost| lost.run != run);
+        if !self.is_late() {
+            self.late_runs = 0;
+        }
+    }
+
+    /// Takes a crash back that was counted before.
     pub(crate) fn refute_crash(&mut self, run: u32, crash: &Crash) {
         let count = match crash.shared {
             true => &mut self.wave_crashes,
@@ -106,11 +120,10 @@
         };
         *count = count.saturating_sub(1);
         self.trial_crashes = self.trial_crashes.saturating_sub(u32::from(crash.alone));
-        self.losses += 1;
         if self.crashes + self.wave_crashes == 0 {
             self.crash_age = Millis::ZERO;
         }
-        self.lost.retain(|lost| lost.run != run);
+        self.drop_loss(run);
     }
 }
 
@@ -183,7 +196,7 @@
             let verdict = match self.list_shows(cx, life, loss.at) {
                 Liveness::Gone => LossVerdict::Crashed,
                 Liveness::Alive => LossVerdict::NotCrashed,
-                Liveness::Unknown if cx.now.since(loss.at) >= LOSS_SPAN => LossVerdict::NotCrashed,
+                Liveness::Unknown if cx.now.since(loss.at) >= LOSS_SPAN => LossVerdict::Unknown,
                 Liveness::Unknown => return None,
             };
             Some((life.clone(), verdict))
@@ -192,7 +205,8 @@
         for (life, verdict) in decided {
             let reason = match verdict {
                 LossVerdict::Crashed => "its worker is no longer listed",
-                LossVerdict::NotCrashed => "its worker is still listed, or nothing is known of it",
+                LossVerdict::NotCrashed => "its worker is still listed",
+                LossVerdict::Unknown => "nothing was heard of its worker",
             };
             self.settle_loss(cx, &life, verdict, reason);
         }
@@ -240,6 +254,7 @@
         let what = match verdict {
             LossVerdict::Crashed => "crashed",
             LossVerdict::NotCrashed => "not crashed",
+            LossVerdict::Unknown => "loss unexplained",
         };
         for key in loss.runs.keys().filter(|key| is_counted(cx, key)) {
             self.log_run(what, *key, reason.to_owned());
--- a/crates/pistachiostair/tests/steps/refused.rs
+++ b/crates/pistachiostair/tests/steps/refused.rs
@@ -1,6 +1,6 @@
 //! Workers that are cut off by refused connections and work on.
 
-use pistachiostair::{StepJobPhase, WorkerName};
+use pistachiostair::{Millis, StepJobPhase, WorkerName};
 use rstest::rstest;
 
 use crate::world::{ACCELERATORS, World, job, worker};
@@ -202,3 +202,38 @@
     assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
     world.check();
 }
+
+/// Guards against jobs that are given up after two crashes of workers, since runs that were cut off count as if their workers
+/// might have crashed, after it is known that they did not.
+#[rstest]
+fn cut_off_beside_crashes(#[values(false, true)] answers: bool, #[values(false, true)] taken_over: bool) {
+    let mut world = World::new(12);
+    world.workers.downtime = Some(Millis(3_000));
+    world.submit(job(1, "normal", 1, ACCELERATORS, 200_000));
+    world.run(1_000);
+    for round in 0..8 {
+        let member = busy_worker(&world, 12);
+        if round == 1 || round == 3 {
+            world.crash(&[member]);
+            world.run(10_000);
+        } else {
+            world.refusing.insert(member.clone());
+            world.run(9_500);
+            if answers {
+                world.refusing.remove(&member);
+            }
+        }
+        if taken_over {
+            world.take_over();
+        }
+        let since = world.now;
+        while world.workers.running() == 0 || world.now < since + 7_000 {
+            world.run(100);
+            assert_ne!(world.phase(1, "normal"), StepJobPhase::Failed, "round {round}");
+            assert!(world.now < since + 20_000, "not started in round {round}");
+        }
+    }
+    world.run(220_000);
+    assert_eq!(world.phase(1, "normal"), StepJobPhase::Completed);
+    world.check();
+}
