--- a/review/harness-4/standin.py
+++ b/review/harness-4/standin.py
@@ -32,7 +32,7 @@
 }
 HEARTBEAT_MS = 1500
 HOST = "orders.example"
-KEY = "key-of-court"
+KEY, OTHER_KEY = "key-of-court", "key-of-counsel"
 PREFIX = "/full/"
 URGENT = "/urgent/"
 
@@ -322,7 +322,12 @@
         self.count = 0
         self.news = asyncio.Event()
         self.server = Server(self.answer)
-        self.port = await self.server.listen(self.fleet.ip(200), self.port)
+        for _ in range(50):
+            try:
+                self.port = await self.server.listen(self.fleet.ip(200), self.port)
+                break
+            except OSError:  # a connection of an earlier life may still have the port
+                await asyncio.sleep(0.1)
         self.alive = True
         self.fleet.record.line(f"worker {self.id} is up, born {self.born}")
         self.listed_at = time.monotonic() - HEARTBEAT_MS / 1000 + list_after
@@ -563,7 +568,8 @@
                     "target_latency_ms": 1000, "priority": priority, "max_attempts": 4, "stretch": 3.0}
         return {"version": version, "routes": [route("full", PREFIX, 1), route("urgent", URGENT, 0)],
                 "services": [{"name": "tilaus", "admission_control": True}],
-                "tenants": [{"name": "court", "api_keys": [KEY], "guaranteed": {"gpu": 8}}], "limits": {}}
+                "tenants": [{"name": "court", "api_keys": [KEY], "guaranteed": {"gpu": 8}},
+                            {"name": "counsel", "api_keys": [OTHER_KEY], "guaranteed": {"gpu": 8}}], "limits": {}}
 
     async def begin(self, daemons=3):
         self.store_port = await self.store.server.listen(self.ip(199))
@@ -620,19 +626,19 @@
             await asyncio.sleep(0.1)
         raise Unable(f"daemon front-{number} did not become ready")
 
-    async def request(self, daemon, method, path, body=None, deadline=3000):
+    async def request(self, daemon, method, path, body=None, deadline=3000, key=KEY):
         """A client's call."""
-        headers = {"Host": HOST, "Api-Key": KEY, "Content-Type": "application/json", "Deadline-Ms": str(deadline)}
+        headers = {"Host": HOST, "Api-Key": key, "Content-Type": "application/json", "Deadline-Ms": str(deadline)}
         status, answer = await call(f"{self.ip(daemon)}:8521", method, path, body, headers, deadline / 1000)
         self.record.line(f"client {method} {path} to front-{daemon}: {status} {answer[:100].decode(errors='replace')}")
         return status, answer
 
-    async def submit(self, job, spec, steps, prefix=PREFIX, daemon=1):
+    async def submit(self, job, spec, steps, prefix=PREFIX, daemon=1, key=KEY):
         """Hands a job in, with retries as clients do."""
         body = {"spec": json.dumps(spec), "steps": steps}
         self.jobs[job] = body
         for attempt in range(5):
-            status, _ = await self.request((daemon + attempt - 1) % len(self.daemons) + 1, "POST", prefix + job, body)
+            status, _ = await self.request((daemon + attempt - 1) % len(self.daemons) + 1, "POST", prefix + job, body, key=key)
             if 200 <= status < 300:
                 return
             await asyncio.sleep(0.5)
