--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,5 @@
-"""A job that lasts has a task on each of 16 workers, at most one on each. One worker goes down and up by turns, twice."""
+"""An order to start gets no answer and is carried out 7 s later. Its worker crashes in between and starts again under its
+id."""
 
 import asyncio
 import os
@@ -9,40 +10,58 @@
 sys.dont_write_bytecode = True
 import standin  # noqa: E402
 
-WORKERS = 16
-JOB = "5c0e7a21d94b36f8"
-# `srv_flap`: share = 0.067, gap_s = 1.6, for_s = 5.6.
-GAP_S, FOR_S, PAUSE_S = 1.6, 5.6, 6.0
-ROUNDS = 2
+WORKERS = 8
+JOB, LONG, SHORT = "5c0e7a21d94b36f8", "00bb87a21d94b5c0", "00bb87a21d94b5c1"
+TASK = f"{JOB}.0.0.0"
+LATE_S = 7.0  # "carried out 2 to 12 s later"
+CRASH_S = 3.0
+DOWN_S = 0.5
 
 
 async def case(fleet):
-    step = {"count": WORKERS, "cpu": 4000, "mem_mb": 8192, "gpu": 1, "estimated_ms": 60000, "anti_affinity": 1,
-            "long_running": True}
-    await fleet.submit(JOB, {}, [step])
-    await asyncio.sleep(6)
-    if len(fleet.starts) != WORKERS:
-        raise standin.Unable("not all tasks run")
-    worker = fleet.workers[0]
-    for _ in range(ROUNDS):
-        begin = fleet.record.now()
-        while standin.TROUBLE and fleet.record.now() - begin < FOR_S - GAP_S:
-            worker.crash()
-            await asyncio.sleep(GAP_S)
-            await worker.begin()
-            await asyncio.sleep(GAP_S)
-        await asyncio.sleep(PAUSE_S)
-    fleet.record.line(f"at work: {sum(len(worker.running) for worker in fleet.workers)} tasks")
-    broken = []
-    for _ in range(10):
-        await asyncio.sleep(2)
-        state = await fleet.state(JOB)
-        if state not in ("running", "queued"):
-            failed = sum(how == "failed" for *_, how in fleet.ends)
-            broken.append(f"LOST: the job is shown as {state}; {failed} runs ended failed, "
-                          f"{sum(how == 'crashed' for *_, how in fleet.ends)} with their worker")
+    held = []
+
+    async def hold_first_start(worker, target, order):
+        """Holds the first order to start the task back on its way."""
+        if held or target != "/-/run-start" or order["task"] != TASK:
+            return None
+        held.append(worker)
+        fleet.record.line(f"order  {target} {TASK} run {order['run']} to {worker.id} is not answered, and is late")
+
+        async def later():
+            await asyncio.sleep(LATE_S)
+            answer = await worker.carry_out(target, worker.id, order, worker.born)
+            fleet.record.line(f"order  {target} {TASK} run {order['run']} arrives at {worker.id} late: {answer}")
+
+        asyncio.ensure_future(later())
+        return worker
+
+    async def crash():
+        while not held:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(CRASH_S)
+        held[0].crash()
+        await asyncio.sleep(DOWN_S)
+        await held[0].begin()
+
+    if standin.TROUBLE:
+        fleet.hook = hold_first_start
+        trouble = asyncio.ensure_future(crash())
+    # Other work, which leaves more room on the first worker once its short task has ended.
+    for job, work, gpu in ((LONG, 60000, 2), (SHORT, 2500, 4)):
+        other = {"count": 1, "cpu": 4000, "mem_mb": 8192, "gpu": gpu, "estimated_ms": work}
+        await fleet.submit(job, {"work_ms": work}, [other])
+        await asyncio.sleep(0.3)
+    step = {"count": 1, "cpu": 13000, "mem_mb": 34000, "gpu": 4, "estimated_ms": 10000}
+    await fleet.submit(JOB, {"work_ms": 12000}, [step])
+    for _ in range(40):
+        await asyncio.sleep(1)
+        if await fleet.state(JOB) == "completed":
             break
-    return broken
+    await asyncio.sleep(12)  # what still runs then ends
+    if standin.TROUBLE:
+        await trouble
+    return standin.twice(fleet)
 
 
 standin.main(FOLDER, [["a", f"r1-{number // 4}"] for number in range(WORKERS)], case)
