--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,5 +1,5 @@
-"""An order to start gets no answer and is carried out 7 s later. Its worker crashes in between and starts again under its
-id."""
+"""On three of eight workers, which have a label, small tasks run that last. A gang is handed in that needs these three workers
+whole. Then one of the small tasks fails once, and an ordinary job is handed in that needs the label too."""
 
 import asyncio
 import os
@@ -10,58 +10,49 @@
 sys.dont_write_bytecode = True
 import standin  # noqa: E402
 
-WORKERS = 8
-JOB, LONG, SHORT = "5c0e7a21d94b36f8", "00bb87a21d94b5c0", "00bb87a21d94b5c1"
-TASK = f"{JOB}.0.0.0"
-LATE_S = 7.0  # "carried out 2 to 12 s later"
-CRASH_S = 3.0
-DOWN_S = 0.5
+WORKERS, LABELLED = 8, 3
+LASTING, FAILING = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
+GANG, ORDINARY = "00bb87a21d94b5c0", "00bb87a21d94b5c1"
+TASK = f"{FAILING}.0.0.0"
+# LOST: "for 3 s ... The last holds for each task that lasts, from 6 s after its last run".
+LIMIT_S = 9.0
+FINISH_S = standin.BOUNDS["finish_s"]
+FAILS_MS = 20000
 
 
-async def case(fleet):
-    held = []
-
-    async def hold_first_start(worker, target, order):
-        """Holds the first order to start the task back on its way."""
-        if held or target != "/-/run-start" or order["task"] != TASK:
-            return None
-        held.append(worker)
-        fleet.record.line(f"order  {target} {TASK} run {order['run']} to {worker.id} is not answered, and is late")
-
-        async def later():
-            await asyncio.sleep(LATE_S)
-            answer = await worker.carry_out(target, worker.id, order, worker.born)
-            fleet.record.line(f"order  {target} {TASK} run {order['run']} arrives at {worker.id} late: {answer}")
-
-        asyncio.ensure_future(later())
-        return worker
+def step(count, gpu, **more):
+    """Tasks that need `gpu` eighths of a worker in each resource."""
+    need = {"cpu": 4000 * gpu, "mem_mb": 8192 * gpu, "gpu": gpu}
+    return {"count": count, **need, "estimated_ms": 4000, "requires": "b", **more}
 
-    async def crash():
-        while not held:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(CRASH_S)
-        held[0].crash()
-        await asyncio.sleep(DOWN_S)
-        await held[0].begin()
 
+async def case(fleet):
+    await fleet.submit(LASTING, {}, [step(LABELLED, 1, long_running=True, anti_affinity=1)])
+    fails = {"fail_ms": [FAILS_MS, FAILS_MS], "fail_runs": 1}
+    await fleet.submit(FAILING, fails, [step(1, 1, long_running=True)])
+    await asyncio.sleep(6)
+    if len(fleet.starts) != LABELLED + 1:
+        raise standin.Unable("not all tasks run")
     if standin.TROUBLE:
-        fleet.hook = hold_first_start
-        trouble = asyncio.ensure_future(crash())
-    # Other work, which leaves more room on the first worker once its short task has ended.
-    for job, work, gpu in ((LONG, 60000, 2), (SHORT, 2500, 4)):
-        other = {"count": 1, "cpu": 4000, "mem_mb": 8192, "gpu": gpu, "estimated_ms": work}
-        await fleet.submit(job, {"work_ms": work}, [other])
-        await asyncio.sleep(0.3)
-    step = {"count": 1, "cpu": 13000, "mem_mb": 34000, "gpu": 4, "estimated_ms": 10000}
-    await fleet.submit(JOB, {"work_ms": 12000}, [step])
-    for _ in range(40):
-        await asyncio.sleep(1)
-        if await fleet.state(JOB) == "completed":
-            break
-    await asyncio.sleep(12)  # what still runs then ends
-    if standin.TROUBLE:
-        await trouble
-    return standin.twice(fleet)
-
-
-standin.main(FOLDER, [["a", f"r1-{number // 4}"] for number in range(WORKERS)], case)
+        await fleet.submit(GANG, {"work_ms": 4000}, [step(LABELLED, 8, gang=True)], key=standin.OTHER_KEY)
+    await asyncio.sleep(2)
+    await fleet.submit(ORDINARY, {"work_ms": 4000}, [step(1, 1)])
+    traffic_end = fleet.record.now()
+    await asyncio.sleep(60)
+    now = fleet.record.now()
+    broken = []
+    events = [(at, "start") for at, task, *_ in fleet.starts if task == TASK]
+    events += [(at, "end") for at, task, *_ in fleet.ends if task == TASK]
+    away = None
+    idle = "it needs 1 accelerator, and 20 are idle on the 3 workers with its label"
+    for at, what in sorted(events) + [(now, "now")]:
+        if what in ("start", "now") and away is not None and at - away > LIMIT_S:
+            broken.append(f"LOST: nothing of {TASK} ran from {away:.1f} to {at:.1f} s, {at - away:.1f} s; {idle}")
+        away = at if what == "end" else None
+    started = min((at for at, task, *_ in fleet.starts if task.startswith(ORDINARY)), default=now)
+    if started - (traffic_end + FINISH_S) > 3:
+        broken.append(f"LOST: nothing of the ordinary job {ORDINARY} ran from {traffic_end:.1f} to {started:.1f} s; {idle}")
+    return broken
+
+
+standin.main(FOLDER, [["b" if number < LABELLED else "a", f"r1-{number // 4}"] for number in range(WORKERS)], case)
