--- a/review/harness-4/standin.py
+++ b/review/harness-4/standin.py
@@ -306,7 +306,6 @@
         self.listed = False
         self.alive = False
         self.draining = False
-        self.late = []  # orders that are held back: set by a test
 
     async def begin(self, list_after=0.0):
         """Starts a life: it knows nothing of before. It answers at once, and registers `list_after` seconds later."""
@@ -699,6 +698,13 @@
     """Runs `case(fleet)`, which returns the texts of what broke the rule. Exits with 1 if there are any, else 0."""
     fleet = Fleet(folder, labels)
 
+    def terminate(*_):
+        fleet.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, terminate)
+    signal.signal(signal.SIGINT, terminate)
+
     async def run():
         await fleet.begin(daemons)
         return await asyncio.wait_for(case(fleet), 110)
